--- /dev/null
+++ b/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission decides which requests a target may start, and when.
+package admission
--- /dev/null
+++ b/api/design/doc.go
@@ -0,0 +1,2 @@
+// Package design describes the HTTP interfaces of an entry instance.
+package design
--- /dev/null
+++ b/api/design/operators.go
@@ -0,0 +1,109 @@
+package design
+
+import . "goa.design/goa/v3/dsl"
+
+// ConfigDocument is a configuration with its revision.
+var ConfigDocument = Type("ConfigDocument", func() {
+	Attribute("revision", UInt64)
+	Attribute("document", Any, "Inventory and rules")
+	Required("revision", "document")
+})
+
+// ConfigAccepted is the answer to an accepted change.
+var ConfigAccepted = Type("ConfigAccepted", func() {
+	Attribute("revision", UInt64)
+	Attribute("already", Boolean, "True when this edit id was accepted before")
+	Required("revision", "already")
+})
+
+// ProcessRevision tells which revision a process has in force.
+var ProcessRevision = Type("ProcessRevision", func() {
+	Attribute("name", String)
+	Attribute("role", String)
+	Attribute("data_centre", String)
+	Attribute("state", String)
+	Attribute("incarnation", String)
+	Attribute("revision", UInt64)
+	Attribute("in_force", Boolean)
+	Attribute("heard_ms_ago", Int64)
+	Required("name", "role", "data_centre", "state", "incarnation", "revision", "in_force", "heard_ms_ago")
+})
+
+// ConfigStatus tells where a revision is in force.
+var ConfigStatus = Type("ConfigStatus", func() {
+	Attribute("revision", UInt64)
+	Attribute("store_reachable", Boolean)
+	Attribute("freshness_ms", Int64, "Age of the last confirmation of the head")
+	Attribute("processes", ArrayOf(ProcessRevision))
+	Required("revision", "store_reachable", "freshness_ms", "processes")
+})
+
+// HistoryItem is one accepted change.
+var HistoryItem = Type("HistoryItem", func() {
+	Attribute("revision", UInt64)
+	Attribute("edit_id", String)
+	Attribute("author", String)
+	Attribute("time", String)
+	Attribute("patch", Any, "JSON merge patch (RFC 7386) from the revision before")
+	Required("revision", "edit_id", "author", "time", "patch")
+})
+
+var _ = Service("operators", func() {
+	Description("What operators use, by way of skylarkctl.")
+	Security(OperatorToken)
+
+	Method("get_config", func() {
+		Payload(func() {
+			Token("token", String)
+			Attribute("revision", UInt64, "0 for the one in force")
+			Required("token")
+		})
+		Result(ConfigDocument)
+		HTTP(func() {
+			GET("/v1/config")
+			Param("revision")
+		})
+	})
+
+	Method("apply_config", func() {
+		Description("Accepts a whole configuration on top of the named base revision.")
+		Payload(func() {
+			Token("token", String)
+			Attribute("base_revision", UInt64, "Revision the edit was made on")
+			Attribute("edit_id", String, func() { MinLength(8); MaxLength(64) })
+			Attribute("allow_no_service", Boolean, func() { Default(false) })
+			Attribute("document", Any)
+			Required("token", "base_revision", "edit_id", "document")
+		})
+		Result(ConfigAccepted)
+		HTTP(func() {
+			PUT("/v1/config")
+			Header("base_revision:If-Match")
+			Header("edit_id:Edit-Id")
+			Param("allow_no_service")
+			Body("document")
+		})
+	})
+
+	Method("config_status", func() {
+		Payload(func() {
+			Token("token", String)
+			Required("token")
+		})
+		Result(ConfigStatus)
+		HTTP(func() { GET("/v1/config/status") })
+	})
+
+	Method("config_history", func() {
+		Payload(func() {
+			Token("token", String)
+			Attribute("limit", Int, func() { Minimum(1); Maximum(1000); Default(20) })
+			Required("token")
+		})
+		Result(ArrayOf(HistoryItem))
+		HTTP(func() {
+			GET("/v1/config/history")
+			Param("limit")
+		})
+	})
+})
--- /dev/null
+++ b/atmostonce/doc.go
@@ -0,0 +1,2 @@
+// Package atmostonce keeps non-idempotent operations from running twice.
+package atmostonce
--- /dev/null
+++ b/balancer/doc.go
@@ -0,0 +1,2 @@
+// Package balancer defines the interfaces of routing policies.
+package balancer
--- /dev/null
+++ b/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller is the Go client library for callers.
+package caller
--- /dev/null
+++ b/config/validate.go
@@ -0,0 +1,153 @@
+package config
+
+import (
+	"bytes"
+	_ "embed" // the schemas
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+//go:embed config.schema.json
+var configSchema []byte
+
+//go:embed settings.schema.json
+var settingsSchema []byte
+
+var (
+	compiledConfig   = mustCompile("config.schema.json", configSchema)
+	compiledSettings = mustCompile("settings.schema.json", settingsSchema)
+)
+
+// maxValueShown bounds how much of a faulty value is repeated in a report.
+const maxValueShown = 80
+
+// Fault is one thing wrong with a document.
+type Fault struct {
+	Path     string `json:"path"`
+	Value    string `json:"value"`
+	Expected string `json:"expected"`
+}
+
+// Faults lists everything wrong with a document.
+type Faults []Fault
+
+// Error implements error.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, x := range f {
+		lines = append(lines, fmt.Sprintf("%s: %s (found %s)", x.Path, x.Expected, x.Value))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// ParseConfig decodes and validates a configuration.
+func ParseConfig(data []byte) (*Config, error) {
+	var c Config
+	if err := decode(compiledConfig, data, &c); err != nil {
+		return nil, err
+	}
+	if faults := c.check(); len(faults) > 0 {
+		return nil, errkind.Wrap(faults, errkind.InvalidConfig, "%d faults", len(faults))
+	}
+	return &c, nil
+}
+
+// ParseSettings decodes and validates the settings of a process.
+func ParseSettings(data []byte) (*Settings, error) {
+	var s Settings
+	if err := decode(compiledSettings, data, &s); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+func decode(schema *jsonschema.Schema, data []byte, into any) error {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return errkind.Wrap(err, errkind.InvalidConfig, "not a JSON document")
+	}
+	if err := schema.Validate(doc); err != nil {
+		faults := schemaFaults(doc, err)
+		return errkind.Wrap(faults, errkind.InvalidConfig, "%d faults", len(faults))
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return errkind.Wrap(err, errkind.InvalidConfig, "document does not fit")
+	}
+	return nil
+}
+
+func schemaFaults(doc any, err error) Faults {
+	var ve *jsonschema.ValidationError
+	if !errors.As(err, &ve) {
+		return Faults{{Path: "/", Expected: err.Error()}}
+	}
+	printer := message.NewPrinter(language.English)
+	var faults Faults
+	var walk func(e *jsonschema.ValidationError)
+	walk = func(e *jsonschema.ValidationError) {
+		if len(e.Causes) == 0 {
+			faults = append(faults, Fault{
+				Path:     "/" + strings.Join(e.InstanceLocation, "/"),
+				Value:    show(lookup(doc, e.InstanceLocation)),
+				Expected: e.ErrorKind.LocalizedString(printer),
+			})
+		}
+		for _, c := range e.Causes {
+			walk(c)
+		}
+	}
+	walk(ve)
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
+	return faults
+}
+
+func lookup(doc any, path []string) any {
+	for _, p := range path {
+		switch v := doc.(type) {
+		case map[string]any:
+			doc = v[p]
+		case []any:
+			i, err := strconv.Atoi(p)
+			if err != nil || i < 0 || i >= len(v) {
+				return nil
+			}
+			doc = v[i]
+		default:
+			return nil
+		}
+	}
+	return doc
+}
+
+func show(v any) string {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return "?"
+	}
+	if len(b) > maxValueShown {
+		return string(b[:maxValueShown]) + "..."
+	}
+	return string(b)
+}
+
+func mustCompile(name string, data []byte) *jsonschema.Schema {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		panic(name + ": " + err.Error())
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(name, doc); err != nil {
+		panic(name + ": " + err.Error())
+	}
+	return c.MustCompile(name)
+}
--- /dev/null
+++ b/configsync/doc.go
@@ -0,0 +1,2 @@
+// Package configsync accepts configuration changes and propagates revisions.
+package configsync
--- /dev/null
+++ b/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl holds the commands of skylarkctl.
+package ctl
--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon joins the libraries into the roles of skylarkd.
+package daemon
--- /dev/null
+++ b/errkind/kind.go
@@ -0,0 +1,145 @@
+package errkind
+
+import "net/http"
+
+// Kind names one class of failure. The zero value is not a valid kind.
+type Kind uint8
+
+// The closed list of kinds. The numeric values travel between processes, so
+// new kinds are appended and existing ones keep their number.
+const (
+	Unspecified        Kind = iota
+	InvalidRequest          // the body or a parameter is malformed
+	Unauthenticated         // the bearer key is missing or unknown
+	Forbidden               // the customer may not use this back end
+	UnknownModel            // no back end serves the model
+	UnknownBackend          // no back end has the name
+	UnknownOperation        // the operation id is malformed or names an unknown target
+	UnsupportedMedia        // the content type is not accepted
+	TooLarge                // the body exceeds the limit
+	Overloaded              // the expected wait exceeds the deadline
+	NoTarget                // no target may take the request now
+	Leaving                 // the process or its data centre is leaving
+	Cold                    // the warm-up ramp is full
+	StaleIncarnation        // the dispatch names another incarnation
+	Isolated                // the process may have missed a configuration change
+	NotReady                // the process has no configuration yet
+	TargetUnreachable       // no dispatch could be written to the target
+	TargetLost              // the target stopped answering after the dispatch
+	Stalled                 // the back end made no progress for too long
+	BackendUnreachable      // the back end could not be dialled
+	BackendFailed           // the back end answered with an error
+	DeadlineExceeded        // the deadline passed before the answer was complete
+	Canceled                // the caller went away
+	OperationClosed         // the operation id was closed before it ran
+	OperationUnknown        // the outcome of the operation id is not known
+	RevisionConflict        // another edit was accepted first
+	RevisionStale           // a lower revision than the one held was offered
+	InvalidConfig           // the configuration has faults
+	StoreUnavailable        // the key-value service does not answer
+	Fenced                  // the fencing number is lower than one already seen
+	ProtocolMismatch        // the peer speaks another protocol version
+	Internal                // a fault in this program
+
+	kindCount
+)
+
+// DidRun says whether the back end may have executed the call.
+type DidRun uint8
+
+// The values of DidRun. NotRun is a promise: the call did not happen and never
+// will under the same id.
+const (
+	Unknown DidRun = iota
+	NotRun
+	Ran
+)
+
+// String returns the name used in answers.
+func (d DidRun) String() string {
+	switch d {
+	case NotRun:
+		return "not_run"
+	case Ran:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// Answer is what the table says about a kind.
+type Answer struct {
+	Name         string
+	Status       int
+	MayRepeat    bool   // the caller may send the same request again
+	DidRun       DidRun // the default, which the process that knows better overrides
+	TryElsewhere bool   // the entry tries another target
+}
+
+// statusClientClosed is the de facto status for a caller that went away.
+const statusClientClosed = 499
+
+var table = [kindCount]Answer{
+	Unspecified:        {"unspecified", http.StatusInternalServerError, false, Unknown, false},
+	InvalidRequest:     {"invalid_request", http.StatusBadRequest, false, NotRun, false},
+	Unauthenticated:    {"unauthenticated", http.StatusUnauthorized, false, NotRun, false},
+	Forbidden:          {"forbidden", http.StatusForbidden, false, NotRun, false},
+	UnknownModel:       {"unknown_model", http.StatusNotFound, false, NotRun, false},
+	UnknownBackend:     {"unknown_back_end", http.StatusNotFound, false, NotRun, false},
+	UnknownOperation:   {"unknown_operation", http.StatusNotFound, false, NotRun, false},
+	UnsupportedMedia:   {"unsupported_media_type", http.StatusUnsupportedMediaType, false, NotRun, false},
+	TooLarge:           {"too_large", http.StatusRequestEntityTooLarge, false, NotRun, false},
+	Overloaded:         {"overloaded", http.StatusTooManyRequests, true, NotRun, true},
+	NoTarget:           {"no_target", http.StatusServiceUnavailable, true, NotRun, false},
+	Leaving:            {"leaving", http.StatusServiceUnavailable, true, NotRun, true},
+	Cold:               {"cold", http.StatusServiceUnavailable, true, NotRun, true},
+	StaleIncarnation:   {"stale_incarnation", http.StatusServiceUnavailable, true, NotRun, true},
+	Isolated:           {"isolated", http.StatusServiceUnavailable, true, NotRun, false},
+	NotReady:           {"not_ready", http.StatusServiceUnavailable, true, NotRun, false},
+	TargetUnreachable:  {"target_unreachable", http.StatusBadGateway, true, NotRun, true},
+	TargetLost:         {"target_lost", http.StatusBadGateway, false, Unknown, true},
+	Stalled:            {"stalled", http.StatusGatewayTimeout, false, Unknown, true},
+	BackendUnreachable: {"back_end_unreachable", http.StatusBadGateway, true, NotRun, true},
+	BackendFailed:      {"back_end_failed", http.StatusBadGateway, false, Unknown, true},
+	DeadlineExceeded:   {"deadline_exceeded", http.StatusGatewayTimeout, false, Unknown, false},
+	Canceled:           {"canceled", statusClientClosed, false, Unknown, false},
+	OperationClosed:    {"operation_closed", http.StatusConflict, false, NotRun, false},
+	OperationUnknown:   {"operation_unknown", http.StatusConflict, false, Unknown, false},
+	RevisionConflict:   {"revision_conflict", http.StatusPreconditionFailed, false, NotRun, false},
+	RevisionStale:      {"revision_stale", http.StatusConflict, false, NotRun, false},
+	InvalidConfig:      {"invalid_config", http.StatusUnprocessableEntity, false, NotRun, false},
+	StoreUnavailable:   {"store_unavailable", http.StatusServiceUnavailable, true, Unknown, false},
+	Fenced:             {"fenced", http.StatusConflict, false, NotRun, false},
+	ProtocolMismatch:   {"protocol_mismatch", http.StatusBadGateway, false, NotRun, true},
+	Internal:           {"internal", http.StatusInternalServerError, false, Unknown, false},
+}
+
+// Answer returns the table row of the kind.
+func (k Kind) Answer() Answer {
+	if k >= kindCount {
+		return table[Unspecified]
+	}
+	return table[k]
+}
+
+// String returns the name used in answers and logs.
+func (k Kind) String() string { return k.Answer().Name }
+
+// ParseKind returns the kind with the given name.
+func ParseKind(name string) (Kind, bool) {
+	for k := InvalidRequest; k < kindCount; k++ {
+		if table[k].Name == name {
+			return k, true
+		}
+	}
+	return Unspecified, false
+}
+
+// All returns every valid kind in order.
+func All() []Kind {
+	kinds := make([]Kind, 0, kindCount-1)
+	for k := InvalidRequest; k < kindCount; k++ {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
--- /dev/null
+++ b/membership/doc.go
@@ -0,0 +1,2 @@
+// Package membership detects failed instances and chooses subsets of peers.
+package membership
--- /dev/null
+++ b/timeline/doc.go
@@ -0,0 +1,3 @@
+// Package timeline records events with a hybrid logical clock and merges the
+// records of all processes.
+package timeline
--- /dev/null
+++ b/wire/message.go
@@ -0,0 +1,65 @@
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// MaxMessage is the largest message in bytes.
+const MaxMessage = 4 << 20
+
+// maxRetainedBuffer keeps one large message from pinning memory in the pool.
+const maxRetainedBuffer = 64 << 10
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 1024); return &b }}
+
+// WriteMsg writes one message with its length in front in a single Write, so
+// that concurrent streams do not interleave header and body.
+func WriteMsg(w io.Writer, m proto.Message) error {
+	size := proto.Size(m)
+	if size > MaxMessage {
+		return errors.Errorf("message of %d bytes exceeds %d", size, MaxMessage)
+	}
+	bp := buffers.Get().(*[]byte)
+	defer release(bp)
+	b := binary.AppendUvarint((*bp)[:0], uint64(size))
+	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, m)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	*bp = b
+	_, err = w.Write(b)
+	return errors.WithStack(err)
+}
+
+// ReadMsg reads one message. It returns io.EOF only at a message boundary.
+func ReadMsg(r *bufio.Reader, m proto.Message) error {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return err
+	}
+	if size > MaxMessage {
+		return errors.Errorf("message of %d bytes exceeds %d", size, MaxMessage)
+	}
+	bp := buffers.Get().(*[]byte)
+	defer release(bp)
+	if uint64(cap(*bp)) < size {
+		*bp = make([]byte, size)
+	}
+	b := (*bp)[:size]
+	if _, err := io.ReadFull(r, b); err != nil {
+		return errors.Wrap(err, "read message")
+	}
+	return errors.Wrap(proto.Unmarshal(b, m), "decode message")
+}
+
+func release(bp *[]byte) {
+	if cap(*bp) <= maxRetainedBuffer {
+		buffers.Put(bp)
+	}
+}
--- /dev/null
+++ b/wire/session.go
@@ -0,0 +1,240 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+// ProtocolVersion is sent in the first message. Peers with another major
+// version are refused.
+const ProtocolVersion = 1
+
+// Bounds of a session.
+const (
+	streamWindow     = 256 << 10 // yamux accepts no smaller window
+	acceptBacklog    = 4096
+	handshakeTimeout = 5 * time.Second
+	keepAlive        = 5 * time.Second
+	writeTimeout     = 10 * time.Second
+	nonceSize        = 32
+	streamReadBuffer = 4 << 10
+)
+
+// Session is one authenticated connection to a peer.
+type Session struct {
+	mux     *yamux.Session
+	control *Stream
+	peer    *wirepb.Hello
+}
+
+// Stream is one stream of a session. Reads and writes may happen at the same
+// time; writes are serialised.
+type Stream struct {
+	raw *yamux.Stream
+	r   *bufio.Reader
+	wmu sync.Mutex
+}
+
+// Dial connects to a peer and shakes hands.
+func Dial(ctx context.Context, addr string, key []byte, hello *wirepb.Hello) (*Session, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.TargetUnreachable, "dial %s", addr)
+	}
+	return Client(conn, key, hello)
+}
+
+// Client shakes hands as the side that opened the connection.
+func Client(conn net.Conn, key []byte, hello *wirepb.Hello) (*Session, error) {
+	return newSession(conn, key, hello, true)
+}
+
+// Server shakes hands as the side that accepted the connection.
+func Server(conn net.Conn, key []byte, hello *wirepb.Hello) (*Session, error) {
+	return newSession(conn, key, hello, false)
+}
+
+func newSession(conn net.Conn, key []byte, hello *wirepb.Hello, client bool) (*Session, error) {
+	peer, err := handshake(conn, key, hello, client)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	cfg := yamux.DefaultConfig()
+	cfg.MaxStreamWindowSize = streamWindow
+	cfg.AcceptBacklog = acceptBacklog
+	cfg.KeepAliveInterval = keepAlive
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.LogOutput = io.Discard
+	s := &Session{peer: peer}
+	if client {
+		s.mux, err = yamux.Client(conn, cfg)
+	} else {
+		s.mux, err = yamux.Server(conn, cfg)
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(err, "start session")
+	}
+	if err := s.openControl(client); err != nil {
+		_ = s.mux.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Session) openControl(client bool) error {
+	var raw *yamux.Stream
+	var err error
+	if client {
+		raw, err = s.mux.OpenStream()
+	} else {
+		raw, err = s.mux.AcceptStream()
+	}
+	if err != nil {
+		return errors.Wrap(err, "open control stream")
+	}
+	s.control = newStream(raw)
+	return nil
+}
+
+// handshake exchanges Hello messages and proofs of the cluster key before any
+// multiplexing, so that an unauthenticated peer can't open streams.
+func handshake(conn net.Conn, key []byte, hello *wirepb.Hello, client bool) (*wirepb.Hello, error) {
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	defer func() { _ = conn.SetDeadline(time.Time{}) }()
+	mine := proto.CloneOf(hello)
+	mine.ProtocolVersion = ProtocolVersion
+	mine.Nonce = make([]byte, nonceSize)
+	_, _ = rand.Read(mine.Nonce)
+	// The reader must not consume bytes that belong to yamux, so it reads
+	// byte by byte.
+	r := bufio.NewReaderSize(oneByteReader{conn}, 16)
+	var peer wirepb.Hello
+	if err := exchange(conn, r, client, mine, &peer); err != nil {
+		return nil, errkind.Wrap(err, errkind.TargetUnreachable, "handshake")
+	}
+	if peer.GetProtocolVersion() != ProtocolVersion {
+		return nil, errkind.New(errkind.ProtocolMismatch, "peer %s speaks protocol %d, this process %d",
+			peer.GetInstance(), peer.GetProtocolVersion(), ProtocolVersion)
+	}
+	var proof wirepb.HelloProof
+	myProof := &wirepb.HelloProof{Mac: mac(key, client, mine.GetNonce(), peer.GetNonce())}
+	if err := exchange(conn, r, client, myProof, &proof); err != nil {
+		return nil, errkind.Wrap(err, errkind.TargetUnreachable, "handshake proof")
+	}
+	if !hmac.Equal(proof.GetMac(), mac(key, !client, peer.GetNonce(), mine.GetNonce())) {
+		return nil, errkind.New(errkind.Unauthenticated, "peer %s does not hold the cluster key", peer.GetInstance())
+	}
+	return &peer, nil
+}
+
+// exchange lets the client speak first, which also works over unbuffered
+// connections such as net.Pipe.
+func exchange(conn net.Conn, r *bufio.Reader, client bool, out, in proto.Message) error {
+	if client {
+		if err := WriteMsg(conn, out); err != nil {
+			return err
+		}
+		return ReadMsg(r, in)
+	}
+	if err := ReadMsg(r, in); err != nil {
+		return err
+	}
+	return WriteMsg(conn, out)
+}
+
+// mac binds the side into the proof, so that a proof can't be reflected.
+func mac(key []byte, client bool, own, other []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	if client {
+		_, _ = h.Write([]byte("client"))
+	} else {
+		_, _ = h.Write([]byte("server"))
+	}
+	_, _ = h.Write(own)
+	_, _ = h.Write(other)
+	return h.Sum(nil)
+}
+
+type oneByteReader struct{ conn net.Conn }
+
+func (r oneByteReader) Read(p []byte) (int, error) {
+	if len(p) > 1 {
+		p = p[:1]
+	}
+	return r.conn.Read(p)
+}
+
+// Peer returns the Hello of the other side.
+func (s *Session) Peer() *wirepb.Hello { return s.peer }
+
+// Control returns the control stream.
+func (s *Session) Control() *Stream { return s.control }
+
+// Open opens a work stream and sends its first message.
+func (s *Session) Open(first *wirepb.Open) (*Stream, error) {
+	raw, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.TargetUnreachable, "open stream to %s", s.peer.GetInstance())
+	}
+	st := newStream(raw)
+	if err := st.Send(first); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return st, nil
+}
+
+// Accept waits for the next work stream.
+func (s *Session) Accept() (*Stream, error) {
+	raw, err := s.mux.AcceptStream()
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return newStream(raw), nil
+}
+
+// Streams returns the number of open streams.
+func (s *Session) Streams() int { return s.mux.NumStreams() }
+
+// Done is closed when the session has ended.
+func (s *Session) Done() <-chan struct{} { return s.mux.CloseChan() }
+
+// Close ends the session and all its streams.
+func (s *Session) Close() error { return s.mux.Close() }
+
+func newStream(raw *yamux.Stream) *Stream {
+	return &Stream{raw: raw, r: bufio.NewReaderSize(raw, streamReadBuffer)}
+}
+
+// Send writes one message.
+func (s *Stream) Send(m proto.Message) error {
+	s.wmu.Lock()
+	defer s.wmu.Unlock()
+	return WriteMsg(s.raw, m)
+}
+
+// Recv reads one message.
+func (s *Stream) Recv(m proto.Message) error { return ReadMsg(s.r, m) }
+
+// SetReadDeadline bounds the next Recv.
+func (s *Stream) SetReadDeadline(t time.Time) error { return s.raw.SetReadDeadline(t) }
+
+// Close half-closes the stream; the peer reads io.EOF.
+func (s *Stream) Close() error { return s.raw.Close() }
