--- a/api/design/operators.go
+++ b/api/design/operators.go
@@ -29,8 +29,8 @@
 	Required("name", "role", "data_centre", "state", "incarnation", "revision", "in_force", "heard_ms_ago")
 })
 
-// ConfigStatus tells where a revision is in force.
-var ConfigStatus = Type("ConfigStatus", func() {
+// RevisionStatus tells where a revision is in force.
+var RevisionStatus = Type("RevisionStatus", func() {
 	Attribute("revision", UInt64)
 	Attribute("store_reachable", Boolean)
 	Attribute("freshness_ms", Int64, "Age of the last confirmation of the head")
@@ -90,7 +90,7 @@
 			Token("token", String)
 			Required("token")
 		})
-		Result(ConfigStatus)
+		Result(RevisionStatus)
 		HTTP(func() { GET("/v1/config/status") })
 	})
 
--- a/api/gen/http/operators/client/encode_decode.go
+++ b/api/gen/http/operators/client/encode_decode.go
@@ -259,7 +259,7 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("operators", "config_status", err)
 			}
-			res := NewConfigStatus2OK(&body)
+			res := NewConfigStatusRevisionStatusOK(&body)
 			return res, nil
 		default:
 			body, _ := io.ReadAll(resp.Body)
--- a/api/gen/http/operators/client/types.go
+++ b/api/gen/http/operators/client/types.go
@@ -82,10 +82,10 @@
 	return v
 }
 
-// NewConfigStatus2OK builds a "operators" service "config_status" endpoint
-// result from a HTTP "OK" response.
-func NewConfigStatus2OK(body *ConfigStatusResponseBody) *operators.ConfigStatus2 {
-	v := &operators.ConfigStatus2{
+// NewConfigStatusRevisionStatusOK builds a "operators" service "config_status"
+// endpoint result from a HTTP "OK" response.
+func NewConfigStatusRevisionStatusOK(body *ConfigStatusResponseBody) *operators.RevisionStatus {
+	v := &operators.RevisionStatus{
 		Revision:       *body.Revision,
 		StoreReachable: *body.StoreReachable,
 		FreshnessMs:    *body.FreshnessMs,
--- a/api/gen/http/operators/server/encode_decode.go
+++ b/api/gen/http/operators/server/encode_decode.go
@@ -163,7 +163,7 @@
 // operators config_status endpoint.
 func EncodeConfigStatusResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.(*operators.ConfigStatus2)
+		res, _ := v.(*operators.RevisionStatus)
 		enc := encoder(ctx, w)
 		body := NewConfigStatusResponseBody(res)
 		w.WriteHeader(http.StatusOK)
--- a/api/gen/http/operators/server/types.go
+++ b/api/gen/http/operators/server/types.go
@@ -85,7 +85,7 @@
 
 // NewConfigStatusResponseBody builds the HTTP response body from the result of
 // the "config_status" endpoint of the "operators" service.
-func NewConfigStatusResponseBody(res *operators.ConfigStatus2) *ConfigStatusResponseBody {
+func NewConfigStatusResponseBody(res *operators.RevisionStatus) *ConfigStatusResponseBody {
 	body := &ConfigStatusResponseBody{
 		Revision:       res.Revision,
 		StoreReachable: res.StoreReachable,
--- a/api/gen/operators/client.go
+++ b/api/gen/operators/client.go
@@ -52,13 +52,13 @@
 }
 
 // ConfigStatus calls the "config_status" endpoint of the "operators" service.
-func (c *Client) ConfigStatus(ctx context.Context, p *ConfigStatusPayload) (res *ConfigStatus2, err error) {
+func (c *Client) ConfigStatus(ctx context.Context, p *ConfigStatusPayload) (res *RevisionStatus, err error) {
 	var ires any
 	ires, err = c.ConfigStatusEndpoint(ctx, p)
 	if err != nil {
 		return
 	}
-	return ires.(*ConfigStatus2), nil
+	return ires.(*RevisionStatus), nil
 }
 
 // ConfigHistory calls the "config_history" endpoint of the "operators" service.
--- a/api/gen/operators/service.go
+++ b/api/gen/operators/service.go
@@ -20,7 +20,7 @@
 	// Accepts a whole configuration on top of the named base revision.
 	ApplyConfig(context.Context, *ApplyConfigPayload) (res *ConfigAccepted, err error)
 	// ConfigStatus implements config_status.
-	ConfigStatus(context.Context, *ConfigStatusPayload) (res *ConfigStatus2, err error)
+	ConfigStatus(context.Context, *ConfigStatusPayload) (res *RevisionStatus, err error)
 	// ConfigHistory implements config_history.
 	ConfigHistory(context.Context, *ConfigHistoryPayload) (res []*HistoryItem, err error)
 }
@@ -80,16 +80,6 @@
 	Limit int
 }
 
-// ConfigStatus2 is the result type of the operators service config_status
-// method.
-type ConfigStatus2 struct {
-	Revision       uint64
-	StoreReachable bool
-	// Age of the last confirmation of the head
-	FreshnessMs int64
-	Processes   []*ProcessRevision
-}
-
 // ConfigStatusPayload is the payload type of the operators service
 // config_status method.
 type ConfigStatusPayload struct {
@@ -123,3 +113,13 @@
 	InForce     bool
 	HeardMsAgo  int64
 }
+
+// RevisionStatus is the result type of the operators service config_status
+// method.
+type RevisionStatus struct {
+	Revision       uint64
+	StoreReachable bool
+	// Age of the last confirmation of the head
+	FreshnessMs int64
+	Processes   []*ProcessRevision
+}
--- /dev/null
+++ b/balancer/twochoice/doc.go
@@ -0,0 +1,3 @@
+// Package twochoice picks the less loaded of two random targets, in the local
+// data centre first.
+package twochoice
--- /dev/null
+++ b/ctl/command/dev.go
@@ -0,0 +1,77 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/ctl/dev"
+)
+
+const readyTimeout = 20 * time.Second
+
+func devCommand() *cobra.Command {
+	var file, logFile string
+	var once bool
+	cmd := &cobra.Command{
+		Use:   "dev --config FILE",
+		Short: "Run a whole small deployment in this process, with stand-ins, on loopback",
+		Long: "Runs every entry and every target process of the configuration in this process, together with\n" +
+			"stand-ins for the key-value service, the model engines and the plain services. It sends one model\n" +
+			"request and one call to a plain service, prints the answers, and goes on until interrupted.",
+		Example: "  skylarkctl dev --config examples/cabina-norte.json\n" +
+			"  skylarkctl dev --config examples/taartplateau.json --once",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runDev(cmd.Context(), cmd.OutOrStdout(), file, logFile, once)
+		},
+	}
+	cmd.Flags().StringVar(&file, "config", "", "configuration file (required)")
+	cmd.Flags().StringVar(&logFile, "log", "", "file for the logs of all processes (default: discard)")
+	cmd.Flags().BoolVar(&once, "once", false, "end after the sample requests")
+	_ = cmd.MarkFlagRequired("config")
+	return cmd
+}
+
+func runDev(ctx context.Context, out io.Writer, file, logFile string, once bool) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read configuration")
+	}
+	c, err := config.ParseConfig(data)
+	if err != nil {
+		return errors.Wrap(err, file)
+	}
+	logs := io.Discard
+	if logFile != "" {
+		f, err := os.Create(logFile)
+		if err != nil {
+			return errors.Wrap(err, "log file")
+		}
+		defer func() { _ = f.Close() }()
+		logs = f
+	}
+	d, err := dev.Start(ctx, dev.Options{Config: c, LogOutput: logs})
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := d.WaitReady(readyCtx); err != nil {
+		return err
+	}
+	if err := d.Sample(ctx, out); err != nil || once {
+		return err
+	}
+	_, _ = fmt.Fprintf(out, "running; entry %s, customer key %q, operator token %q; interrupt to stop\n",
+		d.EntryURL(), d.CustomerKey(c.Inventory.Customers[0].Name), dev.OperatorToken)
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/ctl/command/doc.go
@@ -0,0 +1,2 @@
+// Package command holds the commands of skylarkctl.
+package command
--- /dev/null
+++ b/ctl/command/root.go
@@ -0,0 +1,46 @@
+package command
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+// Exit codes of skylarkctl.
+const (
+	ExitOK          = 0
+	ExitFailure     = 1
+	ExitInvalid     = 2 // the document or the arguments have faults
+	ExitConflict    = 3 // another edit was accepted first
+	ExitUnavailable = 4 // no entry or no key-value service answered
+	ExitNotInForce  = 5 // the bound passed before every process had the revision
+)
+
+// Root returns the root command.
+func Root() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "skylarkctl",
+		Short:         "Operates a skylarkstep deployment",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(devCommand())
+	return root
+}
+
+// ExitCode returns the exit code for the error of a command.
+func ExitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	switch errkind.KindOf(err) {
+	case errkind.InvalidConfig, errkind.InvalidRequest:
+		return ExitInvalid
+	case errkind.RevisionConflict, errkind.RevisionStale:
+		return ExitConflict
+	case errkind.StoreUnavailable, errkind.NotReady, errkind.TargetUnreachable:
+		return ExitUnavailable
+	default:
+		return ExitFailure
+	}
+}
--- /dev/null
+++ b/ctl/dev/dev.go
@@ -0,0 +1,240 @@
+package dev
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/role"
+	"github.com/skylarkstep/skylarkstep/engine"
+	"github.com/skylarkstep/skylarkstep/engine/openai"
+	"github.com/skylarkstep/skylarkstep/engine/service"
+	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
+	"github.com/skylarkstep/skylarkstep/platform/kvhttp"
+	"github.com/skylarkstep/skylarkstep/platform/standin"
+)
+
+// OperatorToken is the operator token of every dev deployment.
+const OperatorToken = "dev-operator"
+
+const clusterKey = "dev-cluster-key-0123456789"
+
+// Options describe a deployment.
+type Options struct {
+	Config    *config.Config
+	LogOutput io.Writer
+	// Model are the options of each model stand-in.
+	Model enginestandin.ModelOptions
+	// Service are the options of each plain-service stand-in.
+	Service enginestandin.ServiceOptions
+	// StopBound is the longest planned stop; zero takes the default.
+	StopBound time.Duration
+}
+
+// Deployment is a running deployment. Its stand-ins are open to tests, which
+// turn faults on.
+type Deployment struct {
+	Config   *config.Config
+	KV       *standin.KV
+	Models   map[string]*enginestandin.Model
+	Services map[string]*enginestandin.Service
+
+	options Options
+	kvURL   string
+	mu      sync.Mutex
+	procs   map[string]*process
+	closers []func()
+}
+
+// process is one role that runs in this process.
+type process struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	err    error
+}
+
+// Start starts the stand-ins and every process of the configuration and has an
+// entry accept the configuration.
+func Start(ctx context.Context, o Options) (*Deployment, error) {
+	d := &Deployment{
+		Config:   o.Config,
+		KV:       standin.NewKV(),
+		Models:   map[string]*enginestandin.Model{},
+		Services: map[string]*enginestandin.Service{},
+		options:  o,
+		procs:    map[string]*process{},
+	}
+	if err := d.start(ctx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	var err error
+	if d.kvURL, err = d.serve(d.KV); err != nil {
+		return err
+	}
+	for _, t := range d.Config.Inventory.Targets {
+		if err := d.StartTarget(t); err != nil {
+			return err
+		}
+	}
+	for _, e := range d.Config.Inventory.Entries {
+		if err := d.StartEntry(e); err != nil {
+			return err
+		}
+	}
+	return d.apply(ctx)
+}
+
+// serve runs an HTTP stand-in on a free loopback port.
+func (d *Deployment) serve(h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "stand-in listener")
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(ln) }()
+	d.closers = append(d.closers, func() { _ = srv.Close() })
+	return "http://" + ln.Addr().String(), nil
+}
+
+// StartTarget starts the stand-in of a target, unless it runs already, and the
+// process in its slot.
+func (d *Deployment) StartTarget(t config.Target) error {
+	b, _ := d.Config.Backend(t.Backend)
+	s := d.settings(config.RoleTarget, t.Name, t.DataCentre, t.PeerAddr, "127.0.0.1:0")
+	s.Target = config.TargetSettings{Backend: t.Backend, Kind: b.Kind, Group: t.Group}
+	o := role.Options{Settings: s}
+	if b.Kind == config.KindModel {
+		m, err := d.modelFor(t.Name)
+		if err != nil {
+			return err
+		}
+		o.Model = m
+	} else {
+		v, err := d.serviceFor(t.Name)
+		if err != nil {
+			return err
+		}
+		o.Service = v
+	}
+	return d.run(o)
+}
+
+func (d *Deployment) modelFor(target string) (engine.Model, error) {
+	m := d.Models[target]
+	if m == nil {
+		m = enginestandin.NewModel(d.options.Model)
+		d.Models[target] = m
+	}
+	url, err := d.serve(m)
+	if err != nil {
+		return nil, err
+	}
+	return openai.New(url), nil
+}
+
+func (d *Deployment) serviceFor(target string) (engine.Service, error) {
+	v := d.Services[target]
+	if v == nil {
+		v = enginestandin.NewService(d.options.Service)
+		d.Services[target] = v
+	}
+	url, err := d.serve(v)
+	if err != nil {
+		return nil, err
+	}
+	return service.New(url), nil
+}
+
+// StartEntry starts an entry.
+func (d *Deployment) StartEntry(e config.Entry) error {
+	s := d.settings(config.RoleEntry, e.Name, e.DataCentre, e.PeerAddr, e.HTTPAddr)
+	for _, other := range d.Config.Inventory.Entries {
+		if other.Name != e.Name {
+			s.Peers = append(s.Peers, other.PeerAddr)
+		}
+	}
+	return d.run(role.Options{Settings: s, KV: kvhttp.New(d.kvURL)})
+}
+
+func (d *Deployment) settings(r config.Role, name, dc, peerAddr, httpAddr string) *config.Settings {
+	sum := sha256.Sum256([]byte(OperatorToken))
+	return &config.Settings{
+		Role:        r,
+		Name:        name,
+		DataCentre:  dc,
+		HTTPAddr:    httpAddr,
+		PeerAddr:    peerAddr,
+		ClusterKey:  clusterKey,
+		Platform:    config.Platform{KVURL: d.kvURL},
+		Operators:   []config.Operator{{Name: "dev", TokenSHA256: hex.EncodeToString(sum[:])}},
+		StopBoundMs: int(d.options.StopBound.Milliseconds()),
+	}
+}
+
+func (d *Deployment) run(o role.Options) error {
+	var err error
+	if o.PeerListener, err = net.Listen("tcp", o.Settings.PeerAddr); err != nil {
+		return errors.Wrap(err, o.Settings.Name)
+	}
+	if o.HTTPListener, err = net.Listen("tcp", o.Settings.HTTPAddr); err != nil {
+		return errors.Wrap(err, o.Settings.Name)
+	}
+	o.LogOutput = d.options.LogOutput
+	if o.LogOutput == nil {
+		o.LogOutput = io.Discard
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{cancel: cancel, done: make(chan struct{})}
+	d.mu.Lock()
+	d.procs[o.Settings.Name] = p
+	d.mu.Unlock()
+	go func() {
+		defer close(p.done)
+		p.err = role.Run(ctx, o)
+	}()
+	return nil
+}
+
+// Stop asks a process for a planned stop and waits for its end.
+func (d *Deployment) Stop(ctx context.Context, name string) error {
+	d.mu.Lock()
+	p := d.procs[name]
+	delete(d.procs, name)
+	d.mu.Unlock()
+	if p == nil {
+		return errors.Errorf("no process is named %s", name)
+	}
+	p.cancel()
+	select {
+	case <-p.done:
+		return p.err
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	}
+}
+
+// Close ends the stand-ins and asks every process to stop. It does not wait for
+// planned stops.
+func (d *Deployment) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.procs {
+		p.cancel()
+	}
+	for _, c := range d.closers {
+		c()
+	}
+}
--- /dev/null
+++ b/ctl/dev/doc.go
@@ -0,0 +1,3 @@
+// Package dev runs a whole small deployment in one process on loopback, with
+// stand-ins for everything outside the system.
+package dev
--- a/ctl/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package ctl holds the commands of skylarkctl.
-package ctl
--- /dev/null
+++ b/daemon/cmd/skylarkd/main.go
@@ -0,0 +1,114 @@
+// Command skylarkd runs one process of the system in the role that its settings
+// name.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/role"
+	"github.com/skylarkstep/skylarkstep/engine"
+	"github.com/skylarkstep/skylarkstep/engine/openai"
+	"github.com/skylarkstep/skylarkstep/engine/service"
+	"github.com/skylarkstep/skylarkstep/platform/kvhttp"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:           "skylarkd",
+		Short:         "Runs one process of skylarkstep",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(runCommand(), checkCommand())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "skylarkd:", err)
+		os.Exit(1)
+	}
+}
+
+func runCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "run FILE",
+		Short:   "Run the process that the settings describe until SIGTERM",
+		Example: "  skylarkd run entry-burgos-1.json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			s, err := load(args[0])
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			return run(ctx, s)
+		},
+	}
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Validate settings without starting",
+		Example: "  skylarkd check entry-burgos-1.json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := load(args[0])
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: settings of %s %s are valid\n", args[0], s.Role, s.Name)
+			return errors.WithStack(err)
+		},
+	}
+}
+
+func load(file string) (*config.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	s, err := config.ParseSettings(data)
+	return s, errors.Wrap(err, file)
+}
+
+func run(ctx context.Context, s *config.Settings) error {
+	peer, err := net.Listen("tcp", s.PeerAddr)
+	if err != nil {
+		return errors.Wrap(err, "peer listener")
+	}
+	web, err := net.Listen("tcp", s.HTTPAddr)
+	if err != nil {
+		return errors.Wrap(err, "HTTP listener")
+	}
+	return role.Run(ctx, role.Options{
+		Settings:     s,
+		LogOutput:    os.Stderr,
+		PeerListener: peer,
+		HTTPListener: web,
+		KV:           kvhttp.New(s.Platform.KVURL),
+		Model:        model(s),
+		Service:      plainService(s),
+	})
+}
+
+func model(s *config.Settings) engine.Model {
+	if s.Role != config.RoleTarget || s.Target.Kind != config.KindModel {
+		return nil
+	}
+	return openai.New(s.Target.EngineURL)
+}
+
+func plainService(s *config.Settings) engine.Service {
+	if s.Role != config.RoleTarget || s.Target.Kind != config.KindService {
+		return nil
+	}
+	return service.New(s.Target.EngineURL)
+}
--- a/daemon/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package daemon joins the libraries into the roles of skylarkd.
-package daemon
--- /dev/null
+++ b/daemon/e2e/harness_test.go
@@ -0,0 +1,267 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
+	"github.com/skylarkstep/skylarkstep/platform/standin"
+)
+
+const (
+	operatorToken = "test-operator"
+	customerKey   = "test-customer"
+	waitBound     = 20 * time.Second
+)
+
+var buildOnce = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "skylarkd")
+	if err != nil {
+		return "", err
+	}
+	bin := filepath.Join(dir, "skylarkd")
+	out, err := exec.Command("go", "build", "-o", bin, "../cmd/skylarkd").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build skylarkd: %w: %s", err, out)
+	}
+	return bin, nil
+})
+
+// cluster is a small deployment: entries and target processes as separate
+// processes, stand-ins in the test.
+type cluster struct {
+	t        *testing.T
+	config   *config.Config
+	kv       *standin.KV
+	kvURL    string
+	models   map[string]*enginestandin.Model
+	services map[string]*enginestandin.Service
+	urls     map[string]string
+	procs    map[string]*proc
+}
+
+type proc struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	log  *bytes.Buffer
+}
+
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func sha(s string) string {
+	sum := sha256.Sum256([]byte(s))
+	return hex.EncodeToString(sum[:])
+}
+
+// twoByTwo has two entries and two targets of each back end, in two data
+// centres.
+func twoByTwo(t *testing.T) *config.Config {
+	c := &config.Config{}
+	c.Inventory.Regions = []config.Region{{Name: "ebro"}}
+	c.Inventory.Backends = []config.Backend{
+		{Name: "pintor-lm", Kind: config.KindModel, Model: "pintor"},
+		{Name: "cabina-app", Kind: config.KindService},
+	}
+	c.Inventory.Customers = []config.Customer{{Name: "taller", KeySHA256: []string{sha(customerKey)}}}
+	c.Rules.Idempotent = []config.IdempotentRule{{Backend: "cabina-app", Operations: []string{"slot-board"}}}
+	c.Rules.AddressTTLMs = 500
+	for _, dc := range []string{"burgos", "vitoria"} {
+		c.Inventory.DataCentres = append(c.Inventory.DataCentres, config.DataCentre{Name: dc, Region: "ebro"})
+		c.Inventory.Entries = append(c.Inventory.Entries, config.Entry{
+			Name: "entry-" + dc, DataCentre: dc, HTTPAddr: freeAddr(t), PeerAddr: freeAddr(t),
+		})
+		for _, b := range c.Inventory.Backends {
+			c.Inventory.Targets = append(c.Inventory.Targets, config.Target{
+				Name: b.Name + "-" + dc, Backend: b.Name, DataCentre: dc, PeerAddr: freeAddr(t),
+			})
+		}
+	}
+	return c
+}
+
+func startCluster(t *testing.T, c *config.Config) *cluster {
+	k := &cluster{
+		t: t, config: c, kv: standin.NewKV(),
+		models: map[string]*enginestandin.Model{}, services: map[string]*enginestandin.Service{},
+		urls: map[string]string{}, procs: map[string]*proc{},
+	}
+	k.kvURL = k.serve(k.kv)
+	for _, tg := range c.Inventory.Targets {
+		if b, _ := c.Backend(tg.Backend); b.Kind == config.KindModel {
+			k.models[tg.Name] = enginestandin.NewModel(enginestandin.ModelOptions{TokenInterval: 2 * time.Millisecond})
+			k.urls[tg.Name] = k.serve(k.models[tg.Name])
+		} else {
+			k.services[tg.Name] = enginestandin.NewService(enginestandin.ServiceOptions{})
+			k.urls[tg.Name] = k.serve(k.services[tg.Name])
+		}
+		k.startTarget(tg)
+	}
+	for _, e := range c.Inventory.Entries {
+		k.startEntry(e)
+	}
+	k.apply(0, c)
+	k.waitInForce(1)
+	return k
+}
+
+func (k *cluster) serve(h http.Handler) string {
+	srv := httptest.NewServer(h)
+	k.t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return srv.URL
+}
+
+func (k *cluster) startTarget(tg config.Target) {
+	b, _ := k.config.Backend(tg.Backend)
+	k.start(&config.Settings{
+		Role: config.RoleTarget, Name: tg.Name, DataCentre: tg.DataCentre,
+		HTTPAddr: freeAddr(k.t), PeerAddr: tg.PeerAddr,
+		Target: config.TargetSettings{Backend: tg.Backend, Kind: b.Kind, EngineURL: k.urls[tg.Name]},
+	})
+}
+
+func (k *cluster) startEntry(e config.Entry) {
+	s := &config.Settings{
+		Role: config.RoleEntry, Name: e.Name, DataCentre: e.DataCentre, HTTPAddr: e.HTTPAddr, PeerAddr: e.PeerAddr,
+		Operators: []config.Operator{{Name: "test", TokenSHA256: sha(operatorToken)}},
+	}
+	for _, other := range k.config.Inventory.Entries {
+		if other.Name != e.Name {
+			s.Peers = append(s.Peers, other.PeerAddr)
+		}
+	}
+	k.start(s)
+}
+
+func (k *cluster) start(s *config.Settings) {
+	s.ClusterKey = "test-cluster-key-0123"
+	s.Platform = config.Platform{KVURL: k.kvURL}
+	s.StopBoundMs = 10000
+	bin, err := buildOnce()
+	require.NoError(k.t, err)
+	data, err := json.Marshal(s)
+	require.NoError(k.t, err)
+	file := filepath.Join(k.t.TempDir(), s.Name+".json")
+	require.NoError(k.t, os.WriteFile(file, data, 0o600))
+	p := &proc{cmd: exec.Command(bin, "run", file), done: make(chan struct{}), log: &bytes.Buffer{}}
+	p.cmd.Stderr = p.log
+	require.NoError(k.t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	k.procs[s.Name] = p
+	k.t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		if k.t.Failed() {
+			k.t.Logf("log of %s:\n%s", s.Name, p.log.String())
+		}
+	})
+}
+
+// signal sends a signal to a process that the test started.
+func (k *cluster) signal(name string, sig syscall.Signal) {
+	require.NoError(k.t, k.procs[name].cmd.Process.Signal(sig))
+}
+
+func (k *cluster) kill(name string) {
+	k.signal(name, syscall.SIGKILL)
+	<-k.procs[name].done
+}
+
+func (k *cluster) entryURL(i int) string { return "http://" + k.config.Inventory.Entries[i].HTTPAddr }
+
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (k *cluster) request(method, url, token string, h http.Header, body []byte) (*answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+token)
+	for name, values := range h {
+		req.Header[name] = values
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	return &answer{res.StatusCode, res.Header, data}, err
+}
+
+func (k *cluster) apply(base uint64, c *config.Config) {
+	document, err := json.Marshal(c)
+	require.NoError(k.t, err)
+	h := http.Header{"If-Match": {fmt.Sprint(base)}, "Edit-Id": {fmt.Sprintf("test-edit-%d", base)}}
+	require.Eventually(k.t, func() bool {
+		res, err := k.request(http.MethodPut, k.entryURL(0)+"/v1/config", operatorToken, h, document)
+		return err == nil && res.status == http.StatusOK
+	}, waitBound, 20*time.Millisecond)
+}
+
+// waitInForce waits until every process that both entries see has the revision.
+func (k *cluster) waitInForce(revision uint64) {
+	for i := range k.config.Inventory.Entries {
+		require.Eventually(k.t, func() bool { return k.inForce(i, revision) }, waitBound, 20*time.Millisecond,
+			"revision %d is not in force at entry %d", revision, i)
+	}
+}
+
+func (k *cluster) inForce(entry int, revision uint64) bool {
+	res, err := k.request(http.MethodGet, k.entryURL(entry)+"/v1/config/status", operatorToken, nil, nil)
+	if err != nil || res.status != http.StatusOK {
+		return false
+	}
+	var st struct {
+		Revision  uint64
+		Processes []struct {
+			InForce  bool `json:"in_force"`
+			Revision uint64
+		}
+	}
+	if json.Unmarshal(res.body, &st) != nil || st.Revision < revision {
+		return false
+	}
+	for _, p := range st.Processes {
+		if !p.InForce {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/daemon/e2e/path_test.go
@@ -0,0 +1,62 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a break anywhere on the whole path: caller, entry, target
+// process, engine, each in a process of its own, and back.
+func TestRequestIsServedEndToEnd(t *testing.T) {
+	k := startCluster(t, twoByTwo(t))
+	for i := range k.config.Inventory.Entries {
+		res, err := k.request(http.MethodPost, k.entryURL(i)+"/v1/completions", customerKey, nil,
+			[]byte(`{"model":"pintor","prompt":"which booth is free?","max_tokens":12}`))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, res.status, "%s", res.body)
+		assert.Equal(t, "text/event-stream", res.header.Get("Content-Type"))
+		assert.Equal(t, 12, bytes.Count(res.body, []byte(`"offset":`)))
+		assert.Contains(t, string(res.body), "event: done")
+
+		res, err = k.request(http.MethodPost, k.entryURL(i)+"/v1/services/cabina-app/slot-board", customerKey, nil, []byte(`{"id":"a"}`))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, res.status, "%s", res.body)
+	}
+}
+
+// Guards against an error answer without its kind, request id or did-run field.
+func TestErrorAnswersAreComplete(t *testing.T) {
+	k := startCluster(t, twoByTwo(t))
+	for _, tc := range []struct {
+		name, path, key, contentType, body, kind string
+		status                                   int
+	}{
+		{"unknown key", "/v1/completions", "nobody", "application/json", `{"model":"pintor","prompt":"x"}`, "unauthenticated", 401},
+		{"unknown model", "/v1/completions", customerKey, "application/json", `{"model":"none","prompt":"x"}`, "unknown_model", 404},
+		{"unknown back end", "/v1/services/none/x", customerKey, "application/json", `{}`, "unknown_back_end", 404},
+		{"bad body", "/v1/completions", customerKey, "application/json", `{"model":`, "invalid_request", 400},
+		{"missing field", "/v1/completions", customerKey, "application/json", `{"model":"pintor"}`, "invalid_request", 400},
+		{"wrong content type", "/v1/completions", customerKey, "text/csv", `a,b`, "unsupported_media_type", 415},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := http.Header{"Content-Type": {tc.contentType}, "X-Request-Id": {"req-7"}}
+			res, err := k.request(http.MethodPost, k.entryURL(0)+tc.path, tc.key, h, []byte(tc.body))
+			require.NoError(t, err)
+			assert.Equal(t, tc.status, res.status)
+			var a struct {
+				Kind      string
+				RequestID string `json:"request_id"`
+				DidRun    string `json:"did_run"`
+			}
+			require.NoError(t, json.Unmarshal(res.body, &a), "%s", res.body)
+			assert.Equal(t, tc.kind, a.Kind)
+			assert.Equal(t, "req-7", a.RequestID)
+			assert.Equal(t, "not_run", a.DidRun)
+		})
+	}
+}
--- /dev/null
+++ b/daemon/entry/callers.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+
+	goa "goa.design/goa/v3/pkg"
+
+	"github.com/skylarkstep/skylarkstep/api/gen/callers"
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+// callerService implements the goa service for callers.
+type callerService struct{ entry *Entry }
+
+func unsupportedMedia(contentType string) error {
+	return goa.PermanentError(goa.UnsupportedMediaType, "content type %q is not accepted, send application/json", contentType)
+}
+
+// Addresses tells a caller which entries to use.
+func (s *callerService) Addresses(_ context.Context, _ *callers.AddressesPayload) (*callers.AddressList, error) {
+	snap, err := s.entry.ready()
+	if err != nil {
+		return nil, err
+	}
+	var usable []config.Entry
+	for _, en := range snap.config.Inventory.Entries {
+		if snap.config.IsOut(en.DataCentre) || s.entry.isLeaving(en.Name) {
+			continue
+		}
+		usable = append(usable, en)
+	}
+	list := &callers.AddressList{
+		Addresses: []*callers.Address{},
+		TTLMs:     int(snap.config.AddressTTL().Milliseconds()),
+		Revision:  snap.config.Revision,
+	}
+	for _, en := range rankEntries(usable, rand.Perm(len(usable))) {
+		list.Addresses = append(list.Addresses, &callers.Address{URL: "http://" + en.HTTPAddr, DataCentre: en.DataCentre})
+	}
+	return list, nil
+}
+
+// isLeaving reports whether an entry must be absent from new address answers.
+func (e *Entry) isLeaving(name string) bool {
+	return name == e.node.Name && e.stopping.Load()
+}
+
+// maxAddresses bounds an address answer.
+const maxAddresses = 6
+
+// rankEntries orders entries by the permutation, so that no entry is the first
+// for everyone, and takes data centres in turn, so that the second address is
+// in another data centre than the first.
+func rankEntries(entries []config.Entry, perm []int) []config.Entry {
+	var order []string
+	byDC := map[string][]config.Entry{}
+	for _, i := range perm {
+		dc := entries[i].DataCentre
+		if byDC[dc] == nil {
+			order = append(order, dc)
+		}
+		byDC[dc] = append(byDC[dc], entries[i])
+	}
+	var ranked []config.Entry
+	for len(ranked) < min(len(entries), maxAddresses) {
+		for _, dc := range order {
+			if len(byDC[dc]) > 0 {
+				ranked = append(ranked, byDC[dc][0])
+				byDC[dc] = byDC[dc][1:]
+			}
+		}
+	}
+	return ranked[:min(len(ranked), maxAddresses)]
+}
+
+// IssueOperation issues an operation id.
+func (s *callerService) IssueOperation(context.Context, *callers.IssueOperationPayload) (*callers.OperationIssued, error) {
+	return nil, errkind.New(errkind.UnknownOperation, "operation ids are not issued by this version")
+}
+
+// Outcome tells what became of an operation.
+func (s *callerService) Outcome(context.Context, *callers.OutcomePayload) (*callers.OperationOutcome, error) {
+	return nil, errkind.New(errkind.UnknownOperation, "operation ids are not issued by this version")
+}
--- /dev/null
+++ b/daemon/entry/complete.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/api/gen/callers"
+	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
+	"github.com/skylarkstep/skylarkstep/daemon/target"
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/timeline"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+// maxModelAttempts bounds the targets that one generation is tried on.
+const maxModelAttempts = 3
+
+// callerWriteTimeout ends an answer whose caller reads nothing for this long.
+const callerWriteTimeout = 30 * time.Second
+
+// generation is one model request with the tokens that the caller has.
+type generation struct {
+	request
+	body    target.ModelRequest
+	payload *callers.CompletePayload
+	offset  int
+	text    strings.Builder
+	attempt *attempt
+	pending *wirepb.Frame
+	cancel  context.CancelFunc
+	ctx     context.Context
+}
+
+// Complete generates text. It waits for the first token, so that a request that
+// fails before it gets a plain error answer with its status.
+func (s *callerService) Complete(ctx context.Context, p *callers.CompletePayload) (*callers.CompleteResult, io.ReadCloser, error) {
+	snap, err := s.entry.ready()
+	if err != nil {
+		return nil, nil, err
+	}
+	backend, ok := snap.config.BackendForModel(p.Model)
+	if !ok {
+		return nil, nil, errkind.New(errkind.UnknownModel, "no back end serves model %q", p.Model)
+	}
+	deadline := time.Now().Add(time.Duration(p.DeadlineMs) * time.Millisecond)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	g := &generation{
+		request: request{
+			entry:    s.entry,
+			id:       httpapi.StateFrom(ctx).RequestID,
+			customer: customerFrom(ctx),
+			backend:  backend.Name,
+			deadline: deadline,
+			tokens:   p.MaxTokens,
+		},
+		body:    target.ModelRequest{Model: p.Model, Prompt: p.Prompt, MaxTokens: p.MaxTokens},
+		payload: p,
+		offset:  p.FromOffset,
+		cancel:  cancel,
+		ctx:     ctx,
+	}
+	g.record(timeline.RequestReceived, nil, 0, nil)
+	if err := g.next(); err != nil {
+		g.finish(err)
+		return nil, nil, err
+	}
+	return &callers.CompleteResult{ContentType: "text/event-stream", RequestID: g.id}, g, nil
+}
+
+// next makes pending the next frame of the answer, starting further attempts as
+// long as that can help.
+func (g *generation) next() error {
+	for {
+		if g.attempt == nil {
+			if err := g.startAttempt(); err != nil {
+				return err
+			}
+		}
+		f, err := g.attempt.recv()
+		if err == nil {
+			if f.GetAccepted() != nil {
+				continue
+			}
+			g.pending = f
+			return nil
+		}
+		if g.ctx.Err() != nil {
+			err = errkind.From(g.ctx.Err())
+		}
+		g.attempt.end(err)
+		g.attempt = nil
+		if !g.mayContinue(err) {
+			return err
+		}
+	}
+}
+
+func (g *generation) mayContinue(err error) bool {
+	return g.ctx.Err() == nil && errkind.KindOf(err).Answer().TryElsewhere && g.attempts < maxModelAttempts
+}
+
+func (g *generation) startAttempt() error {
+	for {
+		to, err := g.pick()
+		if err != nil {
+			return err
+		}
+		g.body.ResumeText = g.text.String()
+		body, err := json.Marshal(g.body)
+		if err != nil {
+			return errkind.Wrap(err, errkind.Internal, "encode the request")
+		}
+		a, err := g.start(g.ctx, to, &wirepb.Dispatch{
+			Idempotent:     true,
+			Priority:       int32(g.payload.Priority),
+			ResumeOffset:   uint32(g.offset),
+			ExpectedTokens: uint32(g.payload.MaxTokens),
+			Body:           body,
+		})
+		if err == nil {
+			g.attempt = a
+			return nil
+		}
+		if !g.mayContinue(err) {
+			return err
+		}
+	}
+}
+
+// WriteTo streams the answer as server-sent events. The last event is done or
+// error; a stream without one was cut.
+func (g *generation) WriteTo(w io.Writer) (int64, error) {
+	out := newEventWriter(w)
+	for {
+		f := g.pending
+		switch body := f.GetBody().(type) {
+		case *wirepb.Frame_Tokens:
+			g.emit(out, body.Tokens)
+		case *wirepb.Frame_End:
+			out.done(body.End.GetFinishReason(), g.offset)
+			g.finish(out.err)
+			return out.written, nil
+		}
+		if out.err != nil {
+			g.finish(errkind.Wrap(out.err, errkind.Canceled, "write to the caller"))
+			return out.written, nil
+		}
+		if err := g.next(); err != nil {
+			out.failure(httpapi.NewErrorAnswer(err, g.id))
+			g.finish(err)
+			return out.written, nil
+		}
+	}
+}
+
+// emit writes the tokens that the caller does not have yet.
+func (g *generation) emit(out *eventWriter, t *wirepb.Tokens) {
+	for i, text := range t.GetText() {
+		if int(t.GetOffset())+i != g.offset {
+			continue
+		}
+		out.token(g.offset, text)
+		g.text.WriteString(text)
+		g.offset++
+	}
+}
+
+func (g *generation) finish(err error) {
+	if g.attempt != nil {
+		g.attempt.end(err)
+		g.attempt = nil
+	}
+	g.record(timeline.RequestFinished, nil, 0, err)
+	g.cancel()
+}
+
+// Read implements io.Reader, which goa asks for; the answer is written by
+// WriteTo.
+func (g *generation) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close implements io.Closer.
+func (g *generation) Close() error {
+	g.cancel()
+	return nil
+}
+
+// eventWriter writes server-sent events and flushes each.
+type eventWriter struct {
+	w       io.Writer
+	control *http.ResponseController
+	buf     []byte
+	written int64
+	err     error
+}
+
+func newEventWriter(w io.Writer) *eventWriter {
+	e := &eventWriter{w: w}
+	if rw, ok := w.(http.ResponseWriter); ok {
+		e.control = http.NewResponseController(rw)
+	}
+	return e
+}
+
+type tokenEvent struct {
+	Offset int    `json:"offset"`
+	Text   string `json:"text"`
+}
+
+type doneEvent struct {
+	FinishReason string `json:"finish_reason"`
+	Tokens       int    `json:"tokens"`
+}
+
+func (e *eventWriter) token(offset int, text string) { e.event("", tokenEvent{offset, text}) }
+
+func (e *eventWriter) done(reason string, tokens int) { e.event("done", doneEvent{reason, tokens}) }
+
+func (e *eventWriter) failure(a *httpapi.ErrorAnswer) { e.event("error", a) }
+
+func (e *eventWriter) event(name string, v any) {
+	if e.err != nil {
+		return
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		e.err = err
+		return
+	}
+	e.buf = e.buf[:0]
+	if name != "" {
+		e.buf = append(append(append(e.buf, "event: "...), name...), '\n')
+	}
+	e.buf = append(append(append(e.buf, "data: "...), data...), "\n\n"...)
+	e.flush()
+}
+
+func (e *eventWriter) flush() {
+	if e.control != nil {
+		_ = e.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	}
+	n, err := e.w.Write(e.buf)
+	e.written += int64(n)
+	if err == nil && e.control != nil {
+		err = e.control.Flush()
+	}
+	e.err = err
+}
--- /dev/null
+++ b/daemon/entry/entry.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/balancer"
+	"github.com/skylarkstep/skylarkstep/balancer/twochoice"
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
+	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/timeline"
+)
+
+// Entry is one running entry instance.
+type Entry struct {
+	node     *node.Node
+	settings *config.Settings
+	kv       platform.KV
+	policy   balancer.Builder
+
+	snapshot atomic.Pointer[snapshot]
+	events   chan controlEvent
+	work     node.Inflight
+	stopping atomic.Bool
+}
+
+// Options are the parts that the caller of New provides.
+type Options struct {
+	Settings *config.Settings
+	Node     *node.Node
+	KV       platform.KV
+	// Policy is the routing policy; nil takes the default.
+	Policy balancer.Builder
+}
+
+// eventQueue bounds the control events that wait; senders block when it is
+// full, which slows heartbeats down but loses none.
+const eventQueue = 1024
+
+// New returns an entry that does not run yet.
+func New(o Options) *Entry {
+	if o.Policy == nil {
+		o.Policy = twochoice.Builder{}
+	}
+	return &Entry{
+		node:     o.Node,
+		settings: o.Settings,
+		kv:       o.KV,
+		policy:   o.Policy,
+		events:   make(chan controlEvent, eventQueue),
+	}
+}
+
+// Run serves callers and operators on ln until ctx ends; then it stops
+// gracefully within the stop bound of the settings.
+func (e *Entry) Run(ctx context.Context, ln net.Listener) error {
+	control, stopControl := context.WithCancel(context.Background())
+	defer stopControl()
+	go e.runControl(control)
+	go e.watchConfig(control)
+
+	srv := httpapi.NewServer(e.Handler(), e.node.Log)
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(ln) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	e.stop(srv)
+	return nil
+}
+
+// stop keeps serving for as long as callers keep their address answers, then
+// waits for the work in progress.
+func (e *Entry) stop(srv *http.Server) {
+	e.stopping.Store(true)
+	e.step("absent from new address answers")
+	ttl := config.DefaultAddressTTL
+	if s := e.snapshot.Load(); s != nil {
+		ttl = s.config.AddressTTL()
+	}
+	bound := e.settings.StopBound()
+	deadline := time.Now().Add(bound)
+	time.Sleep(min(ttl, bound/2))
+	e.step("refusing new connections")
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		e.node.Log.Warn("planned stop: bound reached with requests in progress", "in_progress", e.work.Count())
+		_ = srv.Close()
+		return
+	}
+	e.step("requests finished")
+}
+
+func (e *Entry) step(what string) {
+	e.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Detail: what})
+	e.node.Log.Info("planned stop", "step", what, "in_progress", e.work.Count())
+}
--- /dev/null
+++ b/daemon/entry/handler.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+	goahttp "goa.design/goa/v3/http"
+	"goa.design/goa/v3/security"
+
+	"github.com/skylarkstep/skylarkstep/api/gen/callers"
+	callersrv "github.com/skylarkstep/skylarkstep/api/gen/http/callers/server"
+	operatorsrv "github.com/skylarkstep/skylarkstep/api/gen/http/operators/server"
+	"github.com/skylarkstep/skylarkstep/api/gen/operators"
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+// Handler returns the HTTP handler for callers and operators.
+func (e *Entry) Handler() http.Handler {
+	mux := goahttp.NewMuxer()
+	onError := func(_ context.Context, _ http.ResponseWriter, err error) {
+		e.node.Log.Debug("answer not written", "error", err)
+	}
+	cs := callersrv.New(callers.NewEndpoints(&callerService{e}), mux, jsonDecoder, goahttp.ResponseEncoder, onError, httpapi.Format)
+	cs.Mount(mux)
+	ops := operatorsrv.New(operators.NewEndpoints(&operatorService{e}), mux, jsonDecoder, goahttp.ResponseEncoder, onError, httpapi.Format)
+	ops.Mount(mux)
+	mux.Handle(http.MethodGet, "/healthz", e.serveHealth)
+	mux.Handle(http.MethodGet, "/readyz", e.serveReady)
+	return httpapi.WithState(e.count(mux))
+}
+
+// count keeps track of the requests in progress for a planned stop.
+func (e *Entry) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.work.Begin() {
+			defer e.work.End()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// serveHealth answers whether the process lives.
+func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, map[string]any{"alive": true})
+}
+
+// serveReady answers whether the process takes new work.
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if _, err := e.ready(); err != nil {
+		writeJSON(w, http.StatusServiceUnavailable, map[string]any{"ready": false, "reason": err.Error()})
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"ready": true, "revision": e.revision()})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// ready returns the snapshot if the entry may take new work.
+func (e *Entry) ready() (*snapshot, error) {
+	s := e.snapshot.Load()
+	if s == nil {
+		return nil, errkind.New(errkind.NotReady, "entry %s has no configuration yet", e.node.Name)
+	}
+	return s, nil
+}
+
+type customerKey struct{}
+
+// authenticate finds the customer of a bearer key.
+func (e *Entry) authenticate(ctx context.Context, key string) (context.Context, error) {
+	s, err := e.ready()
+	if err != nil {
+		return ctx, err
+	}
+	sum := sha256.Sum256([]byte(key))
+	cu, ok := s.customers[hex.EncodeToString(sum[:])]
+	if !ok {
+		return ctx, errkind.New(errkind.Unauthenticated, "the bearer key belongs to no customer")
+	}
+	httpapi.StateFrom(ctx).Customer = cu.Name
+	return context.WithValue(ctx, customerKey{}, cu), nil
+}
+
+func customerFrom(ctx context.Context) *config.Customer {
+	cu, _ := ctx.Value(customerKey{}).(*config.Customer)
+	return cu
+}
+
+// JWTAuth implements callers.Auther.
+func (s *callerService) JWTAuth(ctx context.Context, token string, _ *security.JWTScheme) (context.Context, error) {
+	return s.entry.authenticate(ctx, token)
+}
+
+// jsonDecoder accepts JSON only. Goa's other formats are not part of the
+// interface.
+func jsonDecoder(r *http.Request) goahttp.Decoder {
+	d := goahttp.RequestDecoder(r)
+	if _, ok := d.(*json.Decoder); ok {
+		return d
+	}
+	return goahttp.EncodingFunc(func(any) error {
+		return errors.WithStack(unsupportedMedia(r.Header.Get("Content-Type")))
+	})
+}
--- /dev/null
+++ b/daemon/entry/link.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/balancer"
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/timeline"
+	"github.com/skylarkstep/skylarkstep/wire"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+// Bounds of the reconnection backoff.
+const (
+	minBackoff        = 50 * time.Millisecond
+	maxBackoff        = 2 * time.Second
+	dialTimeout       = 2 * time.Second
+	heartbeatInterval = time.Second
+)
+
+// link keeps a session to one target.
+type link struct {
+	entry  *Entry
+	target config.Target
+	sent   *balancer.Counter
+	stop   context.CancelFunc
+}
+
+func startLink(parent context.Context, e *Entry, t config.Target) *link {
+	ctx, cancel := context.WithCancel(parent)
+	l := &link{entry: e, target: t, sent: &balancer.Counter{}, stop: cancel}
+	go l.run(ctx)
+	return l
+}
+
+// run connects again whenever the session ends, with backoff and jitter so that
+// entries do not reconnect in step.
+func (l *link) run(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		s, err := l.dial(ctx)
+		if err != nil {
+			pause := backoff/2 + rand.N(backoff)
+			backoff = min(2*backoff, maxBackoff)
+			select {
+			case <-time.After(pause):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		backoff = minBackoff
+		l.serve(ctx, s)
+	}
+}
+
+func (l *link) dial(ctx context.Context) (*wire.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return wire.Dial(ctx, l.target.PeerAddr, l.entry.node.ClusterKey, l.entry.node.Hello(0))
+}
+
+// serve reads the control stream until the session or the link ends.
+func (l *link) serve(ctx context.Context, s *wire.Session) {
+	name := l.target.Name
+	if s.Peer().GetInstance() != name {
+		l.entry.node.Log.Warn("another instance answers at the address of a target",
+			"target", name, "instance", s.Peer().GetInstance(), "addr", l.target.PeerAddr)
+		_ = s.Close()
+		time.Sleep(maxBackoff)
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	l.entry.node.Clock.Observe(timeline.Timestamp(s.Peer().GetHlc()))
+	l.entry.post(ctx, func(c *control) { c.joined(name, s) })
+	defer func() {
+		_ = s.Close()
+		l.entry.post(ctx, func(c *control) { c.left(name, s) })
+	}()
+	go l.heartbeats(s)
+	for {
+		var m wirepb.Control
+		if err := s.Control().Recv(&m); err != nil {
+			return
+		}
+		switch body := m.GetBody().(type) {
+		case *wirepb.Control_Heartbeat:
+			l.entry.node.Clock.Observe(timeline.Timestamp(body.Heartbeat.GetHlc()))
+			l.entry.post(ctx, func(c *control) { c.heard(name, s, body.Heartbeat) })
+		case *wirepb.Control_Pull:
+			l.entry.post(ctx, func(c *control) { c.sendSnapshot(s) })
+		}
+	}
+}
+
+// heartbeats repairs a lost announcement: the target pulls when the revision in
+// a heartbeat is higher than its own.
+func (l *link) heartbeats(s *wire.Session) {
+	tick := time.NewTicker(heartbeatInterval)
+	defer tick.Stop()
+	for seq := uint64(1); ; seq++ {
+		hb := &wirepb.Heartbeat{
+			Incarnation: l.entry.node.Incarnation,
+			Revision:    l.entry.revision(),
+			State:       l.entry.state(),
+			Hlc:         uint64(l.entry.node.Clock.Now()),
+			Sequence:    seq,
+		}
+		if err := s.Control().Send(&wirepb.Control{Body: &wirepb.Control_Heartbeat{Heartbeat: hb}}); err != nil {
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-s.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) revision() uint64 {
+	if s := e.snapshot.Load(); s != nil {
+		return s.config.Revision
+	}
+	return 0
+}
+
+func (e *Entry) state() wirepb.MemberState {
+	if e.stopping.Load() {
+		return wirepb.MemberState_MEMBER_STATE_LEAVING
+	}
+	return wirepb.MemberState_MEMBER_STATE_READY
+}
--- /dev/null
+++ b/daemon/httpapi/answer.go
@@ -0,0 +1,158 @@
+package httpapi
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+// ErrorAnswer is the body of every error answer.
+type ErrorAnswer struct {
+	Kind         string `json:"kind"`
+	Message      string `json:"message"`
+	RequestID    string `json:"request_id"`
+	DidRun       string `json:"did_run"`
+	MayRepeat    bool   `json:"may_repeat"`
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+	OperationID  string `json:"operation_id,omitempty"`
+	status       int
+}
+
+// StatusCode implements goahttp.Statuser.
+func (a *ErrorAnswer) StatusCode() int { return a.status }
+
+// NewErrorAnswer returns the answer for an error.
+func NewErrorAnswer(err error, requestID string) *ErrorAnswer {
+	e := errkind.From(err)
+	row := e.Kind.Answer()
+	return &ErrorAnswer{
+		Kind:         row.Name,
+		Message:      e.Message,
+		RequestID:    requestID,
+		DidRun:       e.DidRun.String(),
+		MayRepeat:    row.MayRepeat && e.DidRun == errkind.NotRun,
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+		status:       row.Status,
+	}
+}
+
+// State is what a request carries besides goa's payload.
+type State struct {
+	RequestID   string
+	OperationID string
+	Customer    string
+	// Status replaces the status that goa writes when it is not zero.
+	Status int
+	// Header is added to the answer before its status is written.
+	Header http.Header
+}
+
+type stateKey struct{}
+
+// StateFrom returns the state of the request.
+func StateFrom(ctx context.Context) *State {
+	if s, ok := ctx.Value(stateKey{}).(*State); ok {
+		return s
+	}
+	return &State{Header: http.Header{}}
+}
+
+// WithState gives every request a State and a request id. The id of the caller
+// is kept when it has one.
+func WithState(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Request-Id")
+		if !validID(id) {
+			id = rand.Text()
+		}
+		st := &State{RequestID: id, Header: http.Header{}}
+		w.Header().Set("X-Request-Id", id)
+		sw := &statusWriter{ResponseWriter: w, state: st}
+		next.ServeHTTP(sw, r.WithContext(context.WithValue(r.Context(), stateKey{}, st)))
+	})
+}
+
+const maxIDLength = 128
+
+// validID accepts printable ASCII without spaces, so that an id can't break a
+// log line or a header.
+func validID(id string) bool {
+	if id == "" || len(id) > maxIDLength {
+		return false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+type statusWriter struct {
+	http.ResponseWriter
+	state *State
+	wrote bool
+}
+
+// WriteHeader applies the status and headers of the state.
+func (w *statusWriter) WriteHeader(status int) {
+	if w.wrote {
+		return
+	}
+	w.wrote = true
+	if w.state.Status != 0 {
+		status = w.state.Status
+	}
+	for name, values := range w.state.Header {
+		w.Header()[name] = values
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *statusWriter) Write(b []byte) (int, error) {
+	if !w.wrote {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Format turns any error of a goa service into an ErrorAnswer. Faults that goa
+// finds while decoding are the caller's.
+func Format(ctx context.Context, err error) goahttp.Statuser {
+	st := StateFrom(ctx)
+	var ge *goa.ServiceError
+	if errors.As(err, &ge) {
+		kind := errkind.InvalidRequest
+		if ge.Name == goa.UnsupportedMediaType {
+			kind = errkind.UnsupportedMedia
+		}
+		err = errkind.New(kind, "%s", ge.Message)
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		err = errkind.New(errkind.TooLarge, "body exceeds %d bytes", tooLarge.Limit)
+	}
+	a := NewErrorAnswer(err, st.RequestID)
+	a.OperationID = st.OperationID
+	st.Status = a.status
+	if a.RetryAfterMs > 0 {
+		st.Header.Set("Retry-After", strconv.FormatInt(ceilSeconds(a.RetryAfterMs), 10))
+	}
+	return a
+}
+
+func ceilSeconds(ms int64) int64 {
+	return (ms + time.Second.Milliseconds() - 1) / time.Second.Milliseconds()
+}
--- /dev/null
+++ b/daemon/node/node.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+	"log/slog"
+	"strconv"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/timeline"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+// eventRingSize bounds the event record: about 300 bytes an event, 5 MB in all.
+const eventRingSize = 16384
+
+// Node is the identity of one process. The incarnation is chosen at each start,
+// so that a restarted process is never taken for its predecessor.
+type Node struct {
+	Name        string
+	Role        config.Role
+	DataCentre  string
+	Incarnation uint64
+	ClusterKey  []byte
+	Clock       *timeline.Clock
+	Events      *timeline.Recorder
+	Log         *slog.Logger
+	Metrics     metrics.Registry
+}
+
+// New returns the node that the settings describe. Logs go to w as JSON lines.
+func New(s *config.Settings, w io.Writer) *Node {
+	clock := &timeline.Clock{}
+	incarnation := newIncarnation()
+	log := slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level(s.LogLevel)})).With(
+		"process", s.Name,
+		"role", string(s.Role),
+		"data_centre", s.DataCentre,
+		"incarnation", strconv.FormatUint(incarnation, 16),
+	)
+	return &Node{
+		Name:        s.Name,
+		Role:        s.Role,
+		DataCentre:  s.DataCentre,
+		Incarnation: incarnation,
+		ClusterKey:  []byte(s.ClusterKey),
+		Clock:       clock,
+		Events:      timeline.NewRecorder(clock, s.Name, s.DataCentre, incarnation, eventRingSize),
+		Log:         log,
+		Metrics:     metrics.NewRegistry(),
+	}
+}
+
+// Hello returns the first message of a session.
+func (n *Node) Hello(revision uint64) *wirepb.Hello {
+	return &wirepb.Hello{
+		Instance:    n.Name,
+		Role:        string(n.Role),
+		DataCentre:  n.DataCentre,
+		Incarnation: n.Incarnation,
+		Revision:    revision,
+		Hlc:         uint64(n.Clock.Now()),
+	}
+}
+
+// newIncarnation returns a random non-zero number; zero means "any".
+func newIncarnation() uint64 {
+	for {
+		var b [8]byte
+		_, _ = rand.Read(b[:])
+		if n := binary.BigEndian.Uint64(b[:]); n != 0 {
+			return n
+		}
+	}
+}
+
+func level(name string) slog.Level {
+	var l slog.Level
+	if name == "" || l.UnmarshalText([]byte(name)) != nil {
+		return slog.LevelInfo
+	}
+	return l
+}
--- /dev/null
+++ b/daemon/role/role.go
@@ -0,0 +1,40 @@
+// Package role starts the role that the settings of a process name. Programs
+// and in-process deployments use it alike.
+package role
+
+import (
+	"context"
+	"io"
+	"net"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/entry"
+	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/daemon/target"
+	"github.com/skylarkstep/skylarkstep/engine"
+	"github.com/skylarkstep/skylarkstep/platform"
+)
+
+// Options are what a process needs besides its settings.
+type Options struct {
+	Settings     *config.Settings
+	LogOutput    io.Writer
+	PeerListener net.Listener
+	HTTPListener net.Listener
+	KV           platform.KV
+	Model        engine.Model
+	Service      engine.Service
+}
+
+// Run runs the role until ctx ends and its planned stop is done.
+func Run(ctx context.Context, o Options) error {
+	n := node.New(o.Settings, o.LogOutput)
+	n.Log.Info("started", "http_addr", o.HTTPListener.Addr().String(), "peer_addr", o.PeerListener.Addr().String())
+	defer n.Log.Info("stopped")
+	if o.Settings.Role == config.RoleEntry {
+		e := entry.New(entry.Options{Settings: o.Settings, Node: n, KV: o.KV})
+		return e.Run(ctx, o.HTTPListener)
+	}
+	t := target.New(target.Options{Settings: o.Settings, Node: n, Model: o.Model, Service: o.Service})
+	return t.Run(ctx, o.PeerListener)
+}
--- /dev/null
+++ b/daemon/target/target.go
@@ -0,0 +1,145 @@
+package target
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/engine"
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/timeline"
+	"github.com/skylarkstep/skylarkstep/wire"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+// Target is one running target process.
+type Target struct {
+	node     *node.Node
+	settings *config.Settings
+	model    engine.Model
+	service  engine.Service
+
+	config atomic.Pointer[config.Config]
+	work   node.Inflight
+
+	mu       sync.Mutex
+	sessions map[*wire.Session]struct{}
+}
+
+// Options are the parts that the caller of New provides. Exactly one of Model
+// and Service is set.
+type Options struct {
+	Settings *config.Settings
+	Node     *node.Node
+	Model    engine.Model
+	Service  engine.Service
+}
+
+// New returns a target process that does not run yet.
+func New(o Options) *Target {
+	return &Target{
+		node:     o.Node,
+		settings: o.Settings,
+		model:    o.Model,
+		service:  o.Service,
+		sessions: map[*wire.Session]struct{}{},
+	}
+}
+
+// Run serves sessions from ln until ctx ends; then it stops gracefully within
+// the stop bound of the settings.
+func (t *Target) Run(ctx context.Context, ln net.Listener) error {
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		t.stop()
+		_ = ln.Close()
+	}()
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				return errors.Wrap(err, "accept")
+			}
+			<-stopped
+			t.closeSessions()
+			return nil
+		}
+		go t.serveConn(conn)
+	}
+}
+
+// stop refuses new work at once and waits for the work in progress.
+func (t *Target) stop() {
+	idle := t.work.Close()
+	t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "refusing new work"})
+	t.node.Log.Info("planned stop: refusing new work", "running", t.work.Count())
+	select {
+	case <-idle:
+		t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "work finished"})
+	case <-time.After(t.settings.StopBound()):
+		t.node.Log.Warn("planned stop: bound reached with work in progress", "running", t.work.Count())
+	}
+}
+
+func (t *Target) closeSessions() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for s := range t.sessions {
+		_ = s.Close()
+	}
+}
+
+func (t *Target) revision() uint64 {
+	if c := t.config.Load(); c != nil {
+		return c.Revision
+	}
+	return 0
+}
+
+func (t *Target) serveConn(conn net.Conn) {
+	s, err := wire.Server(conn, t.node.ClusterKey, t.node.Hello(t.revision()))
+	if err != nil {
+		t.node.Log.Warn("session refused", "remote", conn.RemoteAddr().String(), "error", err)
+		return
+	}
+	t.mu.Lock()
+	t.sessions[s] = struct{}{}
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		delete(t.sessions, s)
+		t.mu.Unlock()
+		_ = s.Close()
+	}()
+	go t.heartbeats(s)
+	go t.readControl(s)
+	for {
+		st, err := s.Accept()
+		if err != nil {
+			return
+		}
+		go t.serveStream(st)
+	}
+}
+
+func (t *Target) serveStream(st *wire.Stream) {
+	defer func() { _ = st.Close() }()
+	var open wirepb.Open
+	if err := st.Recv(&open); err != nil {
+		return
+	}
+	switch body := open.GetBody().(type) {
+	case *wirepb.Open_Dispatch:
+		t.serveDispatch(st, body.Dispatch)
+	default:
+		_ = st.Send(failureFrame(errkind.New(errkind.Internal, "stream type is not supported"), t.revision(), 0))
+	}
+}
