--- /dev/null
+++ b/engine/openai/chunk_test.go
@@ -0,0 +1,151 @@
+package openai
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/engine"
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+const (
+	plainToken = `data: {"choices":[{"text":"x","index":0,"finish_reason":null}]}` + "\n\n"
+	finishOf   = `data: {"choices":[{"text":"","finish_reason":"stop"}],"usage":{"completion_tokens":%d}}` + "\n\n"
+	done       = "data: [DONE]\n\n"
+)
+
+func at(offset int) string {
+	return fmt.Sprintf(`data: {"choices":[{"text":"x"}],"skylark":{"offset":%d}}`+"\n\n", offset)
+}
+
+func finish(usage int) string { return fmt.Sprintf(finishOf, usage) }
+
+// Guards against a truncated, damaged or misaligned stream that passes as a
+// complete answer.
+func TestReadStream(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		from   int
+		body   string
+		tokens int
+		ok     bool
+	}{
+		{"counted by the client", 0, plainToken + plainToken + finish(2) + done, 2, true},
+		{"offsets", 0, at(0) + at(1) + finish(2) + done, 2, true},
+		{"usage in a chunk of its own", 0, at(0) + `data: {"choices":[{"text":"","finish_reason":"stop"}]}` + "\n\n" +
+			`data: {"choices":[],"usage":{"completion_tokens":1}}` + "\n\n" + done, 1, true},
+		{"comment and CRLF", 0, ": ping\r\n\r\n" + strings.ReplaceAll(at(0)+finish(1)+done, "\n", "\r\n"), 1, true},
+		{"engine repeats from the start", 2, at(0) + at(1) + at(2) + finish(3) + done, 1, true},
+		{"no end marker", 0, at(0) + finish(1), 1, false},
+		{"no finish", 0, at(0) + done, 1, false},
+		{"end marker cut", 0, at(0) + finish(1) + "data: [DONE]", 1, false},
+		{"empty body", 0, "", 0, false},
+		{"gap", 0, at(0) + at(2) + finish(2) + done, 1, false},
+		{"negative offset", 0, at(-1) + finish(1) + done, 0, false},
+		{"fewer tokens than the usage says", 0, at(0) + finish(2) + done, 1, false},
+		{"ends before the resume offset", 3, at(0) + at(1) + finish(2) + done, 0, false},
+		{"resumed without offsets", 1, plainToken + finish(1) + done, 0, false},
+		{"token after the finish", 0, at(0) + finish(1) + at(1) + done, 1, false},
+		{"error event", 0, at(0) + `data: {"error":{"message":"out of memory"}}` + "\n\n" + done, 1, false},
+		{"not JSON", 0, "data: {\"choices\n\n" + done, 0, false},
+		{"event too long", 0, `data: {"choices":[{"text":"` + strings.Repeat("x", maxEventBytes) + "\"}]}\n\n" + done, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tokens := 0
+			f, err := readStream(t.Context(), strings.NewReader(tc.body), tc.from, func(engine.Token) error {
+				tokens++
+				return nil
+			})
+			require.Equal(t, tc.tokens, tokens)
+			if tc.ok {
+				require.NoError(t, err)
+				require.Equal(t, engine.Finish{Reason: "stop", Tokens: tc.from + tokens}, f)
+				return
+			}
+			require.Equal(t, errkind.BackendFailed, errkind.KindOf(err), "%v", err)
+		})
+	}
+}
+
+// Guards against a refusal that loses its retry-after time or is taken for a
+// call that may have run.
+func TestStatusErrors(t *testing.T) {
+	for _, tc := range []struct {
+		status     int
+		header     string
+		value      string
+		body       string
+		kind       errkind.Kind
+		didRun     errkind.DidRun
+		retryAfter time.Duration
+	}{
+		{429, "Retry-After", "2", "", errkind.Overloaded, errkind.NotRun, 2 * time.Second},
+		{503, "Retry-After-Ms", "250", "busy", errkind.Overloaded, errkind.NotRun, 250 * time.Millisecond},
+		{503, "Retry-After", "-1", `{"error":{"code":"overwhelmed"}}`, errkind.Cold, errkind.NotRun, 0},
+		{400, "", "", "", errkind.InvalidRequest, errkind.NotRun, 0},
+		{409, "", "", "", errkind.Fenced, errkind.NotRun, 0},
+		{307, "Location", "/v1/completions", "", errkind.BackendFailed, errkind.Unknown, 0},
+		{500, "", "", "", errkind.BackendFailed, errkind.Unknown, 0},
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(tc.header, tc.value)
+			w.WriteHeader(tc.status)
+			_, _ = w.Write([]byte(tc.body))
+		}))
+		_, err := New(srv.URL).Generate(t.Context(), engine.Generation{}, nil)
+		srv.Close()
+		e := errkind.From(err)
+		require.Equal(t, tc.kind, e.Kind, "%d %v", tc.status, err)
+		require.Equal(t, tc.didRun, e.DidRun)
+		require.Equal(t, tc.retryAfter, e.RetryAfter)
+	}
+}
+
+// Guards against a panic on a damaged stream, offsets out of order, and a
+// finish without the end marker.
+func FuzzReadStream(f *testing.F) {
+	f.Add(at(0)+at(1)+finish(2)+done, 0)
+	f.Add(at(0)+at(1)+finish(2)+done, 1)
+	f.Add(plainToken+finish(1)+done, 0)
+	f.Add("data: {\"error\":1}\n\n", 0)
+	f.Fuzz(func(t *testing.T, body string, from int) {
+		from = max(0, from)
+		next := from
+		fin, err := readStream(context.Background(), strings.NewReader(body), from, func(tok engine.Token) error {
+			require.Equal(t, next, tok.Offset)
+			next++
+			return nil
+		})
+		if err != nil {
+			require.Equal(t, errkind.BackendFailed, errkind.KindOf(err))
+			return
+		}
+		require.Equal(t, next, fin.Tokens)
+		require.NotEmpty(t, fin.Reason)
+		require.Contains(t, body, doneMarker)
+	})
+}
+
+func BenchmarkReadStream(b *testing.B) {
+	const tokens = 1000
+	var sb strings.Builder
+	for i := range tokens {
+		sb.WriteString(at(i))
+	}
+	sb.WriteString(finish(tokens) + done)
+	body := sb.String()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := readStream(b.Context(), strings.NewReader(body), 0, func(engine.Token) error { return nil }); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*tokens), "ns/token")
+}
--- /dev/null
+++ b/engine/service/client.go
@@ -0,0 +1,155 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/engine"
+	"github.com/skylarkstep/skylarkstep/engine/internal/httpcall"
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+// OperationIDHeader carries Call.OperationID. It isn't named Idempotency-Key
+// because Go's transport repeats requests with that header by itself.
+const OperationIDHeader = "X-Operation-Id"
+
+// MaxReplyBytes bounds the body of an answer.
+const MaxReplyBytes = 1 << 20
+
+const (
+	dialTimeout    = 2 * time.Second
+	maxIdlePerHost = 64
+	idleTimeout    = 30 * time.Second
+)
+
+// dropped are the headers that aren't passed on: those that make Go's
+// transport repeat a request, and those that belong to one connection.
+var dropped = []string{
+	"Idempotency-Key", "X-Idempotency-Key", OperationIDHeader, "Connection", "Keep-Alive", "Transfer-Encoding",
+	"Content-Length", "Upgrade", "Te", "Trailer", "Proxy-Connection", "Accept-Encoding",
+}
+
+// Client calls one plain service.
+type Client struct {
+	base   *url.URL
+	err    error
+	pooled *http.Client
+	single *http.Client
+}
+
+var _ engine.Service = (*Client)(nil)
+
+// New returns a client of the service at baseURL. A malformed baseURL is
+// reported by each call.
+func New(baseURL string) *Client {
+	base, err := url.Parse(baseURL)
+	return &Client{base: base, err: err, pooled: newHTTPClient(true), single: newHTTPClient(false)}
+}
+
+// newHTTPClient returns a client that follows no redirects, since a redirect
+// would send the call a second time.
+func newHTTPClient(keepAlive bool) *http.Client {
+	// HTTP/2 is off because its transport repeats requests after GOAWAY.
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableKeepAlives:   !keepAlive,
+			MaxIdleConnsPerHost: maxIdlePerHost,
+			IdleConnTimeout:     idleTimeout,
+			Protocols:           protocols,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.pooled.CloseIdleConnections() }
+
+// Call implements engine.Service. Every complete answer is a Reply, whatever
+// its status.
+func (c *Client) Call(ctx context.Context, call engine.Call) (engine.Reply, error) {
+	req, err := c.request(ctx, call)
+	if err != nil {
+		return engine.Reply{}, err
+	}
+	hc := c.single
+	if call.Idempotent {
+		hc = c.pooled
+	}
+	return do(hc, req)
+}
+
+func (c *Client) request(ctx context.Context, call engine.Call) (*http.Request, error) {
+	if c.err != nil {
+		return nil, errkind.Wrap(c.err, errkind.Internal, "base URL of the service").WithDidRun(errkind.NotRun)
+	}
+	// JoinPath resolves "..", which would leave the base path.
+	if call.Operation == "" || slices.Contains(strings.Split(call.Operation, "/"), "..") {
+		return nil, errkind.New(errkind.InvalidRequest, "operation %q is not a path below the service", call.Operation)
+	}
+	u := c.base.JoinPath(call.Operation)
+	u.RawQuery = call.Query
+	method := call.Method
+	if method == "" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(ctx, method, u.String(), bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidRequest, "operation %q", call.Operation)
+	}
+	if call.Header != nil {
+		req.Header = call.Header.Clone()
+	}
+	for _, name := range dropped {
+		req.Header.Del(name)
+	}
+	if call.OperationID != "" {
+		req.Header.Set(OperationIDHeader, call.OperationID)
+	}
+	if !call.Idempotent {
+		req.GetBody = nil
+	}
+	return req, nil
+}
+
+func do(hc *http.Client, req *http.Request) (engine.Reply, error) {
+	res, err := httpcall.Do(hc, req)
+	if err != nil {
+		return engine.Reply{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, MaxReplyBytes+1))
+	if err != nil {
+		return engine.Reply{}, httpcall.Broken(req.Context(), err)
+	}
+	if len(body) > MaxReplyBytes {
+		return engine.Reply{}, errkind.New(errkind.BackendFailed, "answer exceeds %d bytes", MaxReplyBytes)
+	}
+	return engine.Reply{Status: res.StatusCode, Header: res.Header, Body: body}, nil
+}
+
+// Load implements engine.Service.
+func (c *Client) Load(ctx context.Context) (engine.Load, error) {
+	var load engine.Load
+	r, err := c.Call(ctx, engine.Call{Method: http.MethodGet, Operation: "load", Idempotent: true})
+	if err != nil {
+		return load, err
+	}
+	if r.Status != http.StatusOK {
+		return load, errkind.New(errkind.BackendFailed, "load report answered %d", r.Status)
+	}
+	if err := json.Unmarshal(r.Body, &load); err != nil {
+		return load, errkind.Wrap(err, errkind.BackendFailed, "decoding the load report")
+	}
+	return load, nil
+}
--- /dev/null
+++ b/engine/service/doc.go
@@ -0,0 +1,2 @@
+// Package service is the HTTP client of plain services.
+package service
