--- a/ctl/cmd/skylarkctl/main.go
+++ b/ctl/cmd/skylarkctl/main.go
@@ -11,11 +11,14 @@
 	"github.com/skylarkstep/skylarkstep/ctl/command"
 )
 
-func main() {
+func main() { os.Exit(run()) }
+
+func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := command.Root().ExecuteContext(ctx); err != nil {
+	err := command.Root().ExecuteContext(ctx)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "skylarkctl:", err)
-		os.Exit(command.ExitCode(err))
 	}
+	return command.ExitCode(err)
 }
--- a/daemon/e2e/harness_test.go
+++ b/daemon/e2e/harness_test.go
@@ -186,13 +186,9 @@
 	})
 }
 
-// signal sends a signal to a process that the test started.
-func (k *cluster) signal(name string, sig syscall.Signal) {
-	require.NoError(k.t, k.procs[name].cmd.Process.Signal(sig))
-}
-
+// kill ends a process that the test started.
 func (k *cluster) kill(name string) {
-	k.signal(name, syscall.SIGKILL)
+	require.NoError(k.t, k.procs[name].cmd.Process.Kill())
 	<-k.procs[name].done
 }
 
--- a/daemon/e2e/path_test.go
+++ b/daemon/e2e/path_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -60,3 +61,34 @@
 		})
 	}
 }
+
+// Guards against a cut, repeated or missing token when the target process that
+// serves a stream dies: the stream continues at another target from the
+// position the caller has reached.
+func TestStreamSurvivesDeathOfTargetProcess(t *testing.T) {
+	k := startCluster(t, twoByTwo(t))
+	body := []byte(`{"model":"pintor","prompt":"summarise the cure times","max_tokens":200}`)
+	want, err := k.request(http.MethodPost, k.entryURL(0)+"/v1/completions", customerKey, nil, body)
+	require.NoError(t, err)
+	require.Equal(t, 200, bytes.Count(want.body, []byte(`"offset":`)))
+
+	done := make(chan *answer, 1)
+	go func() {
+		res, err := k.request(http.MethodPost, k.entryURL(0)+"/v1/completions", customerKey, nil, body)
+		assert.NoError(t, err)
+		done <- res
+	}()
+	require.Eventually(t, func() bool { return k.servingModel() != "" }, waitBound, time.Millisecond)
+	k.kill(k.servingModel())
+	assert.Equal(t, string(want.body), string((<-done).body))
+}
+
+// servingModel returns the target whose engine has a generation in progress.
+func (k *cluster) servingModel() string {
+	for name, m := range k.models {
+		if c := m.Counts(); c.Started > c.Completed+c.Cancelled+c.Failed {
+			return name
+		}
+	}
+	return ""
+}
--- a/daemon/entry/complete.go
+++ b/daemon/entry/complete.go
@@ -132,29 +132,35 @@
 }
 
 // WriteTo streams the answer as server-sent events. The last event is done or
-// error; a stream without one was cut.
+// error; a stream without one was cut. It returns no error, since a failure is
+// part of the answer.
 func (g *generation) WriteTo(w io.Writer) (int64, error) {
 	out := newEventWriter(w)
-	for {
-		f := g.pending
-		switch body := f.GetBody().(type) {
+	err := g.stream(out)
+	if out.err != nil {
+		err = errkind.Wrap(out.err, errkind.Canceled, "write to the caller")
+	} else if err != nil {
+		out.failure(httpapi.NewErrorAnswer(err, g.id))
+	}
+	g.finish(err)
+	return out.written, nil
+}
+
+// stream writes the frames of the answer until its end.
+func (g *generation) stream(out *eventWriter) error {
+	for out.err == nil {
+		switch body := g.pending.GetBody().(type) {
 		case *wirepb.Frame_Tokens:
 			g.emit(out, body.Tokens)
 		case *wirepb.Frame_End:
 			out.done(body.End.GetFinishReason(), g.offset)
-			g.finish(out.err)
-			return out.written, nil
-		}
-		if out.err != nil {
-			g.finish(errkind.Wrap(out.err, errkind.Canceled, "write to the caller"))
-			return out.written, nil
+			return nil
 		}
 		if err := g.next(); err != nil {
-			out.failure(httpapi.NewErrorAnswer(err, g.id))
-			g.finish(err)
-			return out.written, nil
+			return err
 		}
 	}
+	return nil
 }
 
 // emit writes the tokens that the caller does not have yet.
