Continue broken and stalled streams, bound every wait on the model path

Causes found on the way: - An entry waited for a silent target until the caller's deadline. A watch now bounds the wait for the first frame (3 s), the first token (10 s) and the next token (5 s). It runs only while the entry reads, so neither a long answer nor a slow caller counts as a stall. - A gap before a token or an End with another token count reached the caller as a complete answer. Both now end the attempt. - A target whose stream window was full stayed blocked for 5 minutes after the entry had closed the stream, since yamux does not wake a writer on FIN. The write deadline now ends it. - A dispatch larger than the window waited for ever for a peer that had stopped reading; its error was Internal and so was not tried elsewhere. - A target without a configuration (not_ready) was not tried elsewhere. - After the last target had failed, the answer was no_target and hid the failure; some final errors had no retry-after. - wire.Session.Open now refuses the 4,097th stream with overloaded, not_run; yamux would block. - The e2e tests took ports of the ephemeral range, and a cached result was taken for that of changed code.

--- a/daemon/e2e/harness_test.go
+++ b/daemon/e2e/harness_test.go
@@ -22,6 +22,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/config"
+	// The tests build skylarkd at run time. Without this import a cached result
+	// would be taken for that of changed code.
+	_ "github.com/skylarkstep/skylarkstep/daemon/role"
 	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
 	"github.com/skylarkstep/skylarkstep/platform/standin"
 )
@@ -56,19 +59,45 @@
 	services map[string]*enginestandin.Service
 	urls     map[string]string
 	procs    map[string]*proc
+	// listenAt replaces the address that a target process listens at, for a
+	// target that is reached through a relay.
+	listenAt map[string]string
 }
 
+// option changes a cluster before it starts.
+type option func(*cluster)
+
 type proc struct {
 	cmd  *exec.Cmd
 	done chan struct{}
 	log  *bytes.Buffer
 }
 
+// Ports for the processes of a test lie below the ephemeral range, which starts
+// at 32768: an outgoing connection may take a port of that range between the
+// check and the moment when the process binds it.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// nextPort differs between test processes, so that they rarely try the same.
+var nextPort = firstPort + os.Getpid()*101%(lastPort-firstPort)
+
 func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	for range lastPort - firstPort {
+		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if nextPort++; nextPort == lastPort {
+			nextPort = firstPort
+		}
+		ln, err := net.Listen("tcp", addr)
+		if err == nil {
+			require.NoError(t, ln.Close())
+			return addr
+		}
+	}
+	require.Fail(t, "no free port")
+	return ""
 }
 
 func sha(s string) string {
@@ -102,16 +131,21 @@
 	return c
 }
 
-func startCluster(t *testing.T, c *config.Config) *cluster {
+func startCluster(t *testing.T, c *config.Config, options ...option) *cluster {
 	k := &cluster{
 		t: t, config: c, kv: standin.NewKV(),
 		models: map[string]*enginestandin.Model{}, services: map[string]*enginestandin.Service{},
-		urls: map[string]string{}, procs: map[string]*proc{},
+		urls: map[string]string{}, procs: map[string]*proc{}, listenAt: map[string]string{},
+	}
+	for _, o := range options {
+		o(k)
 	}
 	k.kvURL = k.serve(k.kv)
 	for _, tg := range c.Inventory.Targets {
 		if b, _ := c.Backend(tg.Backend); b.Kind == config.KindModel {
-			k.models[tg.Name] = enginestandin.NewModel(enginestandin.ModelOptions{TokenInterval: 2 * time.Millisecond})
+			k.models[tg.Name] = enginestandin.NewModel(enginestandin.ModelOptions{
+				TokenInterval: 2 * time.Millisecond, AnswerTokens: 32768,
+			})
 			k.urls[tg.Name] = k.serve(k.models[tg.Name])
 		} else {
 			k.services[tg.Name] = enginestandin.NewService(enginestandin.ServiceOptions{})
@@ -138,6 +172,9 @@
 
 func (k *cluster) startTarget(tg config.Target) {
 	b, _ := k.config.Backend(tg.Backend)
+	if addr := k.listenAt[tg.Name]; addr != "" {
+		tg.PeerAddr = addr
+	}
 	k.start(&config.Settings{
 		Role: config.RoleTarget, Name: tg.Name, DataCentre: tg.DataCentre,
 		HTTPAddr: freeAddr(k.t), PeerAddr: tg.PeerAddr,
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -36,6 +36,9 @@
 	stream  *wire.Stream
 	number  uint32
 	done    bool
+	watch   *watch
+	// release detaches the attempt from its context.
+	release func() bool
 }
 
 // pick chooses a target that the request has not tried.
@@ -62,9 +65,13 @@
 
 func noTarget(backend string) error {
 	return errkind.New(errkind.NoTarget, "no target of %s may take the request now", backend).
-		WithRetryAfter(noTargetRetryAfter/2 + rand.N(noTargetRetryAfter))
+		WithRetryAfter(retryAfter())
 }
 
+// retryAfter has jitter, so that callers refused together don't come back
+// together.
+func retryAfter() time.Duration { return noTargetRetryAfter/2 + rand.N(noTargetRetryAfter) }
+
 // start dispatches to a target. The error of a dispatch that was not written
 // has did-run not_run.
 func (r *request) start(ctx context.Context, to *route, d *wirepb.Dispatch) (*attempt, error) {
@@ -93,7 +100,8 @@
 		return nil, err
 	}
 	a := &attempt{request: r, route: to, stream: st, number: r.attempts}
-	context.AfterFunc(ctx, a.cancel)
+	a.watch = newWatch(a.cancel)
+	a.release = context.AfterFunc(ctx, a.cancel)
 	return a, nil
 }
 
@@ -109,6 +117,7 @@
 		return
 	}
 	a.done = true
+	a.release()
 	a.cancel()
 	a.route.sent.Requests.Add(-1)
 	a.route.sent.Tokens.Add(-int64(a.request.tokens))
@@ -116,10 +125,16 @@
 }
 
 // recv returns the next frame. A failure frame becomes its error; a stream that
-// ends without an end frame is TargetLost.
+// ends without an end frame is TargetLost, and one without progress Stalled.
 func (a *attempt) recv() (*wirepb.Frame, error) {
 	var f wirepb.Frame
-	if err := a.stream.Recv(&f); err != nil {
+	limit := a.watch.start()
+	err := a.stream.Recv(&f)
+	a.watch.stop(&f)
+	if a.watch.expired.Load() {
+		return nil, errkind.New(errkind.Stalled, "target %s made no progress for %s", a.route.name, limit)
+	}
+	if err != nil {
 		return nil, errkind.Wrap(err, errkind.TargetLost, "target %s stopped answering", a.route.name)
 	}
 	if f.GetHlc() != 0 {
--- a/daemon/entry/complete.go
+++ b/daemon/entry/complete.go
@@ -16,8 +16,14 @@
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
-// maxModelAttempts bounds the targets that one generation is tried on.
-const maxModelAttempts = 3
+// Bounds of the attempts of one generation.
+const (
+	// maxModelAttempts bounds the attempts in a row that bring no token.
+	maxModelAttempts = 3
+	// maxStreamAttempts bounds all attempts, so that targets that break after a
+	// few tokens each don't multiply the prefill work of a long answer.
+	maxStreamAttempts = 6
+)
 
 // callerWriteTimeout ends an answer whose caller reads nothing for this long.
 const callerWriteTimeout = 30 * time.Second
@@ -31,8 +37,16 @@
 	text    strings.Builder
 	attempt *attempt
 	pending *wirepb.Frame
-	cancel  context.CancelFunc
-	ctx     context.Context
+	// failures counts the attempts since the last one that brought a token, and
+	// lastFailure is the error of the last one.
+	failures    int
+	lastFailure error
+	// startOffset is the position at which the current attempt began, and
+	// lastTried its target.
+	startOffset int
+	lastTried   string
+	cancel      context.CancelFunc
+	ctx         context.Context
 }
 
 // Complete generates text. It waits for the first token, so that a request that
@@ -81,6 +95,9 @@
 			}
 		}
 		f, err := g.attempt.recv()
+		if err == nil {
+			err = g.check(f)
+		}
 		if err == nil {
 			if f.GetAccepted() != nil {
 				continue
@@ -94,43 +111,94 @@
 		g.attempt.end(err)
 		g.attempt = nil
 		if !g.mayContinue(err) {
-			return err
+			return givenUp(err)
+		}
+	}
+}
+
+// check refuses a frame that would leave a gap in the answer or end it short.
+func (g *generation) check(f *wirepb.Frame) error {
+	switch body := f.GetBody().(type) {
+	case *wirepb.Frame_Tokens:
+		if int(body.Tokens.GetOffset()) > g.offset {
+			return errkind.New(errkind.BackendFailed, "token %d follows %d tokens", body.Tokens.GetOffset(), g.offset)
+		}
+	case *wirepb.Frame_End:
+		if int(body.End.GetTokens()) != g.offset {
+			return errkind.New(errkind.BackendFailed, "answer of %d tokens ended after %d", body.End.GetTokens(), g.offset)
 		}
 	}
+	return nil
 }
 
+// mayContinue counts the failure of an attempt and reports whether another one
+// can help.
 func (g *generation) mayContinue(err error) bool {
-	return g.ctx.Err() == nil && errkind.KindOf(err).Answer().TryElsewhere && g.attempts < maxModelAttempts
+	if g.offset > g.startOffset {
+		// Targets that failed before the last token may have recovered.
+		g.failures = 0
+		g.tried = map[string]bool{g.lastTried: true}
+	}
+	g.failures++
+	g.lastFailure = err
+	return g.ctx.Err() == nil && errkind.KindOf(err).Answer().TryElsewhere &&
+		g.failures < maxModelAttempts && g.attempts < maxStreamAttempts
 }
 
 func (g *generation) startAttempt() error {
 	for {
 		to, err := g.pick()
 		if err != nil {
-			return err
+			if g.lastFailure != nil && errkind.KindOf(err) == errkind.NoTarget {
+				err = g.lastFailure
+			}
+			return givenUp(err)
 		}
-		g.body.ResumeText = g.text.String()
-		body, err := json.Marshal(g.body)
+		g.startOffset = g.offset
+		g.lastTried = to.name
+		d, err := g.dispatch()
 		if err != nil {
-			return errkind.Wrap(err, errkind.Internal, "encode the request")
+			return err
 		}
-		a, err := g.start(g.ctx, to, &wirepb.Dispatch{
-			Idempotent:     true,
-			Priority:       int32(g.payload.Priority),
-			ResumeOffset:   uint32(g.offset),
-			ExpectedTokens: uint32(g.payload.MaxTokens),
-			Body:           body,
-		})
+		a, err := g.start(g.ctx, to, d)
 		if err == nil {
+			a.watch.tokens = true
 			g.attempt = a
 			return nil
 		}
 		if !g.mayContinue(err) {
-			return err
+			return givenUp(err)
 		}
 	}
 }
 
+// dispatch describes the rest of the answer from the position that the caller
+// has reached.
+func (g *generation) dispatch() (*wirepb.Dispatch, error) {
+	g.body.ResumeText = g.text.String()
+	body, err := json.Marshal(g.body)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "encode the request")
+	}
+	return &wirepb.Dispatch{
+		Idempotent:     true,
+		Priority:       int32(g.payload.Priority),
+		ResumeOffset:   uint32(g.offset),
+		ExpectedTokens: uint32(g.payload.MaxTokens),
+		Body:           body,
+	}, nil
+}
+
+// givenUp adds a retry-after time to the final error of a request that another
+// target may serve later.
+func givenUp(err error) error {
+	e := errkind.From(err)
+	if e.RetryAfter == 0 && e.Kind.Answer().TryElsewhere {
+		return e.WithRetryAfter(retryAfter())
+	}
+	return e
+}
+
 // WriteTo streams the answer as server-sent events. The last event is done or
 // error; a stream without one was cut. It returns no error, since a failure is
 // part of the answer.
--- /dev/null
+++ b/daemon/entry/harness_test.go
@@ -0,0 +1,278 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/balancer"
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
+	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/daemon/target"
+	"github.com/skylarkstep/skylarkstep/engine"
+	"github.com/skylarkstep/skylarkstep/engine/standin"
+	"github.com/skylarkstep/skylarkstep/wire"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+var testKey = []byte("test-cluster-key-0123")
+
+const (
+	testCustomer = "test-customer"
+	testPrompt   = "which booth is free?"
+	// testWindow is the stream window of a session, see package wire.
+	testWindow = 256 << 10
+)
+
+// inBubble runs a test in virtual time. yamux keeps timers in a sync.Pool; a
+// timer of an earlier bubble must not be taken from it, and two collections
+// empty a pool.
+func inBubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, f)
+}
+
+// pipeListener hands out in-memory connections, on which virtual time works.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+func (l *pipeListener) dial() (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// script is a target process that a test plays itself.
+type script func(st *wire.Stream, d *wirepb.Dispatch)
+
+// fixture is one entry behind an HTTP server with targets of one model back end,
+// joined by in-memory connections. Targets are tried in their order.
+type fixture struct {
+	t      *testing.T
+	entry  *Entry
+	config *config.Config
+	web    *pipeListener
+	pool   pool
+	conns  map[string]net.Conn
+}
+
+func newFixture(t *testing.T, targets ...string) *fixture {
+	c := &config.Config{Revision: 1}
+	c.Inventory.Regions = []config.Region{{Name: "ebro"}}
+	c.Inventory.DataCentres = []config.DataCentre{{Name: "burgos", Region: "ebro"}}
+	c.Inventory.Entries = []config.Entry{
+		{Name: "entry-burgos", DataCentre: "burgos", HTTPAddr: "127.0.0.1:20000", PeerAddr: "127.0.0.1:20001"},
+	}
+	c.Inventory.Backends = []config.Backend{{Name: "pintor-lm", Kind: config.KindModel, Model: "pintor"}}
+	c.Inventory.Customers = []config.Customer{{Name: "taller", KeySHA256: []string{sha(testCustomer)}}}
+	for i, name := range targets {
+		c.Inventory.Targets = append(c.Inventory.Targets, config.Target{
+			Name: name, Backend: "pintor-lm", DataCentre: "burgos", PeerAddr: "127.0.0.1:" + strconv.Itoa(20002+i),
+		})
+	}
+	s := &config.Settings{Role: config.RoleEntry, Name: "entry-burgos", DataCentre: "burgos"}
+	f := &fixture{t: t, config: c, web: newPipeListener(), conns: map[string]net.Conn{}}
+	f.entry = New(Options{Settings: s, Node: testNode(s)})
+	return f
+}
+
+func testNode(s *config.Settings) *node.Node {
+	s.ClusterKey = string(testKey)
+	return node.New(s, io.Discard)
+}
+
+// start begins to serve callers.
+func (f *fixture) start() {
+	f.pool.picker = inOrder(f.pool.targets)
+	f.entry.snapshot.Store(&snapshot{
+		config:    f.config,
+		customers: map[string]*config.Customer{sha(testCustomer): &f.config.Inventory.Customers[0]},
+		pools:     map[string]*pool{"pintor-lm": &f.pool},
+	})
+	srv := httpapi.NewServer(f.entry.Handler(), f.entry.node.Log)
+	go func() { _ = srv.Serve(f.web) }()
+	f.t.Cleanup(func() {
+		_ = srv.Close()
+		_ = f.web.Close()
+		synctest.Wait()
+	})
+}
+
+// model adds a target process in front of an engine.
+func (f *fixture) model(name string, m engine.Model) {
+	s := &config.Settings{Role: config.RoleTarget, Name: name, DataCentre: "burgos", StopBoundMs: 1000,
+		Target: config.TargetSettings{Backend: "pintor-lm", Kind: config.KindModel}}
+	ln := newPipeListener()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	tgt := target.New(target.Options{Settings: s, Node: testNode(s), Model: m})
+	go func() {
+		defer close(done)
+		assert.NoError(f.t, tgt.Run(ctx, ln))
+	}()
+	f.t.Cleanup(func() { cancel(); <-done })
+	conn, err := ln.dial()
+	require.NoError(f.t, err)
+	session := f.join(name, conn)
+	document, err := json.Marshal(f.config)
+	require.NoError(f.t, err)
+	require.NoError(f.t, session.Control().Send(&wirepb.Control{Body: &wirepb.Control_Deltas{
+		Deltas: &wirepb.Deltas{Snapshot: document, SnapshotRevision: f.config.Revision},
+	}}))
+	go func() {
+		var m wirepb.Control
+		for session.Control().Recv(&m) == nil {
+			m.Reset()
+		}
+	}()
+	synctest.Wait()
+}
+
+// scripted adds a target process that the test plays.
+func (f *fixture) scripted(name string, play script) {
+	near, far := net.Pipe()
+	go func() {
+		s, err := wire.Server(far, testKey, &wirepb.Hello{Instance: name})
+		if !assert.NoError(f.t, err) {
+			return
+		}
+		for {
+			st, err := s.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = st.Close() }()
+				var open wirepb.Open
+				if st.Recv(&open) == nil {
+					play(st, open.GetDispatch())
+				}
+			}()
+		}
+	}()
+	f.join(name, near)
+}
+
+func (f *fixture) join(name string, conn net.Conn) *wire.Session {
+	session, err := wire.Client(conn, testKey, f.entry.node.Hello(0))
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = session.Close() })
+	f.conns[name] = conn
+	f.pool.targets = append(f.pool.targets, route{
+		name: name, dataCentre: "burgos", session: session,
+		incarnation: session.Peer().GetIncarnation(), sent: &balancer.Counter{},
+	})
+	return session
+}
+
+// inOrder tries targets in their order, so that a test knows which fails first.
+type inOrder []route
+
+func (p inOrder) Pick(r balancer.Request) (int, error) {
+	if i := slices.IndexFunc(p, func(t route) bool { return !r.Avoid(t.name) }); i >= 0 {
+		return i, nil
+	}
+	return 0, balancer.ErrNoTarget
+}
+
+// connect sends a request and returns the connection, from which nothing has
+// been read yet.
+func (f *fixture) connect(tokens int, prompt string) net.Conn {
+	conn, err := f.web.dial()
+	require.NoError(f.t, err)
+	body, err := json.Marshal(map[string]any{"model": "pintor", "prompt": prompt, "max_tokens": tokens, "deadline_ms": 3600000})
+	require.NoError(f.t, err)
+	req, err := http.NewRequest(http.MethodPost, "http://entry/v1/completions", bytes.NewReader(body))
+	require.NoError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+testCustomer)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Request-Id", "req-7")
+	require.NoError(f.t, req.Write(conn))
+	return conn
+}
+
+type result struct {
+	status int
+	header http.Header
+	body   string
+	took   time.Duration
+}
+
+// complete sends a request and reads the whole answer.
+func (f *fixture) complete(tokens int, prompt string) result {
+	start := time.Now()
+	conn := f.connect(tokens, prompt)
+	defer func() { _ = conn.Close() }()
+	return f.read(conn, start)
+}
+
+func (f *fixture) read(conn net.Conn, start time.Time) result {
+	res, err := http.ReadResponse(newReader(conn), nil)
+	require.NoError(f.t, err)
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	require.NoError(f.t, err)
+	return result{res.StatusCode, res.Header, string(data), time.Since(start)}
+}
+
+// wantAnswer is the complete answer to testPrompt, byte for byte.
+func wantAnswer(tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(`data: {"offset":` + strconv.Itoa(i) + `,"text":"` + standin.TokenText(testPrompt, i) + "\"}\n\n")
+	}
+	b.WriteString("event: done\ndata: {\"finish_reason\":\"length\",\"tokens\":" + strconv.Itoa(tokens) + "}\n\n")
+	return b.String()
+}
+
+func tokenFrame(offset int, text ...string) *wirepb.Frame {
+	return &wirepb.Frame{Body: &wirepb.Frame_Tokens{Tokens: &wirepb.Tokens{Offset: uint32(offset), Text: text}}}
+}
+
+func endFrame(tokens int) *wirepb.Frame {
+	return &wirepb.Frame{Body: &wirepb.Frame_End{End: &wirepb.End{FinishReason: "length", Tokens: uint32(tokens)}}}
+}
+
+func acceptedFrame() *wirepb.Frame {
+	return &wirepb.Frame{Body: &wirepb.Frame_Accepted{Accepted: &wirepb.Accepted{}}}
+}
--- a/daemon/target/dispatch.go
+++ b/daemon/target/dispatch.go
@@ -107,11 +107,14 @@
 }
 
 // cancelOnClose ends the attempt when the entry cancels it or goes away. The
-// entry sends nothing else after the dispatch.
+// entry sends nothing else after the dispatch. The write deadline ends a Send
+// that waits for the window of a stream that nobody reads any more; closing a
+// stream does not.
 func cancelOnClose(st *wire.Stream, cancel context.CancelFunc) {
 	var c wirepb.Cancel
 	_ = st.Recv(&c)
 	cancel()
+	_ = st.SetWriteDeadline(time.Unix(1, 0))
 }
 
 func (t *Target) generate(ctx context.Context, st *wire.Stream, d *wirepb.Dispatch) error {
@@ -129,9 +132,13 @@
 		ResumeOffset: int(d.GetResumeOffset()),
 		ResumeText:   req.ResumeText,
 	}, func(tok engine.Token) error {
-		return st.Send(&wirepb.Frame{Body: &wirepb.Frame_Tokens{
+		err := st.Send(&wirepb.Frame{Body: &wirepb.Frame_Tokens{
 			Tokens: &wirepb.Tokens{Offset: uint32(tok.Offset), Text: []string{tok.Text}},
 		}})
+		if err != nil {
+			return errkind.Wrap(err, errkind.Canceled, "the entry abandoned the attempt")
+		}
+		return nil
 	})
 	if err != nil {
 		return err
--- a/errkind/kind.go
+++ b/errkind/kind.go
@@ -95,7 +95,7 @@
 	Cold:               {"cold", http.StatusServiceUnavailable, true, NotRun, true},
 	StaleIncarnation:   {"stale_incarnation", http.StatusServiceUnavailable, true, NotRun, true},
 	Isolated:           {"isolated", http.StatusServiceUnavailable, true, NotRun, false},
-	NotReady:           {"not_ready", http.StatusServiceUnavailable, true, NotRun, false},
+	NotReady:           {"not_ready", http.StatusServiceUnavailable, true, NotRun, true},
 	TargetUnreachable:  {"target_unreachable", http.StatusBadGateway, true, NotRun, true},
 	TargetLost:         {"target_lost", http.StatusBadGateway, false, Unknown, true},
 	Stalled:            {"stalled", http.StatusGatewayTimeout, false, Unknown, true},
--- a/wire/session.go
+++ b/wire/session.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -32,6 +33,13 @@
 	writeTimeout     = 10 * time.Second
 	nonceSize        = 32
 	streamReadBuffer = 4 << 10
+	// maxStreams bounds the open work streams of a session. It equals the accept
+	// backlog: yamux blocks in OpenStream when more are not yet acknowledged.
+	maxStreams = acceptBacklog
+	// openTimeout bounds writing the first message of a stream. A message larger
+	// than the stream window would otherwise wait for ever for a peer that has
+	// stopped reading.
+	openTimeout = 3 * time.Second
 )
 
 // Session is one authenticated connection to a peer.
@@ -39,6 +47,7 @@
 	mux     *yamux.Session
 	control *Stream
 	peer    *wirepb.Hello
+	opening atomic.Int32
 }
 
 // Stream is one stream of a session. Reads and writes may happen at the same
@@ -187,20 +196,38 @@
 // Control returns the control stream.
 func (s *Session) Control() *Stream { return s.control }
 
-// Open opens a work stream and sends its first message.
+// Open opens a work stream and sends its first message. The error has did-run
+// not_run only if no byte of the message was handed to the connection.
 func (s *Session) Open(first *wirepb.Open) (*Stream, error) {
-	raw, err := s.mux.OpenStream()
+	raw, err := s.openStream()
 	if err != nil {
-		return nil, errkind.Wrap(err, errkind.TargetUnreachable, "open stream to %s", s.peer.GetInstance())
+		return nil, err
 	}
 	st := newStream(raw)
+	_ = raw.SetWriteDeadline(time.Now().Add(openTimeout))
 	if err := st.Send(first); err != nil {
 		_ = raw.Close()
-		return nil, err
+		return nil, errkind.Wrap(err, errkind.TargetLost, "write the first message to %s", s.peer.GetInstance())
 	}
+	_ = raw.SetWriteDeadline(time.Time{})
 	return st, nil
 }
 
+// openStream refuses to exceed the bound of the session. Streams that are being
+// opened count in full, so that concurrent callers can't pass it together.
+func (s *Session) openStream() (*yamux.Stream, error) {
+	defer s.opening.Add(-1)
+	// The control stream is one of NumStreams and not a work stream.
+	if int(s.opening.Add(1))+s.mux.NumStreams()-1 > maxStreams {
+		return nil, errkind.New(errkind.Overloaded, "session with %s has %d open streams", s.peer.GetInstance(), maxStreams)
+	}
+	raw, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.TargetUnreachable, "open stream to %s", s.peer.GetInstance())
+	}
+	return raw, nil
+}
+
 // Accept waits for the next work stream.
 func (s *Session) Accept() (*Stream, error) {
 	raw, err := s.mux.AcceptStream()
@@ -236,5 +263,8 @@
 // SetReadDeadline bounds the next Recv.
 func (s *Stream) SetReadDeadline(t time.Time) error { return s.raw.SetReadDeadline(t) }
 
+// SetWriteDeadline bounds Send, also one that waits for the stream window.
+func (s *Stream) SetWriteDeadline(t time.Time) error { return s.raw.SetWriteDeadline(t) }
+
 // Close half-closes the stream; the peer reads io.EOF.
 func (s *Stream) Close() error { return s.raw.Close() }
