Add the time line over all processes, request explanation and metrics

Every process answers event queries; an entry gathers those of its target processes over the existing sessions. skylarkctl timeline merges by the hybrid logical clock and names processes that were not reached. skylarkctl explain states ran or not_run only where events prove it. Seen in a dev run: the six events of one request from two processes, in order of the clock.

--- a/api/gen/http/callers/client/cli.go
+++ b/api/gen/http/callers/client/cli.go
@@ -38,7 +38,7 @@
 	{
 		err = json.Unmarshal([]byte(callersCompleteBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline_ms\": 3560336,\n      \"from_offset\": 4446893911371711879,\n      \"max_tokens\": 12684,\n      \"model\": \"k\",\n      \"priority\": -8,\n      \"prompt\": \"c\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline_ms\": 2726500,\n      \"from_offset\": 5142932427319957047,\n      \"max_tokens\": 11966,\n      \"model\": \"2l\",\n      \"priority\": 1,\n      \"prompt\": \"x8r\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Model) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.model", body.Model, utf8.RuneCountInString(body.Model), 1, true))
@@ -136,7 +136,7 @@
 	{
 		err = json.Unmarshal([]byte(callersIssueOperationBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"back_end\": \"md\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"back_end\": \"rh8\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.BackEnd) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.back_end", body.BackEnd, utf8.RuneCountInString(body.BackEnd), 1, true))
--- a/api/gen/http/cli/skylarkstep/cli.go
+++ b/api/gen/http/cli/skylarkstep/cli.go
@@ -15,6 +15,7 @@
 
 	callersc "github.com/skylarkstep/skylarkstep/api/gen/http/callers/client"
 	operatorsc "github.com/skylarkstep/skylarkstep/api/gen/http/operators/client"
+	timelinec "github.com/skylarkstep/skylarkstep/api/gen/http/timeline/client"
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
 )
@@ -26,13 +27,15 @@
 	return []string{
 		"callers (addresses|complete|issue-operation|outcome|call)",
 		"operators (get-config|apply-config|config-status|config-history)",
+		"timeline query",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "callers addresses --token \"Est pariatur molestias provident et.\"" + "\n" +
-		os.Args[0] + " " + "operators get-config --revision 1205916176480541508 --token \"Numquam maiores saepe doloremque.\"" + "\n" +
+	return os.Args[0] + " " + "callers addresses --token \"Numquam ducimus.\"" + "\n" +
+		os.Args[0] + " " + "operators get-config --revision 16844701975563772379 --token \"Maxime suscipit.\"" + "\n" +
+		os.Args[0] + " " + "timeline query --filter \"1cj\" --since 6816044820203104032 --limit 12299 --scope \"process\" --token \"Tempora quas quia.\"" + "\n" +
 		""
 }
 
@@ -94,6 +97,15 @@
 		operatorsConfigHistoryFlags     = flag.NewFlagSet("config-history", flag.ExitOnError)
 		operatorsConfigHistoryLimitFlag = operatorsConfigHistoryFlags.String("limit", "20", "")
 		operatorsConfigHistoryTokenFlag = operatorsConfigHistoryFlags.String("token", "REQUIRED", "")
+
+		timelineFlags = flag.NewFlagSet("timeline", flag.ContinueOnError)
+
+		timelineQueryFlags      = flag.NewFlagSet("query", flag.ExitOnError)
+		timelineQueryFilterFlag = timelineQueryFlags.String("filter", "", "")
+		timelineQuerySinceFlag  = timelineQueryFlags.String("since", "", "")
+		timelineQueryLimitFlag  = timelineQueryFlags.String("limit", "4096", "")
+		timelineQueryScopeFlag  = timelineQueryFlags.String("scope", "targets", "")
+		timelineQueryTokenFlag  = timelineQueryFlags.String("token", "REQUIRED", "")
 	)
 	callersFlags.Usage = callersUsage
 	callersAddressesFlags.Usage = callersAddressesUsage
@@ -108,6 +120,9 @@
 	operatorsConfigStatusFlags.Usage = operatorsConfigStatusUsage
 	operatorsConfigHistoryFlags.Usage = operatorsConfigHistoryUsage
 
+	timelineFlags.Usage = timelineUsage
+	timelineQueryFlags.Usage = timelineQueryUsage
+
 	if err := flag.CommandLine.Parse(os.Args[1:]); err != nil {
 		return nil, nil, err
 	}
@@ -127,6 +142,8 @@
 			svcf = callersFlags
 		case "operators":
 			svcf = operatorsFlags
+		case "timeline":
+			svcf = timelineFlags
 		default:
 			return nil, nil, fmt.Errorf("unknown service %q", svcn)
 		}
@@ -177,6 +194,13 @@
 
 			}
 
+		case "timeline":
+			switch epn {
+			case "query":
+				epf = timelineQueryFlags
+
+			}
+
 		}
 	}
 	if epf == nil {
@@ -235,6 +259,13 @@
 				endpoint = c.ConfigHistory()
 				data, err = operatorsc.BuildConfigHistoryPayload(*operatorsConfigHistoryLimitFlag, *operatorsConfigHistoryTokenFlag)
 			}
+		case "timeline":
+			c := timelinec.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "query":
+				endpoint = c.Query()
+				data, err = timelinec.BuildQueryPayload(*timelineQueryFilterFlag, *timelineQuerySinceFlag, *timelineQueryLimitFlag, *timelineQueryScopeFlag, *timelineQueryTokenFlag)
+			}
 		}
 	}
 	if err != nil {
@@ -273,7 +304,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers addresses --token \"Est pariatur molestias provident et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers addresses --token \"Numquam ducimus.\"")
 }
 
 func callersCompleteUsage() {
@@ -295,7 +326,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"deadline_ms\": 3560336,\n      \"from_offset\": 4446893911371711879,\n      \"max_tokens\": 12684,\n      \"model\": \"k\",\n      \"priority\": -8,\n      \"prompt\": \"c\"\n   }' --request-id \"w0u\" --token \"Nihil aut mollitia cupiditate et quisquam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"deadline_ms\": 2726500,\n      \"from_offset\": 5142932427319957047,\n      \"max_tokens\": 11966,\n      \"model\": \"2l\",\n      \"priority\": 1,\n      \"prompt\": \"x8r\"\n   }' --request-id \"pvv\" --token \"Non exercitationem saepe animi.\"")
 }
 
 func callersIssueOperationUsage() {
@@ -315,7 +346,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers issue-operation --body '{\n      \"back_end\": \"md\"\n   }' --token \"Aut veritatis eum ut aut rerum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers issue-operation --body '{\n      \"back_end\": \"rh8\"\n   }' --token \"Reprehenderit qui quia laborum dolorem suscipit quidem.\"")
 }
 
 func callersOutcomeUsage() {
@@ -335,7 +366,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers outcome --operation-id \"1pv\" --token \"Totam non.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers outcome --operation-id \"x8g\" --token \"Sed officiis.\"")
 }
 
 func callersCallUsage() {
@@ -369,7 +400,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --back-end \"v5g\" --operation \"rsq\" --request-id \"i4c\" --operation-id \"io2\" --idempotency-key \"8g8\" --deadline-ms 569541 --content-type \"6zm\" --token \"Quia et ullam et ratione expedita eum.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --back-end \"rvz\" --operation \"a6k\" --request-id \"rfo\" --operation-id \"csb\" --idempotency-key \"ymw\" --deadline-ms 60639 --content-type \"ggm\" --token \"Ut id natus dolores culpa enim.\" --stream \"goa.png\"")
 }
 
 // operatorsUsage displays the usage of the operators command and its
@@ -403,7 +434,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get-config --revision 1205916176480541508 --token \"Numquam maiores saepe doloremque.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get-config --revision 16844701975563772379 --token \"Maxime suscipit.\"")
 }
 
 func operatorsApplyConfigUsage() {
@@ -429,7 +460,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply-config --body \"Ullam sed quia molestiae enim nam.\" --allow-no-service true --base-revision 12582432577470288567 --edit-id \"cmi\" --token \"Nulla voluptatem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply-config --body \"Minima tempore quas eos.\" --allow-no-service false --base-revision 8049541585619420465 --edit-id \"r17\" --token \"Atque tempore non quibusdam quam eos molestiae.\"")
 }
 
 func operatorsConfigStatusUsage() {
@@ -447,7 +478,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-status --token \"Dolorum sequi sunt delectus nulla vero.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-status --token \"Aperiam pariatur doloribus voluptatem sit nam harum.\"")
 }
 
 func operatorsConfigHistoryUsage() {
@@ -467,5 +498,41 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-history --limit 507 --token \"Harum aut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-history --limit 40 --token \"Molestiae laborum quia dolor.\"")
+}
+
+// timelineUsage displays the usage of the timeline command and its subcommands.
+func timelineUsage() {
+	fmt.Fprintln(os.Stderr, `Events of the entry and of the target processes it has sessions with.`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] timeline COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    query: Query implements query.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s timeline COMMAND --help\n", os.Args[0])
+}
+func timelineQueryUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] timeline query", os.Args[0])
+	fmt.Fprint(os.Stderr, " -filter STRING")
+	fmt.Fprint(os.Stderr, " -since UINT64")
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprint(os.Stderr, " -scope STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Query implements query.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -filter STRING: `)
+	fmt.Fprintln(os.Stderr, `    -since UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+	fmt.Fprintln(os.Stderr, `    -scope STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "timeline query --filter \"1cj\" --since 6816044820203104032 --limit 12299 --scope \"process\" --token \"Tempora quas quia.\"")
 }
--- /dev/null
+++ b/ctl/client/doc.go
@@ -0,0 +1,2 @@
+// Package client talks to the operators' interface of the entries.
+package client
--- /dev/null
+++ b/ctl/command/timeline.go
@@ -0,0 +1,173 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/skylarkstep/skylarkstep/ctl/client"
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/timeline"
+)
+
+const followInterval = time.Second
+
+func timelineCommand() *cobra.Command {
+	var conn connection
+	var f timeline.Filter
+	var kinds []string
+	var since time.Duration
+	var follow bool
+	cmd := &cobra.Command{
+		Use:   "timeline",
+		Short: "Show the events of all processes in causal order",
+		Long: "Gathers the events of all given entries and of the target processes they have sessions with, and orders\n" +
+			"them by the hybrid logical clock that messages carry. Names the processes that were not reached and\n" +
+			"those whose older events were overwritten. With --output json it writes one event a line.",
+		Example: "  skylarkctl timeline --entry http://10.0.0.1:8080 --since 10m\n" +
+			"  skylarkctl timeline --data-centre burgos --kind stop_step --follow\n" +
+			"  skylarkctl timeline --request UUPJXTSAKA2VBB4M --output json",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := conn.client()
+			if err != nil {
+				return err
+			}
+			for _, k := range kinds {
+				f.Kinds = append(f.Kinds, timeline.Kind(k))
+			}
+			if since > 0 {
+				f.From = time.Now().Add(-since)
+			}
+			w := &timelineWriter{client: c, filter: f, json: conn.output == "json", out: cmd.OutOrStdout()}
+			if follow {
+				return w.follow(cmd.Context())
+			}
+			return w.once(cmd.Context())
+		},
+	}
+	conn.addFlags(cmd)
+	cmd.Flags().StringVar(&f.RequestID, "request", "", "only this request id")
+	cmd.Flags().StringVar(&f.OperationID, "operation", "", "only this operation id")
+	cmd.Flags().StringVar(&f.Customer, "customer", "", "only this customer")
+	cmd.Flags().StringVar(&f.Target, "target", "", "only this target")
+	cmd.Flags().StringVar(&f.DataCentre, "data-centre", "", "only this data centre")
+	cmd.Flags().StringSliceVar(&kinds, "kind", nil, "only events of this kind, may be repeated")
+	cmd.Flags().DurationVar(&since, "since", 0, "only events of this last stretch of time (default: all kept)")
+	cmd.Flags().BoolVar(&follow, "follow", false, "go on and show new events as they happen")
+	return cmd
+}
+
+type timelineWriter struct {
+	client *client.Client
+	filter timeline.Filter
+	json   bool
+	out    io.Writer
+}
+
+func (w *timelineWriter) once(ctx context.Context) error {
+	t, err := w.client.Timeline(ctx, w.filter)
+	if err != nil {
+		return err
+	}
+	return w.write(t)
+}
+
+// follow asks again at an interval and shows what it has not shown. Events
+// that arrive later than one interval after they happened are still shown.
+func (w *timelineWriter) follow(ctx context.Context) error {
+	shown := map[string]uint64{}
+	for {
+		t, err := w.client.Timeline(ctx, w.filter)
+		if err != nil && errkind.KindOf(err) != errkind.TargetUnreachable {
+			return err
+		}
+		if err == nil {
+			t.Events = unseen(t.Events, shown)
+			t.Overwritten = nil
+			if len(t.Events) > 0 {
+				if err := w.write(t); err != nil {
+					return err
+				}
+			}
+		}
+		select {
+		case <-time.After(followInterval):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// unseen drops the events that were shown before and remembers the others.
+func unseen(events []timeline.Event, shown map[string]uint64) []timeline.Event {
+	var fresh []timeline.Event
+	next := map[string]uint64{}
+	for i := range events {
+		e := &events[i]
+		key := fmt.Sprintf("%s/%x", e.Process, e.Incarnation)
+		if e.Sequence >= shown[key] {
+			fresh = append(fresh, *e)
+		}
+		next[key] = max(next[key], e.Sequence+1)
+	}
+	for key, n := range next {
+		shown[key] = max(shown[key], n)
+	}
+	return fresh
+}
+
+func (w *timelineWriter) write(t *timeline.Timeline) error {
+	if !w.json {
+		return t.WriteTable(w.out)
+	}
+	enc := json.NewEncoder(w.out)
+	for i := range t.Events {
+		if err := enc.Encode(&t.Events[i]); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	if len(t.Unreachable)+len(t.Overwritten) == 0 {
+		return nil
+	}
+	return errors.WithStack(enc.Encode(struct {
+		Unreachable map[string]string `json:"unreachable"`
+		Overwritten map[string]uint64 `json:"overwritten"`
+	}{t.Unreachable, t.Overwritten}))
+}
+
+func explainCommand() *cobra.Command {
+	var conn connection
+	cmd := &cobra.Command{
+		Use:     "explain REQUEST-ID",
+		Short:   "Tell what happened to one request and whether it ran",
+		Example: "  skylarkctl explain UUPJXTSAKA2VBB4MXBHYEJYDAF --entry http://10.0.0.1:8080",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := conn.client()
+			if err != nil {
+				return err
+			}
+			t, err := c.Timeline(cmd.Context(), timeline.Filter{RequestID: args[0]})
+			if err != nil {
+				return err
+			}
+			x := timeline.Explain(args[0], t)
+			return conn.print(cmd.OutOrStdout(), x, func(out io.Writer) error {
+				for _, line := range x.Lines {
+					if _, err := fmt.Fprintln(out, line); err != nil {
+						return errors.WithStack(err)
+					}
+				}
+				return nil
+			})
+		},
+	}
+	conn.addFlags(cmd)
+	return cmd
+}
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -26,6 +26,7 @@
 	tokens   int
 	tried    map[string]bool
 	attempts uint32
+	received time.Time
 }
 
 // attempt is one dispatch to one target. Its frames arrive on a stream of its
@@ -138,6 +139,16 @@
 }
 
 func (r *request) record(kind timeline.Kind, to *route, attempt uint32, err error) {
+	switch kind {
+	case timeline.RequestReceived:
+		r.received = time.Now()
+	case timeline.RequestFinished:
+		r.entry.observeRequest(r.backend, time.Since(r.received), err)
+	case timeline.AttemptStarted:
+		r.entry.counter(metricAttempts).Inc(1)
+	case timeline.AttemptEnded:
+		r.entry.observeAttempt(to, err)
+	}
 	ev := timeline.Event{
 		Kind:      kind,
 		RequestID: r.id,
--- a/daemon/entry/handler.go
+++ b/daemon/entry/handler.go
@@ -14,7 +14,9 @@
 	"github.com/skylarkstep/skylarkstep/api/gen/callers"
 	callersrv "github.com/skylarkstep/skylarkstep/api/gen/http/callers/server"
 	operatorsrv "github.com/skylarkstep/skylarkstep/api/gen/http/operators/server"
+	timelinesrv "github.com/skylarkstep/skylarkstep/api/gen/http/timeline/server"
 	"github.com/skylarkstep/skylarkstep/api/gen/operators"
+	gentimeline "github.com/skylarkstep/skylarkstep/api/gen/timeline"
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/errkind"
@@ -30,8 +32,12 @@
 	cs.Mount(mux)
 	ops := operatorsrv.New(operators.NewEndpoints(&operatorService{e}), mux, jsonDecoder, goahttp.ResponseEncoder, onError, httpapi.Format)
 	ops.Mount(mux)
-	mux.Handle(http.MethodGet, "/healthz", e.serveHealth)
-	mux.Handle(http.MethodGet, "/readyz", e.serveReady)
+	tl := timelinesrv.New(gentimeline.NewEndpoints(&timelineService{&operatorService{e}}), mux, jsonDecoder, goahttp.ResponseEncoder, onError, httpapi.Format)
+	tl.Mount(mux)
+	httpapi.MountOps(mux, e.node, func() error {
+		_, err := e.ready()
+		return err
+	})
 	return httpapi.WithState(e.count(mux))
 }
 
@@ -45,26 +51,6 @@
 	})
 }
 
-// serveHealth answers whether the process lives.
-func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, map[string]any{"alive": true})
-}
-
-// serveReady answers whether the process takes new work.
-func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if _, err := e.ready(); err != nil {
-		writeJSON(w, http.StatusServiceUnavailable, map[string]any{"ready": false, "reason": err.Error()})
-		return
-	}
-	writeJSON(w, http.StatusOK, map[string]any{"ready": true, "revision": e.revision()})
-}
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
-}
-
 // ready returns the snapshot if the entry may take new work.
 func (e *Entry) ready() (*snapshot, error) {
 	s := e.snapshot.Load()
--- /dev/null
+++ b/daemon/httpapi/ops.go
@@ -0,0 +1,50 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/skylarkstep/skylarkstep/daemon/node"
+)
+
+// Mux is the part of a multiplexer that MountOps needs.
+type Mux interface {
+	Handle(method, pattern string, handler http.HandlerFunc)
+}
+
+// MountOps serves liveness, readiness and metrics. Liveness says that the
+// process answers; readiness says that it takes new work.
+func MountOps(mux Mux, n *node.Node, ready func() error) {
+	mux.Handle(http.MethodGet, "/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, health{Process: n.Name, Alive: true})
+	})
+	mux.Handle(http.MethodGet, "/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			writeJSON(w, http.StatusServiceUnavailable, readiness{Reason: err.Error()})
+			return
+		}
+		writeJSON(w, http.StatusOK, readiness{Ready: true})
+	})
+	mux.Handle(http.MethodGet, "/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(n.Metrics, w)
+	})
+}
+
+type health struct {
+	Process string `json:"process"`
+	Alive   bool   `json:"alive"`
+}
+
+type readiness struct {
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/daemon/role/role.go
+++ b/daemon/role/role.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/entry"
+	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/daemon/target"
 	"github.com/skylarkstep/skylarkstep/engine"
@@ -36,5 +37,8 @@
 		return e.Run(ctx, o.HTTPListener)
 	}
 	t := target.New(target.Options{Settings: o.Settings, Node: n, Model: o.Model, Service: o.Service})
+	srv := httpapi.NewServer(t.Handler(), n.Log)
+	go func() { _ = srv.Serve(o.HTTPListener) }()
+	defer func() { _ = srv.Close() }()
 	return t.Run(ctx, o.PeerListener)
 }
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -139,6 +139,8 @@
 	switch body := open.GetBody().(type) {
 	case *wirepb.Open_Dispatch:
 		t.serveDispatch(st, body.Dispatch)
+	case *wirepb.Open_EventQuery:
+		t.serveEvents(st, body.EventQuery)
 	default:
 		_ = st.Send(failureFrame(errkind.New(errkind.Internal, "stream type is not supported"), t.revision(), 0))
 	}
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -31,3 +31,75 @@
 	assert.Len(t, events, 1)
 	assert.Zero(t, overwritten)
 }
+
+func event(at int, process string, seq uint64, e Event) Event {
+	e.At, e.Process, e.Incarnation, e.Sequence, e.RequestID = Timestamp(at), process, 1, seq, "r1"
+	return e
+}
+
+// Guards against duplicates when two entries report the same target process,
+// and against calling a process unreachable that another entry reached.
+func TestMergeKeepsEachEventOnce(t *testing.T) {
+	a := event(2, "t1", 0, Event{Kind: BackendStarted})
+	b := event(1, "e1", 0, Event{Kind: RequestReceived})
+	got := Merge([]Batch{
+		{Process: "t1", Events: []Event{a}},
+		{Process: "t1", Unreachable: "session is closed"},
+		{Process: "t2", Unreachable: "session is closed"},
+		{Process: "e1", Events: []Event{b}, Overwritten: 3},
+		{Process: "t1", Events: []Event{a}},
+	})
+	assert.Equal(t, []Event{b, a}, got.Events)
+	assert.Equal(t, map[string]string{"t2": "session is closed"}, got.Unreachable)
+	assert.Equal(t, map[string]uint64{"e1": 3}, got.Overwritten)
+}
+
+// Guards against a verdict that the events do not prove.
+func TestExplainVerdicts(t *testing.T) {
+	received := event(1, "e1", 0, Event{Kind: RequestReceived})
+	sent := event(2, "e1", 1, Event{Kind: AttemptStarted, Attempt: 1, Target: "t1"})
+	started := event(3, "t1", 0, Event{Kind: BackendStarted, Attempt: 1})
+	lost := event(5, "e1", 2, Event{Kind: AttemptEnded, Attempt: 1, Error: "target_lost", DidRun: "unknown"})
+	refused := event(4, "e1", 2, Event{Kind: AttemptEnded, Attempt: 1, Error: "leaving", DidRun: "not_run"})
+	saysNotRun := event(6, "e1", 3, Event{Kind: RequestFinished, Error: "leaving", DidRun: "not_run"})
+	saysUnknown := event(6, "e1", 3, Event{Kind: RequestFinished, Error: "target_lost", DidRun: "unknown"})
+	second := event(5, "e1", 4, Event{Kind: AttemptStarted, Attempt: 2, Target: "t2"})
+	secondRefused := event(5, "e1", 5, Event{Kind: AttemptEnded, Attempt: 2, Error: "leaving", DidRun: "not_run"})
+	complete := event(6, "e1", 3, Event{Kind: RequestFinished})
+	for _, tc := range []struct {
+		name   string
+		events []Event
+		want   string
+	}{
+		{"answered", []Event{received, sent, started, complete}, "ran"},
+		{"refused", []Event{received, sent, refused, saysNotRun}, "not_run"},
+		{"lost after the hand-over", []Event{received, sent, started, lost, saysUnknown}, "unknown"},
+		{"lost, target not reached", []Event{received, sent, lost, saysUnknown}, "unknown"},
+		{"claims not_run although the back end was given the call", []Event{received, sent, started, saysNotRun}, "unknown"},
+		{"first attempt lost, second refused", []Event{received, sent, lost, second, secondRefused, saysNotRun}, "unknown"},
+		{"nothing known", nil, "unknown"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Equal(t, tc.want, Explain("r1", &Timeline{Events: tc.events}).DidRun)
+		})
+	}
+}
+
+// Guards against a filter that lets unrelated events through.
+func TestFilter(t *testing.T) {
+	e := event(1, "t1", 0, Event{Kind: Refused, Customer: "c", Target: "t1", DataCentre: "d"})
+	for _, tc := range []struct {
+		f    Filter
+		want bool
+	}{
+		{Filter{}, true},
+		{Filter{RequestID: "r1", Customer: "c", Target: "t1", DataCentre: "d", Kinds: []Kind{Refused}}, true},
+		{Filter{RequestID: "r2"}, false},
+		{Filter{Customer: "x"}, false},
+		{Filter{Target: "x"}, false},
+		{Filter{DataCentre: "x"}, false},
+		{Filter{Kinds: []Kind{StopStep}}, false},
+	} {
+		assert.Equal(t, tc.want, tc.f.Match(&e), "%+v", tc.f)
+	}
+}
