Add skylarkctl load: open-loop load with timed faults

Latencies count from the scheduled arrival; the report compares what callers saw with what the service stand-ins executed.

--- a/config/validate.go
+++ b/config/validate.go
@@ -24,8 +24,8 @@
 var settingsSchema []byte
 
 var (
-	compiledConfig   = mustCompile("config.schema.json", configSchema)
-	compiledSettings = mustCompile("settings.schema.json", settingsSchema)
+	compiledConfig   = MustCompileSchema("config.schema.json", configSchema)
+	compiledSettings = MustCompileSchema("settings.schema.json", settingsSchema)
 )
 
 // maxValueShown bounds how much of a faulty value is repeated in a report.
@@ -53,7 +53,7 @@
 // ParseConfig decodes and validates a configuration.
 func ParseConfig(data []byte) (*Config, error) {
 	var c Config
-	if err := decode(compiledConfig, data, &c); err != nil {
+	if err := DecodeWithSchema(compiledConfig, data, &c); err != nil {
 		return nil, err
 	}
 	if faults := c.check(); len(faults) > 0 {
@@ -65,13 +65,15 @@
 // ParseSettings decodes and validates the settings of a process.
 func ParseSettings(data []byte) (*Settings, error) {
 	var s Settings
-	if err := decode(compiledSettings, data, &s); err != nil {
+	if err := DecodeWithSchema(compiledSettings, data, &s); err != nil {
 		return nil, err
 	}
 	return &s, nil
 }
 
-func decode(schema *jsonschema.Schema, data []byte, into any) error {
+// DecodeWithSchema validates a JSON document as a whole and decodes it. Every
+// fault is reported with its path.
+func DecodeWithSchema(schema *jsonschema.Schema, data []byte, into any) error {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
 	if err != nil {
 		return errkind.Wrap(err, errkind.InvalidConfig, "not a JSON document")
@@ -140,7 +142,9 @@
 	return string(b)
 }
 
-func mustCompile(name string, data []byte) *jsonschema.Schema {
+// MustCompileSchema compiles an embedded JSON schema and panics when it is
+// malformed.
+func MustCompileSchema(name string, data []byte) *jsonschema.Schema {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
 	if err != nil {
 		panic(name + ": " + err.Error())
--- /dev/null
+++ b/ctl/command/load.go
@@ -0,0 +1,187 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/ctl/dev"
+	"github.com/skylarkstep/skylarkstep/ctl/load"
+	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+// Behaviour of the stand-ins under load: an engine takes 16 requests at once,
+// 20 ms to the first token and 5 ms for each further one.
+const (
+	standinFirstToken    = 20 * time.Millisecond
+	standinTokenInterval = 5 * time.Millisecond
+	standinConcurrency   = 16
+	standinServiceTime   = 5 * time.Millisecond
+	standinColdLimit     = 4
+	standinWarmUp        = 5 * time.Second
+)
+
+type loadOptions struct {
+	scenario string
+	config   string
+	entries  []string
+	key      string
+	report   string
+	plot     string
+	strict   bool
+}
+
+func loadCommand() *cobra.Command {
+	var o loadOptions
+	cmd := &cobra.Command{
+		Use:   "load --scenario FILE (--config FILE | --entry URL)",
+		Short: "Send load with timed faults and compare what callers saw with what back ends executed",
+		Long: "Runs a scenario against a dev deployment of a configuration file, or against the entries of a real\n" +
+			"deployment. Arrivals are open-loop and drawn from the seed of the scenario; latencies count from the\n" +
+			"scheduled arrival. With --strict it fails when a call ran twice, was lost, was cut, or was wrongly said\n" +
+			"not to have run.",
+		Example: "  skylarkctl load --scenario scenarios/zone-out.json --config examples/cabina-norte.json\n" +
+			"  skylarkctl load --scenario scenarios/steady.json --entry http://10.0.0.1:8080 --key KEY --report r.json",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runLoad(cmd.Context(), cmd.OutOrStdout(), o)
+		},
+	}
+	cmd.Flags().StringVar(&o.scenario, "scenario", "", "scenario file (required)")
+	cmd.Flags().StringVar(&o.config, "config", "", "configuration of a dev deployment to start")
+	cmd.Flags().StringSliceVar(&o.entries, "entry", nil, "base URL of an entry of a real deployment, may be repeated")
+	cmd.Flags().StringVar(&o.key, "key", "", "customer key for a real deployment")
+	cmd.Flags().StringVar(&o.report, "report", "", "file for the report in JSON")
+	cmd.Flags().StringVar(&o.plot, "plot", "", "file for the plot (.png or .svg)")
+	cmd.Flags().BoolVar(&o.strict, "strict", false, "fail when a call ran twice, was lost, cut, or wrongly said not to have run")
+	_ = cmd.MarkFlagRequired("scenario")
+	return cmd
+}
+
+func runLoad(ctx context.Context, out io.Writer, o loadOptions) error {
+	data, err := os.ReadFile(o.scenario)
+	if err != nil {
+		return errors.Wrap(err, "read scenario")
+	}
+	s, err := load.ParseScenario(data)
+	if err != nil {
+		return errors.Wrap(err, o.scenario)
+	}
+	target := load.Deployment{Entries: o.entries, Key: func(string) string { return o.key }}
+	if (o.config == "") == (len(o.entries) == 0) {
+		return errkind.New(errkind.InvalidRequest, "give either --config or --entry")
+	}
+	if o.config != "" {
+		d, err := startForLoad(ctx, o.config)
+		if err != nil {
+			return err
+		}
+		defer d.Close()
+		target = devTarget(d)
+	}
+	rep, err := load.Run(ctx, s, target, out)
+	if err != nil {
+		return errors.Wrap(err, "run")
+	}
+	if err := rep.WriteText(out); err != nil {
+		return errors.WithStack(err)
+	}
+	if err := saveReport(rep, o); err != nil {
+		return err
+	}
+	if o.strict && !rep.Good() {
+		return errors.New("the run broke a guarantee")
+	}
+	return nil
+}
+
+func saveReport(rep *load.Report, o loadOptions) error {
+	if o.report != "" {
+		data, err := json.MarshalIndent(rep, "", "  ")
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		if err := os.WriteFile(o.report, append(data, '\n'), 0o644); err != nil {
+			return errors.Wrap(err, "write report")
+		}
+	}
+	if o.plot != "" {
+		return rep.Plot(o.plot)
+	}
+	return nil
+}
+
+func startForLoad(ctx context.Context, file string) (*dev.Deployment, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read configuration")
+	}
+	c, err := config.ParseConfig(data)
+	if err != nil {
+		return nil, errors.Wrap(err, file)
+	}
+	d, err := dev.Start(ctx, dev.Options{
+		Config: c,
+		Model: enginestandin.ModelOptions{
+			FirstToken: standinFirstToken, TokenInterval: standinTokenInterval, Concurrency: standinConcurrency,
+			ColdConcurrency: standinColdLimit, WarmUp: standinWarmUp, AnswerTokens: 1 << 20,
+		},
+		Service: enginestandin.ServiceOptions{Latency: standinServiceTime},
+	})
+	if err != nil {
+		return nil, err
+	}
+	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := d.WaitReady(readyCtx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func devTarget(d *dev.Deployment) load.Deployment {
+	return load.Deployment{
+		Entries:  d.EntryURLs(),
+		Key:      d.CustomerKey,
+		Executed: d.Executed,
+		LastWork: d.LastWork,
+		Do:       func(ctx context.Context, e load.Event) error { return devEvent(ctx, d, e) },
+	}
+}
+
+func devEvent(ctx context.Context, d *dev.Deployment, e load.Event) error {
+	switch e.Kind {
+	case load.ZoneOut, load.ZoneIn:
+		return d.SetZone(ctx, e.DataCentre, e.Kind == load.ZoneOut)
+	case load.Kill:
+		return d.Kill(e.Process)
+	case load.StartProc:
+		return d.StartProcess(e.Process)
+	case load.StopProc:
+		go func() { _ = d.Stop(ctx, e.Process) }()
+		return nil
+	case load.Stall:
+		return d.Stall(e.Process, max(e.Value, 1))
+	case load.Cold:
+		return d.GoCold(e.Process)
+	case load.Refuse:
+		return d.Refuse(e.Process)
+	case load.ReplyLost:
+		return d.LoseReplies(e.Process)
+	case load.Clear:
+		return d.ClearFaults(e.Process)
+	case load.StoreDown, load.StoreUp:
+		d.KV.SetStall(e.Kind == load.StoreDown)
+		return nil
+	default:
+		return errkind.New(errkind.InvalidRequest, "event kind %q is not known", e.Kind)
+	}
+}
--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -24,7 +24,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(devCommand(), timelineCommand(), explainCommand())
+	root.AddCommand(devCommand(), timelineCommand(), explainCommand(), loadCommand())
 	return root
 }
 
--- a/ctl/dev/dev.go
+++ b/ctl/dev/dev.go
@@ -56,9 +56,10 @@
 
 // process is one role that runs in this process.
 type process struct {
-	cancel context.CancelFunc
-	done   chan struct{}
-	err    error
+	cancel    context.CancelFunc
+	listeners []*cutListener
+	done      chan struct{}
+	err       error
 }
 
 // Start starts the stand-ins and every process of the configuration and has an
@@ -185,19 +186,23 @@
 }
 
 func (d *Deployment) run(o role.Options) error {
-	var err error
-	if o.PeerListener, err = net.Listen("tcp", o.Settings.PeerAddr); err != nil {
+	peer, err := net.Listen("tcp", o.Settings.PeerAddr)
+	if err != nil {
 		return errors.Wrap(err, o.Settings.Name)
 	}
-	if o.HTTPListener, err = net.Listen("tcp", o.Settings.HTTPAddr); err != nil {
+	web, err := net.Listen("tcp", o.Settings.HTTPAddr)
+	if err != nil {
+		_ = peer.Close()
 		return errors.Wrap(err, o.Settings.Name)
 	}
+	listeners := []*cutListener{newCutListener(peer), newCutListener(web)}
+	o.PeerListener, o.HTTPListener = listeners[0], listeners[1]
 	o.LogOutput = d.options.LogOutput
 	if o.LogOutput == nil {
 		o.LogOutput = io.Discard
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{cancel: cancel, done: make(chan struct{})}
+	p := &process{cancel: cancel, listeners: listeners, done: make(chan struct{})}
 	d.mu.Lock()
 	d.procs[o.Settings.Name] = p
 	d.mu.Unlock()
--- /dev/null
+++ b/ctl/dev/faults.go
@@ -0,0 +1,137 @@
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/ctl/client"
+	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
+	"github.com/skylarkstep/skylarkstep/timeline"
+)
+
+// Client returns an operators' client of all entries.
+func (d *Deployment) Client() *client.Client {
+	return client.New(d.EntryURLs(), OperatorToken)
+}
+
+// EntryURLs returns the base URLs of all entries.
+func (d *Deployment) EntryURLs() []string {
+	var urls []string
+	for _, e := range d.Config.Inventory.Entries {
+		urls = append(urls, "http://"+e.HTTPAddr)
+	}
+	return urls
+}
+
+// SetZone takes a data centre out or brings it back, as an operator does.
+func (d *Deployment) SetZone(ctx context.Context, dataCentre string, out bool) error {
+	c := d.Client()
+	var current struct {
+		Revision uint64        `json:"revision"`
+		Document config.Config `json:"document"`
+	}
+	if err := c.Any(ctx, client.Request{Method: http.MethodGet, Path: "/v1/config"}, &current); err != nil {
+		return err
+	}
+	next := current.Document
+	next.Rules.Out = slices.DeleteFunc(slices.Clone(next.Rules.Out), func(dc string) bool { return dc == dataCentre })
+	if out {
+		next.Rules.Out = append(next.Rules.Out, dataCentre)
+	}
+	body, err := json.Marshal(&next)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	revision := strconv.FormatUint(current.Revision, 10)
+	return c.Any(ctx, client.Request{
+		Method: http.MethodPut,
+		Path:   "/v1/config",
+		Header: http.Header{"If-Match": {revision}, "Edit-Id": {"zone-edit-" + revision}},
+		Body:   body,
+	}, nil)
+}
+
+// Stall makes the engine of a target stop every stream after some tokens.
+func (d *Deployment) Stall(target string, tokens int) error {
+	return d.modelFaults(target, enginestandin.ModelFaults{StallAfter: tokens})
+}
+
+// Refuse makes the engine or service of a target refuse every request.
+func (d *Deployment) Refuse(target string) error {
+	if v := d.Services[target]; v != nil {
+		v.SetFaults(enginestandin.ServiceFaults{Refuse: true})
+		return nil
+	}
+	return d.modelFaults(target, enginestandin.ModelFaults{Refuse: true})
+}
+
+// LoseReplies makes the service of a target execute calls without answering.
+func (d *Deployment) LoseReplies(target string) error {
+	v := d.Services[target]
+	if v == nil {
+		return errors.Errorf("%s is not the target of a plain service", target)
+	}
+	v.SetFaults(enginestandin.ServiceFaults{DropReply: true})
+	return nil
+}
+
+// ClearFaults ends the faults of a target.
+func (d *Deployment) ClearFaults(target string) error {
+	if v := d.Services[target]; v != nil {
+		v.SetFaults(enginestandin.ServiceFaults{})
+		return nil
+	}
+	return d.modelFaults(target, enginestandin.ModelFaults{})
+}
+
+// GoCold makes the engine of a target cold without warning.
+func (d *Deployment) GoCold(target string) error {
+	m := d.Models[target]
+	if m == nil {
+		return errors.Errorf("%s is not the target of a model", target)
+	}
+	m.GoCold()
+	return nil
+}
+
+func (d *Deployment) modelFaults(target string, f enginestandin.ModelFaults) error {
+	m := d.Models[target]
+	if m == nil {
+		return errors.Errorf("%s is not the target of a model", target)
+	}
+	m.SetFaults(f)
+	return nil
+}
+
+// Executed returns the executions of each body id over all plain services.
+func (d *Deployment) Executed() map[string]int {
+	all := map[string]int{}
+	for _, v := range d.Services {
+		for id, n := range v.ByBodyID() {
+			all[id] += n
+		}
+	}
+	return all
+}
+
+// LastWork returns how long after from the last new work before to started in
+// a data centre, as the kept events tell.
+func (d *Deployment) LastWork(ctx context.Context, dataCentre string, from, to time.Time) time.Duration {
+	t, err := d.Client().Timeline(ctx, timeline.Filter{
+		DataCentre: dataCentre,
+		Kinds:      []timeline.Kind{timeline.BackendStarted},
+		From:       from,
+		To:         to,
+	})
+	if err != nil || len(t.Events) == 0 {
+		return 0
+	}
+	return t.Events[len(t.Events)-1].At.Time().Sub(from)
+}
--- /dev/null
+++ b/ctl/dev/kill.go
@@ -0,0 +1,100 @@
+package dev
+
+import (
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/config"
+)
+
+// cutListener remembers its connections, so that Kill can end a process of the
+// deployment without a planned stop.
+type cutListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+func newCutListener(ln net.Listener) *cutListener {
+	return &cutListener{Listener: ln, conns: map[net.Conn]struct{}{}}
+}
+
+// Accept implements net.Listener.
+func (l *cutListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return &cutConn{Conn: c, listener: l}, nil
+}
+
+// cut closes the listener and every connection at once.
+func (l *cutListener) cut() {
+	_ = l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		_ = c.Close()
+	}
+}
+
+type cutConn struct {
+	net.Conn
+	listener *cutListener
+}
+
+// Close implements net.Conn.
+func (c *cutConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c.Conn)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Kill cuts every connection of a process and ends it without a planned stop.
+func (d *Deployment) Kill(name string) error {
+	d.mu.Lock()
+	p := d.procs[name]
+	delete(d.procs, name)
+	d.mu.Unlock()
+	if p == nil {
+		return errors.Errorf("no process is named %s", name)
+	}
+	for _, l := range p.listeners {
+		l.cut()
+	}
+	p.cancel()
+	return nil
+}
+
+// StartProcess starts an entry or a target of the inventory that does not run.
+func (d *Deployment) StartProcess(name string) error {
+	d.mu.Lock()
+	running := d.procs[name] != nil
+	d.mu.Unlock()
+	if running {
+		return errors.Errorf("%s runs already", name)
+	}
+	if t, ok := d.Config.Target(name); ok {
+		return d.StartTarget(t)
+	}
+	e, err := d.entry(name)
+	if err != nil {
+		return err
+	}
+	return d.StartEntry(e)
+}
+
+func (d *Deployment) entry(name string) (config.Entry, error) {
+	for _, e := range d.Config.Inventory.Entries {
+		if e.Name == name {
+			return e, nil
+		}
+	}
+	return config.Entry{}, errors.Errorf("the inventory has no entry or target named %s", name)
+}
--- /dev/null
+++ b/ctl/load/report.go
@@ -0,0 +1,277 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is the result of a run. Latencies are measured from the scheduled
+// arrival, so that a stalled system is charged for the requests it delayed.
+type Report struct {
+	Scenario  string `json:"scenario"`
+	Seed      uint64 `json:"seed"`
+	Requests  int    `json:"requests"`
+	NotSent   int    `json:"not_sent"`
+	Complete  int    `json:"complete"`
+	NotRun    int    `json:"not_run"`
+	Unknown   int    `json:"unknown"`
+	Cut       int    `json:"cut"`
+	Repeats   int    `json:"repeats"`
+	Checked   bool   `json:"executions_checked"`
+	Doubles   int    `json:"doubles"`
+	Lost      int    `json:"lost"`
+	WrongNot  int    `json:"wrong_not_run"`
+	UnknownOK int    `json:"unknown_that_ran"`
+
+	Kinds  map[string]int `json:"errors_by_kind"`
+	Phases []Phase        `json:"phases"`
+	Events []EventReport  `json:"events,omitempty"`
+
+	series []Point
+}
+
+// Phase is the requests that arrived between two timed events.
+type Phase struct {
+	Name     string  `json:"name"`
+	FromMs   int64   `json:"from_ms"`
+	Requests int     `json:"requests"`
+	Failed   int     `json:"failed"`
+	P50Ms    float64 `json:"p50_ms"`
+	P99Ms    float64 `json:"p99_ms"`
+	FirstP50 float64 `json:"first_p50_ms"`
+	FirstP99 float64 `json:"first_p99_ms"`
+}
+
+// EventReport says when an event took place, and for a data centre or process
+// that left, how long new work still reached it.
+type EventReport struct {
+	Kind       EventKind `json:"kind"`
+	DataCentre string    `json:"data_centre,omitempty"`
+	Process    string    `json:"process,omitempty"`
+	AtMs       int64     `json:"at_ms"`
+	Error      string    `json:"error,omitempty"`
+	LastWorkMs *int64    `json:"last_new_work_after_ms,omitempty"`
+}
+
+// Point is one second of the run, for plots.
+type Point struct {
+	Second   int
+	P50, P99 float64
+	Failed   int
+}
+
+func (r *run) report(ctx context.Context) *Report {
+	rep := &Report{
+		Scenario: r.scenario.Name, Seed: r.scenario.Seed, Requests: len(r.outcomes),
+		NotSent: int(r.notSent.Load()), Kinds: map[string]int{},
+	}
+	for i := range r.outcomes {
+		rep.count(&r.outcomes[i])
+	}
+	if r.deployment.Executed != nil {
+		rep.check(r.outcomes, r.deployment.Executed())
+	}
+	for _, d := range r.done {
+		rep.Events = append(rep.Events, r.eventReport(ctx, d))
+	}
+	rep.Phases = r.phases()
+	rep.series = r.seconds()
+	return rep
+}
+
+func (rep *Report) count(o *outcome) {
+	rep.Repeats += o.repeats
+	switch o.end {
+	case endComplete:
+		rep.Complete++
+	case endNotRun:
+		rep.NotRun++
+	case endCut:
+		rep.Cut++
+	default:
+		rep.Unknown++
+	}
+	if o.kind != "" {
+		rep.Kinds[o.kind]++
+	}
+}
+
+// check compares what the callers saw with what the back ends executed. Calls
+// that may be repeated are not counted as doubles.
+func (rep *Report) check(outcomes []outcome, executed map[string]int) {
+	rep.Checked = true
+	for i := range outcomes {
+		o := &outcomes[i]
+		if o.arrival.flow.Model != "" {
+			continue
+		}
+		n := executed[fmt.Sprintf("load-%d", o.arrival.id)]
+		switch {
+		case n > 1 && !o.arrival.flow.Idempotent:
+			rep.Doubles++
+		case n == 0 && o.end == endComplete:
+			rep.Lost++
+		case n > 0 && o.end == endNotRun:
+			rep.WrongNot++
+		case n > 0 && o.end == endUnknown:
+			rep.UnknownOK++
+		}
+	}
+}
+
+func (r *run) eventReport(ctx context.Context, d doneEvent) EventReport {
+	e := EventReport{Kind: d.event.Kind, DataCentre: d.event.DataCentre, Process: d.event.Process, AtMs: d.at.Milliseconds()}
+	if d.err != nil {
+		e.Error = d.err.Error()
+	}
+	if d.event.Kind == ZoneOut && d.err == nil && r.deployment.LastWork != nil {
+		from := r.sender.start.Add(d.at)
+		ms := r.deployment.LastWork(ctx, d.event.DataCentre, from, r.returned(d)).Milliseconds()
+		e.LastWorkMs = &ms
+	}
+	return e
+}
+
+// returned says when the data centre that left came back, or now.
+func (r *run) returned(left doneEvent) time.Time {
+	for _, d := range r.done {
+		if d.at > left.at && d.event.Kind == ZoneIn && d.event.DataCentre == left.event.DataCentre {
+			return r.sender.start.Add(d.at)
+		}
+	}
+	return time.Now()
+}
+
+// phases splits the run at its timed events.
+func (r *run) phases() []Phase {
+	cuts := []time.Duration{0}
+	names := []string{"start"}
+	for _, d := range r.done {
+		if d.at-cuts[len(cuts)-1] > time.Millisecond {
+			cuts = append(cuts, d.at)
+			names = append(names, string(d.event.Kind))
+		}
+	}
+	phases := make([]Phase, 0, len(cuts))
+	for i, from := range cuts {
+		to := time.Duration(1<<63 - 1)
+		if i+1 < len(cuts) {
+			to = cuts[i+1]
+		}
+		phases = append(phases, r.phase(names[i], from, to))
+	}
+	return phases
+}
+
+func (r *run) phase(name string, from, to time.Duration) Phase {
+	p := Phase{Name: name, FromMs: from.Milliseconds()}
+	done, first := newHistogram(), newHistogram()
+	for i := range r.outcomes {
+		o := &r.outcomes[i]
+		if o.arrival.at < from || o.arrival.at >= to {
+			continue
+		}
+		p.Requests++
+		if o.end != endComplete {
+			p.Failed++
+			continue
+		}
+		_ = done.RecordValue(o.done.Microseconds())
+		_ = first.RecordValue(o.firstByte.Microseconds())
+	}
+	p.P50Ms, p.P99Ms = quantiles(done)
+	p.FirstP50, p.FirstP99 = quantiles(first)
+	return p
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, (10 * time.Minute).Microseconds(), 3)
+}
+
+func quantiles(h *hdrhistogram.Histogram) (p50, p99 float64) {
+	const microsPerMilli = 1000
+	return float64(h.ValueAtQuantile(50)) / microsPerMilli, float64(h.ValueAtQuantile(99)) / microsPerMilli
+}
+
+func (r *run) seconds() []Point {
+	bySecond := map[int]*hdrhistogram.Histogram{}
+	failed := map[int]int{}
+	for i := range r.outcomes {
+		o := &r.outcomes[i]
+		s := int(o.arrival.at / time.Second)
+		if bySecond[s] == nil {
+			bySecond[s] = newHistogram()
+		}
+		if o.end != endComplete {
+			failed[s]++
+			continue
+		}
+		_ = bySecond[s].RecordValue(o.done.Microseconds())
+	}
+	points := make([]Point, 0, len(bySecond))
+	for s, h := range bySecond {
+		p := Point{Second: s, Failed: failed[s]}
+		p.P50, p.P99 = quantiles(h)
+		points = append(points, p)
+	}
+	slices.SortFunc(points, func(a, b Point) int { return a.Second - b.Second })
+	return points
+}
+
+// WriteText writes the report for people.
+func (rep *Report) WriteText(w io.Writer) error {
+	_, _ = fmt.Fprintf(w, "scenario %s, seed %d: %d requests, %d complete, %d not run, %d unknown, %d cut, %d not sent\n",
+		rep.Scenario, rep.Seed, rep.Requests, rep.Complete, rep.NotRun, rep.Unknown, rep.Cut, rep.NotSent)
+	if rep.Checked {
+		_, _ = fmt.Fprintf(w, "against the back ends: %d doubles, %d lost, %d wrong not_run, %d unknown that ran\n",
+			rep.Doubles, rep.Lost, rep.WrongNot, rep.UnknownOK)
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(tw, "phase\tfrom s\trequests\tfailed\tp50 ms\tp99 ms\tfirst p50\tfirst p99\t")
+	for _, p := range rep.Phases {
+		_, _ = fmt.Fprintf(tw, "%s\t%.1f\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t\n",
+			p.Name, float64(p.FromMs)/1000, p.Requests, p.Failed, p.P50Ms, p.P99Ms, p.FirstP50, p.FirstP99)
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	for _, e := range rep.Events {
+		rep.writeEvent(w, e)
+	}
+	for _, k := range sortedKinds(rep.Kinds) {
+		_, _ = fmt.Fprintf(w, "error %s: %d\n", k, rep.Kinds[k])
+	}
+	return nil
+}
+
+func (rep *Report) writeEvent(w io.Writer, e EventReport) {
+	_, _ = fmt.Fprintf(w, "event %s %s%s at %.1f s", e.Kind, e.DataCentre, e.Process, float64(e.AtMs)/1000)
+	if e.Error != "" {
+		_, _ = fmt.Fprintf(w, ": failed: %s", e.Error)
+	}
+	if e.LastWorkMs != nil {
+		_, _ = fmt.Fprintf(w, ": last new work reached it after %d ms", *e.LastWorkMs)
+	}
+	_, _ = fmt.Fprintln(w)
+}
+
+func sortedKinds(m map[string]int) []string {
+	kinds := make([]string, 0, len(m))
+	for k := range m {
+		kinds = append(kinds, k)
+	}
+	slices.Sort(kinds)
+	return kinds
+}
+
+// Good reports whether no call ran twice, was lost, was cut, or was wrongly
+// said not to have run.
+func (rep *Report) Good() bool {
+	return rep.Doubles == 0 && rep.Lost == 0 && rep.Cut == 0 && rep.WrongNot == 0
+}
--- /dev/null
+++ b/ctl/load/scenario.go
@@ -0,0 +1,120 @@
+package load
+
+import (
+	_ "embed" // the schema
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/config"
+)
+
+//go:embed scenario.schema.json
+var scenarioSchema []byte
+
+var schema = config.MustCompileSchema("scenario.schema.json", scenarioSchema)
+
+// Scenario is a load with timed events.
+type Scenario struct {
+	Name        string  `json:"name"`
+	Description string  `json:"description,omitempty"`
+	Seed        uint64  `json:"seed"`
+	DurationMs  int     `json:"duration_ms"`
+	Mix         []Flow  `json:"mix"`
+	Events      []Event `json:"events,omitempty"`
+}
+
+// Flow is one customer's requests of one kind, with Poisson arrivals.
+type Flow struct {
+	Name       string  `json:"name"`
+	Customer   string  `json:"customer"`
+	RatePerS   float64 `json:"rate_per_s"`
+	Model      string  `json:"model,omitempty"`
+	MaxTokens  int     `json:"max_tokens,omitempty"`
+	Backend    string  `json:"back_end,omitempty"`
+	Operation  string  `json:"operation,omitempty"`
+	Idempotent bool    `json:"idempotent,omitempty"`
+	DeadlineMs int     `json:"deadline_ms,omitempty"`
+	Repeats    int     `json:"repeats,omitempty"`
+}
+
+// EventKind names what a timed event does.
+type EventKind string
+
+// The kinds of timed event.
+const (
+	ZoneOut   EventKind = "zone_out"
+	ZoneIn    EventKind = "zone_in"
+	Kill      EventKind = "kill"
+	StartProc EventKind = "start"
+	StopProc  EventKind = "stop"
+	Stall     EventKind = "stall"
+	Cold      EventKind = "cold"
+	Refuse    EventKind = "refuse"
+	ReplyLost EventKind = "reply_lost"
+	Clear     EventKind = "clear"
+	StoreDown EventKind = "store_down"
+	StoreUp   EventKind = "store_up"
+)
+
+// Event is one timed event.
+type Event struct {
+	AtMs       int       `json:"at_ms"`
+	Kind       EventKind `json:"kind"`
+	DataCentre string    `json:"data_centre,omitempty"`
+	Process    string    `json:"process,omitempty"`
+	Value      int       `json:"value,omitempty"`
+}
+
+// At returns when the event happens after the start.
+func (e Event) At() time.Duration { return time.Duration(e.AtMs) * time.Millisecond }
+
+// defaultDeadline bounds a request whose flow names no deadline.
+const defaultDeadline = 10 * time.Second
+
+func (f *Flow) deadline() time.Duration {
+	if f.DeadlineMs == 0 {
+		return defaultDeadline
+	}
+	return time.Duration(f.DeadlineMs) * time.Millisecond
+}
+
+// ParseScenario decodes and validates a scenario.
+func ParseScenario(data []byte) (*Scenario, error) {
+	var s Scenario
+	if err := config.DecodeWithSchema(schema, data, &s); err != nil {
+		return nil, err
+	}
+	slices.SortStableFunc(s.Events, func(a, b Event) int { return a.AtMs - b.AtMs })
+	return &s, nil
+}
+
+// arrival is one request of the schedule.
+type arrival struct {
+	at   time.Duration
+	flow *Flow
+	id   int
+}
+
+// schedule draws all arrivals before the load starts, so that a slow system
+// can't slow the load down.
+func (s *Scenario) schedule() []arrival {
+	rng := rand.New(rand.NewPCG(s.Seed, 1))
+	end := time.Duration(s.DurationMs) * time.Millisecond
+	var all []arrival
+	for i := range s.Mix {
+		f := &s.Mix[i]
+		for at := time.Duration(0); ; {
+			at += time.Duration(rng.ExpFloat64() / f.RatePerS * float64(time.Second))
+			if at >= end {
+				break
+			}
+			all = append(all, arrival{at: at, flow: f})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b arrival) int { return int(a.at - b.at) })
+	for i := range all {
+		all[i].id = i
+	}
+	return all
+}
