--- /dev/null
+++ b/config/describe.go
@@ -0,0 +1,91 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Row describes one setting of a document.
+type Row struct {
+	Path        string
+	Type        string
+	Range       string
+	Required    bool
+	Description string
+}
+
+// schemaNode is the part of a JSON schema that the description needs.
+type schemaNode struct {
+	Type             string                 `json:"type"`
+	Description      string                 `json:"description"`
+	Properties       map[string]*schemaNode `json:"properties"`
+	Items            *schemaNode            `json:"items"`
+	Required         []string               `json:"required"`
+	Enum             []string               `json:"enum"`
+	Minimum          *float64               `json:"minimum"`
+	Maximum          *float64               `json:"maximum"`
+	ExclusiveMinimum *float64               `json:"exclusiveMinimum"`
+}
+
+// DescribeSettings lists every setting of a process.
+func DescribeSettings() []Row { return describe(settingsSchema) }
+
+// DescribeConfig lists every field of the inventory and the rules.
+func DescribeConfig() []Row { return describe(configSchema) }
+
+func describe(schema []byte) []Row {
+	var root schemaNode
+	if err := json.Unmarshal(schema, &root); err != nil {
+		panic("embedded schema: " + err.Error())
+	}
+	var rows []Row
+	root.walk("", &rows)
+	return rows
+}
+
+func (n *schemaNode) walk(path string, rows *[]Row) {
+	names := make([]string, 0, len(n.Properties))
+	for name := range n.Properties {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		child := n.Properties[name]
+		p := strings.TrimPrefix(path+"."+name, ".")
+		required := slices.Contains(n.Required, name)
+		for child.Type == "array" && child.Items != nil {
+			p += "[]"
+			child = child.Items
+		}
+		if len(child.Properties) > 0 {
+			child.walk(p, rows)
+			continue
+		}
+		*rows = append(*rows, Row{
+			Path: p, Type: child.kind(), Range: child.bounds(), Required: required, Description: child.Description,
+		})
+	}
+}
+
+func (n *schemaNode) kind() string {
+	if len(n.Enum) > 0 {
+		return "one of " + strings.Join(n.Enum, ", ")
+	}
+	return n.Type
+}
+
+func (n *schemaNode) bounds() string {
+	low := ""
+	switch {
+	case n.Minimum != nil:
+		low = fmt.Sprintf("%g", *n.Minimum)
+	case n.ExclusiveMinimum != nil:
+		low = fmt.Sprintf("over %g", *n.ExclusiveMinimum)
+	}
+	if n.Maximum == nil {
+		return low
+	}
+	return fmt.Sprintf("%s to %g", low, *n.Maximum)
+}
--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -24,7 +24,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(devCommand(), timelineCommand(), explainCommand(), loadCommand())
+	root.AddCommand(devCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand())
 	return root
 }
 
