--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -35,7 +35,7 @@
 func New(s *config.Settings, w io.Writer) *Node {
 	clock := &timeline.Clock{}
 	incarnation := newIncarnation()
-	log := slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level(s.LogLevel)})).With(
+	log := newLogger(w, level(s.LogLevel)).With(
 		"process", s.Name,
 		"role", string(s.Role),
 		"data_centre", s.DataCentre,
