Add sessions between entries, planned stops and zone out/in

Entries did not know each other, so a stopping entry stayed in the address answers of the others, and a stopping target process closed its sessions as soon as its own work was done, which lost dispatches on their way.

Entries now keep one session per pair and tell a change of state at once. A stopping entry is absent from all address answers, serves for address_ttl plus 0.5 s and retires kept-alive connections. A stopping target process ends only after every entry has echoed the leaving state and closed its work streams. A failure frame carries the target's revision, and an entry that is behind pulls from the target. skylarkctl gains zone out and zone in.

--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -24,7 +24,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(devCommand())
+	root.AddCommand(devCommand(), zoneCommand())
 	return root
 }
 
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -126,6 +126,7 @@
 		a.request.entry.node.Clock.Observe(timeline.Timestamp(f.GetHlc()))
 	}
 	if x := f.GetFailure(); x != nil {
+		a.request.entry.observeRevision(a.route.session, x.GetRevision())
 		return nil, failureError(x)
 	}
 	return &f, nil
--- a/daemon/entry/callers.go
+++ b/daemon/entry/callers.go
@@ -26,7 +26,7 @@
 	}
 	var usable []config.Entry
 	for _, en := range snap.config.Inventory.Entries {
-		if snap.config.IsOut(en.DataCentre) || s.entry.isLeaving(en.Name) {
+		if snap.config.IsOut(en.DataCentre) || s.entry.isLeaving(snap, en.Name) {
 			continue
 		}
 		usable = append(usable, en)
@@ -43,8 +43,8 @@
 }
 
 // isLeaving reports whether an entry must be absent from new address answers.
-func (e *Entry) isLeaving(name string) bool {
-	return name == e.node.Name && e.stopping.Load()
+func (e *Entry) isLeaving(s *snapshot, name string) bool {
+	return s.leaving[name] || name == e.node.Name && e.stopping.Load()
 }
 
 // maxAddresses bounds an address answer.
--- a/daemon/entry/control.go
+++ b/daemon/entry/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/timeline"
 	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
@@ -25,11 +26,15 @@
 	document []byte
 	links    map[string]*link
 	members  map[string]*member
+
+	peerLinks map[string]*peerLink // by address
+	peers     map[string]*peer     // by name
 }
 
 // member is what is known about one target.
 type member struct {
 	session     *wire.Session
+	beats       *node.Heartbeats
 	incarnation uint64
 	heartbeat   *wirepb.Heartbeat
 	heardAt     time.Time
@@ -39,15 +44,16 @@
 
 // runControl owns the control state until ctx ends.
 func (e *Entry) runControl(ctx context.Context) {
-	c := &control{entry: e, ctx: ctx, links: map[string]*link{}, members: map[string]*member{}}
+	c := &control{
+		entry: e, ctx: ctx, links: map[string]*link{}, members: map[string]*member{},
+		peerLinks: map[string]*peerLink{}, peers: map[string]*peer{},
+	}
+	c.updatePeers()
 	tick := time.NewTicker(controlTick)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			for _, l := range c.links {
-				l.stop()
-			}
 			return
 		case ev := <-e.events:
 			ev(c)
@@ -83,9 +89,17 @@
 	c.config, c.document = next, document
 	c.entry.node.Events.Record(timeline.Event{Kind: timeline.RevisionInForce, Revision: next.Revision})
 	c.updateLinks()
+	c.updatePeers()
+	c.publish()
+	c.kickHeartbeats()
 	for _, m := range c.members {
 		c.announce(m.session)
 	}
+	for _, p := range c.peers {
+		for s := range p.sessions {
+			c.announce(s)
+		}
+	}
 }
 
 // updateLinks starts and stops sessions so that every target of the inventory
@@ -125,28 +139,78 @@
 	go func() { _ = s.Control().Send(m) }()
 }
 
-func (c *control) sendSnapshot(s *wire.Session) {
+// pullIfBehind asks the other side of the session for what this entry lacks.
+func (c *control) pullIfBehind(s *wire.Session, revision uint64) {
+	if revision <= c.revision() {
+		return
+	}
+	m := &wirepb.Control{Body: &wirepb.Control_Pull{Pull: &wirepb.Pull{FromRevision: c.revision()}}}
+	go func() { _ = s.Control().Send(m) }()
+}
+
+func (c *control) answerPull(s *wire.Session, _ uint64) {
 	m := &wirepb.Control{Body: &wirepb.Control_Deltas{Deltas: &wirepb.Deltas{
 		Snapshot: c.document, SnapshotRevision: c.revision(),
 	}}}
 	go func() { _ = s.Control().Send(m) }()
 }
 
-func (c *control) joined(target string, s *wire.Session) {
-	c.members[target] = &member{session: s, incarnation: s.Peer().GetIncarnation(), heardAt: time.Now()}
-	c.entry.node.Events.Record(timeline.Event{Kind: timeline.MemberJoined, Target: target, DataCentre: s.Peer().GetDataCentre()})
+// take installs what another process sent after a pull.
+func (c *control) take(s *wire.Session, d *wirepb.Deltas) {
+	next, err := config.ParseConfig(d.GetSnapshot())
+	if err != nil {
+		c.entry.node.Log.Error("configuration from peer refused", "peer", s.Peer().GetInstance(), "error", err)
+		return
+	}
+	if next.Revision > c.revision() {
+		c.install(next)
+	}
+}
+
+// observeRevision pulls from a target whose answer shows a higher revision.
+// The target has the last word, whatever revision this entry holds.
+func (e *Entry) observeRevision(s *wire.Session, revision uint64) {
+	if revision > e.revision() {
+		select {
+		case e.events <- func(c *control) { c.pullIfBehind(s, revision) }:
+		default: // the next heartbeat repairs it
+		}
+	}
+}
+
+func (c *control) record(kind timeline.Kind, name string, s *wire.Session) {
+	c.entry.node.Events.Record(timeline.Event{Kind: kind, Target: name, DataCentre: s.Peer().GetDataCentre()})
+}
+
+func (c *control) joined(target string, s *wire.Session, hb *node.Heartbeats) {
+	c.members[target] = &member{session: s, beats: hb, incarnation: s.Peer().GetIncarnation(), heardAt: time.Now()}
+	c.record(timeline.MemberJoined, target, s)
 	c.announce(s)
 }
 
 func (c *control) left(target string, s *wire.Session) {
 	if m := c.members[target]; m != nil && m.session == s {
 		delete(c.members, target)
-		c.entry.node.Events.Record(timeline.Event{Kind: timeline.MemberLeft, Target: target, DataCentre: s.Peer().GetDataCentre()})
+		c.record(timeline.MemberLeft, target, s)
 	}
 }
 
 func (c *control) heard(target string, s *wire.Session, hb *wirepb.Heartbeat) {
 	if m := c.members[target]; m != nil && m.session == s {
+		changed := m.heartbeat.GetState() != hb.GetState()
 		m.heartbeat, m.heardAt = hb, time.Now()
+		c.acted(m.beats, hb, changed)
+	}
+}
+
+// acted records a heartbeat once traffic works by it. A change of state is
+// published and echoed at once, since a stopping peer waits for the echo.
+func (c *control) acted(beats *node.Heartbeats, hb *wirepb.Heartbeat, changed bool) {
+	if changed {
+		c.publish()
+	}
+	beats.Heard(hb)
+	if changed {
+		beats.Kick()
 	}
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -29,6 +29,9 @@
 	events   chan controlEvent
 	work     node.Inflight
 	stopping atomic.Bool
+
+	peerListener net.Listener
+	peerSessions peerSessions
 }
 
 // Options are the parts that the caller of New provides.
@@ -36,6 +39,8 @@
 	Settings *config.Settings
 	Node     *node.Node
 	KV       platform.KV
+	// PeerListener accepts sessions of other entries; nil accepts none.
+	PeerListener net.Listener
 	// Policy is the routing policy; nil takes the default.
 	Policy balancer.Builder
 }
@@ -55,6 +60,8 @@
 		kv:       o.KV,
 		policy:   o.Policy,
 		events:   make(chan controlEvent, eventQueue),
+
+		peerListener: o.PeerListener,
 	}
 }
 
@@ -65,6 +72,10 @@
 	defer stopControl()
 	go e.runControl(control)
 	go e.watchConfig(control)
+	if e.peerListener != nil {
+		defer func() { _ = e.peerListener.Close() }()
+		go e.acceptPeers(control, e.peerListener)
+	}
 
 	srv := httpapi.NewServer(e.Handler(), e.node.Log)
 	failed := make(chan error, 1)
@@ -78,10 +89,15 @@
 	return nil
 }
 
+// stopMargin covers the time until every other entry has heard of the stop, in
+// which address answers may still name this entry.
+const stopMargin = 500 * time.Millisecond
+
 // stop keeps serving for as long as callers keep their address answers, then
 // waits for the work in progress.
 func (e *Entry) stop(srv *http.Server) {
 	e.stopping.Store(true)
+	e.post(context.Background(), (*control).kickHeartbeats)
 	e.step("absent from new address answers")
 	ttl := config.DefaultAddressTTL
 	if s := e.snapshot.Load(); s != nil {
@@ -89,7 +105,7 @@
 	}
 	bound := e.settings.StopBound()
 	deadline := time.Now().Add(bound)
-	time.Sleep(min(ttl, bound/2))
+	time.Sleep(min(ttl+stopMargin, bound/2))
 	e.step("refusing new connections")
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/daemon/entry/handler.go
+++ b/daemon/entry/handler.go
@@ -41,6 +41,11 @@
 		if e.work.Begin() {
 			defer e.work.End()
 		}
+		if e.stopping.Load() {
+			// Retires connections that callers keep open, so that none is idle
+			// and about to be reused when the listener closes.
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/daemon/entry/link.go
+++ b/daemon/entry/link.go
@@ -7,6 +7,7 @@
 
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/timeline"
 	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
@@ -14,10 +15,9 @@
 
 // Bounds of the reconnection backoff.
 const (
-	minBackoff        = 50 * time.Millisecond
-	maxBackoff        = 2 * time.Second
-	dialTimeout       = 2 * time.Second
-	heartbeatInterval = time.Second
+	minBackoff  = 50 * time.Millisecond
+	maxBackoff  = 2 * time.Second
+	dialTimeout = 2 * time.Second
 )
 
 // link keeps a session to one target.
@@ -74,48 +74,24 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	l.entry.node.Clock.Observe(timeline.Timestamp(s.Peer().GetHlc()))
-	l.entry.post(ctx, func(c *control) { c.joined(name, s) })
+	hb := node.NewHeartbeats(s, l.entry.heartbeat)
+	l.entry.post(ctx, func(c *control) { c.joined(name, s, hb) })
 	defer func() {
 		_ = s.Close()
 		l.entry.post(ctx, func(c *control) { c.left(name, s) })
 	}()
-	go l.heartbeats(s)
-	for {
-		var m wirepb.Control
-		if err := s.Control().Recv(&m); err != nil {
-			return
-		}
-		switch body := m.GetBody().(type) {
-		case *wirepb.Control_Heartbeat:
-			l.entry.node.Clock.Observe(timeline.Timestamp(body.Heartbeat.GetHlc()))
-			l.entry.post(ctx, func(c *control) { c.heard(name, s, body.Heartbeat) })
-		case *wirepb.Control_Pull:
-			l.entry.post(ctx, func(c *control) { c.sendSnapshot(s) })
-		}
-	}
+	go hb.Run()
+	l.entry.readControl(ctx, s, func(c *control, m *wirepb.Heartbeat) { c.heard(name, s, m) })
 }
 
-// heartbeats repairs a lost announcement: the target pulls when the revision in
-// a heartbeat is higher than its own.
-func (l *link) heartbeats(s *wire.Session) {
-	tick := time.NewTicker(heartbeatInterval)
-	defer tick.Stop()
-	for seq := uint64(1); ; seq++ {
-		hb := &wirepb.Heartbeat{
-			Incarnation: l.entry.node.Incarnation,
-			Revision:    l.entry.revision(),
-			State:       l.entry.state(),
-			Hlc:         uint64(l.entry.node.Clock.Now()),
-			Sequence:    seq,
-		}
-		if err := s.Control().Send(&wirepb.Control{Body: &wirepb.Control_Heartbeat{Heartbeat: hb}}); err != nil {
-			return
-		}
-		select {
-		case <-tick.C:
-		case <-s.Done():
-			return
-		}
+// heartbeat returns the state of this entry. It repairs a lost announcement: a
+// process pulls when the revision in a heartbeat is higher than its own.
+func (e *Entry) heartbeat() *wirepb.Heartbeat {
+	return &wirepb.Heartbeat{
+		Incarnation: e.node.Incarnation,
+		Revision:    e.revision(),
+		State:       e.state(),
+		Hlc:         uint64(e.node.Clock.Now()),
 	}
 }
 
--- a/daemon/entry/operators.go
+++ b/daemon/entry/operators.go
@@ -80,6 +80,11 @@
 	if c.config == nil {
 		return st
 	}
+	for _, en := range c.config.Inventory.Entries {
+		if en.Name != c.entry.node.Name {
+			st.Processes = append(st.Processes, c.entryStatus(en))
+		}
+	}
 	for _, t := range c.config.Inventory.Targets {
 		st.Processes = append(st.Processes, c.targetStatus(t))
 	}
@@ -100,6 +105,23 @@
 	return p
 }
 
+func (c *control) entryStatus(en config.Entry) *operators.ProcessRevision {
+	p := &operators.ProcessRevision{Name: en.Name, Role: string(config.RoleEntry), DataCentre: en.DataCentre, State: "gone"}
+	m := c.peers[en.Name]
+	if m == nil || len(m.sessions) == 0 {
+		return p
+	}
+	p.State = "ready"
+	if m.leaving() {
+		p.State = "leaving"
+	}
+	p.Incarnation = fmt.Sprintf("%x", m.incarnation)
+	p.Revision = m.heartbeat.GetRevision()
+	p.InForce = p.Revision >= c.revision()
+	p.HeardMsAgo = time.Since(m.heardAt).Milliseconds()
+	return p
+}
+
 // ConfigHistory lists the accepted changes.
 func (s *operatorService) ConfigHistory(context.Context, *operators.ConfigHistoryPayload) ([]*operators.HistoryItem, error) {
 	return []*operators.HistoryItem{}, nil
--- /dev/null
+++ b/daemon/entry/peer.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/timeline"
+	"github.com/skylarkstep/skylarkstep/wire"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+// peer is what is known about another entry. The last heartbeat is kept after
+// the session ends, so that an entry that announced its stop stays absent from
+// address answers until another incarnation says hello.
+type peer struct {
+	name        string
+	incarnation uint64
+	sessions    map[*wire.Session]*node.Heartbeats
+	heartbeat   *wirepb.Heartbeat
+	heardAt     time.Time
+}
+
+func (p *peer) leaving() bool {
+	return p.heartbeat.GetState() == wirepb.MemberState_MEMBER_STATE_LEAVING
+}
+
+// peerSessions counts the sessions per entry name. Links read it to keep one
+// session per pair.
+type peerSessions struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+func (p *peerSessions) add(name string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.count == nil {
+		p.count = map[string]int{}
+	}
+	p.count[name] += n
+}
+
+func (p *peerSessions) has(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.count[name] > 0
+}
+
+// acceptPeers serves the sessions that other entries open until ln is closed.
+func (e *Entry) acceptPeers(ctx context.Context, ln net.Listener) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			s, err := wire.Server(conn, e.node.ClusterKey, e.node.Hello(e.revision()))
+			if err != nil {
+				e.node.Log.Warn("session refused", "remote", conn.RemoteAddr().String(), "error", err)
+				return
+			}
+			e.servePeer(ctx, s, s.Peer().GetInstance())
+		}()
+	}
+}
+
+// peerLink keeps a session to the entry at one address.
+type peerLink struct {
+	entry *Entry
+	addr  string
+	name  string
+	stop  context.CancelFunc
+}
+
+func startPeerLink(parent context.Context, e *Entry, addr, name string) *peerLink {
+	ctx, cancel := context.WithCancel(parent)
+	l := &peerLink{entry: e, addr: addr, name: name, stop: cancel}
+	go l.run(ctx)
+	return l
+}
+
+// run dials while there is no session with the entry. An entry with the higher
+// name waits a little first, so that two entries that start together do not
+// dial each other.
+func (l *peerLink) run(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		wait := backoff/2 + rand.N(backoff)
+		if l.name != "" && l.name < l.entry.node.Name {
+			wait += minBackoff
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+		if l.name != "" && l.entry.peerSessions.has(l.name) {
+			backoff = minBackoff
+			continue
+		}
+		backoff = min(2*backoff, maxBackoff)
+		if l.connect(ctx) {
+			backoff = minBackoff
+		}
+	}
+}
+
+func (l *peerLink) connect(ctx context.Context) bool {
+	dial, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	s, err := wire.Dial(dial, l.addr, l.entry.node.ClusterKey, l.entry.node.Hello(l.entry.revision()))
+	if err != nil {
+		return false
+	}
+	if s.Peer().GetRole() != string(config.RoleEntry) || s.Peer().GetInstance() == l.entry.node.Name {
+		_ = s.Close()
+		return false
+	}
+	l.name = s.Peer().GetInstance()
+	l.entry.servePeer(ctx, s, l.entry.node.Name)
+	return true
+}
+
+// servePeer reads the control stream until the session ends. Dialler is the
+// name of the entry that opened the session.
+func (e *Entry) servePeer(ctx context.Context, s *wire.Session, dialler string) {
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	defer func() { _ = s.Close() }()
+	if s.Peer().GetRole() != string(config.RoleEntry) {
+		return
+	}
+	name := s.Peer().GetInstance()
+	e.peerSessions.add(name, 1)
+	defer e.peerSessions.add(name, -1)
+	e.node.Clock.Observe(timeline.Timestamp(s.Peer().GetHlc()))
+	hb := node.NewHeartbeats(s, e.heartbeat)
+	e.post(ctx, func(c *control) { c.peerJoined(s, hb, dialler) })
+	defer e.post(ctx, func(c *control) { c.peerLeft(name, s) })
+	go hb.Run()
+	e.readControl(ctx, s, func(c *control, m *wirepb.Heartbeat) { c.peerHeard(s, m) })
+}
+
+// readControl handles the messages that targets and entries send alike.
+func (e *Entry) readControl(ctx context.Context, s *wire.Session, heard func(*control, *wirepb.Heartbeat)) {
+	for {
+		var m wirepb.Control
+		if err := s.Control().Recv(&m); err != nil {
+			return
+		}
+		switch body := m.GetBody().(type) {
+		case *wirepb.Control_Heartbeat:
+			e.node.Clock.Observe(timeline.Timestamp(body.Heartbeat.GetHlc()))
+			e.post(ctx, func(c *control) {
+				heard(c, body.Heartbeat)
+				c.pullIfBehind(s, body.Heartbeat.GetRevision())
+			})
+		case *wirepb.Control_Announce:
+			e.node.Clock.Observe(timeline.Timestamp(body.Announce.GetHlc()))
+			e.post(ctx, func(c *control) { c.pullIfBehind(s, body.Announce.GetRevision()) })
+		case *wirepb.Control_Pull:
+			e.post(ctx, func(c *control) { c.answerPull(s, body.Pull.GetFromRevision()) })
+		case *wirepb.Control_Deltas:
+			e.post(ctx, func(c *control) { c.take(s, body.Deltas) })
+		}
+	}
+}
+
+// peerJoined keeps one session per pair: of two sessions with the same
+// incarnation, both sides close the one that the higher name opened.
+func (c *control) peerJoined(s *wire.Session, hb *node.Heartbeats, dialler string) {
+	name := s.Peer().GetInstance()
+	p := c.peers[name]
+	if p == nil || p.incarnation != s.Peer().GetIncarnation() {
+		c.peers[name] = &peer{
+			name: name, incarnation: s.Peer().GetIncarnation(), heardAt: time.Now(),
+			sessions: map[*wire.Session]*node.Heartbeats{s: hb},
+		}
+		if p != nil {
+			p.closeAll()
+		}
+		c.record(timeline.MemberJoined, name, s)
+		c.announce(s)
+		return
+	}
+	p.sessions[s] = hb
+	if len(p.sessions) > 1 && dialler == max(name, c.entry.node.Name) {
+		_ = s.Close()
+	} else {
+		for other := range p.sessions {
+			if other != s {
+				_ = other.Close()
+			}
+		}
+	}
+	c.announce(s)
+}
+
+func (p *peer) closeAll() {
+	for s := range p.sessions {
+		_ = s.Close()
+	}
+}
+
+func (c *control) peerLeft(name string, s *wire.Session) {
+	p := c.peers[name]
+	if p == nil || p.sessions[s] == nil {
+		return
+	}
+	delete(p.sessions, s)
+	if len(p.sessions) == 0 {
+		c.record(timeline.MemberLeft, name, s)
+	}
+}
+
+func (c *control) peerHeard(s *wire.Session, m *wirepb.Heartbeat) {
+	p := c.peers[s.Peer().GetInstance()]
+	if p == nil || p.sessions[s] == nil {
+		return
+	}
+	changed := p.heartbeat.GetState() != m.GetState()
+	p.heartbeat, p.heardAt = m, time.Now()
+	c.acted(p.sessions[s], m, changed)
+}
+
+// updatePeers starts and stops the links to other entries: those of the
+// settings and those of the inventory.
+func (c *control) updatePeers() {
+	want := map[string]string{}
+	for _, addr := range c.entry.settings.Peers {
+		want[addr] = ""
+	}
+	if c.config != nil {
+		for _, en := range c.config.Inventory.Entries {
+			want[en.PeerAddr] = en.Name
+		}
+		for _, en := range c.config.Inventory.Entries {
+			if en.Name == c.entry.node.Name {
+				delete(want, en.PeerAddr)
+			}
+		}
+	}
+	for addr, l := range c.peerLinks {
+		if _, ok := want[addr]; !ok {
+			l.stop()
+			delete(c.peerLinks, addr)
+		}
+	}
+	for addr, name := range want {
+		if c.peerLinks[addr] == nil {
+			c.peerLinks[addr] = startPeerLink(c.ctx, c.entry, addr, name)
+		}
+	}
+}
+
+// kickHeartbeats tells every connected process the state of this one now.
+func (c *control) kickHeartbeats() {
+	for _, m := range c.members {
+		m.beats.Kick()
+	}
+	for _, p := range c.peers {
+		for _, hb := range p.sessions {
+			hb.Kick()
+		}
+	}
+}
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -14,6 +14,7 @@
 	config    *config.Config
 	customers map[string]*config.Customer // by SHA-256 of the key
 	pools     map[string]*pool            // by back end
+	leaving   map[string]bool             // entries that announced their stop
 }
 
 // pool is the usable targets of one back end with a picker over them.
@@ -40,6 +41,10 @@
 		config:    c.config,
 		customers: map[string]*config.Customer{},
 		pools:     map[string]*pool{},
+		leaving:   map[string]bool{},
+	}
+	for name, p := range c.peers {
+		s.leaving[name] = p.leaving()
 	}
 	for i := range c.config.Inventory.Customers {
 		cu := &c.config.Inventory.Customers[i]
--- a/daemon/role/role.go
+++ b/daemon/role/role.go
@@ -32,7 +32,7 @@
 	n.Log.Info("started", "http_addr", o.HTTPListener.Addr().String(), "peer_addr", o.PeerListener.Addr().String())
 	defer n.Log.Info("stopped")
 	if o.Settings.Role == config.RoleEntry {
-		e := entry.New(entry.Options{Settings: o.Settings, Node: n, KV: o.KV})
+		e := entry.New(entry.Options{Settings: o.Settings, Node: n, KV: o.KV, PeerListener: o.PeerListener})
 		return e.Run(ctx, o.HTTPListener)
 	}
 	t := target.New(target.Options{Settings: o.Settings, Node: n, Model: o.Model, Service: o.Service})
--- a/daemon/target/control.go
+++ b/daemon/target/control.go
@@ -1,37 +1,23 @@
 package target
 
 import (
-	"time"
+	"encoding/json"
 
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/timeline"
 	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
-const heartbeatInterval = time.Second
-
-// heartbeats reports state and load to one entry until the session ends.
-func (t *Target) heartbeats(s *wire.Session) {
-	tick := time.NewTicker(heartbeatInterval)
-	defer tick.Stop()
-	for seq := uint64(1); ; seq++ {
-		hb := &wirepb.Heartbeat{
-			Incarnation: t.node.Incarnation,
-			Revision:    t.revision(),
-			State:       t.state(),
-			Load:        &wirepb.LoadReport{Running: uint32(t.work.Count())},
-			Hlc:         uint64(t.node.Clock.Now()),
-			Sequence:    seq,
-		}
-		if err := s.Control().Send(&wirepb.Control{Body: &wirepb.Control_Heartbeat{Heartbeat: hb}}); err != nil {
-			return
-		}
-		select {
-		case <-tick.C:
-		case <-s.Done():
-			return
-		}
+// heartbeat returns the state and load of this process.
+func (t *Target) heartbeat() *wirepb.Heartbeat {
+	return &wirepb.Heartbeat{
+		Incarnation: t.node.Incarnation,
+		Revision:    t.revision(),
+		State:       t.state(),
+		Load:        &wirepb.LoadReport{Running: uint32(t.work.Count())},
+		Hlc:         uint64(t.node.Clock.Now()),
 	}
 }
 
@@ -42,7 +28,7 @@
 	return wirepb.MemberState_MEMBER_STATE_READY
 }
 
-func (t *Target) readControl(s *wire.Session) {
+func (t *Target) readControl(s *wire.Session, beats *node.Heartbeats) {
 	for {
 		var m wirepb.Control
 		if err := s.Control().Recv(&m); err != nil {
@@ -52,10 +38,13 @@
 		switch body := m.GetBody().(type) {
 		case *wirepb.Control_Heartbeat:
 			t.node.Clock.Observe(timeline.Timestamp(body.Heartbeat.GetHlc()))
+			beats.Heard(body.Heartbeat)
 			t.pullIfBehind(s, body.Heartbeat.GetRevision())
 		case *wirepb.Control_Announce:
 			t.node.Clock.Observe(timeline.Timestamp(body.Announce.GetHlc()))
 			t.pullIfBehind(s, body.Announce.GetRevision())
+		case *wirepb.Control_Pull:
+			t.answerPull(s)
 		case *wirepb.Control_Deltas:
 			t.install(body.Deltas.GetSnapshot())
 		}
@@ -68,6 +57,22 @@
 	}
 }
 
+// answerPull serves an entry that learned from this process that it is behind.
+func (t *Target) answerPull(s *wire.Session) {
+	c := t.config.Load()
+	if c == nil {
+		return
+	}
+	document, err := json.Marshal(c)
+	if err != nil {
+		t.node.Log.Error("encode configuration", "error", err)
+		return
+	}
+	_ = s.Control().Send(&wirepb.Control{Body: &wirepb.Control_Deltas{Deltas: &wirepb.Deltas{
+		Snapshot: document, SnapshotRevision: c.Revision,
+	}}})
+}
+
 // install takes a configuration with a higher revision than the one held.
 func (t *Target) install(document []byte) {
 	c, err := config.ParseConfig(document)
@@ -82,6 +87,7 @@
 		}
 		if t.config.CompareAndSwap(old, c) {
 			t.node.Events.Record(timeline.Event{Kind: timeline.RevisionInForce, Target: t.node.Name, Revision: c.Revision})
+			t.kickHeartbeats()
 			return
 		}
 	}
--- /dev/null
+++ b/daemon/target/stop_test.go
@@ -0,0 +1,148 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/engine/standin"
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/wire"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+const testKey = "test-cluster-key-0123"
+
+// fixture is a running target process and a session that plays an entry.
+type fixture struct {
+	t       *testing.T
+	target  *Target
+	session *wire.Session
+	stop    context.CancelFunc
+	ended   chan struct{}
+}
+
+func testConfig(revision uint64, out ...string) *config.Config {
+	c := &config.Config{Revision: revision}
+	c.Inventory.Regions = []config.Region{{Name: "ebro"}}
+	c.Inventory.DataCentres = []config.DataCentre{{Name: "burgos", Region: "ebro"}}
+	c.Inventory.Entries = []config.Entry{{Name: "entry-1", DataCentre: "burgos", HTTPAddr: "127.0.0.1:1", PeerAddr: "127.0.0.1:2"}}
+	c.Inventory.Backends = []config.Backend{{Name: "cabina-app", Kind: config.KindService}}
+	c.Inventory.Targets = []config.Target{{Name: "cabina-app-1", Backend: "cabina-app", DataCentre: "burgos", PeerAddr: "127.0.0.1:3"}}
+	c.Inventory.Customers = []config.Customer{}
+	c.Rules.Out = out
+	return c
+}
+
+func start(t *testing.T) *fixture {
+	s := &config.Settings{
+		Role: config.RoleTarget, Name: "cabina-app-1", DataCentre: "burgos", ClusterKey: testKey, StopBoundMs: 20000,
+		Target: config.TargetSettings{Backend: "cabina-app", Kind: config.KindService},
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &fixture{t: t, ended: make(chan struct{})}
+	f.target = New(Options{
+		Settings: s, Node: node.New(s, io.Discard), Service: standin.NewService(standin.ServiceOptions{}).Direct(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	go func() {
+		defer close(f.ended)
+		_ = f.target.Run(ctx, ln)
+	}()
+	f.session, err = wire.Dial(ctx, ln.Addr().String(), []byte(testKey), &wirepb.Hello{Instance: "entry-1", Role: "entry", Incarnation: 1})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		cancel()
+		_ = f.session.Close()
+		<-f.ended
+	})
+	return f
+}
+
+// control reads the control stream until a message fits.
+func (f *fixture) control(fits func(*wirepb.Control) bool) *wirepb.Control {
+	for {
+		var m wirepb.Control
+		require.NoError(f.t, f.session.Control().Recv(&m))
+		if fits(&m) {
+			return &m
+		}
+	}
+}
+
+func (f *fixture) install(c *config.Config) {
+	document, err := json.Marshal(c)
+	require.NoError(f.t, err)
+	require.NoError(f.t, f.session.Control().Send(&wirepb.Control{Body: &wirepb.Control_Deltas{
+		Deltas: &wirepb.Deltas{Snapshot: document, SnapshotRevision: c.Revision},
+	}}))
+	f.control(func(m *wirepb.Control) bool { return m.GetHeartbeat().GetRevision() == c.Revision })
+}
+
+// dispatch sends a call as an entry that holds the given revision.
+func (f *fixture) dispatch(revision uint64) *wirepb.Frame {
+	st, err := f.session.Open(&wirepb.Open{Body: &wirepb.Open_Dispatch{Dispatch: &wirepb.Dispatch{
+		RequestId: "r", Backend: "cabina-app", Operation: "book", Method: "POST", RemainingMs: 5000,
+		EntryRevision: revision, TargetIncarnation: f.target.node.Incarnation, Body: []byte("{}"),
+	}}})
+	require.NoError(f.t, err)
+	defer func() { _ = st.Close() }()
+	require.NoError(f.t, st.SetReadDeadline(time.Now().Add(5*time.Second)))
+	var frame wirepb.Frame
+	require.NoError(f.t, st.Recv(&frame), "the session ended before the dispatch was answered")
+	return &frame
+}
+
+// Guards against a dispatch that is lost, instead of refused as not run, when
+// it was routed before the entry acted on the stop of the target process.
+func TestStoppingTargetAnswersUntilEntryActs(t *testing.T) {
+	f := start(t)
+	f.install(testConfig(1))
+	f.stop()
+	leaving := f.control(func(m *wirepb.Control) bool {
+		return m.GetHeartbeat().GetState() == wirepb.MemberState_MEMBER_STATE_LEAVING
+	})
+	for range 20 {
+		x := f.dispatch(1).GetFailure()
+		require.Equal(t, errkind.Leaving, errkind.Kind(x.GetKind()))
+		require.Equal(t, errkind.NotRun, errkind.DidRun(x.GetDidRun()))
+	}
+	require.NoError(t, f.session.Control().Send(&wirepb.Control{Body: &wirepb.Control_Heartbeat{
+		Heartbeat: &wirepb.Heartbeat{Sequence: 1, Echo: leaving.GetHeartbeat().GetSequence() + 1},
+	}}))
+	select {
+	case <-f.ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the target process did not end after the entry acted on its stop")
+	}
+}
+
+// Guards against work that starts in a data centre that is out because the
+// entry does not know it yet, and against an entry that can't catch up.
+func TestTargetHasLastWordOnZoneOut(t *testing.T) {
+	f := start(t)
+	f.install(testConfig(1))
+	require.Nil(t, f.dispatch(1).GetFailure())
+	f.install(testConfig(2, "burgos"))
+	for _, revision := range []uint64{1, 2, 9} {
+		x := f.dispatch(revision).GetFailure()
+		require.Equal(t, errkind.Leaving, errkind.Kind(x.GetKind()))
+		assert.Equal(t, uint64(2), x.GetRevision())
+	}
+	require.NoError(t, f.session.Control().Send(&wirepb.Control{Body: &wirepb.Control_Pull{Pull: &wirepb.Pull{FromRevision: 1}}}))
+	m := f.control(func(m *wirepb.Control) bool { return m.GetDeltas() != nil })
+	assert.Equal(t, uint64(2), m.GetDeltas().GetSnapshotRevision())
+
+	f.install(testConfig(3))
+	assert.Nil(t, f.dispatch(3).GetFailure())
+}
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -29,7 +29,7 @@
 	work   node.Inflight
 
 	mu       sync.Mutex
-	sessions map[*wire.Session]struct{}
+	sessions map[*wire.Session]*node.Heartbeats
 }
 
 // Options are the parts that the caller of New provides. Exactly one of Model
@@ -48,7 +48,7 @@
 		settings: o.Settings,
 		model:    o.Model,
 		service:  o.Service,
-		sessions: map[*wire.Session]struct{}{},
+		sessions: map[*wire.Session]*node.Heartbeats{},
 	}
 }
 
@@ -76,17 +76,22 @@
 	}
 }
 
-// stop refuses new work at once and waits for the work in progress.
+// stop refuses new work at once and waits for the work in progress and for the
+// entries to act on it.
 func (t *Target) stop() {
+	deadline := time.Now().Add(t.settings.StopBound())
 	idle := t.work.Close()
+	told := t.tellLeaving()
 	t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "refusing new work"})
 	t.node.Log.Info("planned stop: refusing new work", "running", t.work.Count())
 	select {
 	case <-idle:
 		t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "work finished"})
-	case <-time.After(t.settings.StopBound()):
+	case <-time.After(time.Until(deadline)):
 		t.node.Log.Warn("planned stop: bound reached with work in progress", "running", t.work.Count())
+		return
 	}
+	t.drain(told, deadline)
 }
 
 func (t *Target) closeSessions() {
@@ -110,8 +115,9 @@
 		t.node.Log.Warn("session refused", "remote", conn.RemoteAddr().String(), "error", err)
 		return
 	}
+	beats := node.NewHeartbeats(s, t.heartbeat)
 	t.mu.Lock()
-	t.sessions[s] = struct{}{}
+	t.sessions[s] = beats
 	t.mu.Unlock()
 	defer func() {
 		t.mu.Lock()
@@ -119,8 +125,8 @@
 		t.mu.Unlock()
 		_ = s.Close()
 	}()
-	go t.heartbeats(s)
-	go t.readControl(s)
+	go beats.Run()
+	go t.readControl(s, beats)
 	for {
 		st, err := s.Accept()
 		if err != nil {
