--- a/ctl/command/timeline.go
+++ b/ctl/command/timeline.go
@@ -18,7 +18,7 @@
 const followInterval = time.Second
 
 func timelineCommand() *cobra.Command {
-	var conn connection
+	conn := &operatorFlags{}
 	var f timeline.Filter
 	var kinds []string
 	var since time.Duration
@@ -51,7 +51,7 @@
 			return w.once(cmd.Context())
 		},
 	}
-	conn.addFlags(cmd)
+	conn.register(cmd)
 	cmd.Flags().StringVar(&f.RequestID, "request", "", "only this request id")
 	cmd.Flags().StringVar(&f.OperationID, "operation", "", "only this operation id")
 	cmd.Flags().StringVar(&f.Customer, "customer", "", "only this customer")
@@ -142,7 +142,7 @@
 }
 
 func explainCommand() *cobra.Command {
-	var conn connection
+	conn := &operatorFlags{}
 	cmd := &cobra.Command{
 		Use:     "explain REQUEST-ID",
 		Short:   "Tell what happened to one request and whether it ran",
@@ -158,16 +158,13 @@
 				return err
 			}
 			x := timeline.Explain(args[0], t)
-			return conn.print(cmd.OutOrStdout(), x, func(out io.Writer) error {
+			return conn.print(cmd.OutOrStdout(), x, func(out io.Writer) {
 				for _, line := range x.Lines {
-					if _, err := fmt.Fprintln(out, line); err != nil {
-						return errors.WithStack(err)
-					}
+					_, _ = fmt.Fprintln(out, line)
 				}
-				return nil
 			})
 		},
 	}
-	conn.addFlags(cmd)
+	conn.register(cmd)
 	return cmd
 }
