--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -26,6 +26,7 @@
 	tokens   int
 	tried    map[string]bool
 	attempts uint32
+	received time.Time
 }
 
 // attempt is one dispatch to one target. Its frames arrive on a stream of its
@@ -141,6 +142,7 @@
 		a.request.entry.node.Clock.Observe(timeline.Timestamp(f.GetHlc()))
 	}
 	if x := f.GetFailure(); x != nil {
+		a.request.entry.observeRevision(a.route.session, x.GetRevision())
 		return nil, failureError(x)
 	}
 	return &f, nil
@@ -153,6 +155,16 @@
 }
 
 func (r *request) record(kind timeline.Kind, to *route, attempt uint32, err error) {
+	switch kind {
+	case timeline.RequestReceived:
+		r.received = time.Now()
+	case timeline.RequestFinished:
+		r.entry.observeRequest(r.backend, time.Since(r.received), err)
+	case timeline.AttemptStarted:
+		r.entry.counter(metricAttempts).Inc(1)
+	case timeline.AttemptEnded:
+		r.entry.observeAttempt(to, err)
+	}
 	ev := timeline.Event{
 		Kind:      kind,
 		RequestID: r.id,
