Start the metrics arbiter outside test bubbles

The first meter of go-metrics starts a goroutine that never ends. Since main began to use timers, it was started inside a synctest bubble, and every test of daemon/entry hung (seen: killed after 20 s). With the meter made before the bubble the package passes in 0.3 s.

--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -16,6 +16,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -41,9 +42,11 @@
 
 // inBubble runs a test in virtual time. yamux keeps timers in a sync.Pool; a
 // timer of an earlier bubble must not be taken from it, and two collections
-// empty a pool.
+// empty a pool. The first meter of go-metrics starts a goroutine that never
+// ends, so it must be made outside.
 func inBubble(t *testing.T, f func(t *testing.T)) {
 	t.Helper()
+	metrics.NewMeter().Stop()
 	runtime.GC()
 	runtime.GC()
 	synctest.Test(t, f)
