Add the client library: streams continue at the next address

Client.Call repeats idempotent calls, calls that did not run, and calls under an operation id, which it asks the server for (operation.go).

The interface gets from_text beside from_offset: without the text before the position an engine cannot continue there.

--- a/api/design/callers.go
+++ b/api/design/callers.go
@@ -63,6 +63,7 @@
 				Default(120000)
 			})
 			Attribute("from_offset", Int, "Tokens the caller already has", func() { Minimum(0); Default(0) })
+			Attribute("from_text", String, "Text of those tokens, which engines need to continue after them", func() { Default("") })
 			Required("token", "model", "prompt")
 		})
 		Result(func() {
--- a/api/gen/callers/service.go
+++ b/api/gen/callers/service.go
@@ -115,6 +115,8 @@
 	DeadlineMs int
 	// Tokens the caller already has
 	FromOffset int
+	// Text of those tokens, which engines need to continue after them
+	FromText string
 }
 
 // CompleteResult is the result type of the callers service complete method.
--- a/api/gen/http/callers/client/types.go
+++ b/api/gen/http/callers/client/types.go
@@ -23,6 +23,8 @@
 	DeadlineMs int `form:"deadline_ms" json:"deadline_ms" xml:"deadline_ms"`
 	// Tokens the caller already has
 	FromOffset int `form:"from_offset" json:"from_offset" xml:"from_offset"`
+	// Text of those tokens, which engines need to continue after them
+	FromText string `form:"from_text" json:"from_text" xml:"from_text"`
 }
 
 // IssueOperationRequestBody is the type of the "callers" service
@@ -81,6 +83,7 @@
 		Priority:   p.Priority,
 		DeadlineMs: p.DeadlineMs,
 		FromOffset: p.FromOffset,
+		FromText:   p.FromText,
 	}
 	{
 		var zero int
@@ -106,6 +109,12 @@
 			body.FromOffset = 0
 		}
 	}
+	{
+		var zero string
+		if body.FromText == zero {
+			body.FromText = ""
+		}
+	}
 	return body
 }
 
--- a/api/gen/http/callers/server/types.go
+++ b/api/gen/http/callers/server/types.go
@@ -25,6 +25,8 @@
 	DeadlineMs *int `form:"deadline_ms,omitempty" json:"deadline_ms,omitempty" xml:"deadline_ms,omitempty"`
 	// Tokens the caller already has
 	FromOffset *int `form:"from_offset,omitempty" json:"from_offset,omitempty" xml:"from_offset,omitempty"`
+	// Text of those tokens, which engines need to continue after them
+	FromText *string `form:"from_text,omitempty" json:"from_text,omitempty" xml:"from_text,omitempty"`
 }
 
 // IssueOperationRequestBody is the type of the "callers" service
@@ -144,6 +146,9 @@
 	if body.FromOffset != nil {
 		v.FromOffset = *body.FromOffset
 	}
+	if body.FromText != nil {
+		v.FromText = *body.FromText
+	}
 	if body.MaxTokens == nil {
 		v.MaxTokens = 64
 	}
@@ -156,6 +161,9 @@
 	if body.FromOffset == nil {
 		v.FromOffset = 0
 	}
+	if body.FromText == nil {
+		v.FromText = ""
+	}
 	v.RequestID = requestID
 	v.Token = token
 
--- a/api/gen/http/cli/skylarkstep/cli.go
+++ b/api/gen/http/cli/skylarkstep/cli.go
@@ -33,9 +33,9 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "callers addresses --token \"Numquam ducimus.\"" + "\n" +
-		os.Args[0] + " " + "operators get-config --revision 16844701975563772379 --token \"Maxime suscipit.\"" + "\n" +
-		os.Args[0] + " " + "timeline query --filter \"1cj\" --since 6816044820203104032 --limit 12299 --scope \"process\" --token \"Tempora quas quia.\"" + "\n" +
+	return os.Args[0] + " " + "callers addresses --token \"Est explicabo natus non reprehenderit.\"" + "\n" +
+		os.Args[0] + " " + "operators get-config --revision 7857371746352518722 --token \"Ipsam non voluptas architecto.\"" + "\n" +
+		os.Args[0] + " " + "timeline query --filter \"3kv\" --since 955018826535132947 --limit 7210 --scope \"process\" --token \"Omnis doloremque.\"" + "\n" +
 		""
 }
 
@@ -304,7 +304,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers addresses --token \"Numquam ducimus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers addresses --token \"Est explicabo natus non reprehenderit.\"")
 }
 
 func callersCompleteUsage() {
@@ -326,7 +326,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"deadline_ms\": 2726500,\n      \"from_offset\": 5142932427319957047,\n      \"max_tokens\": 11966,\n      \"model\": \"2l\",\n      \"priority\": 1,\n      \"prompt\": \"x8r\"\n   }' --request-id \"pvv\" --token \"Non exercitationem saepe animi.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"deadline_ms\": 2911958,\n      \"from_offset\": 2000146481891141070,\n      \"from_text\": \"Est ut voluptatem aut eligendi nulla.\",\n      \"max_tokens\": 30896,\n      \"model\": \"k\",\n      \"priority\": -5,\n      \"prompt\": \"m\"\n   }' --request-id \"h8r\" --token \"Qui quia laborum dolorem suscipit quidem.\"")
 }
 
 func callersIssueOperationUsage() {
@@ -346,7 +346,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers issue-operation --body '{\n      \"back_end\": \"rh8\"\n   }' --token \"Reprehenderit qui quia laborum dolorem suscipit quidem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers issue-operation --body '{\n      \"back_end\": \"83\"\n   }' --token \"In odit saepe.\"")
 }
 
 func callersOutcomeUsage() {
@@ -366,7 +366,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers outcome --operation-id \"x8g\" --token \"Sed officiis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers outcome --operation-id \"ln2\" --token \"Quaerat dolor temporibus harum.\"")
 }
 
 func callersCallUsage() {
@@ -400,7 +400,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --back-end \"rvz\" --operation \"a6k\" --request-id \"rfo\" --operation-id \"csb\" --idempotency-key \"ymw\" --deadline-ms 60639 --content-type \"ggm\" --token \"Ut id natus dolores culpa enim.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --back-end \"4ok\" --operation \"w73\" --request-id \"vtc\" --operation-id \"iwp\" --idempotency-key \"r55\" --deadline-ms 417028 --content-type \"w68\" --token \"Molestiae enim nam maxime suscipit.\" --stream \"goa.png\"")
 }
 
 // operatorsUsage displays the usage of the operators command and its
@@ -434,7 +434,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get-config --revision 16844701975563772379 --token \"Maxime suscipit.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get-config --revision 7857371746352518722 --token \"Ipsam non voluptas architecto.\"")
 }
 
 func operatorsApplyConfigUsage() {
@@ -460,7 +460,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply-config --body \"Minima tempore quas eos.\" --allow-no-service false --base-revision 8049541585619420465 --edit-id \"r17\" --token \"Atque tempore non quibusdam quam eos molestiae.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply-config --body \"Quo quo voluptatem qui.\" --allow-no-service true --base-revision 9868623183281831174 --edit-id \"rc8\" --token \"Doloremque at.\"")
 }
 
 func operatorsConfigStatusUsage() {
@@ -478,7 +478,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-status --token \"Aperiam pariatur doloribus voluptatem sit nam harum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-status --token \"Qui necessitatibus perferendis.\"")
 }
 
 func operatorsConfigHistoryUsage() {
@@ -498,7 +498,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-history --limit 40 --token \"Molestiae laborum quia dolor.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-history --limit 880 --token \"Voluptas ea.\"")
 }
 
 // timelineUsage displays the usage of the timeline command and its subcommands.
@@ -534,5 +534,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "timeline query --filter \"1cj\" --since 6816044820203104032 --limit 12299 --scope \"process\" --token \"Tempora quas quia.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "timeline query --filter \"3kv\" --since 955018826535132947 --limit 7210 --scope \"process\" --token \"Omnis doloremque.\"")
 }
--- /dev/null
+++ b/caller/addresses.go
@@ -0,0 +1,104 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// addressTimeout bounds asking one entry for addresses.
+	addressTimeout  = 2 * time.Second
+	maxAddressBytes = 64 << 10
+)
+
+// addressCache keeps the last address answer. An expired answer is still used
+// when no entry gives a new one.
+type addressCache struct {
+	mu      sync.Mutex
+	list    []string
+	expires time.Time
+}
+
+func (a *addressCache) get() (list []string, fresh bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.list, time.Now().Before(a.expires)
+}
+
+func (a *addressCache) put(list []string, ttl time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.list, a.expires = list, time.Now().Add(ttl)
+}
+
+// expire makes the next request ask again.
+func (a *addressCache) expire() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expires = time.Time{}
+}
+
+// list returns the ranked addresses of entries.
+func (c *Client) list(ctx context.Context) []string {
+	known, fresh := c.addresses.get()
+	if fresh {
+		return known
+	}
+	candidates := slices.Clone(known)
+	for _, e := range c.options.Entries {
+		if e = strings.TrimSuffix(e, "/"); !slices.Contains(candidates, e) {
+			candidates = append(candidates, e)
+		}
+	}
+	for _, url := range candidates {
+		if list, ttl, ok := c.ask(ctx, url); ok {
+			c.addresses.put(list, ttl)
+			return list
+		}
+	}
+	return candidates
+}
+
+func (c *Client) ask(ctx context.Context, url string) ([]string, time.Duration, bool) {
+	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
+	defer cancel()
+	res, err := c.send(ctx, http.MethodGet, url+"/v1/addresses", nil, nil)
+	if err != nil {
+		return nil, 0, false
+	}
+	defer func() { _ = res.Body.Close() }()
+	var answer struct {
+		Addresses []struct {
+			URL string `json:"url"`
+		} `json:"addresses"`
+		TTLMs int64 `json:"ttl_ms"`
+	}
+	body, readErr := io.ReadAll(io.LimitReader(res.Body, maxAddressBytes))
+	if readErr != nil || res.StatusCode != http.StatusOK || json.Unmarshal(body, &answer) != nil {
+		return nil, 0, false
+	}
+	var list []string
+	for _, a := range answer.Addresses {
+		list = append(list, strings.TrimSuffix(a.URL, "/"))
+	}
+	return list, time.Duration(answer.TTLMs) * time.Millisecond, len(list) > 0
+}
+
+// traceConnection reports whether a request of ctx may have been written. The
+// transport asks for a second connection only if it wrote nothing to the first.
+func traceConnection(ctx context.Context) (context.Context, func() bool) {
+	// The transport may call the trace from its own goroutine.
+	var connected atomic.Bool
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { connected.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}), connected.Load
+}
--- /dev/null
+++ b/caller/operation.go
@@ -0,0 +1,55 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+// operationIDHeader names the operation that a call belongs to.
+const operationIDHeader = "Operation-Id"
+
+// reofferAfter is how long a server that issues no operation ids is not asked
+// for one again.
+const reofferAfter = time.Minute
+
+// operations issues operation ids. Under an id, a non-idempotent call may be
+// repeated at any address, since only the target that the id names runs it.
+type operations struct {
+	notBefore atomic.Int64 // Unix nanoseconds
+}
+
+// issue returns a new operation id, or "" when the server issues none.
+func (o *operations) issue(ctx context.Context, c *Client, url, backend string) string {
+	if time.Now().UnixNano() < o.notBefore.Load() {
+		return ""
+	}
+	body, err := json.Marshal(map[string]string{"back_end": backend})
+	if err != nil {
+		return ""
+	}
+	res, cut := c.send(ctx, http.MethodPost, url+"/v1/operations", http.Header{"Content-Type": {"application/json"}}, body)
+	if cut != nil {
+		return ""
+	}
+	if res.StatusCode != http.StatusOK {
+		if readError(res).Kind == errkind.UnknownOperation {
+			o.notBefore.Store(time.Now().Add(reofferAfter).UnixNano())
+		}
+		return ""
+	}
+	defer func() { _ = res.Body.Close() }()
+	var issued struct {
+		OperationID string `json:"operation_id"`
+	}
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
+	if err != nil || json.Unmarshal(data, &issued) != nil {
+		return ""
+	}
+	return issued.OperationID
+}
--- a/daemon/entry/complete.go
+++ b/daemon/entry/complete.go
@@ -77,6 +77,7 @@
 		cancel:  cancel,
 		ctx:     ctx,
 	}
+	g.text.WriteString(p.FromText)
 	g.record(timeline.RequestReceived, nil, 0, nil)
 	if err := g.next(); err != nil {
 		g.finish(err)
