admission: warm-up ramp, fair queue and limits at the target

Cause: a target process started every dispatch at once. A cold engine fell over under the load of several entries, and excess work ran into its deadline.

The target process now owns a queue (weighted fair over customers), a ramp and a bound on the expected wait. Work that can't make it is refused when it arrives with not_run and a retry-after that spreads callers. The queue time is taken off the time that the engine is told. Rules follow the configuration in force; a data centre that comes back restarts the ramp.

--- /dev/null
+++ b/admission/ramp/ramp_test.go
@@ -0,0 +1,137 @@
+package ramp
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var rule = Rule{Initial: 2, Factor: 1.5, Interval: time.Second, Limit: 64}
+
+// serve starts and finishes n pieces of work at full concurrency.
+func serve(r *Ramp, now time.Time, n int, s Sample) {
+	for range n {
+		s.Epoch = r.Start(r.Floor())
+		r.Finish(now, s)
+	}
+}
+
+// Guards against a limit that grows with time alone: an idle target would jump
+// to the full limit and fall over at its first burst.
+func TestIdleTargetStaysCold(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := New(rule, now)
+	now = now.Add(time.Hour)
+	serve(r, now, 1, Sample{Verdict: Healthy})
+	assert.Equal(t, 2, r.Limit(now), "one answer is not enough")
+	serve(r, now, 1, Sample{Verdict: Healthy})
+	assert.Equal(t, 3, r.Limit(now), "one step, whatever the time")
+	for range 20 {
+		now = now.Add(rule.Interval)
+		e := r.Start(1)
+		for range 100 {
+			r.Finish(now, Sample{Epoch: e, Verdict: Healthy})
+		}
+	}
+	assert.Equal(t, 3, r.Limit(now), "work that never used the limit is no evidence")
+}
+
+// Guards against a target that keeps its limit after its engine turned cold.
+func TestRelapseRestartsTheRamp(t *testing.T) {
+	for name, relapse := range map[string]func(*Ramp, time.Time){
+		"overwhelmed": func(r *Ramp, now time.Time) { serve(r, now, 1, Sample{Verdict: Overwhelmed}) },
+		"fell over":   func(r *Ramp, now time.Time) { serve(r, now, failuresInRow, Sample{Verdict: Failed}) },
+		"slow": func(r *Ramp, now time.Time) {
+			serve(r, now, paceWindow, Sample{Verdict: Healthy, Pace: 10 * relapseMultiple * time.Millisecond})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			r := warm(t, &now)
+			running := r.Start(64)
+			relapse(r, now)
+			assert.Zero(t, r.Limit(now), "pause")
+			now = now.Add(rule.Interval)
+			assert.Equal(t, 2, r.Limit(now))
+			r.Finish(now, Sample{Epoch: running, Verdict: Overwhelmed})
+			assert.Equal(t, 2, r.Limit(now), "work from before the relapse does not count again")
+		})
+	}
+}
+
+// Guards against a whole target lost to one failing request or one slow answer.
+func TestSingleFaultIsNoRelapse(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := warm(t, &now)
+	for range 50 {
+		serve(r, now, 1, Sample{Verdict: Failed})
+		serve(r, now, 1, Sample{Verdict: Healthy, Pace: time.Second})
+		serve(r, now, 6, Sample{Verdict: Healthy, Pace: time.Millisecond})
+	}
+	assert.Equal(t, 64, r.Limit(now))
+}
+
+// Guards against a fast-failing engine that consumes requests at a high rate.
+func TestPauseDoubles(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := New(rule, now)
+	for i := range 8 {
+		serve(r, now, 1, Sample{Verdict: Overwhelmed})
+		pause := r.PausedUntil().Sub(now)
+		assert.Equal(t, rule.Interval/pauseDivisor<<min(i, maxPauseDoublings), pause)
+		now = r.PausedUntil()
+	}
+}
+
+// Guards against a step that exceeds the factor or comes before the interval.
+func TestGrowthIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		rule := rule
+		rule.Initial = rapid.IntRange(1, 20).Draw(t, "initial")
+		rule.Factor = rapid.Float64Range(1.01, 4).Draw(t, "factor")
+		r := New(rule, now)
+		grown := now
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			before := r.Floor()
+			v := rapid.SampledFrom([]Verdict{Healthy, Healthy, Healthy, Healthy, Healthy, Neutral, Failed, Overwhelmed}).Draw(t, "verdict")
+			serve(r, now, rapid.IntRange(1, 9).Draw(t, "n"), Sample{Verdict: v, Pace: time.Millisecond})
+			if after := r.Floor(); after > before {
+				require.GreaterOrEqual(t, now.Sub(grown), rule.Interval)
+				require.LessOrEqual(t, float64(after), max(float64(before)+1, float64(before+1)*rule.Factor))
+				grown = now
+			} else if after < before {
+				grown = now
+			}
+			require.LessOrEqual(t, r.Floor(), rule.Limit)
+		}
+	})
+}
+
+// Guards against a rule change that needs a restart or makes the limit jump.
+func TestRuleChange(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := warm(t, &now)
+	lower := rule
+	lower.Limit = 10
+	r.SetRule(lower)
+	assert.Equal(t, 10, r.Limit(now))
+	assert.False(t, r.Warming())
+	r.SetRule(rule)
+	assert.Equal(t, 10, r.Limit(now))
+	assert.True(t, r.Warming())
+}
+
+func warm(t *testing.T, now *time.Time) *Ramp {
+	r := New(rule, *now)
+	for range 12 {
+		*now = now.Add(rule.Interval)
+		serve(r, *now, 64, Sample{Verdict: Healthy, Pace: time.Millisecond})
+	}
+	require.Equal(t, 64, r.Limit(*now))
+	return r
+}
--- /dev/null
+++ b/daemon/e2e/warmup_test.go
@@ -0,0 +1,77 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
+)
+
+// Guards against a target process that takes its full load right after a
+// restart: its engine is cold, bears two requests at once and falls over under
+// the load of both entries.
+func TestRestartedTargetProcessStartsCold(t *testing.T) {
+	c := twoByTwo(t)
+	c.Rules.Warmup = []config.WarmupRule{{Backend: "pintor-lm", Initial: 2, Factor: 2, IntervalMs: 60000}}
+	c.Rules.Limits = []config.LimitRule{{Backend: "pintor-lm", Concurrency: 16, MaxWaitMs: 100}}
+	k := startCluster(t, c)
+	const name = "pintor-lm-burgos"
+	k.kill(name)
+	// The engine behind the target starts again with its process.
+	cold := enginestandin.NewModel(enginestandin.ModelOptions{
+		TokenInterval: 2 * time.Millisecond, Cold: true, ColdConcurrency: 2, WarmUp: time.Hour, FallOver: time.Hour,
+	})
+	k.models[name] = cold
+	k.urls[name] = k.serve(cold)
+	tg, ok := c.Target(name)
+	require.True(t, ok)
+	k.startTarget(tg)
+
+	stop := k.callAllEntries(8)
+	require.Eventually(t, func() bool { return cold.Counts().Completed >= 50 }, waitBound, time.Millisecond)
+	answers := stop()
+	n := cold.Counts()
+	t.Logf("answers by status: %v; cold engine: %+v", answers, n)
+	assert.Zero(t, n.Failed, "the cold engine fell over")
+	assert.Zero(t, answers[http.StatusBadGateway], "the cold engine fell over")
+	assert.Greater(t, answers[http.StatusOK], 50)
+}
+
+// callAllEntries sends requests to each entry from n callers until stop, which
+// returns the number of answers by status.
+func (k *cluster) callAllEntries(n int) (stop func() map[int]int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	answers := map[int]int{}
+	for i := range n * len(k.config.Inventory.Entries) {
+		url := k.entryURL(i%len(k.config.Inventory.Entries)) + "/v1/completions"
+		wg.Go(func() {
+			for j := 0; ctx.Err() == nil; j++ {
+				body := fmt.Sprintf(`{"model":"pintor","prompt":"caller %d request %d","max_tokens":8}`, i, j)
+				res, err := k.request(http.MethodPost, url, customerKey, nil, []byte(body))
+				if !assert.NoError(k.t, err) {
+					return
+				}
+				mu.Lock()
+				answers[res.status]++
+				mu.Unlock()
+			}
+		})
+	}
+	stop = func() map[int]int {
+		cancel()
+		wg.Wait()
+		return answers
+	}
+	k.t.Cleanup(func() { stop() })
+	return stop
+}
--- a/daemon/target/control.go
+++ b/daemon/target/control.go
@@ -16,11 +16,12 @@
 	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	for seq := uint64(1); ; seq++ {
+		load, warming := t.load()
 		hb := &wirepb.Heartbeat{
 			Incarnation: t.node.Incarnation,
 			Revision:    t.revision(),
-			State:       t.state(),
-			Load:        &wirepb.LoadReport{Running: uint32(t.work.Count())},
+			State:       t.state(warming),
+			Load:        load,
 			Hlc:         uint64(t.node.Clock.Now()),
 			Sequence:    seq,
 		}
@@ -35,10 +36,13 @@
 	}
 }
 
-func (t *Target) state() wirepb.MemberState {
+func (t *Target) state(warming bool) wirepb.MemberState {
 	if t.work.Closed() {
 		return wirepb.MemberState_MEMBER_STATE_LEAVING
 	}
+	if warming {
+		return wirepb.MemberState_MEMBER_STATE_WARMING
+	}
 	return wirepb.MemberState_MEMBER_STATE_READY
 }
 
@@ -81,6 +85,7 @@
 			return
 		}
 		if t.config.CompareAndSwap(old, c) {
+			t.configChanged(old, c)
 			t.node.Events.Record(timeline.Event{Kind: timeline.RevisionInForce, Target: t.node.Name, Revision: c.Revision})
 			return
 		}
--- a/daemon/target/dispatch.go
+++ b/daemon/target/dispatch.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/timeline"
@@ -25,26 +27,40 @@
 // Cancel or closes the stream.
 func (t *Target) serveDispatch(st *wire.Stream, d *wirepb.Dispatch) {
 	t.node.Clock.Observe(timeline.Timestamp(d.GetHlc()))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.GetRemainingMs())*time.Millisecond)
+	defer cancel()
+	go cancelOnClose(st, cancel)
+	t.serveAttempt(ctx, st, d)
+}
+
+// sink takes the frames of an attempt; it is the attempt's stream.
+type sink interface {
+	Send(m proto.Message) error
+}
+
+func (t *Target) serveAttempt(ctx context.Context, st sink, d *wirepb.Dispatch) {
 	if err := t.admit(d); err != nil {
 		t.refuse(st, d, err)
 		return
 	}
 	defer t.work.End()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.GetRemainingMs())*time.Millisecond)
-	defer cancel()
-	go cancelOnClose(st, cancel)
 	if err := st.Send(&wirepb.Frame{Body: &wirepb.Frame_Accepted{
 		Accepted: &wirepb.Accepted{Incarnation: t.node.Incarnation},
 	}}); err != nil {
 		return
 	}
+	slot, err := t.enter(ctx, d)
+	if err != nil {
+		t.refuse(st, d, err)
+		return
+	}
 	t.record(timeline.BackendStarted, d, nil)
-	var err error
 	if t.model != nil {
-		err = t.generate(ctx, st, d)
+		err = t.generate(ctx, st, d, slot)
 	} else {
-		err = t.call(ctx, st, d)
+		err = t.call(ctx, st, d, slot)
 	}
+	slot.leave(err)
 	t.record(timeline.BackendFinished, d, err)
 	if err != nil {
 		_ = st.Send(failureFrame(errkind.From(err), t.revision(), uint64(t.node.Clock.Now())))
@@ -83,7 +99,7 @@
 	return nil
 }
 
-func (t *Target) refuse(st *wire.Stream, d *wirepb.Dispatch, err error) {
+func (t *Target) refuse(st sink, d *wirepb.Dispatch, err error) {
 	t.record(timeline.Refused, d, err)
 	_ = st.Send(failureFrame(errkind.From(err), t.revision(), uint64(t.node.Clock.Now())))
 }
@@ -114,24 +130,28 @@
 	cancel()
 }
 
-func (t *Target) generate(ctx context.Context, st *wire.Stream, d *wirepb.Dispatch) error {
+func (t *Target) generate(ctx context.Context, st sink, d *wirepb.Dispatch, slot *slot) error {
 	var req ModelRequest
 	if err := json.Unmarshal(d.GetBody(), &req); err != nil {
 		return errkind.Wrap(err, errkind.InvalidRequest, "body of the dispatch")
 	}
+	deadline, _ := ctx.Deadline()
 	finish, err := t.model.Generate(ctx, engine.Generation{
 		RequestID:    d.GetRequestId(),
 		Model:        req.Model,
 		Prompt:       req.Prompt,
 		MaxTokens:    req.MaxTokens,
 		Priority:     int(d.GetPriority()),
-		Deadline:     time.Duration(d.GetRemainingMs()) * time.Millisecond,
+		Deadline:     time.Until(deadline), // what the queue has left
 		ResumeOffset: int(d.GetResumeOffset()),
 		ResumeText:   req.ResumeText,
 	}, func(tok engine.Token) error {
-		return st.Send(&wirepb.Frame{Body: &wirepb.Frame_Tokens{
+		at := time.Now()
+		err := st.Send(&wirepb.Frame{Body: &wirepb.Frame_Tokens{
 			Tokens: &wirepb.Tokens{Offset: uint32(tok.Offset), Text: []string{tok.Text}},
 		}})
+		slot.sent(at, time.Since(at))
+		return err
 	})
 	if err != nil {
 		return err
@@ -142,7 +162,7 @@
 	})
 }
 
-func (t *Target) call(ctx context.Context, st *wire.Stream, d *wirepb.Dispatch) error {
+func (t *Target) call(ctx context.Context, st sink, d *wirepb.Dispatch, slot *slot) error {
 	header := http.Header{}
 	for _, h := range d.GetHeaders() {
 		header.Add(h.GetName(), h.GetValue())
@@ -159,10 +179,11 @@
 	if err != nil {
 		return err
 	}
+	slot.status = reply.Status
 	return sendReply(st, reply, uint64(t.node.Clock.Now()))
 }
 
-func sendReply(st *wire.Stream, reply engine.Reply, hlc uint64) error {
+func sendReply(st sink, reply engine.Reply, hlc uint64) error {
 	head := &wirepb.ResponseHead{Status: uint32(reply.Status)}
 	for name, values := range reply.Header {
 		for _, v := range values {
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -27,6 +27,7 @@
 
 	config atomic.Pointer[config.Config]
 	work   node.Inflight
+	gate   *gate
 
 	mu       sync.Mutex
 	sessions map[*wire.Session]struct{}
@@ -48,6 +49,7 @@
 		settings: o.Settings,
 		model:    o.Model,
 		service:  o.Service,
+		gate:     newGate(admissionRule(&config.Config{}, o.Settings.Target.Backend)),
 		sessions: map[*wire.Session]struct{}{},
 	}
 }
