Run non-idempotent calls under operation ids

A non-idempotent call could be dispatched twice under one caller's request, and not_run rested on what the entry believed. Now every such call has an operation id (the caller's, or an internal one), the target process decides by its operation table, runs the call apart from the stream, and closes the id before it refuses. Entries route an id to exactly the incarnation that it names, repeat the dispatch under the same id when a session breaks, and settle a call that they give up by Outcome(close-if-absent) within 250 ms. Without a reply the answer is unknown. A planned stop moves stored answers to the successor that rendezvous hashing of the id's incarnation names, and entries look there.

An error answer to a request with Operation-Id or Idempotency-Key says not_run only when the owner closed the id; this is enforced where answers are made, so it also holds for authentication and decoding faults.

--- a/atmostonce/table.go
+++ b/atmostonce/table.go
@@ -118,18 +118,27 @@
 	return id.Backend == t.backend && id.Target == t.target && id.Incarnation == t.incarnation
 }
 
+// Look returns what is known of an operation to a caller that may repeat it.
+func (t *Table) Look(id ID, r Request, now time.Time) (Outcome, error) {
+	t.evict(now)
+	o := t.find(id)
+	switch {
+	case o != nil && o.state != Closed && o.request != r:
+		return Outcome{State: o.state}, ErrOtherRequest
+	case o != nil:
+		return Outcome{o.state, o.answer}, nil
+	case t.forgotten(id, now):
+		return Outcome{State: Unknown}, nil
+	default:
+		return Outcome{State: Absent}, nil
+	}
+}
+
 // Begin marks an absent operation as running and reports true; the caller must
 // run it and call Finish, Fail or Abort. Otherwise it returns what is known.
 func (t *Table) Begin(id ID, r Request, now time.Time) (bool, Outcome, error) {
-	t.evict(now)
-	if o := t.find(id); o != nil {
-		if o.state != Closed && o.request != r {
-			return false, Outcome{State: o.state}, ErrOtherRequest
-		}
-		return false, Outcome{o.state, o.answer}, nil
-	}
-	if t.forgotten(id, now) {
-		return false, Outcome{State: Unknown}, nil
+	if known, err := t.Look(id, r, now); err != nil || known.State != Absent {
+		return false, known, err
 	}
 	t.running[id] = &operation{id: id, request: r, state: Running, bytes: operationOverhead}
 	t.bytes += operationOverhead
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -36,6 +36,7 @@
 	stream  *wire.Stream
 	number  uint32
 	done    bool
+	refused bool // the target itself said why the attempt failed
 }
 
 // pick chooses a target that the request has not tried.
@@ -126,6 +127,7 @@
 		a.request.entry.node.Clock.Observe(timeline.Timestamp(f.GetHlc()))
 	}
 	if x := f.GetFailure(); x != nil {
+		a.refused = true
 		return nil, failureError(x)
 	}
 	return &f, nil
--- a/daemon/entry/call.go
+++ b/daemon/entry/call.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/api/gen/callers"
-	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/timeline"
@@ -24,12 +23,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	backend, ok := snap.config.Backend(p.BackEnd)
-	if !ok || backend.Kind != config.KindService {
-		return nil, nil, errkind.New(errkind.UnknownBackend, "no plain service is named %q", p.BackEnd)
-	}
-	if p.OperationID != nil || p.IdempotencyKey != nil {
-		return nil, nil, errkind.New(errkind.UnknownOperation, "operation ids and keys are not accepted by this version")
+	backend, err := snap.plainService(p.BackEnd)
+	if err != nil {
+		return nil, nil, err
 	}
 	data, err := io.ReadAll(body)
 	if err != nil {
@@ -55,13 +51,22 @@
 		},
 	}
 	c.record(timeline.RequestReceived, nil, 0, nil)
-	reply, err := c.run(ctx)
+	reply, err := c.run(ctx, p.OperationID, p.IdempotencyKey)
 	c.record(timeline.RequestFinished, nil, 0, err)
 	if err != nil {
 		return nil, nil, err
 	}
-	httpapi.StateFrom(ctx).Status = int(reply.head.GetStatus())
-	return &callers.CallResult{ContentType: reply.contentType(), RequestID: c.id}, io.NopCloser(bytes.NewReader(reply.body)), nil
+	st := httpapi.StateFrom(ctx)
+	st.Status = int(reply.head.GetStatus())
+	result := &callers.CallResult{ContentType: reply.contentType(), RequestID: c.id}
+	if st.OperationID != "" {
+		result.OperationID = &st.OperationID
+	}
+	if reply.replayed {
+		replayed := "true"
+		result.Replayed = &replayed
+	}
+	return result, io.NopCloser(bytes.NewReader(reply.body)), nil
 }
 
 // call is one call to a plain service.
@@ -71,8 +76,9 @@
 }
 
 type callReply struct {
-	head *wirepb.ResponseHead
-	body []byte
+	head     *wirepb.ResponseHead
+	body     []byte
+	replayed bool // the answer of an earlier attempt under the same id
 }
 
 func (r *callReply) contentType() string {
@@ -84,9 +90,31 @@
 	return "application/octet-stream"
 }
 
-// run tries targets until one answers. A non-idempotent call is tried again
-// only after an answer that it did not run.
-func (c *call) run(ctx context.Context) (*callReply, error) {
+// run chooses how the call is kept from running twice.
+func (c *call) run(ctx context.Context, operationID, key *string) (*callReply, error) {
+	switch {
+	case operationID != nil && key != nil:
+		return nil, errkind.New(errkind.InvalidRequest, "a call carries either Operation-Id or Idempotency-Key")
+	case operationID != nil:
+		id, err := parseOperation(*operationID)
+		if err != nil {
+			return nil, err
+		}
+		if id.Backend != c.backend {
+			return nil, errkind.New(errkind.UnknownOperation, "the operation id belongs to back end %q", id.Backend)
+		}
+		return c.runNamed(ctx, id)
+	case key != nil:
+		return nil, errkind.New(errkind.UnknownOperation, "keys are not accepted by this version")
+	case c.dispatch.GetIdempotent():
+		return c.runIdempotent(ctx)
+	default:
+		return c.runInternal(ctx)
+	}
+}
+
+// runIdempotent tries targets until one answers.
+func (c *call) runIdempotent(ctx context.Context) (*callReply, error) {
 	for {
 		to, err := c.pick()
 		if err != nil {
@@ -135,6 +163,7 @@
 		case *wirepb.Frame_Data:
 			reply.body = append(reply.body, body.Data...)
 		case *wirepb.Frame_End:
+			reply.replayed = body.End.GetReplayed()
 			return reply, nil
 		}
 	}
--- a/daemon/entry/callers.go
+++ b/daemon/entry/callers.go
@@ -8,7 +8,6 @@
 
 	"github.com/skylarkstep/skylarkstep/api/gen/callers"
 	"github.com/skylarkstep/skylarkstep/config"
-	"github.com/skylarkstep/skylarkstep/errkind"
 )
 
 // callerService implements the goa service for callers.
@@ -74,13 +73,3 @@
 	}
 	return ranked[:min(len(ranked), maxAddresses)]
 }
-
-// IssueOperation issues an operation id.
-func (s *callerService) IssueOperation(context.Context, *callers.IssueOperationPayload) (*callers.OperationIssued, error) {
-	return nil, errkind.New(errkind.UnknownOperation, "operation ids are not issued by this version")
-}
-
-// Outcome tells what became of an operation.
-func (s *callerService) Outcome(context.Context, *callers.OutcomePayload) (*callers.OperationOutcome, error) {
-	return nil, errkind.New(errkind.UnknownOperation, "operation ids are not issued by this version")
-}
--- /dev/null
+++ b/daemon/entry/once.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/atmostonce"
+	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+// maxOwnerAttempts bounds the dispatches to one owner under one id, which are
+// repeated when the session breaks.
+const maxOwnerAttempts = 3
+
+// runInternal runs a non-idempotent call without id or key. Each attempt has an
+// internal id that no one else knows. Another target is tried only after the
+// owner has closed the id, or when no dispatch was written.
+func (c *call) runInternal(ctx context.Context) (*callReply, error) {
+	for {
+		to, err := c.pick()
+		if err != nil {
+			return nil, err
+		}
+		reply, failure := c.runAt(ctx, c.entry.newOperation(c.backend, to), false)
+		if failure == nil {
+			return reply, nil
+		}
+		if ctx.Err() != nil || failure.DidRun != errkind.NotRun || !c.mayRetry(failure) {
+			return nil, failure
+		}
+	}
+}
+
+// runNamed runs a call under an id that other entries may be serving.
+func (c *call) runNamed(ctx context.Context, id atmostonce.ID) (*callReply, error) {
+	st := httpapi.StateFrom(ctx)
+	st.OperationID = id.String()
+	reply, err := c.runAt(ctx, id, true)
+	if err == nil {
+		return reply, nil
+	}
+	// runAt says not_run only after the owner has closed the id.
+	st.Closed = err.DidRun == errkind.NotRun
+	return nil, err
+}
+
+// runAt dispatches under the id to the incarnation that it names until that
+// answers, and settles the outcome if it does not. shared says that others know
+// the id, so that not_run needs the owner's word even if nothing was written.
+func (c *call) runAt(ctx context.Context, id atmostonce.ID, shared bool) (*callReply, *errkind.Error) {
+	// The margin leaves time to settle the outcome before the caller's deadline.
+	margin := min(outcomeTimeout, time.Until(c.deadline)/4)
+	work, cancel := context.WithDeadline(ctx, c.deadline.Add(-margin))
+	defer cancel()
+	written := false
+	var last *errkind.Error
+	for range maxOwnerAttempts {
+		to := c.entry.awaitOwner(work, id)
+		if to == nil {
+			return c.withoutOwner(work, id, shared || written)
+		}
+		r := c.dispatchTo(work, to, id)
+		if r.err == nil {
+			return r.reply, nil
+		}
+		if r.refused {
+			return nil, r.err
+		}
+		last = r.err
+		written = written || r.err.DidRun != errkind.NotRun
+		if work.Err() != nil {
+			break
+		}
+	}
+	if !shared && !written {
+		return nil, last.WithDidRun(errkind.NotRun)
+	}
+	if ctx.Err() == context.Canceled {
+		return nil, errkind.From(ctx.Err())
+	}
+	return c.settle(id, last)
+}
+
+// dispatchResult is the result of one dispatch. refused says that the error is
+// the target's own answer.
+type dispatchResult struct {
+	reply   *callReply
+	err     *errkind.Error
+	refused bool
+}
+
+// dispatchTo makes one attempt and returns at the latest when ctx ends. Writing
+// to a process that is paused may block for longer, so the attempt has a
+// goroutine of its own; a dispatch that is written late finds the id closed.
+func (c *call) dispatchTo(ctx context.Context, to *route, id atmostonce.ID) dispatchResult {
+	one := *c
+	one.tried = nil
+	c.attempts++
+	if c.tried == nil {
+		c.tried = map[string]bool{}
+	}
+	c.tried[to.name] = true
+	d := &wirepb.Dispatch{
+		OperationId: id.String(),
+		Operation:   c.dispatch.GetOperation(),
+		Method:      c.dispatch.GetMethod(),
+		Query:       c.dispatch.GetQuery(),
+		Headers:     c.dispatch.GetHeaders(),
+		Body:        c.dispatch.GetBody(),
+	}
+	results := make(chan dispatchResult, 1)
+	go func() {
+		a, err := one.start(ctx, to, d)
+		if err != nil {
+			results <- dispatchResult{err: errkind.From(err)}
+			return
+		}
+		reply, err := a.readReply()
+		a.end(err)
+		results <- dispatchResult{reply: reply, err: errkind.From(err), refused: a.refused}
+	}()
+	select {
+	case r := <-results:
+		if r.err != nil && !r.refused && ctx.Err() != nil {
+			r.err = errkind.From(ctx.Err())
+		}
+		return r
+	case <-ctx.Done():
+		return dispatchResult{err: errkind.From(ctx.Err())}
+	}
+}
+
+// settle asks the owner for the outcome of a call that the entry gave up,
+// closing it if it has not started. Without a reply the call may run later.
+func (c *call) settle(id atmostonce.ID, cause *errkind.Error) (*callReply, *errkind.Error) {
+	unknown := cause.WithDidRun(errkind.Unknown)
+	to, _ := c.entry.snapshot.Load().owner(id)
+	if to == nil {
+		return nil, unknown
+	}
+	reply, ok := askOutcome(to, id, c.customer.Name, true)
+	if !ok {
+		return nil, unknown
+	}
+	switch reply.GetState() {
+	case wirepb.OutcomeReply_STATE_CLOSED:
+		return nil, cause.WithDidRun(errkind.NotRun)
+	case wirepb.OutcomeReply_STATE_FINISHED:
+		return &callReply{head: reply.GetHead(), body: reply.GetData(), replayed: true}, nil
+	default:
+		return nil, unknown
+	}
+}
+
+// withoutOwner looks for the answer at the successors of an owner that is gone.
+// They run nothing, since the id does not name them.
+func (c *call) withoutOwner(ctx context.Context, id atmostonce.ID, mayHaveRun bool) (*callReply, *errkind.Error) {
+	if !mayHaveRun {
+		return nil, errkind.New(errkind.TargetUnreachable, "target %s is not connected", id.Target)
+	}
+	for _, to := range c.entry.snapshot.Load().successors(id) {
+		r := c.dispatchTo(ctx, to, id)
+		if r.err == nil {
+			return r.reply, nil
+		}
+		if r.refused && r.err.Kind != errkind.OperationUnknown {
+			return nil, r.err
+		}
+	}
+	return nil, errkind.New(errkind.OperationUnknown,
+		"the process that target %s ran under this id is gone and its answer was not found", id.Target)
+}
--- /dev/null
+++ b/daemon/entry/operation.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/api/gen/callers"
+	"github.com/skylarkstep/skylarkstep/atmostonce"
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+const (
+	// outcomeTimeout bounds the wait for an outcome reply. The call has failed
+	// already, so its final answer should not be held for longer.
+	outcomeTimeout = 250 * time.Millisecond
+	// reconnectWait is how long a call waits for a target whose session broke.
+	// A session to a process that lives is back within the first backoff.
+	reconnectWait = 500 * time.Millisecond
+	reconnectPoll = 20 * time.Millisecond
+)
+
+// IssueOperation issues an operation id that names a target which may take the
+// call now. Nothing is written: the id becomes known to the target with the
+// call.
+func (s *callerService) IssueOperation(ctx context.Context, p *callers.IssueOperationPayload) (*callers.OperationIssued, error) {
+	snap, err := s.entry.ready()
+	if err != nil {
+		return nil, err
+	}
+	backend, err := snap.plainService(p.BackEnd)
+	if err != nil {
+		return nil, err
+	}
+	r := request{entry: s.entry, id: httpapi.StateFrom(ctx).RequestID, customer: customerFrom(ctx), backend: backend.Name}
+	to, err := r.pick()
+	if err != nil {
+		return nil, err
+	}
+	return &callers.OperationIssued{
+		OperationID: s.entry.newOperation(backend.Name, to).String(),
+		KeepMs:      int(atmostonce.DefaultKeep.Milliseconds()),
+	}, nil
+}
+
+// newOperation issues an id. The time is that of the hybrid logical clock, so
+// that an entry with a slow wall clock issues no id that its target has to take
+// for a forgotten one.
+func (e *Entry) newOperation(backend string, to *route) atmostonce.ID {
+	return atmostonce.NewID(backend, to.name, to.incarnation, e.node.Clock.Now().Time())
+}
+
+// Outcome tells what became of an operation. It changes nothing.
+func (s *callerService) Outcome(ctx context.Context, p *callers.OutcomePayload) (*callers.OperationOutcome, error) {
+	snap, err := s.entry.ready()
+	if err != nil {
+		return nil, err
+	}
+	id, err := parseOperation(p.OperationID)
+	if err != nil {
+		return nil, err
+	}
+	customer := customerFrom(ctx).Name
+	reply := &wirepb.OutcomeReply{State: wirepb.OutcomeReply_STATE_UNKNOWN}
+	for _, to := range snap.holders(id) {
+		if r, ok := askOutcome(to, id, customer, false); ok {
+			reply = r
+		}
+		if reply.GetState() != wirepb.OutcomeReply_STATE_UNKNOWN {
+			break
+		}
+	}
+	return operationOutcome(p.OperationID, reply), nil
+}
+
+func operationOutcome(id string, reply *wirepb.OutcomeReply) *callers.OperationOutcome {
+	o := &callers.OperationOutcome{OperationID: id, State: "unknown", DidRun: errkind.Unknown.String()}
+	switch reply.GetState() {
+	case wirepb.OutcomeReply_STATE_ABSENT:
+		o.State = atmostonce.Absent.String()
+	case wirepb.OutcomeReply_STATE_RUNNING:
+		o.State = atmostonce.Running.String()
+	case wirepb.OutcomeReply_STATE_CLOSED:
+		o.State, o.DidRun = atmostonce.Closed.String(), errkind.NotRun.String()
+	case wirepb.OutcomeReply_STATE_FINISHED:
+		status := int(reply.GetHead().GetStatus())
+		o.State, o.DidRun = atmostonce.Finished.String(), errkind.Ran.String()
+		o.Status, o.Body = &status, reply.GetData()
+	}
+	return o
+}
+
+func parseOperation(s string) (atmostonce.ID, error) {
+	id, err := atmostonce.ParseID(s)
+	if err != nil {
+		return id, errkind.Wrap(err, errkind.UnknownOperation, "Operation-Id")
+	}
+	return id, nil
+}
+
+func (s *snapshot) plainService(name string) (config.Backend, error) {
+	b, ok := s.config.Backend(name)
+	if !ok || b.Kind != config.KindService {
+		return b, errkind.New(errkind.UnknownBackend, "no plain service is named %q", name)
+	}
+	return b, nil
+}
+
+// owner returns the target incarnation that the id names, if it is connected.
+// restarted reports that another incarnation has taken its place.
+func (s *snapshot) owner(id atmostonce.ID) (to *route, restarted bool) {
+	m, ok := s.members[id.Target]
+	if !ok {
+		return nil, false
+	}
+	if m.incarnation != id.Incarnation {
+		return nil, true
+	}
+	return &m, false
+}
+
+// successors returns the connected targets that may have taken over the answers
+// of the incarnation that the id names.
+func (s *snapshot) successors(id atmostonce.ID) []*route {
+	var names []string
+	for _, t := range s.config.Inventory.Targets {
+		if t.Backend == id.Backend {
+			names = append(names, t.Name)
+		}
+	}
+	var all []*route
+	for _, name := range atmostonce.Successors(names, id.Target, id.Incarnation) {
+		if m, ok := s.members[name]; ok {
+			all = append(all, &m)
+		}
+	}
+	return all
+}
+
+// holders returns the owner, or its successors when it is not connected.
+func (s *snapshot) holders(id atmostonce.ID) []*route {
+	if to, _ := s.owner(id); to != nil {
+		return []*route{to}
+	}
+	return s.successors(id)
+}
+
+// awaitOwner waits for a short time for a session to the owner. It returns nil
+// when the owner is gone.
+func (e *Entry) awaitOwner(ctx context.Context, id atmostonce.ID) *route {
+	ctx, cancel := context.WithTimeout(ctx, reconnectWait)
+	defer cancel()
+	tick := time.NewTicker(reconnectPoll)
+	defer tick.Stop()
+	for {
+		to, restarted := e.snapshot.Load().owner(id)
+		if restarted {
+			return nil
+		}
+		if to != nil && !to.session.IsClosed() {
+			return to
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// askOutcome asks a target process what became of an operation. It returns
+// false when no reply comes in time. Opening a stream may block on a process
+// that is paused, so it has a goroutine of its own.
+func askOutcome(to *route, id atmostonce.ID, customer string, closeIfAbsent bool) (*wirepb.OutcomeReply, bool) {
+	replies := make(chan *wirepb.OutcomeReply, 1)
+	go func() {
+		st, err := to.session.Open(&wirepb.Open{Body: &wirepb.Open_Outcome{Outcome: &wirepb.Outcome{
+			OperationId: id.String(), CloseIfAbsent: closeIfAbsent, Customer: customer,
+		}}})
+		if err != nil {
+			return
+		}
+		defer func() { _ = st.Close() }()
+		_ = st.SetReadDeadline(time.Now().Add(outcomeTimeout))
+		var reply wirepb.OutcomeReply
+		if st.Recv(&reply) == nil {
+			replies <- &reply
+		}
+	}()
+	select {
+	case r := <-replies:
+		return r, true
+	case <-time.After(outcomeTimeout):
+		return nil, false
+	}
+}
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -14,6 +14,7 @@
 	config    *config.Config
 	customers map[string]*config.Customer // by SHA-256 of the key
 	pools     map[string]*pool            // by back end
+	members   map[string]route            // by target; also those that get no new work
 }
 
 // pool is the usable targets of one back end with a picker over them.
@@ -40,6 +41,7 @@
 		config:    c.config,
 		customers: map[string]*config.Customer{},
 		pools:     map[string]*pool{},
+		members:   map[string]route{},
 	}
 	for i := range c.config.Inventory.Customers {
 		cu := &c.config.Inventory.Customers[i]
@@ -51,7 +53,12 @@
 	now := time.Now()
 	for _, t := range c.config.Inventory.Targets {
 		m, l := c.members[t.Name], c.links[t.Name]
-		if l == nil || !usable(c.config, t, m, now) {
+		if l == nil || m == nil {
+			continue
+		}
+		to := route{name: t.Name, dataCentre: t.DataCentre, session: m.session, incarnation: m.incarnation, sent: l.sent}
+		s.members[t.Name] = to
+		if !usable(c.config, t, m, now) {
 			continue
 		}
 		p := s.pools[t.Backend]
@@ -59,9 +66,7 @@
 			p = &pool{}
 			s.pools[t.Backend] = p
 		}
-		p.targets = append(p.targets, route{
-			name: t.Name, dataCentre: t.DataCentre, session: m.session, incarnation: m.incarnation, sent: l.sent,
-		})
+		p.targets = append(p.targets, to)
 		views[t.Backend] = append(views[t.Backend], view(t, m, l, now))
 	}
 	for name, p := range s.pools {
--- a/daemon/httpapi/answer.go
+++ b/daemon/httpapi/answer.go
@@ -49,6 +49,12 @@
 	RequestID   string
 	OperationID string
 	Customer    string
+	// Shared says that the request carries an operation id or a key, under which
+	// another entry may be serving it. An error answer then says not_run only if
+	// Closed is set.
+	Shared bool
+	// Closed says that the owner of the operation id has closed it.
+	Closed bool
 	// Status replaces the status that goa writes when it is not zero.
 	Status int
 	// Header is added to the answer before its status is written.
@@ -73,7 +79,8 @@
 		if !validID(id) {
 			id = rand.Text()
 		}
-		st := &State{RequestID: id, Header: http.Header{}}
+		shared := r.Header.Get("Operation-Id") != "" || r.Header.Get("Idempotency-Key") != ""
+		st := &State{RequestID: id, Header: http.Header{}, Shared: shared}
 		w.Header().Set("X-Request-Id", id)
 		sw := &statusWriter{ResponseWriter: w, state: st}
 		next.ServeHTTP(sw, r.WithContext(context.WithValue(r.Context(), stateKey{}, st)))
@@ -144,8 +151,13 @@
 	if errors.As(err, &tooLarge) {
 		err = errkind.New(errkind.TooLarge, "body exceeds %d bytes", tooLarge.Limit)
 	}
+	if e := errkind.From(err); st.Shared && !st.Closed && e.DidRun == errkind.NotRun {
+		err = e.WithDidRun(errkind.Unknown)
+	}
 	a := NewErrorAnswer(err, st.RequestID)
 	a.OperationID = st.OperationID
+	// Repeating under the same id or key is safe whatever became of the call.
+	a.MayRepeat = a.MayRepeat || st.Shared && errkind.From(err).Kind.Answer().MayRepeat
 	st.Status = a.status
 	if a.RetryAfterMs > 0 {
 		st.Header.Set("Retry-After", strconv.FormatInt(ceilSeconds(a.RetryAfterMs), 10))
--- a/daemon/target/dispatch.go
+++ b/daemon/target/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/engine"
@@ -25,6 +24,10 @@
 // Cancel or closes the stream.
 func (t *Target) serveDispatch(st *wire.Stream, d *wirepb.Dispatch) {
 	t.node.Clock.Observe(timeline.Timestamp(d.GetHlc()))
+	if t.service != nil && (!d.GetIdempotent() || d.GetOperationId() != "") {
+		t.serveOperation(st, d)
+		return
+	}
 	if err := t.admit(d); err != nil {
 		t.refuse(st, d, err)
 		return
@@ -142,45 +145,6 @@
 	})
 }
 
-func (t *Target) call(ctx context.Context, st *wire.Stream, d *wirepb.Dispatch) error {
-	header := http.Header{}
-	for _, h := range d.GetHeaders() {
-		header.Add(h.GetName(), h.GetValue())
-	}
-	reply, err := t.service.Call(ctx, engine.Call{
-		Method:      d.GetMethod(),
-		Operation:   d.GetOperation(),
-		Query:       d.GetQuery(),
-		Header:      header,
-		Body:        d.GetBody(),
-		Idempotent:  d.GetIdempotent(),
-		OperationID: d.GetOperationId(),
-	})
-	if err != nil {
-		return err
-	}
-	return sendReply(st, reply, uint64(t.node.Clock.Now()))
-}
-
-func sendReply(st *wire.Stream, reply engine.Reply, hlc uint64) error {
-	head := &wirepb.ResponseHead{Status: uint32(reply.Status)}
-	for name, values := range reply.Header {
-		for _, v := range values {
-			head.Headers = append(head.Headers, &wirepb.Header{Name: name, Value: v})
-		}
-	}
-	for _, f := range []*wirepb.Frame{
-		{Body: &wirepb.Frame_Head{Head: head}},
-		{Body: &wirepb.Frame_Data{Data: reply.Body}},
-		{Hlc: hlc, Body: &wirepb.Frame_End{End: &wirepb.End{FinishReason: "complete"}}},
-	} {
-		if err := st.Send(f); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func failureFrame(e *errkind.Error, revision, hlc uint64) *wirepb.Frame {
 	return &wirepb.Frame{Hlc: hlc, Body: &wirepb.Frame_Failure{Failure: &wirepb.Failure{
 		Kind:         uint32(e.Kind),
--- /dev/null
+++ b/daemon/target/operations.go
@@ -0,0 +1,99 @@
+package target
+
+import (
+	"sync"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/atmostonce"
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+// execution is one running operation. err is set before done is closed.
+type execution struct {
+	done chan struct{}
+	err  *errkind.Error
+}
+
+// operations guards the operation table and lets repeats wait for the first
+// answer.
+type operations struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	table   *atmostonce.Table
+	running map[atmostonce.ID]*execution
+}
+
+func newOperations(table *atmostonce.Table, now func() time.Time) *operations {
+	return &operations{now: now, table: table, running: map[atmostonce.ID]*execution{}}
+}
+
+// look returns what is known, with the execution if the operation is running.
+func (o *operations) look(id atmostonce.ID, r atmostonce.Request) (atmostonce.Outcome, *execution, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known, err := o.table.Look(id, r, o.now())
+	return known, o.running[id], err
+}
+
+// begin starts an absent operation and reports true, or returns false when the
+// operation is no longer absent.
+func (o *operations) begin(id atmostonce.ID, r atmostonce.Request) (*execution, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	started, _, err := o.table.Begin(id, r, o.now())
+	if err != nil || !started {
+		return nil, false
+	}
+	x := &execution{done: make(chan struct{})}
+	o.running[id] = x
+	return x, true
+}
+
+// end settles a running operation. An error that says not_run closes it, since
+// the back end has seen nothing of it; any other error leaves it unknown.
+func (o *operations) end(id atmostonce.ID, x *execution, a *atmostonce.Answer, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	x.err = errkind.From(err)
+	switch {
+	case err == nil:
+		o.table.Finish(id, a, o.now())
+	case x.err.DidRun == errkind.NotRun:
+		o.table.Abort(id, o.now())
+	default:
+		o.table.Fail(id, o.now())
+	}
+	delete(o.running, id)
+	close(x.done)
+}
+
+// close closes an absent operation and returns the state after that.
+func (o *operations) close(id atmostonce.ID) atmostonce.State {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Close(id, o.now()).State
+}
+
+// outcome returns what the customer may know of an operation.
+func (o *operations) outcome(id atmostonce.ID, customer string, closeIfAbsent bool) atmostonce.Outcome {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known := o.table.Outcome(id, customer, o.now())
+	if known.State == atmostonce.Absent && closeIfAbsent {
+		known = o.table.Close(id, o.now())
+	}
+	return known
+}
+
+func (o *operations) export() []atmostonce.Stored {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Export(o.now())
+}
+
+func (o *operations) take(s atmostonce.Stored) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Import(s, o.now())
+}
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/engine"
@@ -28,10 +29,17 @@
 	config atomic.Pointer[config.Config]
 	work   node.Inflight
 
+	operations *operations
+	answering  node.Inflight // streams that an operation's answer goes to
+
 	mu       sync.Mutex
 	sessions map[*wire.Session]struct{}
 }
 
+// answerBound is how long a planned stop waits until the answers of finished
+// operations are written.
+const answerBound = 2 * time.Second
+
 // Options are the parts that the caller of New provides. Exactly one of Model
 // and Service is set.
 type Options struct {
@@ -49,6 +57,9 @@
 		model:    o.Model,
 		service:  o.Service,
 		sessions: map[*wire.Session]struct{}{},
+		operations: newOperations(atmostonce.NewTable(o.Settings.Target.Backend, o.Node.Name, o.Node.Incarnation,
+			atmostonce.Limits{Keep: atmostonce.DefaultKeep, MaxBytes: atmostonce.DefaultMaxBytes}),
+			func() time.Time { return o.Node.Clock.Now().Time() }),
 	}
 }
 
@@ -87,6 +98,11 @@
 	case <-time.After(t.settings.StopBound()):
 		t.node.Log.Warn("planned stop: bound reached with work in progress", "running", t.work.Count())
 	}
+	t.handOver()
+	select {
+	case <-t.answering.Close():
+	case <-time.After(answerBound):
+	}
 }
 
 func (t *Target) closeSessions() {
@@ -139,6 +155,10 @@
 	switch body := open.GetBody().(type) {
 	case *wirepb.Open_Dispatch:
 		t.serveDispatch(st, body.Dispatch)
+	case *wirepb.Open_Outcome:
+		t.serveOutcome(st, body.Outcome)
+	case *wirepb.Open_Handover:
+		t.serveHandover(st, body.Handover)
 	default:
 		_ = st.Send(failureFrame(errkind.New(errkind.Internal, "stream type is not supported"), t.revision(), 0))
 	}
--- a/wire/session.go
+++ b/wire/session.go
@@ -216,6 +216,9 @@
 // Done is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} { return s.mux.CloseChan() }
 
+// IsClosed reports whether the session has ended.
+func (s *Session) IsClosed() bool { return s.mux.IsClosed() }
+
 // Close ends the session and all its streams.
 func (s *Session) Close() error { return s.mux.Close() }
 
