--- /dev/null
+++ b/ctl/command/operator.go
@@ -0,0 +1,80 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/skylarkstep/skylarkstep/ctl/client"
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+// Environment variables that give the connection. The token has no flag, which
+// keeps it out of the process list.
+const (
+	entriesVariable = "SKYLARK_ENTRIES"
+	tokenVariable   = "SKYLARK_TOKEN"
+)
+
+// operatorFlags say which entries to talk to and how to print.
+type operatorFlags struct {
+	entries []string
+	output  string
+}
+
+func (f *operatorFlags) register(cmd *cobra.Command) {
+	cmd.PersistentFlags().StringSliceVar(&f.entries, "entry", nil,
+		"base URLs of entries, tried in order (default: $"+entriesVariable+")")
+	cmd.PersistentFlags().StringVar(&f.output, "output", "text", "output format: text or json")
+}
+
+// client returns a client of the given entries.
+func (f *operatorFlags) client() (*client.Client, error) {
+	if f.output != "text" && f.output != "json" {
+		return nil, errkind.New(errkind.InvalidRequest, "--output is %q, expected text or json", f.output)
+	}
+	entries := f.entries
+	if len(entries) == 0 && os.Getenv(entriesVariable) != "" {
+		entries = strings.Split(os.Getenv(entriesVariable), ",")
+	}
+	if len(entries) == 0 {
+		return nil, errkind.New(errkind.InvalidRequest, "no entry is given; use --entry or $%s", entriesVariable)
+	}
+	for i := range entries {
+		entries[i] = strings.TrimSuffix(entries[i], "/")
+	}
+	return client.New(entries, os.Getenv(tokenVariable)), nil
+}
+
+// print writes v as JSON or calls text.
+func (f *operatorFlags) print(out io.Writer, v any, text func(io.Writer)) error {
+	if f.output != "json" {
+		text(out)
+		return nil
+	}
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	return errors.WithStack(enc.Encode(v))
+}
+
+// call sends a request to the first entry that answers. A change may go to
+// several entries, since its edit id keeps it from being applied twice.
+func (f *operatorFlags) call(ctx context.Context, method, path string, h http.Header, body, answer any) error {
+	c, err := f.client()
+	if err != nil {
+		return err
+	}
+	r := client.Request{Method: method, Path: path, Header: h}
+	if body != nil {
+		if r.Body, err = json.Marshal(body); err != nil {
+			return errors.Wrap(err, "encode request")
+		}
+	}
+	return c.Any(ctx, r, answer)
+}
--- a/daemon/e2e/harness_test.go
+++ b/daemon/e2e/harness_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -64,11 +65,26 @@
 	log  *bytes.Buffer
 }
 
+// Ports of test processes lie below the range of outgoing connections, one of
+// which could otherwise take a port between its choice and its use.
+const (
+	firstPort = 20000
+	ports     = 12000
+)
+
+var nextPort = rand.N(ports)
+
 func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	for range ports {
+		nextPort = (nextPort + 1) % ports
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort))
+		if err == nil {
+			defer func() { _ = ln.Close() }()
+			return ln.Addr().String()
+		}
+	}
+	require.Fail(t, "no port is free")
+	return ""
 }
 
 func sha(s string) string {
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -15,6 +15,7 @@
 	customers map[string]*config.Customer // by SHA-256 of the key
 	pools     map[string]*pool            // by back end
 	members   map[string]route            // by target; also those that get no new work
+	leaving   map[string]bool             // entries that announced their stop
 }
 
 // pool is the usable targets of one back end with a picker over them.
@@ -42,6 +43,10 @@
 		customers: map[string]*config.Customer{},
 		pools:     map[string]*pool{},
 		members:   map[string]route{},
+		leaving:   map[string]bool{},
+	}
+	for name, p := range c.peers {
+		s.leaving[name] = p.leaving()
 	}
 	for i := range c.config.Inventory.Customers {
 		cu := &c.config.Inventory.Customers[i]
--- a/daemon/target/operation.go
+++ b/daemon/target/operation.go
@@ -22,9 +22,6 @@
 // the id already has. Every refusal closes the id first, so that not_run stays
 // true whatever dispatch arrives later.
 func (t *Target) serveOperation(st *wire.Stream, d *wirepb.Dispatch) {
-	if t.answering.Begin() {
-		defer t.answering.End()
-	}
 	id, err := atmostonce.ParseID(d.GetOperationId())
 	if err != nil {
 		t.refuse(st, d, errkind.Wrap(err, errkind.UnknownOperation, "dispatch").WithDidRun(errkind.Unknown))
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -30,16 +30,11 @@
 	work   node.Inflight
 
 	operations *operations
-	answering  node.Inflight // streams that an operation's answer goes to
 
 	mu       sync.Mutex
-	sessions map[*wire.Session]struct{}
+	sessions map[*wire.Session]*node.Heartbeats
 }
 
-// answerBound is how long a planned stop waits until the answers of finished
-// operations are written.
-const answerBound = 2 * time.Second
-
 // Options are the parts that the caller of New provides. Exactly one of Model
 // and Service is set.
 type Options struct {
@@ -56,10 +51,10 @@
 		settings: o.Settings,
 		model:    o.Model,
 		service:  o.Service,
-		sessions: map[*wire.Session]struct{}{},
 		operations: newOperations(atmostonce.NewTable(o.Settings.Target.Backend, o.Node.Name, o.Node.Incarnation,
 			atmostonce.Limits{Keep: atmostonce.DefaultKeep, MaxBytes: atmostonce.DefaultMaxBytes}),
 			func() time.Time { return o.Node.Clock.Now().Time() }),
+		sessions: map[*wire.Session]*node.Heartbeats{},
 	}
 }
 
@@ -87,22 +82,24 @@
 	}
 }
 
-// stop refuses new work at once and waits for the work in progress.
+// stop refuses new work at once and waits for the work in progress and for the
+// entries to act on it.
 func (t *Target) stop() {
+	deadline := time.Now().Add(t.settings.StopBound())
 	idle := t.work.Close()
+	told := t.tellLeaving()
 	t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "refusing new work"})
 	t.node.Log.Info("planned stop: refusing new work", "running", t.work.Count())
 	select {
 	case <-idle:
 		t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "work finished"})
-	case <-time.After(t.settings.StopBound()):
+	case <-time.After(time.Until(deadline)):
 		t.node.Log.Warn("planned stop: bound reached with work in progress", "running", t.work.Count())
+		t.handOver()
+		return
 	}
 	t.handOver()
-	select {
-	case <-t.answering.Close():
-	case <-time.After(answerBound):
-	}
+	t.drain(told, deadline)
 }
 
 func (t *Target) closeSessions() {
@@ -126,8 +123,9 @@
 		t.node.Log.Warn("session refused", "remote", conn.RemoteAddr().String(), "error", err)
 		return
 	}
+	beats := node.NewHeartbeats(s, t.heartbeat)
 	t.mu.Lock()
-	t.sessions[s] = struct{}{}
+	t.sessions[s] = beats
 	t.mu.Unlock()
 	defer func() {
 		t.mu.Lock()
@@ -135,8 +133,8 @@
 		t.mu.Unlock()
 		_ = s.Close()
 	}()
-	go t.heartbeats(s)
-	go t.readControl(s)
+	go beats.Run()
+	go t.readControl(s, beats)
 	for {
 		st, err := s.Accept()
 		if err != nil {
@@ -159,6 +157,8 @@
 		t.serveOutcome(st, body.Outcome)
 	case *wirepb.Open_Handover:
 		t.serveHandover(st, body.Handover)
+	case *wirepb.Open_EventQuery:
+		t.serveEvents(st, body.EventQuery)
 	default:
 		_ = st.Send(failureFrame(errkind.New(errkind.Internal, "stream type is not supported"), t.revision(), 0))
 	}
