Accept Idempotency-Key on non-idempotent calls

A plain HTTP caller repeats under its key at any entry. The key is bound to one operation id by a create-if-absent in the key-value service and never rebound, so that the at-most-once guarantee and not_run of the id hold for the key. A lost reply is resolved by reading. Claims share a lease per entry and hour; it lives 25 h, since the last claim attached to it must live 24 h. The write budget of 100/s is divided among the configured entries; reads are outside it, so a repeat of a bound key goes on without budget. When the service does not answer the call is unknown with a retry-after, and further claims fail at once for 1 s.

--- /dev/null
+++ b/daemon/claim/claim.go
@@ -0,0 +1,219 @@
+package claim
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/skylarkstep/skylarkstep/atmostonce"
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/platform"
+)
+
+const (
+	prefix = "skylarkstep/claims/"
+	// writesPerSecond is the write budget of all entries together. The service
+	// takes several hundred writes/s, which claims share with leases and
+	// configuration.
+	writesPerSecond = 100
+	// leasePeriod is how long claims are attached to the same lease. One lease
+	// per claim would double the writes.
+	leasePeriod = time.Hour
+	// claimLife is the shortest life of a claim. The lease lives longer by the
+	// period, so that the last claim attached to it lives as long.
+	claimLife = 24 * time.Hour
+	// claimTimeout bounds the whole claim, which makes several calls when replies
+	// are lost.
+	claimTimeout = 1500 * time.Millisecond
+	// downFor is how long claims fail at once after the service has not
+	// answered, so that callers are not held until the timeout in an outage.
+	downFor     = time.Second
+	maxAttempts = 3
+)
+
+// Claims makes claims for one entry.
+type Claims struct {
+	kv      platform.KV
+	limiter *rate.Limiter
+	// granting is held while a lease is requested. It is a channel, so that a
+	// caller stops waiting at its deadline.
+	granting chan struct{}
+
+	mu        sync.Mutex
+	lease     platform.LeaseID
+	granted   time.Time
+	downUntil time.Time
+}
+
+// New returns the claims of an entry.
+func New(kv platform.KV) *Claims {
+	return &Claims{kv: kv, limiter: rate.NewLimiter(writesPerSecond, writesPerSecond), granting: make(chan struct{}, 1)}
+}
+
+// SetEntries divides the write budget among the configured entries.
+func (c *Claims) SetEntries(n int) {
+	share := max(writesPerSecond/max(n, 1), 1)
+	if c.limiter.Burst() != share {
+		c.limiter.SetLimit(rate.Limit(share))
+		c.limiter.SetBurst(share)
+	}
+}
+
+type value struct {
+	OperationID string `json:"operation_id"`
+	Digest      string `json:"digest"`
+}
+
+// Claim returns the operation id that the key of the customer is bound to. It
+// binds the key to the id that fresh issues when it has none. The binding is
+// never changed during its life, so that not_run of the id holds for the key.
+// A key that is bound to a request with another digest is refused.
+func (c *Claims) Claim(
+	ctx context.Context, customer, key string, digest [sha256.Size]byte, fresh func() (atmostonce.ID, error),
+) (atmostonce.ID, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	if c.isDown() {
+		return atmostonce.ID{}, unavailable(errors.New("it did not answer within the last second"))
+	}
+	sum := sha256.Sum256([]byte(key))
+	k := prefix + customer + "/" + hex.EncodeToString(sum[:])
+	own := hex.EncodeToString(digest[:])
+	id, err := fresh()
+	if err == nil && !c.limiter.Allow() {
+		err = overBudget()
+	}
+	if err != nil {
+		// Reads have no budget, so that a repeat of a bound key still goes on.
+		if bound, readErr := c.read(ctx, k, own); !errors.Is(readErr, platform.ErrNotFound) {
+			return bound, readErr
+		}
+		return id, err
+	}
+	return c.bind(ctx, k, value{id.String(), own})
+}
+
+// bind creates the claim if it is absent. The same value is written again after
+// a lost reply, so it does not matter which of the writes takes effect.
+func (c *Claims) bind(ctx context.Context, key string, v value) (atmostonce.ID, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return atmostonce.ID{}, errkind.Wrap(err, errkind.Internal, "encode the claim")
+	}
+	for attempt := 0; ; attempt++ {
+		var res platform.TxnResult
+		lease, err := c.currentLease(ctx)
+		if err == nil {
+			res, err = c.kv.Commit(ctx, platform.Txn{
+				Conditions: []platform.Condition{{Key: key}},
+				Puts:       []platform.Put{{Key: key, Value: data, Lease: lease}},
+			})
+		}
+		if err == nil && res.Succeeded {
+			return atmostonce.ParseID(v.OperationID)
+		}
+		if errors.Is(err, platform.ErrLeaseNotFound) {
+			c.forget(lease)
+		}
+		id, readErr := c.read(ctx, key, v.Digest)
+		if !errors.Is(readErr, platform.ErrNotFound) {
+			return id, readErr
+		}
+		if attempt+1 == maxAttempts {
+			return id, unavailable(errors.Wrap(err, "the claim could not be written"))
+		}
+		if !c.limiter.Allow() {
+			return id, overBudget()
+		}
+	}
+}
+
+// read returns the id that the key is bound to, or ErrNotFound.
+func (c *Claims) read(ctx context.Context, key, digest string) (atmostonce.ID, error) {
+	item, _, err := c.kv.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return atmostonce.ID{}, err
+	}
+	if err != nil {
+		c.markDown()
+		return atmostonce.ID{}, unavailable(err)
+	}
+	var v value
+	if err := json.Unmarshal(item.Value, &v); err != nil {
+		return atmostonce.ID{}, errkind.Wrap(err, errkind.Internal, "claim at the key-value service")
+	}
+	if v.Digest != digest {
+		return atmostonce.ID{}, errkind.New(errkind.InvalidRequest, "the key was used for another request").WithDidRun(errkind.Unknown)
+	}
+	id, err := atmostonce.ParseID(v.OperationID)
+	if err != nil {
+		return id, errkind.Wrap(err, errkind.Internal, "claim at the key-value service")
+	}
+	return id, nil
+}
+
+// currentLease returns the lease that new claims are attached to.
+func (c *Claims) currentLease(ctx context.Context) (platform.LeaseID, error) {
+	select {
+	case c.granting <- struct{}{}:
+		defer func() { <-c.granting }()
+	case <-ctx.Done():
+		return 0, errors.WithStack(ctx.Err())
+	}
+	c.mu.Lock()
+	lease, granted := c.lease, c.granted
+	c.mu.Unlock()
+	if lease != 0 && time.Since(granted) < leasePeriod {
+		return lease, nil
+	}
+	before := time.Now()
+	lease, err := c.kv.Grant(ctx, claimLife+leasePeriod)
+	if err != nil {
+		return 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease, c.granted = lease, before
+	return lease, nil
+}
+
+func (c *Claims) forget(lease platform.LeaseID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lease == lease {
+		c.lease = 0
+	}
+}
+
+func (c *Claims) markDown() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.downUntil = time.Now().Add(downFor)
+}
+
+func (c *Claims) isDown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.downUntil)
+}
+
+// unavailable leaves open whether the call ran, since another entry may have
+// bound the key and run it.
+func unavailable(cause error) error {
+	return errkind.Wrap(cause, errkind.StoreUnavailable,
+		"the key-value service does not answer; repeat under the same key is safe").
+		WithDidRun(errkind.Unknown).WithRetryAfter(downFor + rand.N(downFor))
+}
+
+func overBudget() error {
+	return errkind.New(errkind.Overloaded,
+		"the write budget of keyed calls is used up; repeat under the same key is safe").
+		WithDidRun(errkind.Unknown).WithRetryAfter(time.Second/2 + rand.N(time.Second))
+}
--- /dev/null
+++ b/daemon/claim/claim_test.go
@@ -0,0 +1,157 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/atmostonce"
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/platform/standin"
+)
+
+func issuer(target string) func() (atmostonce.ID, error) {
+	return func() (atmostonce.ID, error) { return atmostonce.NewID("app", target, 7, time.Now()), nil }
+}
+
+func digest(s string) [32]byte { return atmostonce.Digest([]byte(s)) }
+
+// Guards against two operation ids for one key under each fault of the service.
+func TestClaimUnderFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault func(*standin.KV)
+		heal  func(*standin.KV)
+		fails bool
+	}{
+		{"none", func(*standin.KV) {}, func(*standin.KV) {}, false},
+		{"lost reply of the lease", func(k *standin.KV) { k.DropReplies(1) }, func(*standin.KV) {}, false},
+		{"lost replies of lease and claim", func(k *standin.KV) { k.DropReplies(2) }, func(*standin.KV) {}, false},
+		{"down", func(k *standin.KV) { k.SetRefuse(true) }, func(k *standin.KV) { k.SetRefuse(false) }, true},
+		{"stalled", func(k *standin.KV) { k.SetStall(true) }, func(k *standin.KV) { k.SetStall(false) }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := standin.NewKV()
+				a, b := New(kv.Direct()), New(kv.Direct())
+				tc.fault(kv)
+				start := time.Now()
+				first, err := a.Claim(context.Background(), "taller", "k", digest("x"), issuer("app-1"))
+				assert.LessOrEqual(t, time.Since(start), 2*claimTimeout)
+				require.Equal(t, tc.fails, err != nil)
+				if tc.fails {
+					assert.Equal(t, errkind.StoreUnavailable, errkind.KindOf(err))
+					assert.Equal(t, errkind.Unknown, errkind.From(err).DidRun)
+					assert.Positive(t, errkind.From(err).RetryAfter)
+				}
+				tc.heal(kv)
+				time.Sleep(2 * downFor)
+				second, err := b.Claim(context.Background(), "taller", "k", digest("x"), issuer("app-2"))
+				require.NoError(t, err)
+				third, err := a.Claim(context.Background(), "taller", "k", digest("x"), issuer("app-3"))
+				require.NoError(t, err)
+				assert.Equal(t, second, third)
+				if !tc.fails {
+					assert.Equal(t, first, second)
+				}
+			})
+		})
+	}
+}
+
+// Guards against one customer's key reaching the operation of another, and
+// against a key that repeats the answer of another request.
+func TestKeyBelongsToCustomerAndRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(standin.NewKV().Direct())
+		first, err := c.Claim(context.Background(), "taller", "k", digest("x"), issuer("app-1"))
+		require.NoError(t, err)
+		other, err := c.Claim(context.Background(), "flota", "k", digest("x"), issuer("app-1"))
+		require.NoError(t, err)
+		assert.NotEqual(t, first, other)
+		_, err = c.Claim(context.Background(), "taller", "k", digest("y"), issuer("app-1"))
+		require.Error(t, err)
+		assert.Equal(t, errkind.InvalidRequest, errkind.KindOf(err))
+		assert.Equal(t, errkind.Unknown, errkind.From(err).DidRun)
+	})
+}
+
+// Guards against claims that use up the writes of the service, and against a
+// repeat of a bound key that fails for want of budget.
+func TestWriteBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := standin.NewKV()
+		c := New(kv.Direct())
+		c.SetEntries(10)
+		refused := 0
+		for i := range 40 {
+			_, err := c.Claim(context.Background(), "taller", fmt.Sprint(i), digest("x"), issuer("app-1"))
+			if err != nil {
+				assert.Equal(t, errkind.Overloaded, errkind.KindOf(err))
+				assert.Equal(t, errkind.Unknown, errkind.From(err).DidRun)
+				refused++
+			}
+		}
+		assert.Equal(t, 30, refused)
+		assert.Equal(t, 10, kv.Calls()["txn"])
+		_, err := c.Claim(context.Background(), "taller", "0", digest("x"), issuer("app-1"))
+		require.NoError(t, err)
+	})
+}
+
+// Guards against a claim that lapses before 24 hours, after which the key would
+// run a second time, and against a lease per claim.
+func TestClaimsShareALeaseAndLiveADay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := standin.NewKV()
+		c := New(kv.Direct())
+		for i := range 3 {
+			_, err := c.Claim(context.Background(), "taller", fmt.Sprint(i), digest("x"), issuer("app-1"))
+			require.NoError(t, err)
+			time.Sleep(29 * time.Minute)
+		}
+		assert.Equal(t, 1, kv.Calls()["grant"])
+		last, err := c.Claim(context.Background(), "taller", "2", digest("x"), issuer("app-2"))
+		require.NoError(t, err)
+		time.Sleep(claimLife - 30*time.Minute)
+		again, err := c.Claim(context.Background(), "taller", "2", digest("x"), issuer("app-3"))
+		require.NoError(t, err)
+		assert.Equal(t, last, again)
+	})
+}
+
+// Guards against a lease that lapsed early, for example after a rollback of the
+// service, and makes every later claim fail.
+func TestLapsedLeaseIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := standin.NewKV()
+		c := New(kv.Direct())
+		_, err := c.Claim(context.Background(), "taller", "a", digest("x"), issuer("app-1"))
+		require.NoError(t, err)
+		kv.Lapse(c.lease)
+		_, err = c.Claim(context.Background(), "taller", "b", digest("x"), issuer("app-1"))
+		require.NoError(t, err)
+	})
+}
+
+// Guards against an entry that takes a lost reply for success although another
+// entry has bound the key before.
+func TestLostReplyOfALostRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := standin.NewKV()
+		a, b := New(kv.Direct()), New(kv.Direct())
+		_, err := a.Claim(context.Background(), "taller", "other", digest("x"), issuer("app-1"))
+		require.NoError(t, err)
+		first, err := b.Claim(context.Background(), "taller", "k", digest("x"), issuer("app-2"))
+		require.NoError(t, err)
+		kv.DropReplies(1)
+		second, err := a.Claim(context.Background(), "taller", "k", digest("x"), issuer("app-1"))
+		require.NoError(t, err)
+		assert.Equal(t, first, second)
+	})
+}
--- a/daemon/e2e/once_test.go
+++ b/daemon/e2e/once_test.go
@@ -208,3 +208,37 @@
 	require.NoError(t, err)
 	assert.Equal(t, "not_run", failureOf(t, res).DidRun)
 }
+
+// Guards against a second run under one key at two entries, also when the reply
+// of the claim is lost and while the key-value service is down.
+func TestIdempotencyKey(t *testing.T) {
+	k := startCluster(t, twoByTwo(t))
+	key := func(s string) http.Header { return http.Header{"Idempotency-Key": {s}} }
+	k.kv.DropReplies(1)
+	first := k.mustBook(0, key("k1"), `{"id":"b1"}`)
+	require.Equal(t, http.StatusOK, first.status, "%s", first.body)
+	for entry := range k.config.Inventory.Entries {
+		again := k.mustBook(entry, key("k1"), `{"id":"b1"}`)
+		assert.Equal(t, string(first.body), string(again.body))
+		assert.Equal(t, "true", again.header.Get("X-Replayed"))
+		other := failureOf(t, k.mustBook(entry, key("k1"), `{"id":"b2"}`))
+		assert.Equal(t, "invalid_request", other.Kind)
+		assert.Equal(t, "unknown", other.DidRun)
+	}
+	assert.Equal(t, 1, k.executions())
+
+	k.kv.SetRefuse(true)
+	down := k.mustBook(0, key("k2"), `{"id":"b2"}`)
+	a := failureOf(t, down)
+	assert.Equal(t, "store_unavailable", a.Kind)
+	assert.Equal(t, "unknown", a.DidRun)
+	assert.Contains(t, a.Message, "repeat under the same key is safe")
+	assert.Positive(t, a.RetryMS)
+	assert.NotEmpty(t, down.header.Get("Retry-After"))
+	assert.Equal(t, 1, k.executions())
+	// Calls without a key do not need the service.
+	assert.Equal(t, http.StatusOK, k.mustBook(0, nil, `{"id":"b3"}`).status)
+	k.kv.SetRefuse(false)
+	require.Eventually(t, func() bool { return k.mustBook(0, key("k2"), `{"id":"b2"}`).status == http.StatusOK }, waitBound, 50*time.Millisecond)
+	assert.Equal(t, 3, k.executions())
+}
--- a/daemon/entry/call.go
+++ b/daemon/entry/call.go
@@ -104,10 +104,10 @@
 			return nil, errkind.New(errkind.UnknownOperation, "the operation id belongs to back end %q", id.Backend)
 		}
 		return c.runNamed(ctx, id)
-	case key != nil:
-		return nil, errkind.New(errkind.UnknownOperation, "keys are not accepted by this version")
 	case c.dispatch.GetIdempotent():
 		return c.runIdempotent(ctx)
+	case key != nil:
+		return c.runKeyed(ctx, *key)
 	default:
 		return c.runInternal(ctx)
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/balancer/twochoice"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/claim"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/platform"
@@ -24,6 +25,7 @@
 	settings *config.Settings
 	kv       platform.KV
 	policy   balancer.Builder
+	claims   *claim.Claims
 
 	snapshot atomic.Pointer[snapshot]
 	events   chan controlEvent
@@ -59,6 +61,7 @@
 		settings: o.Settings,
 		kv:       o.KV,
 		policy:   o.Policy,
+		claims:   claim.New(o.KV),
 		events:   make(chan controlEvent, eventQueue),
 
 		peerListener: o.PeerListener,
--- a/daemon/entry/once.go
+++ b/daemon/entry/once.go
@@ -46,6 +46,26 @@
 	return nil, err
 }
 
+// runKeyed runs a call under the id that its key is bound to.
+func (c *call) runKeyed(ctx context.Context, key string) (*callReply, error) {
+	parts := [][]byte{[]byte(c.backend), []byte(c.dispatch.GetOperation()), []byte(c.dispatch.GetMethod()), c.dispatch.GetBody()}
+	for _, h := range c.dispatch.GetHeaders() {
+		parts = append(parts, []byte(h.GetName()), []byte(h.GetValue()))
+	}
+	c.entry.claims.SetEntries(len(c.entry.snapshot.Load().config.Inventory.Entries))
+	id, err := c.entry.claims.Claim(ctx, c.customer.Name, key, atmostonce.Digest(parts...), func() (atmostonce.ID, error) {
+		to, err := c.pick()
+		if err != nil {
+			return atmostonce.ID{}, err
+		}
+		return c.entry.newOperation(c.backend, to), nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return c.runNamed(ctx, id)
+}
+
 // runAt dispatches under the id to the incarnation that it names until that
 // answers, and settles the outcome if it does not. shared says that others know
 // the id, so that not_run needs the owner's word even if nothing was written.
