--- a/daemon/target/dispatch.go
+++ b/daemon/target/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -27,6 +26,10 @@
 // Cancel or closes the stream.
 func (t *Target) serveDispatch(st *wire.Stream, d *wirepb.Dispatch) {
 	t.node.Clock.Observe(timeline.Timestamp(d.GetHlc()))
+	if t.service != nil && (!d.GetIdempotent() || d.GetOperationId() != "") {
+		t.serveOperation(st, d)
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.GetRemainingMs())*time.Millisecond)
 	defer cancel()
 	go cancelOnClose(st, cancel)
@@ -55,16 +58,29 @@
 		return
 	}
 	t.record(timeline.BackendStarted, d, nil)
+	var last []*wirepb.Frame
 	if t.model != nil {
-		err = t.generate(ctx, st, d, slot)
+		last, err = t.generate(ctx, st, d, slot)
 	} else {
-		err = t.call(ctx, st, d, slot)
+		last, err = t.call(ctx, d, slot)
 	}
 	slot.leave(err)
 	t.record(timeline.BackendFinished, d, err)
 	if err != nil {
-		_ = st.Send(failureFrame(errkind.From(err), t.revision(), uint64(t.node.Clock.Now())))
+		last = []*wirepb.Frame{failureFrame(errkind.From(err), t.revision(), uint64(t.node.Clock.Now()))}
 	}
+	_ = sendAll(st, last)
+}
+
+// sendAll sends the frames that end an answer. They are sent after the back end
+// is recorded as finished, so that the entry's events follow that one.
+func sendAll(st sink, frames []*wirepb.Frame) error {
+	for _, f := range frames {
+		if err := st.Send(f); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // admit has the last word on whether work may start. Admitted work must call
@@ -133,10 +149,11 @@
 	_ = st.SetWriteDeadline(time.Unix(1, 0))
 }
 
-func (t *Target) generate(ctx context.Context, st sink, d *wirepb.Dispatch, slot *slot) error {
+// generate streams the tokens and returns the frame that ends the answer.
+func (t *Target) generate(ctx context.Context, st sink, d *wirepb.Dispatch, slot *slot) ([]*wirepb.Frame, error) {
 	var req ModelRequest
 	if err := json.Unmarshal(d.GetBody(), &req); err != nil {
-		return errkind.Wrap(err, errkind.InvalidRequest, "body of the dispatch")
+		return nil, errkind.Wrap(err, errkind.InvalidRequest, "body of the dispatch")
 	}
 	deadline, _ := ctx.Deadline()
 	finish, err := t.model.Generate(ctx, engine.Generation{
@@ -160,52 +177,12 @@
 		return nil
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return st.Send(&wirepb.Frame{
+	return []*wirepb.Frame{{
 		Hlc:  uint64(t.node.Clock.Now()),
 		Body: &wirepb.Frame_End{End: &wirepb.End{FinishReason: finish.Reason, Tokens: uint32(finish.Tokens)}},
-	})
-}
-
-func (t *Target) call(ctx context.Context, st sink, d *wirepb.Dispatch, slot *slot) error {
-	header := http.Header{}
-	for _, h := range d.GetHeaders() {
-		header.Add(h.GetName(), h.GetValue())
-	}
-	reply, err := t.service.Call(ctx, engine.Call{
-		Method:      d.GetMethod(),
-		Operation:   d.GetOperation(),
-		Query:       d.GetQuery(),
-		Header:      header,
-		Body:        d.GetBody(),
-		Idempotent:  d.GetIdempotent(),
-		OperationID: d.GetOperationId(),
-	})
-	if err != nil {
-		return err
-	}
-	slot.status = reply.Status
-	return sendReply(st, reply, uint64(t.node.Clock.Now()))
-}
-
-func sendReply(st sink, reply engine.Reply, hlc uint64) error {
-	head := &wirepb.ResponseHead{Status: uint32(reply.Status)}
-	for name, values := range reply.Header {
-		for _, v := range values {
-			head.Headers = append(head.Headers, &wirepb.Header{Name: name, Value: v})
-		}
-	}
-	for _, f := range []*wirepb.Frame{
-		{Body: &wirepb.Frame_Head{Head: head}},
-		{Body: &wirepb.Frame_Data{Data: reply.Body}},
-		{Hlc: hlc, Body: &wirepb.Frame_End{End: &wirepb.End{FinishReason: "complete"}}},
-	} {
-		if err := st.Send(f); err != nil {
-			return err
-		}
-	}
-	return nil
+	}}, nil
 }
 
 func failureFrame(e *errkind.Error, revision, hlc uint64) *wirepb.Frame {
--- a/daemon/target/stop_test.go
+++ b/daemon/target/stop_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/engine/standin"
@@ -89,10 +90,12 @@
 	f.control(func(m *wirepb.Control) bool { return m.GetHeartbeat().GetRevision() == c.Revision })
 }
 
-// dispatch sends a call as an entry that holds the given revision.
+// dispatch sends a call under a fresh operation id as an entry that holds the
+// given revision.
 func (f *fixture) dispatch(revision uint64) *wirepb.Frame {
+	id := atmostonce.NewID("cabina-app", "cabina-app-1", f.target.node.Incarnation, time.Now())
 	st, err := f.session.Open(&wirepb.Open{Body: &wirepb.Open_Dispatch{Dispatch: &wirepb.Dispatch{
-		RequestId: "r", Backend: "cabina-app", Operation: "book", Method: "POST", RemainingMs: 5000,
+		RequestId: "r", OperationId: id.String(), Backend: "cabina-app", Operation: "book", Method: "POST", RemainingMs: 5000,
 		EntryRevision: revision, TargetIncarnation: f.target.node.Incarnation, Body: []byte("{}"),
 	}}})
 	require.NoError(f.t, err)
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/engine"
@@ -29,6 +30,8 @@
 	work   node.Inflight
 	gate   *gate
 
+	operations *operations
+
 	mu       sync.Mutex
 	sessions map[*wire.Session]*node.Heartbeats
 }
@@ -50,6 +53,9 @@
 		model:    o.Model,
 		service:  o.Service,
 		gate:     newGate(admissionRule(&config.Config{}, o.Settings.Target.Backend)),
+		operations: newOperations(atmostonce.NewTable(o.Settings.Target.Backend, o.Node.Name, o.Node.Incarnation,
+			atmostonce.Limits{Keep: atmostonce.DefaultKeep, MaxBytes: atmostonce.DefaultMaxBytes}),
+			func() time.Time { return o.Node.Clock.Now().Time() }),
 		sessions: map[*wire.Session]*node.Heartbeats{},
 	}
 }
@@ -91,8 +97,10 @@
 		t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "work finished"})
 	case <-time.After(time.Until(deadline)):
 		t.node.Log.Warn("planned stop: bound reached with work in progress", "running", t.work.Count())
+		t.handOver()
 		return
 	}
+	t.handOver()
 	t.drain(told, deadline)
 }
 
@@ -147,6 +155,10 @@
 	switch body := open.GetBody().(type) {
 	case *wirepb.Open_Dispatch:
 		t.serveDispatch(st, body.Dispatch)
+	case *wirepb.Open_Outcome:
+		t.serveOutcome(st, body.Outcome)
+	case *wirepb.Open_Handover:
+		t.serveHandover(st, body.Handover)
 	case *wirepb.Open_EventQuery:
 		t.serveEvents(st, body.EventQuery)
 	default:
