daemon/entry: test at most once under random faults

The fault tables cover single faults; the combinations were untested. The test runs two real entries and three real target processes over connections in memory in a synctest bubble, with the stand-ins of the key-value service and of the plain service.

The entry's comparison of incarnations alone, and the comparison of requests in the claim alone, are not seen by this test, since the table guards too.

--- /dev/null
+++ b/daemon/entry/sim_test.go
@@ -0,0 +1,320 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/balancer"
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/daemon/target"
+	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
+	"github.com/skylarkstep/skylarkstep/platform/standin"
+	"github.com/skylarkstep/skylarkstep/wire"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+const (
+	simKey       = "sim-customer"
+	simCluster   = "sim-cluster-key-0123"
+	simReconnect = 30 * time.Millisecond
+)
+
+// sim is a deployment of the real entries and target processes over
+// connections in memory, in a synctest bubble.
+type sim struct {
+	t        *testing.T
+	config   *config.Config
+	document []byte
+	kv       *standin.KV
+	service  *enginestandin.Service
+	ctx      context.Context
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	targets map[string]*simTarget
+	entries []*simEntry
+}
+
+// simTarget is one process in a target's slot; a restart replaces it.
+type simTarget struct {
+	listener *simListener
+	gate     *gate
+	stop     context.CancelFunc
+	ended    chan struct{}
+	pairs    []*wirePair
+	dead     bool
+}
+
+type simEntry struct {
+	entry    *Entry
+	ctx      context.Context
+	kill     context.CancelFunc
+	sessions map[string]*wire.Session
+}
+
+func newSim(t *testing.T, seed uint64) *sim {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	s := &sim{
+		t: t, kv: standin.NewKV(), service: enginestandin.NewService(enginestandin.ServiceOptions{}), ctx: ctx,
+		rng: rand.New(rand.NewPCG(seed, 1)), targets: map[string]*simTarget{}, config: simConfig(),
+	}
+	var err error
+	s.document, err = json.Marshal(s.config)
+	require.NoError(t, err)
+	for _, tg := range s.config.Inventory.Targets {
+		s.startTarget(tg)
+	}
+	for _, e := range s.config.Inventory.Entries {
+		s.entries = append(s.entries, s.startEntry(e))
+	}
+	return s
+}
+
+func simConfig() *config.Config {
+	sum := sha256.Sum256([]byte(simKey))
+	c := &config.Config{Revision: 1}
+	c.Inventory.Regions = []config.Region{{Name: "ebro"}}
+	c.Inventory.Backends = []config.Backend{{Name: "app", Kind: config.KindService}}
+	c.Inventory.Customers = []config.Customer{{Name: "taller", KeySHA256: []string{hex.EncodeToString(sum[:])}}}
+	for i, dc := range []string{"burgos", "vitoria", "logrono"} {
+		c.Inventory.DataCentres = append(c.Inventory.DataCentres, config.DataCentre{Name: dc, Region: "ebro"})
+		c.Inventory.Targets = append(c.Inventory.Targets, config.Target{
+			Name: "app-" + dc, Backend: "app", DataCentre: dc, PeerAddr: fmt.Sprintf("127.0.0.1:%d", 1+i),
+		})
+		if i < 2 {
+			c.Inventory.Entries = append(c.Inventory.Entries, config.Entry{
+				Name: "entry-" + dc, DataCentre: dc, HTTPAddr: "127.0.0.1:9", PeerAddr: "127.0.0.1:9",
+			})
+		}
+	}
+	return c
+}
+
+// intn draws from the seeded generator, which goroutines share.
+func (s *sim) intn(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.IntN(n)
+}
+
+func (s *sim) ms(n int) time.Duration { return time.Duration(s.intn(n)) * time.Millisecond }
+
+func (s *sim) startTarget(tg config.Target) {
+	st := &config.Settings{
+		Role: config.RoleTarget, Name: tg.Name, DataCentre: tg.DataCentre, ClusterKey: simCluster, StopBoundMs: 5000,
+		Target: config.TargetSettings{Backend: tg.Backend, Kind: config.KindService},
+	}
+	p := &simTarget{listener: newSimListener(), gate: newGate(), ended: make(chan struct{})}
+	t := target.New(target.Options{Settings: st, Node: node.New(st, io.Discard), Service: s.service.Direct()})
+	ctx, stop := context.WithCancel(s.ctx)
+	p.stop = stop
+	go func() {
+		defer close(p.ended)
+		_ = t.Run(ctx, p.listener)
+	}()
+	s.mu.Lock()
+	s.targets[tg.Name] = p
+	s.mu.Unlock()
+}
+
+func (s *sim) startEntry(e config.Entry) *simEntry {
+	st := &config.Settings{Role: config.RoleEntry, Name: e.Name, DataCentre: e.DataCentre, ClusterKey: simCluster}
+	ctx, kill := context.WithCancel(s.ctx)
+	x := &simEntry{
+		entry: New(Options{Settings: st, Node: node.New(st, io.Discard), KV: s.kv.Direct()}),
+		ctx:   ctx, kill: kill, sessions: map[string]*wire.Session{},
+	}
+	s.publish(x)
+	for _, tg := range s.config.Inventory.Targets {
+		go s.link(x, tg)
+	}
+	return x
+}
+
+// link keeps a session from an entry to a target.
+func (s *sim) link(x *simEntry, tg config.Target) {
+	for x.ctx.Err() == nil {
+		time.Sleep(simReconnect)
+		s.mu.Lock()
+		p := s.targets[tg.Name]
+		if p.dead {
+			s.mu.Unlock()
+			continue
+		}
+		pair := newWirePair(func() time.Duration { return s.ms(5) }, p.gate)
+		p.pairs = append(p.pairs, pair)
+		s.mu.Unlock()
+		stop := context.AfterFunc(x.ctx, pair.cut)
+		p.listener.conns <- pair.far
+		session, err := wire.Client(pair.near, []byte(simCluster), x.entry.node.Hello(1))
+		if err != nil {
+			stop()
+			continue
+		}
+		_ = session.Control().Send(&wirepb.Control{Body: &wirepb.Control_Deltas{
+			Deltas: &wirepb.Deltas{Snapshot: s.document, SnapshotRevision: 1},
+		}})
+		s.setSession(x, tg.Name, session)
+		for {
+			var m wirepb.Control
+			if session.Control().Recv(&m) != nil {
+				break
+			}
+		}
+		_ = session.Close()
+		s.setSession(x, tg.Name, nil)
+		stop()
+	}
+}
+
+func (s *sim) setSession(x *simEntry, target string, session *wire.Session) {
+	s.mu.Lock()
+	if session == nil {
+		delete(x.sessions, target)
+	} else {
+		x.sessions[target] = session
+	}
+	s.mu.Unlock()
+	s.publish(x)
+}
+
+// publish does what the control goroutine of an entry does.
+func (s *sim) publish(x *simEntry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snap := &snapshot{
+		config: s.config, customers: map[string]*config.Customer{}, pools: map[string]*pool{},
+		members: map[string]route{}, leaving: map[string]bool{},
+	}
+	cu := &s.config.Inventory.Customers[0]
+	snap.customers[cu.KeySHA256[0]] = cu
+	p := &pool{}
+	var views []balancer.Target
+	for _, tg := range s.config.Inventory.Targets {
+		session := x.sessions[tg.Name]
+		if session == nil {
+			continue
+		}
+		to := route{
+			name: tg.Name, dataCentre: tg.DataCentre, session: session,
+			incarnation: session.Peer().GetIncarnation(), sent: &balancer.Counter{},
+		}
+		snap.members[tg.Name] = to
+		p.targets = append(p.targets, to)
+		views = append(views, balancer.Target{Name: tg.Name, DataCentre: tg.DataCentre, Sent: to.sent})
+	}
+	if len(views) > 0 {
+		p.picker = x.entry.policy.Build(balancer.Snapshot{DataCentre: x.entry.node.DataCentre, Targets: views})
+		snap.pools["app"] = p
+	}
+	x.entry.snapshot.Store(snap)
+}
+
+// kill cuts all connections of a target process. Its table is lost; calls that
+// its service has received go on.
+func (s *sim) kill(p *simTarget) {
+	s.mu.Lock()
+	p.dead = true
+	for _, pair := range p.pairs {
+		pair.cut()
+	}
+	s.mu.Unlock()
+	p.gate.resume()
+	_ = p.listener.Close()
+	p.stop()
+}
+
+func (s *sim) randomTarget() (config.Target, *simTarget) {
+	tg := s.config.Inventory.Targets[s.intn(len(s.config.Inventory.Targets))]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return tg, s.targets[tg.Name]
+}
+
+// cut breaks one connection of a target process.
+func (s *sim) cut(p *simTarget) {
+	i := s.intn(max(len(p.pairs), 1))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i < len(p.pairs) {
+		p.pairs[i].cut()
+	}
+}
+
+func (s *sim) entryAt(i int) *simEntry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[i]
+}
+
+// faults injects faults until ctx ends and heals all of them.
+func (s *sim) faults(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(20*time.Millisecond + s.ms(150))
+		switch s.intn(9) {
+		case 0, 1:
+			_, p := s.randomTarget()
+			s.cut(p)
+		case 2, 3:
+			_, p := s.randomTarget()
+			p.gate.pause()
+			time.AfterFunc(50*time.Millisecond+s.ms(3000), p.gate.resume)
+		case 4:
+			tg, p := s.randomTarget()
+			s.kill(p)
+			time.Sleep(s.ms(200))
+			s.startTarget(tg)
+		case 5:
+			tg, p := s.randomTarget()
+			p.stop()
+			<-p.ended
+			s.kill(p)
+			s.startTarget(tg)
+		case 6:
+			i := s.intn(len(s.entries))
+			s.entryAt(i).kill()
+			fresh := s.startEntry(s.config.Inventory.Entries[i])
+			s.mu.Lock()
+			s.entries[i] = fresh
+			s.mu.Unlock()
+		case 7:
+			s.storeFault()
+		case 8:
+			s.service.SetFaults(enginestandin.ServiceFaults{
+				Latency: s.ms(50), StallBefore: s.ms(100), StallAfter: s.ms(1500) * time.Duration(s.intn(2)),
+				DropReply: s.intn(4) == 0, Unreachable: s.intn(6) == 0, Refuse: s.intn(6) == 0,
+			})
+		}
+	}
+	s.service.SetFaults(enginestandin.ServiceFaults{})
+	s.kv.SetRefuse(false)
+	s.kv.SetStall(false)
+	for _, p := range s.targets {
+		p.gate.resume()
+	}
+}
+
+func (s *sim) storeFault() {
+	switch s.intn(3) {
+	case 0:
+		s.kv.DropReplies(1 + s.intn(3))
+	case 1:
+		s.kv.SetRefuse(true)
+		time.AfterFunc(s.ms(800), func() { s.kv.SetRefuse(false) })
+	default:
+		s.kv.SetStall(true)
+		time.AfterFunc(s.ms(800), func() { s.kv.SetStall(false) })
+	}
+}
