Show a settled answer only to its own request

Outcome now carries the digest of the request and the target process compares it.

TestOutcomeIsOfTheSameRequest fails without the comparison.

--- a/daemon/entry/once.go
+++ b/daemon/entry/once.go
@@ -6,6 +6,7 @@
 
 	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
+	"github.com/skylarkstep/skylarkstep/daemon/target"
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
@@ -48,12 +49,10 @@
 
 // runKeyed runs a call under the id that its key is bound to.
 func (c *call) runKeyed(ctx context.Context, key string) (*callReply, error) {
-	parts := [][]byte{[]byte(c.backend), []byte(c.dispatch.GetOperation()), []byte(c.dispatch.GetMethod()), c.dispatch.GetBody()}
-	for _, h := range c.dispatch.GetHeaders() {
-		parts = append(parts, []byte(h.GetName()), []byte(h.GetValue()))
-	}
+	d := c.newDispatch(atmostonce.ID{})
+	d.Backend = c.backend
 	c.entry.claims.SetEntries(len(c.entry.snapshot.Load().config.Inventory.Entries))
-	id, err := c.entry.claims.Claim(ctx, c.customer.Name, key, atmostonce.Digest(parts...), func() (atmostonce.ID, error) {
+	id, err := c.entry.claims.Claim(ctx, c.customer.Name, key, target.RequestOf(d).Digest, func() (atmostonce.ID, error) {
 		to, err := c.pick()
 		if err != nil {
 			return atmostonce.ID{}, err
@@ -122,14 +121,7 @@
 		c.tried = map[string]bool{}
 	}
 	c.tried[to.name] = true
-	d := &wirepb.Dispatch{
-		OperationId: id.String(),
-		Operation:   c.dispatch.GetOperation(),
-		Method:      c.dispatch.GetMethod(),
-		Query:       c.dispatch.GetQuery(),
-		Headers:     c.dispatch.GetHeaders(),
-		Body:        c.dispatch.GetBody(),
-	}
+	d := c.newDispatch(id)
 	results := make(chan dispatchResult, 1)
 	go func() {
 		a, err := one.start(ctx, to, d)
@@ -152,6 +144,19 @@
 	}
 }
 
+// newDispatch returns a dispatch of its own for each attempt, since a late
+// attempt may still be writing an earlier one.
+func (c *call) newDispatch(id atmostonce.ID) *wirepb.Dispatch {
+	return &wirepb.Dispatch{
+		OperationId: id.String(),
+		Operation:   c.dispatch.GetOperation(),
+		Method:      c.dispatch.GetMethod(),
+		Query:       c.dispatch.GetQuery(),
+		Headers:     c.dispatch.GetHeaders(),
+		Body:        c.dispatch.GetBody(),
+	}
+}
+
 // settle asks the owner for the outcome of a call that the entry gave up,
 // closing it if it has not started. Without a reply the call may run later.
 func (c *call) settle(id atmostonce.ID, cause *errkind.Error) (*callReply, *errkind.Error) {
@@ -160,7 +165,12 @@
 	if to == nil {
 		return nil, unknown
 	}
-	reply, ok := askOutcome(to, id, c.customer.Name, true)
+	d := c.newDispatch(id)
+	d.Backend, d.Customer = c.backend, c.customer.Name
+	r := target.RequestOf(d)
+	reply, ok := askOutcome(to, &wirepb.Outcome{
+		OperationId: id.String(), Customer: r.Customer, Digest: r.Digest[:], CloseIfAbsent: true,
+	})
 	if !ok {
 		return nil, unknown
 	}
--- a/daemon/entry/operation.go
+++ b/daemon/entry/operation.go
@@ -65,7 +65,7 @@
 	customer := customerFrom(ctx).Name
 	reply := &wirepb.OutcomeReply{State: wirepb.OutcomeReply_STATE_UNKNOWN}
 	for _, to := range snap.holders(id) {
-		if r, ok := askOutcome(to, id, customer, false); ok {
+		if r, ok := askOutcome(to, &wirepb.Outcome{OperationId: id.String(), Customer: customer}); ok {
 			reply = r
 		}
 		if reply.GetState() != wirepb.OutcomeReply_STATE_UNKNOWN {
@@ -173,12 +173,10 @@
 // askOutcome asks a target process what became of an operation. It returns
 // false when no reply comes in time. Opening a stream may block on a process
 // that is paused, so it has a goroutine of its own.
-func askOutcome(to *route, id atmostonce.ID, customer string, closeIfAbsent bool) (*wirepb.OutcomeReply, bool) {
+func askOutcome(to *route, q *wirepb.Outcome) (*wirepb.OutcomeReply, bool) {
 	replies := make(chan *wirepb.OutcomeReply, 1)
 	go func() {
-		st, err := to.session.Open(&wirepb.Open{Body: &wirepb.Open_Outcome{Outcome: &wirepb.Outcome{
-			OperationId: id.String(), CloseIfAbsent: closeIfAbsent, Customer: customer,
-		}}})
+		st, err := to.session.Open(&wirepb.Open{Body: &wirepb.Open_Outcome{Outcome: q}})
 		if err != nil {
 			return
 		}
--- a/daemon/target/operation.go
+++ b/daemon/target/operation.go
@@ -27,7 +27,7 @@
 		t.refuse(st, d, errkind.Wrap(err, errkind.UnknownOperation, "dispatch").WithDidRun(errkind.Unknown))
 		return
 	}
-	request := requestOf(d)
+	request := RequestOf(d)
 	known, x, err := t.operations.look(id, request)
 	replayed := true
 	if err == nil && known.State == atmostonce.Absent {
@@ -91,7 +91,7 @@
 			return
 		}
 		id, _ := atmostonce.ParseID(d.GetOperationId())
-		known, _, err = t.operations.look(id, requestOf(d))
+		known, _, err = t.operations.look(id, RequestOf(d))
 	}
 	switch {
 	case errors.Is(err, atmostonce.ErrOtherRequest):
@@ -119,9 +119,9 @@
 	}
 }
 
-// requestOf identifies the request of a dispatch by all that the back end sees
+// RequestOf identifies the request of a dispatch by all that the back end sees
 // of it.
-func requestOf(d *wirepb.Dispatch) atmostonce.Request {
+func RequestOf(d *wirepb.Dispatch) atmostonce.Request {
 	parts := [][]byte{[]byte(d.GetBackend()), []byte(d.GetOperation()), []byte(d.GetMethod()), []byte(d.GetQuery()), d.GetBody()}
 	for _, h := range d.GetHeaders() {
 		parts = append(parts, []byte(h.GetName()), []byte(h.GetValue()))
@@ -134,7 +134,7 @@
 func (t *Target) serveOutcome(st *wire.Stream, q *wirepb.Outcome) {
 	reply := &wirepb.OutcomeReply{State: wirepb.OutcomeReply_STATE_UNKNOWN}
 	if id, err := atmostonce.ParseID(q.GetOperationId()); err == nil {
-		known := t.operations.outcome(id, q.GetCustomer(), q.GetCloseIfAbsent())
+		known := t.operations.outcome(id, q)
 		reply.State = outcomeStates[known.State]
 		if a := known.Answer; a != nil {
 			reply.Head, reply.Data = responseHead(a.Status, a.Header), a.Body
--- a/daemon/target/operation_test.go
+++ b/daemon/target/operation_test.go
@@ -82,14 +82,41 @@
 }
 
 func (b *bench) outcome(id atmostonce.ID, closeIfAbsent bool) wirepb.OutcomeReply_State {
-	st, err := b.session.Open(&wirepb.Open{Body: &wirepb.Open_Outcome{Outcome: &wirepb.Outcome{
-		OperationId: id.String(), CloseIfAbsent: closeIfAbsent, Customer: "taller",
-	}}})
+	return b.ask(&wirepb.Outcome{OperationId: id.String(), CloseIfAbsent: closeIfAbsent, Customer: "taller"}).GetState()
+}
+
+func (b *bench) ask(q *wirepb.Outcome) *wirepb.OutcomeReply {
+	st, err := b.session.Open(&wirepb.Open{Body: &wirepb.Open_Outcome{Outcome: q}})
 	require.NoError(b.t, err)
 	defer func() { _ = st.Close() }()
 	var r wirepb.OutcomeReply
 	require.NoError(b.t, st.Recv(&r))
-	return r.GetState()
+	return &r
+}
+
+// Guards against a call that its entry gave up and that then gets the answer of
+// another request, or another customer, under the same id.
+func TestOutcomeIsOfTheSameRequest(t *testing.T) {
+	b := newBench(t)
+	id := b.id()
+	_, _, failure := b.dispatch(id, "x")
+	require.Nil(t, failure)
+	own := RequestOf(&wirepb.Dispatch{Backend: "app", Operation: "book", Body: []byte("x")}).Digest
+	other := RequestOf(&wirepb.Dispatch{Backend: "app", Operation: "book", Body: []byte("y")}).Digest
+	for _, tc := range []struct {
+		customer string
+		digest   []byte
+		want     wirepb.OutcomeReply_State
+	}{
+		{"taller", own[:], wirepb.OutcomeReply_STATE_FINISHED},
+		{"taller", nil, wirepb.OutcomeReply_STATE_FINISHED},
+		{"taller", other[:], wirepb.OutcomeReply_STATE_UNKNOWN},
+		{"flota", nil, wirepb.OutcomeReply_STATE_UNKNOWN},
+	} {
+		r := b.ask(&wirepb.Outcome{OperationId: id.String(), Customer: tc.customer, Digest: tc.digest})
+		assert.Equal(t, tc.want, r.GetState())
+		assert.Equal(t, tc.want == wirepb.OutcomeReply_STATE_FINISHED, string(r.GetData()) == "x")
+	}
 }
 
 // Guards against running a dispatch that was queued behind the question with
--- a/daemon/target/operations.go
+++ b/daemon/target/operations.go
@@ -6,6 +6,7 @@
 
 	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
 // execution is one running operation. err is set before done is closed.
@@ -75,12 +76,21 @@
 	return o.table.Close(id, o.now()).State
 }
 
-// outcome returns what the customer may know of an operation.
-func (o *operations) outcome(id atmostonce.ID, customer string, closeIfAbsent bool) atmostonce.Outcome {
+// outcome returns what the asker may know of an operation. An entry that asks
+// on behalf of a call names its digest, since the id may be in use for another
+// request of the customer.
+func (o *operations) outcome(id atmostonce.ID, q *wirepb.Outcome) atmostonce.Outcome {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	known := o.table.Outcome(id, customer, o.now())
-	if known.State == atmostonce.Absent && closeIfAbsent {
+	known := o.table.Outcome(id, q.GetCustomer(), o.now())
+	if known.State == atmostonce.Finished && len(q.GetDigest()) > 0 {
+		r := atmostonce.Request{Customer: q.GetCustomer()}
+		copy(r.Digest[:], q.GetDigest())
+		if _, err := o.table.Look(id, r, o.now()); err != nil {
+			return atmostonce.Outcome{State: atmostonce.Unknown}
+		}
+	}
+	if known.State == atmostonce.Absent && q.GetCloseIfAbsent() {
 		known = o.table.Close(id, o.now())
 	}
 	return known
