--- /dev/null
+++ b/expertmap/gate.go
@@ -0,0 +1,53 @@
+package expertmap
+
+// Gate refuses messages of superseded coordinators and of superseded rounds of
+// the same coordinator. An engine that checks fencing numbers has one for each
+// rank; the target process has one on behalf of engines that ignore them. The
+// zero value has seen no coordinator.
+type Gate struct {
+	// Incarnation is chosen at each start of the process that holds the gate.
+	// It is mixed into the rank's incarnation, so that nothing sent before a
+	// restart of the gate reaches the rank after it.
+	Incarnation uint64
+	highest     uint64
+	round       uint64
+	// formed is the generation that was started through this gate. A gate that
+	// has restarted has forgotten which coordinator the rank has answered, so
+	// it reports a running rank as cold: the group gets a new generation.
+	formed Generation
+}
+
+// Admit returns the message for the rank, or the refusal and false. Rounds
+// count because a coordinator that asked again may decide otherwise than it did
+// before, while its earlier decision is still on the way.
+func (g *Gate) Admit(m Message) (Message, bool) {
+	if m.Fencing < g.highest || (m.Fencing == g.highest && m.Round < g.round) {
+		return Message{Kind: Refused, Rank: m.Rank, Fencing: g.highest, Round: m.Round}, false
+	}
+	g.highest, g.round = m.Fencing, m.Round
+	if m.Kind != Ask {
+		m.Incarnation ^= g.Incarnation
+	}
+	if g.formed == (Generation{}) && m.Kind != Halt && m.Kind != Start {
+		m.Kind = Ask
+	}
+	return m, true
+}
+
+// Answer returns the rank's answer to an admitted message as the coordinator
+// gets it.
+func (g *Gate) Answer(admitted, m Message) Message {
+	s := &m.Status
+	if admitted.Kind == Start && admitted.Incarnation == m.Incarnation && s.Running &&
+		s.Generation == admitted.Generation {
+		g.formed = s.Generation
+	}
+	if g.formed == (Generation{}) {
+		s.Cold = true
+	}
+	m.Incarnation ^= g.Incarnation
+	return m
+}
+
+// Highest returns the highest fencing number seen.
+func (g *Gate) Highest() uint64 { return g.highest }
--- /dev/null
+++ b/expertmap/gate_test.go
@@ -0,0 +1,36 @@
+package expertmap
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against the two faults that only the larger explorations reach: a late
+// message of an earlier round of the same coordinator, and a restarted gate
+// that lets a paused coordinator decide after its successor has asked.
+func TestGate(t *testing.T) {
+	t.Run("an earlier round is refused", func(t *testing.T) {
+		g := Gate{}
+		_, ok := g.Admit(Message{Kind: Ask, Fencing: 1, Round: 2})
+		require.True(t, ok)
+		refusal, ok := g.Admit(Message{Kind: Abort, Fencing: 1, Round: 1})
+		require.False(t, ok)
+		c := NewCoordinator(1, 1, oldMap)
+		c.Handle(refusal)
+		require.NotEqual(t, Deposed, c.Phase(), "a coordinator must not depose itself")
+	})
+	t.Run("a restarted gate passes no decision", func(t *testing.T) {
+		r := newWorld(1, budget{}).nodes[0].rank
+		w := Switch{Map: MapID{Version: 2}, Step: 3}
+		r.Handle(Message{Kind: Prepare, Incarnation: 1, Generation: Generation{1, 1}, Switch: w})
+		r.Loaded(w.Map)
+		g := Gate{Incarnation: 32}
+		m, ok := g.Admit(Message{
+			Kind: Abort, Fencing: 1, Round: 1, Incarnation: 1 ^ 32, Generation: Generation{1, 1}, Switch: w,
+		})
+		require.True(t, ok)
+		require.True(t, g.Answer(m, r.Handle(m)).Status.Cold)
+		require.Equal(t, PhasePrepared, r.Status().Phase)
+	})
+}
--- /dev/null
+++ b/expertmap/message.go
@@ -0,0 +1,91 @@
+package expertmap
+
+// MapID identifies the content of an expert map. A version is used for one
+// switch only, so a late message of an aborted switch matches no other.
+type MapID struct {
+	Version uint64 `json:"version"`
+	Digest  uint64 `json:"digest"`
+}
+
+// Switch is the change of a group to a map from a step on.
+type Switch struct {
+	Map  MapID  `json:"map"`
+	Step uint64 `json:"step"`
+}
+
+// Generation numbers the formations of a group. All ranks take part in a step
+// within one generation; a step that a new generation interrupts is discarded.
+// The fencing number makes it unique over coordinators.
+type Generation struct {
+	Fencing uint64 `json:"fencing"`
+	Number  uint64 `json:"number"`
+}
+
+// Less orders generations.
+func (g Generation) Less(o Generation) bool {
+	if g.Fencing != o.Fencing {
+		return g.Fencing < o.Fencing
+	}
+	return g.Number < o.Number
+}
+
+// Kind tells messages apart.
+type Kind uint8
+
+// The messages from a coordinator to a rank, and the two answers.
+const (
+	Ask Kind = iota + 1
+	Prepare
+	Commit
+	Abort
+	Halt
+	Start
+	Report
+	Refused
+)
+
+// Phase is how far a rank is with a pending switch.
+type Phase uint8
+
+// The phases of a pending switch. Only Prepared is a promise.
+const (
+	PhaseNone Phase = iota
+	PhaseFetching
+	PhasePrepared
+	PhaseCommitted
+)
+
+// Status is the state of one rank.
+type Status struct {
+	// Cold is set from a restart until the rank is started in a generation. A
+	// cold rank may have confirmed or committed a switch before its restart.
+	Cold       bool       `json:"cold,omitempty"`
+	Running    bool       `json:"running,omitempty"`
+	Generation Generation `json:"generation"`
+	Step       uint64     `json:"step"`
+	Map        MapID      `json:"map"`
+	Pending    Switch     `json:"pending"`
+	Phase      Phase      `json:"phase,omitempty"`
+	// Highest is the highest version that the rank has prepared or refused. It
+	// prepares only higher ones.
+	Highest uint64 `json:"highest"`
+}
+
+// Message is one message between a coordinator and a rank.
+type Message struct {
+	Kind Kind `json:"kind"`
+	Rank int  `json:"rank"`
+	// Fencing is the coordinator's number. An answer repeats it; in Refused it
+	// is the highest number seen.
+	Fencing uint64 `json:"fencing"`
+	// Incarnation is chosen at each start of a rank. All messages but Ask name
+	// the incarnation that they are meant for.
+	Incarnation uint64 `json:"incarnation"`
+	// Round counts the rounds of questions of one coordinator. An answer repeats it.
+	Round      uint64     `json:"round"`
+	Generation Generation `json:"generation"`
+	Switch     Switch     `json:"switch"`
+	// Highest is carried by Start to ranks that have lost theirs.
+	Highest uint64 `json:"highest"`
+	Status  Status `json:"status"`
+}
--- /dev/null
+++ b/expertmap/rank.go
@@ -0,0 +1,136 @@
+package expertmap
+
+// Rank is the switch protocol of one rank. It expects messages that a Gate has
+// admitted.
+type Rank struct {
+	id          int
+	incarnation uint64
+	status      Status
+	loading     bool
+}
+
+// NewRank returns a rank that has just started: it is cold and holds no map.
+func NewRank(id int, incarnation uint64) Rank {
+	return Rank{id: id, incarnation: incarnation, status: Status{Cold: true}}
+}
+
+// Status returns the rank's state.
+func (r *Rank) Status() Status { return r.status }
+
+// Handle applies a message and returns the answer, which is always the state
+// after it. A message that does not apply changes nothing.
+func (r *Rank) Handle(m Message) Message {
+	if m.Incarnation == r.incarnation {
+		r.apply(m)
+	}
+	return r.report(m)
+}
+
+func (r *Rank) report(m Message) Message {
+	return Message{
+		Kind: Report, Rank: r.id, Fencing: m.Fencing, Incarnation: r.incarnation, Round: m.Round, Status: r.status,
+	}
+}
+
+func (r *Rank) apply(m Message) {
+	s := &r.status
+	switch m.Kind {
+	case Prepare:
+		r.prepare(m)
+	case Commit:
+		if s.Phase == PhasePrepared && s.Pending == m.Switch && s.Running && s.Generation == m.Generation {
+			s.Phase = PhaseCommitted
+		}
+	case Abort:
+		if s.Pending == m.Switch && s.Phase != PhaseCommitted {
+			r.drop()
+		}
+		s.Highest = max(s.Highest, m.Switch.Map.Version)
+	case Halt:
+		if s.Generation.Less(m.Generation) {
+			s.Generation, s.Running, r.loading = m.Generation, false, false
+		}
+	case Start:
+		r.start(m)
+	}
+}
+
+// prepare begins to fetch, unless the named step is no longer ahead. A refusal
+// is permanent: the version counts as seen.
+func (r *Rank) prepare(m Message) {
+	s := &r.status
+	if !s.Running || s.Generation != m.Generation || s.Phase != PhaseNone || m.Switch.Map.Version <= s.Highest {
+		return
+	}
+	s.Highest = m.Switch.Map.Version
+	if m.Switch.Step > s.Step {
+		s.Pending, s.Phase = m.Switch, PhaseFetching
+	}
+}
+
+func (r *Rank) start(m Message) {
+	s := &r.status
+	if s.Running || s.Generation != m.Generation {
+		return
+	}
+	r.loading = s.Cold || s.Map != m.Switch.Map
+	s.Cold, s.Running, s.Map, s.Step = false, true, m.Switch.Map, m.Switch.Step
+	s.Highest = max(s.Highest, m.Highest)
+	r.drop()
+}
+
+func (r *Rank) drop() { r.status.Pending, r.status.Phase = Switch{}, PhaseNone }
+
+// Wants returns the map that the rank has to load now. The old map stays usable.
+func (r *Rank) Wants() (MapID, bool) {
+	switch {
+	case r.loading:
+		return r.status.Map, true
+	case r.status.Phase == PhaseFetching:
+		return r.status.Pending.Map, true
+	}
+	return MapID{}, false
+}
+
+// Loaded tells that the map is loaded and its memory reserved. For a pending
+// switch it is the confirmation: the rank then does not pass the named step
+// without a decision. It is too late once the rank has entered the step.
+func (r *Rank) Loaded(id MapID) {
+	if r.loading && r.status.Map == id {
+		r.loading = false
+		return
+	}
+	if r.status.Phase == PhaseFetching && r.status.Pending.Map == id {
+		r.status.Phase = PhasePrepared
+	}
+}
+
+// LoadFailed gives up a pending switch.
+func (r *Rank) LoadFailed(id MapID) {
+	if r.status.Phase == PhaseFetching && r.status.Pending.Map == id {
+		r.drop()
+	}
+}
+
+// Enter goes to the next step and returns the map to use in it, or false when
+// the rank must wait. The caller calls it only when all ranks of the generation
+// have finished the step before.
+func (r *Rank) Enter() (MapID, bool) {
+	s := &r.status
+	if !s.Running || r.loading {
+		return MapID{}, false
+	}
+	if s.Phase != PhaseNone && s.Pending.Step <= s.Step+1 {
+		switch s.Phase {
+		case PhasePrepared:
+			return MapID{}, false
+		case PhaseFetching:
+			r.drop()
+		case PhaseCommitted:
+			s.Map = s.Pending.Map
+			r.drop()
+		}
+	}
+	s.Step++
+	return s.Map, true
+}
