--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -24,7 +24,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(devCommand(), timelineCommand(), explainCommand(), loadCommand(), zoneCommand())
+	root.AddCommand(devCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand())
+	root.AddCommand(zoneCommand())
 	return root
 }
 
