--- a/api/gen/http/cli/skylarkstep/cli.go
+++ b/api/gen/http/cli/skylarkstep/cli.go
@@ -26,16 +26,16 @@
 func UsageCommands() []string {
 	return []string{
 		"callers (addresses|complete|issue-operation|outcome|call)",
-		"operators (get-config|apply-config|config-status|config-history)",
+		"operators (get-config|apply-config|rollback-config|config-status|config-history)",
 		"timeline query",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "callers addresses --token \"Numquam ducimus.\"" + "\n" +
-		os.Args[0] + " " + "operators get-config --revision 16844701975563772379 --token \"Maxime suscipit.\"" + "\n" +
-		os.Args[0] + " " + "timeline query --filter \"1cj\" --since 6816044820203104032 --limit 12299 --scope \"process\" --token \"Tempora quas quia.\"" + "\n" +
+	return os.Args[0] + " " + "callers addresses --token \"Sint totam.\"" + "\n" +
+		os.Args[0] + " " + "operators get-config --revision 383621814713922228 --token \"Sequi sunt delectus.\"" + "\n" +
+		os.Args[0] + " " + "timeline query --filter \"3kv\" --since 955018826535132947 --limit 7210 --scope \"process\" --token \"Omnis doloremque.\"" + "\n" +
 		""
 }
 
@@ -87,10 +87,19 @@
 		operatorsApplyConfigFlags              = flag.NewFlagSet("apply-config", flag.ExitOnError)
 		operatorsApplyConfigBodyFlag           = operatorsApplyConfigFlags.String("body", "REQUIRED", "")
 		operatorsApplyConfigAllowNoServiceFlag = operatorsApplyConfigFlags.String("allow-no-service", "", "")
+		operatorsApplyConfigAllowMinorityFlag  = operatorsApplyConfigFlags.String("allow-minority", "", "")
 		operatorsApplyConfigBaseRevisionFlag   = operatorsApplyConfigFlags.String("base-revision", "REQUIRED", "")
 		operatorsApplyConfigEditIDFlag         = operatorsApplyConfigFlags.String("edit-id", "REQUIRED", "")
 		operatorsApplyConfigTokenFlag          = operatorsApplyConfigFlags.String("token", "REQUIRED", "")
 
+		operatorsRollbackConfigFlags              = flag.NewFlagSet("rollback-config", flag.ExitOnError)
+		operatorsRollbackConfigToRevisionFlag     = operatorsRollbackConfigFlags.String("to-revision", "REQUIRED", "")
+		operatorsRollbackConfigAllowNoServiceFlag = operatorsRollbackConfigFlags.String("allow-no-service", "", "")
+		operatorsRollbackConfigAllowMinorityFlag  = operatorsRollbackConfigFlags.String("allow-minority", "", "")
+		operatorsRollbackConfigBaseRevisionFlag   = operatorsRollbackConfigFlags.String("base-revision", "REQUIRED", "")
+		operatorsRollbackConfigEditIDFlag         = operatorsRollbackConfigFlags.String("edit-id", "REQUIRED", "")
+		operatorsRollbackConfigTokenFlag          = operatorsRollbackConfigFlags.String("token", "REQUIRED", "")
+
 		operatorsConfigStatusFlags     = flag.NewFlagSet("config-status", flag.ExitOnError)
 		operatorsConfigStatusTokenFlag = operatorsConfigStatusFlags.String("token", "REQUIRED", "")
 
@@ -117,6 +126,7 @@
 	operatorsFlags.Usage = operatorsUsage
 	operatorsGetConfigFlags.Usage = operatorsGetConfigUsage
 	operatorsApplyConfigFlags.Usage = operatorsApplyConfigUsage
+	operatorsRollbackConfigFlags.Usage = operatorsRollbackConfigUsage
 	operatorsConfigStatusFlags.Usage = operatorsConfigStatusUsage
 	operatorsConfigHistoryFlags.Usage = operatorsConfigHistoryUsage
 
@@ -186,6 +196,9 @@
 			case "apply-config":
 				epf = operatorsApplyConfigFlags
 
+			case "rollback-config":
+				epf = operatorsRollbackConfigFlags
+
 			case "config-status":
 				epf = operatorsConfigStatusFlags
 
@@ -251,7 +264,10 @@
 				data, err = operatorsc.BuildGetConfigPayload(*operatorsGetConfigRevisionFlag, *operatorsGetConfigTokenFlag)
 			case "apply-config":
 				endpoint = c.ApplyConfig()
-				data, err = operatorsc.BuildApplyConfigPayload(*operatorsApplyConfigBodyFlag, *operatorsApplyConfigAllowNoServiceFlag, *operatorsApplyConfigBaseRevisionFlag, *operatorsApplyConfigEditIDFlag, *operatorsApplyConfigTokenFlag)
+				data, err = operatorsc.BuildApplyConfigPayload(*operatorsApplyConfigBodyFlag, *operatorsApplyConfigAllowNoServiceFlag, *operatorsApplyConfigAllowMinorityFlag, *operatorsApplyConfigBaseRevisionFlag, *operatorsApplyConfigEditIDFlag, *operatorsApplyConfigTokenFlag)
+			case "rollback-config":
+				endpoint = c.RollbackConfig()
+				data, err = operatorsc.BuildRollbackConfigPayload(*operatorsRollbackConfigToRevisionFlag, *operatorsRollbackConfigAllowNoServiceFlag, *operatorsRollbackConfigAllowMinorityFlag, *operatorsRollbackConfigBaseRevisionFlag, *operatorsRollbackConfigEditIDFlag, *operatorsRollbackConfigTokenFlag)
 			case "config-status":
 				endpoint = c.ConfigStatus()
 				data, err = operatorsc.BuildConfigStatusPayload(*operatorsConfigStatusTokenFlag)
@@ -304,7 +320,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers addresses --token \"Numquam ducimus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers addresses --token \"Sint totam.\"")
 }
 
 func callersCompleteUsage() {
@@ -326,7 +342,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"deadline_ms\": 2726500,\n      \"from_offset\": 5142932427319957047,\n      \"max_tokens\": 11966,\n      \"model\": \"2l\",\n      \"priority\": 1,\n      \"prompt\": \"x8r\"\n   }' --request-id \"pvv\" --token \"Non exercitationem saepe animi.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"deadline_ms\": 3446315,\n      \"from_offset\": 7989877088303355449,\n      \"max_tokens\": 12087,\n      \"model\": \"p\",\n      \"priority\": -1,\n      \"prompt\": \"5o\"\n   }' --request-id \"ruj\" --token \"Laborum dolorem.\"")
 }
 
 func callersIssueOperationUsage() {
@@ -346,7 +362,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers issue-operation --body '{\n      \"back_end\": \"rh8\"\n   }' --token \"Reprehenderit qui quia laborum dolorem suscipit quidem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers issue-operation --body '{\n      \"back_end\": \"cc\"\n   }' --token \"Culpa nisi beatae cum est.\"")
 }
 
 func callersOutcomeUsage() {
@@ -366,7 +382,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers outcome --operation-id \"x8g\" --token \"Sed officiis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers outcome --operation-id \"sja\" --token \"Eum eveniet reiciendis.\"")
 }
 
 func callersCallUsage() {
@@ -400,7 +416,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --back-end \"rvz\" --operation \"a6k\" --request-id \"rfo\" --operation-id \"csb\" --idempotency-key \"ymw\" --deadline-ms 60639 --content-type \"ggm\" --token \"Ut id natus dolores culpa enim.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --back-end \"odc\" --operation \"bpy\" --request-id \"w5y\" --operation-id \"gm6\" --idempotency-key \"dz4\" --deadline-ms 313635 --content-type \"ww7\" --token \"Exercitationem rerum.\" --stream \"goa.png\"")
 }
 
 // operatorsUsage displays the usage of the operators command and its
@@ -411,6 +427,7 @@
 	fmt.Fprintln(os.Stderr, "COMMAND:")
 	fmt.Fprintln(os.Stderr, `    get-config: GetConfig implements get_config.`)
 	fmt.Fprintln(os.Stderr, `    apply-config: Accepts a whole configuration on top of the named base revision.`)
+	fmt.Fprintln(os.Stderr, `    rollback-config: Accepts the content of an earlier revision as a new, higher one.`)
 	fmt.Fprintln(os.Stderr, `    config-status: ConfigStatus implements config_status.`)
 	fmt.Fprintln(os.Stderr, `    config-history: ConfigHistory implements config_history.`)
 	fmt.Fprintln(os.Stderr)
@@ -434,7 +451,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get-config --revision 16844701975563772379 --token \"Maxime suscipit.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get-config --revision 383621814713922228 --token \"Sequi sunt delectus.\"")
 }
 
 func operatorsApplyConfigUsage() {
@@ -442,6 +459,7 @@
 	fmt.Fprintf(os.Stderr, "%s [flags] operators apply-config", os.Args[0])
 	fmt.Fprint(os.Stderr, " -body JSON")
 	fmt.Fprint(os.Stderr, " -allow-no-service BOOL")
+	fmt.Fprint(os.Stderr, " -allow-minority BOOL")
 	fmt.Fprint(os.Stderr, " -base-revision UINT64")
 	fmt.Fprint(os.Stderr, " -edit-id STRING")
 	fmt.Fprint(os.Stderr, " -token STRING")
@@ -454,13 +472,42 @@
 	// Flags list
 	fmt.Fprintln(os.Stderr, `    -body JSON: `)
 	fmt.Fprintln(os.Stderr, `    -allow-no-service BOOL: `)
+	fmt.Fprintln(os.Stderr, `    -allow-minority BOOL: `)
+	fmt.Fprintln(os.Stderr, `    -base-revision UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -edit-id STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply-config --body \"Suscipit recusandae eum aperiam pariatur doloribus.\" --allow-no-service false --allow-minority true --base-revision 586535773456308208 --edit-id \"qjp\" --token \"Odit ipsam non voluptas architecto.\"")
+}
+
+func operatorsRollbackConfigUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operators rollback-config", os.Args[0])
+	fmt.Fprint(os.Stderr, " -to-revision UINT64")
+	fmt.Fprint(os.Stderr, " -allow-no-service BOOL")
+	fmt.Fprint(os.Stderr, " -allow-minority BOOL")
+	fmt.Fprint(os.Stderr, " -base-revision UINT64")
+	fmt.Fprint(os.Stderr, " -edit-id STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Accepts the content of an earlier revision as a new, higher one.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -to-revision UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -allow-no-service BOOL: `)
+	fmt.Fprintln(os.Stderr, `    -allow-minority BOOL: `)
 	fmt.Fprintln(os.Stderr, `    -base-revision UINT64: `)
 	fmt.Fprintln(os.Stderr, `    -edit-id STRING: `)
 	fmt.Fprintln(os.Stderr, `    -token STRING: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply-config --body \"Minima tempore quas eos.\" --allow-no-service false --base-revision 8049541585619420465 --edit-id \"r17\" --token \"Atque tempore non quibusdam quam eos molestiae.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators rollback-config --to-revision 3349532865076543842 --allow-no-service true --allow-minority true --base-revision 13891474076705989266 --edit-id \"wrc\" --token \"Rerum doloremque at.\"")
 }
 
 func operatorsConfigStatusUsage() {
@@ -478,7 +525,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-status --token \"Aperiam pariatur doloribus voluptatem sit nam harum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-status --token \"Molestiae sed.\"")
 }
 
 func operatorsConfigHistoryUsage() {
@@ -498,7 +545,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-history --limit 40 --token \"Molestiae laborum quia dolor.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-history --limit 668 --token \"Quod a placeat voluptas ea.\"")
 }
 
 // timelineUsage displays the usage of the timeline command and its subcommands.
@@ -534,5 +581,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "timeline query --filter \"1cj\" --since 6816044820203104032 --limit 12299 --scope \"process\" --token \"Tempora quas quia.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "timeline query --filter \"3kv\" --since 955018826535132947 --limit 7210 --scope \"process\" --token \"Omnis doloremque.\"")
 }
--- a/api/gen/http/operators/client/types.go
+++ b/api/gen/http/operators/client/types.go
@@ -28,14 +28,24 @@
 	Already *bool `form:"already,omitempty" json:"already,omitempty" xml:"already,omitempty"`
 }
 
+// RollbackConfigResponseBody is the type of the "operators" service
+// "rollback_config" endpoint HTTP response body.
+type RollbackConfigResponseBody struct {
+	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
+	// True when this edit id was accepted before
+	Already *bool `form:"already,omitempty" json:"already,omitempty" xml:"already,omitempty"`
+}
+
 // ConfigStatusResponseBody is the type of the "operators" service
 // "config_status" endpoint HTTP response body.
 type ConfigStatusResponseBody struct {
 	Revision       *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
 	StoreReachable *bool   `form:"store_reachable,omitempty" json:"store_reachable,omitempty" xml:"store_reachable,omitempty"`
 	// Age of the last confirmation of the head
-	FreshnessMs *int64                         `form:"freshness_ms,omitempty" json:"freshness_ms,omitempty" xml:"freshness_ms,omitempty"`
-	Processes   []*ProcessRevisionResponseBody `form:"processes,omitempty" json:"processes,omitempty" xml:"processes,omitempty"`
+	FreshnessMs *int64 `form:"freshness_ms,omitempty" json:"freshness_ms,omitempty" xml:"freshness_ms,omitempty"`
+	// fresh, service_down or isolated
+	Freshness *string                        `form:"freshness,omitempty" json:"freshness,omitempty" xml:"freshness,omitempty"`
+	Processes []*ProcessRevisionResponseBody `form:"processes,omitempty" json:"processes,omitempty" xml:"processes,omitempty"`
 }
 
 // ProcessRevisionResponseBody is used to define fields on response body types.
@@ -82,6 +92,17 @@
 	return v
 }
 
+// NewRollbackConfigConfigAcceptedOK builds a "operators" service
+// "rollback_config" endpoint result from a HTTP "OK" response.
+func NewRollbackConfigConfigAcceptedOK(body *RollbackConfigResponseBody) *operators.ConfigAccepted {
+	v := &operators.ConfigAccepted{
+		Revision: *body.Revision,
+		Already:  *body.Already,
+	}
+
+	return v
+}
+
 // NewConfigStatusRevisionStatusOK builds a "operators" service "config_status"
 // endpoint result from a HTTP "OK" response.
 func NewConfigStatusRevisionStatusOK(body *ConfigStatusResponseBody) *operators.RevisionStatus {
@@ -89,6 +110,7 @@
 		Revision:       *body.Revision,
 		StoreReachable: *body.StoreReachable,
 		FreshnessMs:    *body.FreshnessMs,
+		Freshness:      *body.Freshness,
 	}
 	v.Processes = make([]*operators.ProcessRevision, len(body.Processes))
 	for i, val := range body.Processes {
@@ -141,6 +163,18 @@
 	return
 }
 
+// ValidateRollbackConfigResponseBody runs the validations defined on
+// rollback_config_response_body
+func ValidateRollbackConfigResponseBody(body *RollbackConfigResponseBody) (err error) {
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	if body.Already == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("already", "body"))
+	}
+	return
+}
+
 // ValidateConfigStatusResponseBody runs the validations defined on
 // config_status_response_body
 func ValidateConfigStatusResponseBody(body *ConfigStatusResponseBody) (err error) {
@@ -153,6 +187,9 @@
 	if body.FreshnessMs == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("freshness_ms", "body"))
 	}
+	if body.Freshness == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("freshness", "body"))
+	}
 	if body.Processes == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("processes", "body"))
 	}
--- a/api/gen/http/operators/server/types.go
+++ b/api/gen/http/operators/server/types.go
@@ -27,14 +27,24 @@
 	Already bool `form:"already" json:"already" xml:"already"`
 }
 
+// RollbackConfigResponseBody is the type of the "operators" service
+// "rollback_config" endpoint HTTP response body.
+type RollbackConfigResponseBody struct {
+	Revision uint64 `form:"revision" json:"revision" xml:"revision"`
+	// True when this edit id was accepted before
+	Already bool `form:"already" json:"already" xml:"already"`
+}
+
 // ConfigStatusResponseBody is the type of the "operators" service
 // "config_status" endpoint HTTP response body.
 type ConfigStatusResponseBody struct {
 	Revision       uint64 `form:"revision" json:"revision" xml:"revision"`
 	StoreReachable bool   `form:"store_reachable" json:"store_reachable" xml:"store_reachable"`
 	// Age of the last confirmation of the head
-	FreshnessMs int64                          `form:"freshness_ms" json:"freshness_ms" xml:"freshness_ms"`
-	Processes   []*ProcessRevisionResponseBody `form:"processes" json:"processes" xml:"processes"`
+	FreshnessMs int64 `form:"freshness_ms" json:"freshness_ms" xml:"freshness_ms"`
+	// fresh, service_down or isolated
+	Freshness string                         `form:"freshness" json:"freshness" xml:"freshness"`
+	Processes []*ProcessRevisionResponseBody `form:"processes" json:"processes" xml:"processes"`
 }
 
 // ConfigHistoryResponseBody is the type of the "operators" service
@@ -83,6 +93,16 @@
 	return body
 }
 
+// NewRollbackConfigResponseBody builds the HTTP response body from the result
+// of the "rollback_config" endpoint of the "operators" service.
+func NewRollbackConfigResponseBody(res *operators.ConfigAccepted) *RollbackConfigResponseBody {
+	body := &RollbackConfigResponseBody{
+		Revision: res.Revision,
+		Already:  res.Already,
+	}
+	return body
+}
+
 // NewConfigStatusResponseBody builds the HTTP response body from the result of
 // the "config_status" endpoint of the "operators" service.
 func NewConfigStatusResponseBody(res *operators.RevisionStatus) *ConfigStatusResponseBody {
@@ -90,6 +110,7 @@
 		Revision:       res.Revision,
 		StoreReachable: res.StoreReachable,
 		FreshnessMs:    res.FreshnessMs,
+		Freshness:      res.Freshness,
 	}
 	if res.Processes != nil {
 		body.Processes = make([]*ProcessRevisionResponseBody, len(res.Processes))
@@ -131,12 +152,13 @@
 
 // NewApplyConfigPayload builds a operators service apply_config endpoint
 // payload.
-func NewApplyConfigPayload(body any, allowNoService bool, baseRevision uint64, editID string, token string) *operators.ApplyConfigPayload {
+func NewApplyConfigPayload(body any, allowNoService bool, allowMinority bool, baseRevision uint64, editID string, token string) *operators.ApplyConfigPayload {
 	v := body
 	res := &operators.ApplyConfigPayload{
 		Document: v,
 	}
 	res.AllowNoService = allowNoService
+	res.AllowMinority = allowMinority
 	res.BaseRevision = baseRevision
 	res.EditID = editID
 	res.Token = token
@@ -144,6 +166,20 @@
 	return res
 }
 
+// NewRollbackConfigPayload builds a operators service rollback_config endpoint
+// payload.
+func NewRollbackConfigPayload(toRevision uint64, allowNoService bool, allowMinority bool, baseRevision uint64, editID string, token string) *operators.RollbackConfigPayload {
+	v := &operators.RollbackConfigPayload{}
+	v.ToRevision = toRevision
+	v.AllowNoService = allowNoService
+	v.AllowMinority = allowMinority
+	v.BaseRevision = baseRevision
+	v.EditID = editID
+	v.Token = token
+
+	return v
+}
+
 // NewConfigStatusPayload builds a operators service config_status endpoint
 // payload.
 func NewConfigStatusPayload(token string) *operators.ConfigStatusPayload {
--- a/configsync/record.go
+++ b/configsync/record.go
@@ -115,6 +115,9 @@
 	Changes  []config.Delta `json:"changes"`
 }
 
+// ErrorDetail returns what an error answer shows to programs.
+func (c *Conflict) ErrorDetail() any { return c }
+
 // maxPatchShown bounds how much of each change is repeated in the message.
 const maxPatchShown = 300
 
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -42,8 +42,8 @@
 	Body   []byte
 }
 
-// Any sends the request to the first entry that answers. An answer with an
-// error kind is returned as that error; it is not tried elsewhere.
+// Any sends the request to the first entry that can answer it. Another error is
+// returned and not tried elsewhere.
 func (c *Client) Any(ctx context.Context, r Request, into any) error {
 	if len(c.Entries) == 0 {
 		return errkind.New(errkind.InvalidRequest, "no entry is given; use --entry")
@@ -51,7 +51,9 @@
 	var err error
 	for _, e := range c.Entries {
 		err = c.Do(ctx, e, r, into)
-		if errkind.KindOf(err) != errkind.TargetUnreachable {
+		switch errkind.KindOf(err) {
+		case errkind.TargetUnreachable, errkind.StoreUnavailable, errkind.NotReady, errkind.Isolated:
+		default:
 			return err
 		}
 	}
@@ -92,7 +94,10 @@
 }
 
 func answerError(status int, data []byte) error {
-	var a httpapi.ErrorAnswer
+	var a struct {
+		httpapi.ErrorAnswer
+		Detail json.RawMessage `json:"detail"`
+	}
 	if err := json.Unmarshal(data, &a); err != nil {
 		return errkind.New(errkind.Internal, "status %d: %s", status, bytes.TrimSpace(data))
 	}
@@ -100,7 +105,11 @@
 	if !ok {
 		kind = errkind.Internal
 	}
-	return errkind.New(kind, "%s", a.Message).WithRetryAfter(time.Duration(a.RetryAfterMs) * time.Millisecond)
+	e := errkind.New(kind, "%s", a.Message)
+	if len(a.Detail) > 0 {
+		e = errkind.Wrap(errors.New(string(a.Detail)), kind, "%s", a.Message)
+	}
+	return e.WithRetryAfter(time.Duration(a.RetryAfterMs) * time.Millisecond)
 }
 
 // Timeline gathers the events that the filter selects from all entries and
--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -24,8 +24,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(devCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand())
-	root.AddCommand(zoneCommand())
+	root.AddCommand(devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand())
 	return root
 }
 
--- a/ctl/command/zone.go
+++ b/ctl/command/zone.go
@@ -7,7 +7,6 @@
 	"io"
 	"slices"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/skylarkstep/skylarkstep/config"
@@ -27,7 +26,7 @@
 }
 
 func zoneChange(name string, out bool) *cobra.Command {
-	var conn connection
+	conn := &operatorFlags{}
 	z := zoneEdit{out: out}
 	cmd := &cobra.Command{
 		Use:     name + " ZONE",
@@ -44,13 +43,12 @@
 			if err != nil {
 				return err
 			}
-			return conn.print(cmd.OutOrStdout(), a, func(w io.Writer) error {
-				_, err := fmt.Fprintf(w, "data centre %s is %s as of revision %d\n", z.zone, name, a.Revision)
-				return errors.WithStack(err)
+			return conn.print(cmd.OutOrStdout(), a, func(w io.Writer) {
+				_, _ = fmt.Fprintf(w, "data centre %s is %s as of revision %d\n", z.zone, name, a.Revision)
 			})
 		},
 	}
-	conn.addFlags(cmd)
+	conn.register(cmd)
 	cmd.Flags().BoolVar(&z.allow, "allow-no-service", false, "accept even if a customer is left with no data centre")
 	return cmd
 }
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/errkind"
@@ -25,8 +26,14 @@
 	model    engine.Model
 	service  engine.Service
 
-	config atomic.Pointer[config.Config]
-	work   node.Inflight
+	config    atomic.Pointer[config.Config]
+	replicaMu sync.Mutex
+	replica   configsync.Replica
+	// onReturn runs when operators bring this target or its data centre back,
+	// for example to restart the warm-up ramp.
+	onReturn func()
+
+	work node.Inflight
 
 	mu       sync.Mutex
 	sessions map[*wire.Session]*node.Heartbeats
