--- a/ctl/client/config.go
+++ b/ctl/client/config.go
@@ -32,6 +32,18 @@
 	ID             string
 	Document       *config.Config
 	AllowNoService bool
+	AllowMinority  bool
+}
+
+func (e *Edit) query() url.Values {
+	return url.Values{
+		"allow_no_service": {strconv.FormatBool(e.AllowNoService)},
+		"allow_minority":   {strconv.FormatBool(e.AllowMinority)},
+	}
+}
+
+func (e *Edit) header() http.Header {
+	return http.Header{"If-Match": {strconv.FormatUint(e.Base, 10)}, "Edit-Id": {e.ID}}
 }
 
 // Config returns the configuration in force at an entry.
@@ -48,13 +60,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	r := Request{
-		Method: http.MethodPut,
-		Path:   "/v1/config",
-		Query:  url.Values{"allow_no_service": {strconv.FormatBool(e.AllowNoService)}},
-		Header: http.Header{"If-Match": {strconv.FormatUint(e.Base, 10)}, "Edit-Id": {e.ID}},
-		Body:   body,
-	}
+	r := Request{Method: http.MethodPut, Path: "/v1/config", Query: e.query(), Header: e.header(), Body: body}
 	return c.change(ctx, r)
 }
 
@@ -74,3 +80,73 @@
 	}
 	return nil, err
 }
+
+// ConfigAt returns the configuration of an earlier revision.
+func (c *Client) ConfigAt(ctx context.Context, revision uint64) (*ConfigDocument, error) {
+	var doc ConfigDocument
+	q := url.Values{"revision": {strconv.FormatUint(revision, 10)}}
+	err := c.Any(ctx, Request{Method: http.MethodGet, Path: "/v1/config", Query: q}, &doc)
+	return &doc, err
+}
+
+// Rollback accepts the content of an earlier revision as a new one.
+func (c *Client) Rollback(ctx context.Context, to uint64, e Edit) (*Accepted, error) {
+	q := e.query()
+	q.Set("to_revision", strconv.FormatUint(to, 10))
+	return c.change(ctx, Request{Method: http.MethodPost, Path: "/v1/config/rollback", Query: q, Header: e.header()})
+}
+
+// ProcessRevision is the revision that one process has in force.
+type ProcessRevision struct {
+	Name       string `json:"name"`
+	Role       string `json:"role"`
+	DataCentre string `json:"data_centre"`
+	State      string `json:"state"`
+	Revision   uint64 `json:"revision"`
+	InForce    bool   `json:"in_force"`
+	HeardMsAgo int64  `json:"heard_ms_ago"`
+}
+
+// Status tells where the revision of an entry is in force.
+type Status struct {
+	Revision       uint64            `json:"revision"`
+	StoreReachable bool              `json:"store_reachable"`
+	FreshnessMs    int64             `json:"freshness_ms"`
+	Freshness      string            `json:"freshness"`
+	Processes      []ProcessRevision `json:"processes"`
+}
+
+// Lacking returns the processes that do not have the revision in force.
+func (s *Status) Lacking(revision uint64) []ProcessRevision {
+	var list []ProcessRevision
+	for _, p := range s.Processes {
+		if p.Revision < revision {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// Status asks an entry which processes have which revision in force.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	var s Status
+	err := c.Any(ctx, Request{Method: http.MethodGet, Path: "/v1/config/status"}, &s)
+	return &s, err
+}
+
+// HistoryItem is one accepted change.
+type HistoryItem struct {
+	Revision uint64          `json:"revision"`
+	EditID   string          `json:"edit_id"`
+	Author   string          `json:"author"`
+	Time     string          `json:"time"`
+	Patch    json.RawMessage `json:"patch"`
+}
+
+// History lists the last accepted changes, newest first.
+func (c *Client) History(ctx context.Context, limit int) ([]HistoryItem, error) {
+	var list []HistoryItem
+	q := url.Values{"limit": {strconv.Itoa(limit)}}
+	err := c.Any(ctx, Request{Method: http.MethodGet, Path: "/v1/config/history", Query: q}, &list)
+	return list, err
+}
--- /dev/null
+++ b/ctl/command/config.go
@@ -0,0 +1,225 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/ctl/client"
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+const (
+	defaultWaitBound = 10 * time.Second
+	statusInterval   = 100 * time.Millisecond
+)
+
+func configCommand() *cobra.Command {
+	f := &operatorFlags{}
+	cmd := &cobra.Command{
+		Use:   "config",
+		Short: "Check, change and follow the configuration",
+		Long: "Exit codes: 0 done, 1 other failure, 2 faults in the document or the arguments, 3 another edit was\n" +
+			"accepted first, 4 no entry or no key-value service answered, 5 not in force everywhere within the bound.",
+	}
+	f.register(cmd)
+	cmd.AddCommand(validateCommand(f), diffCommand(f), applyCommand(f), statusCommand(f), historyCommand(f),
+		rollbackCommand(f), waitCommand(f))
+	return cmd
+}
+
+func readConfig(file string) (*config.Config, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidRequest, "read configuration")
+	}
+	c, err := config.ParseConfig(data)
+	return c, errors.WithMessage(err, file)
+}
+
+func validateCommand(f *operatorFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:     "validate FILE",
+		Short:   "Check a configuration file without an entry",
+		Example: "  skylarkctl config validate cabina-norte.json --output json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, err := readConfig(args[0])
+			faults := config.Faults{}
+			if err != nil && !errors.As(err, &faults) {
+				return err
+			}
+			if f.output == "json" {
+				if perr := f.print(cmd.OutOrStdout(), faults, nil); perr != nil {
+					return perr
+				}
+				return err
+			}
+			if err == nil {
+				_, _ = fmt.Fprintf(cmd.OutOrStdout(), "%s is valid\n", args[0])
+			}
+			return err
+		},
+	}
+}
+
+// diffTo returns the merge patch from the configuration in force to c.
+func diffTo(ctx context.Context, cl *client.Client, c *config.Config) (*client.ConfigDocument, []byte, error) {
+	doc, err := cl.Config(ctx)
+	if errkind.KindOf(err) == errkind.NotReady {
+		doc, err = &client.ConfigDocument{}, nil
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	from := []byte("{}")
+	if doc.Document != nil {
+		if from, err = doc.Document.Tree(); err != nil {
+			return nil, nil, err
+		}
+	}
+	to, err := c.Tree()
+	if err != nil {
+		return nil, nil, err
+	}
+	patch, err := config.Diff(from, to)
+	return doc, patch, err
+}
+
+func diffCommand(f *operatorFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:     "diff FILE",
+		Short:   "Show what applying a file would change, as a JSON merge patch",
+		Example: "  skylarkctl config diff cabina-norte.json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := readConfig(args[0])
+			if err != nil {
+				return err
+			}
+			cl, err := f.client()
+			if err != nil {
+				return err
+			}
+			_, patch, err := diffTo(cmd.Context(), cl, c)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s\n", patch)
+			return errors.WithStack(err)
+		},
+	}
+}
+
+// editFlags are common to the commands that change the configuration.
+type editFlags struct {
+	client.Edit
+	wait  bool
+	bound time.Duration
+}
+
+func (e *editFlags) register(cmd *cobra.Command) {
+	cmd.Flags().Uint64Var(&e.Base, "base", 0, "revision that the edit was made on (default: the one in force)")
+	cmd.Flags().StringVar(&e.ID, "edit-id", "", "id of the edit; use it again to repeat after a lost answer (default: random)")
+	cmd.Flags().BoolVar(&e.AllowNoService, "allow-no-service", false, "accept even if a customer is left with no data centre")
+	cmd.Flags().BoolVar(&e.AllowMinority, "allow-minority", false, "accept at an entry that hears fewer than a majority of the entries")
+	cmd.Flags().BoolVar(&e.wait, "wait", false, "wait until every process has the revision in force")
+	cmd.Flags().DurationVar(&e.bound, "bound", defaultWaitBound, "longest wait")
+}
+
+// finish prints the accepted revision and waits for it if asked to.
+func (e *editFlags) finish(cmd *cobra.Command, f *operatorFlags, cl *client.Client, a *client.Accepted) error {
+	if err := f.print(cmd.OutOrStdout(), a, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "revision %d accepted, edit id %s\n", a.Revision, e.ID)
+	}); err != nil {
+		return err
+	}
+	if !e.wait {
+		return nil
+	}
+	return waitInForce(cmd.Context(), cl, cmd.ErrOrStderr(), a.Revision, e.bound)
+}
+
+func applyCommand(f *operatorFlags) *cobra.Command {
+	var e editFlags
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Make a file the accepted configuration",
+		Example: "  skylarkctl config apply cabina-norte.json --wait\n" +
+			"  skylarkctl config apply cabina-norte.json --base 41 --edit-id 2026-12-04-burgos",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := readConfig(args[0])
+			if err != nil {
+				return err
+			}
+			cl, err := f.client()
+			if err != nil {
+				return err
+			}
+			if !cmd.Flags().Changed("base") {
+				doc, _, err := diffTo(cmd.Context(), cl, c)
+				if err != nil {
+					return err
+				}
+				e.Base = doc.Revision
+			}
+			if e.ID == "" {
+				e.ID = rand.Text()
+			}
+			e.Document = c
+			a, err := cl.Apply(cmd.Context(), e.Edit)
+			if err != nil {
+				return errors.WithMessagef(err, "edit id %s", e.ID)
+			}
+			return e.finish(cmd, f, cl, a)
+		},
+	}
+	e.register(cmd)
+	return cmd
+}
+
+func rollbackCommand(f *operatorFlags) *cobra.Command {
+	var e editFlags
+	cmd := &cobra.Command{
+		Use:     "rollback REVISION",
+		Short:   "Accept the content of an earlier revision as a new, higher one",
+		Example: "  skylarkctl config rollback 41 --wait",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			to, err := strconv.ParseUint(args[0], 10, 64)
+			if err != nil {
+				return errkind.Wrap(err, errkind.InvalidRequest, "REVISION")
+			}
+			cl, err := f.client()
+			if err != nil {
+				return err
+			}
+			if e.Base == 0 {
+				doc, err := cl.Config(cmd.Context())
+				if err != nil {
+					return err
+				}
+				e.Base = doc.Revision
+			}
+			if e.ID == "" {
+				e.ID = rand.Text()
+			}
+			a, err := cl.Rollback(cmd.Context(), to, e.Edit)
+			if err != nil {
+				return errors.WithMessagef(err, "edit id %s", e.ID)
+			}
+			return e.finish(cmd, f, cl, a)
+		},
+	}
+	e.register(cmd)
+	return cmd
+}
--- /dev/null
+++ b/ctl/command/config_test.go
@@ -0,0 +1,109 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/ctl/dev"
+)
+
+// deployment runs the entries and two targets of an example on free ports.
+func deployment(t *testing.T) *dev.Deployment {
+	data, err := os.ReadFile("../../examples/cabina-norte.json")
+	require.NoError(t, err)
+	c, err := config.ParseConfig(data)
+	require.NoError(t, err)
+	c.Inventory.Targets = []config.Target{c.Inventory.Targets[0], c.Inventory.Targets[len(c.Inventory.Targets)-1]}
+	c.Inventory.Groups = nil
+	free := func() string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = ln.Close() }()
+		return ln.Addr().String()
+	}
+	for i := range c.Inventory.Targets {
+		c.Inventory.Targets[i].PeerAddr, c.Inventory.Targets[i].Group = free(), ""
+	}
+	for i := range c.Inventory.Entries {
+		c.Inventory.Entries[i].PeerAddr, c.Inventory.Entries[i].HTTPAddr = free(), free()
+	}
+	d, err := dev.Start(context.Background(), dev.Options{Config: c})
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	require.NoError(t, d.WaitReady(context.Background()))
+	t.Setenv(tokenVariable, dev.OperatorToken)
+	t.Setenv(entriesVariable, d.EntryURL())
+	return d
+}
+
+// run executes a command line and returns its output and exit code.
+func run(args ...string) (string, int) {
+	var out bytes.Buffer
+	root := Root()
+	root.SetOut(&out)
+	root.SetErr(&out)
+	root.SetArgs(args)
+	err := root.Execute()
+	if err != nil {
+		out.WriteString(err.Error())
+	}
+	return out.String(), ExitCode(err)
+}
+
+// Guards against a command of an operator's edit that fails, or that ends with
+// another exit code than the documented one.
+func TestConfigCommands(t *testing.T) {
+	d := deployment(t)
+	edited := *d.Config
+	edited.Rules.AddressTTLMs = 1234
+	data, err := json.Marshal(&edited)
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "edited.json")
+	require.NoError(t, os.WriteFile(file, data, 0o600))
+	broken := filepath.Join(t.TempDir(), "broken.json")
+	require.NoError(t, os.WriteFile(broken, []byte(`{"inventory":{},"rules":{"colour":1}}`), 0o600))
+
+	zone := d.Config.Inventory.DataCentres[0].Name
+	for _, step := range []struct {
+		name string
+		args string
+		exit int
+		want string
+	}{
+		{"valid", "config validate " + file, ExitOK, "is valid"},
+		{"faults", "config validate " + broken, ExitInvalid, "colour"},
+		{"diff", "config diff " + file, ExitOK, `{"rules":{"address_ttl_ms":1234}}`},
+		{"apply", "config apply " + file + " --wait --edit-id edit-id-1", ExitOK, "revision 2 accepted"},
+		{"repeat", "config apply " + file + " --base 1 --edit-id edit-id-1 --output json", ExitOK, `"already": true`},
+		{"conflict", "config apply " + file + " --base 1", ExitConflict, "revision 2 by dev changed"},
+		{"status", "config status", ExitOK, "revision 2, fresh"},
+		{"zone out", "zone out " + zone, ExitOK, "revision 3"},
+		{"zone out again", "zone out " + zone, ExitOK, "revision 3"},
+		{"unknown zone", "zone out nowhere", ExitInvalid, "does not exist"},
+		{"zone in", "zone in " + zone, ExitOK, "revision 4"},
+		{"rollback", "config rollback 1 --wait", ExitOK, "revision 5 accepted"},
+		{"history", "config history --limit 2", ExitOK, `{"rules":{"address_ttl_ms":10000}}`},
+		{"wait", "config wait 5", ExitOK, "in force in"},
+		{"not in force", "config wait 6 --bound 1ms", ExitNotInForce, "revision 6 is not in force in"},
+		{"unavailable", "config status --entry http://127.0.0.1:1", ExitUnavailable, "does not answer"},
+	} {
+		out, exit := run(strings.Fields(step.args)...)
+		require.Equal(t, step.exit, exit, "%s: %s", step.name, out)
+		assert.Contains(t, out, step.want, step.name)
+	}
+	last := d.Config.Inventory.Targets[1].Name
+	require.NoError(t, d.Stop(context.Background(), last))
+	out, exit := run("config", "apply", file, "--wait", "--bound", "1s")
+	assert.Equal(t, ExitNotInForce, exit, out)
+	assert.Contains(t, out, last+" (gone")
+}
--- /dev/null
+++ b/ctl/command/configstatus.go
@@ -0,0 +1,146 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/skylarkstep/skylarkstep/ctl/client"
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+// notInForceError says which processes lack a revision. Its exit code is
+// ExitNotInForce.
+type notInForceError struct {
+	revision uint64
+	lacking  []client.ProcessRevision
+}
+
+// Error implements error.
+func (e *notInForceError) Error() string {
+	names := make([]string, 0, len(e.lacking))
+	for _, p := range e.lacking {
+		names = append(names, fmt.Sprintf("%s (%s, revision %d)", p.Name, p.State, p.Revision))
+	}
+	return fmt.Sprintf("revision %d is not in force in %s", e.revision, strings.Join(names, ", "))
+}
+
+// waitInForce waits until every process has the revision in force.
+func waitInForce(ctx context.Context, cl *client.Client, progress io.Writer, revision uint64, bound time.Duration) error {
+	start := time.Now()
+	for {
+		st, err := cl.Status(ctx)
+		if err == nil && st.Revision >= revision {
+			lacking := st.Lacking(revision)
+			if len(lacking) == 0 {
+				_, _ = fmt.Fprintf(progress, "revision %d is in force in %d processes after %d ms\n",
+					revision, len(st.Processes), time.Since(start).Milliseconds())
+				return nil
+			}
+			if time.Since(start) > bound {
+				return &notInForceError{revision, lacking}
+			}
+		}
+		if time.Since(start) > bound {
+			if err != nil {
+				return err
+			}
+			return &notInForceError{revision, st.Processes}
+		}
+		select {
+		case <-time.After(statusInterval):
+		case <-ctx.Done():
+			return errkind.From(ctx.Err())
+		}
+	}
+}
+
+func waitCommand(f *operatorFlags) *cobra.Command {
+	var bound time.Duration
+	cmd := &cobra.Command{
+		Use:     "wait REVISION",
+		Short:   "Wait until every process has a revision in force",
+		Example: "  skylarkctl config wait 42 --bound 10s",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			revision, err := strconv.ParseUint(args[0], 10, 64)
+			if err != nil {
+				return errkind.Wrap(err, errkind.InvalidRequest, "REVISION")
+			}
+			cl, err := f.client()
+			if err != nil {
+				return err
+			}
+			return waitInForce(cmd.Context(), cl, cmd.OutOrStdout(), revision, bound)
+		},
+	}
+	cmd.Flags().DurationVar(&bound, "bound", defaultWaitBound, "longest wait")
+	return cmd
+}
+
+func statusCommand(f *operatorFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:     "status",
+		Short:   "Show which processes have the revision in force",
+		Example: "  skylarkctl config status --output json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cl, err := f.client()
+			if err != nil {
+				return err
+			}
+			st, err := cl.Status(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return f.print(cmd.OutOrStdout(), st, func(w io.Writer) { printStatus(w, st) })
+		},
+	}
+}
+
+func printStatus(out io.Writer, st *client.Status) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "revision %d, %s, confirmed %d ms ago, key-value service reachable: %t\n",
+		st.Revision, st.Freshness, st.FreshnessMs, st.StoreReachable)
+	_, _ = fmt.Fprintln(w, "PROCESS\tROLE\tDATA CENTRE\tSTATE\tREVISION\tHEARD")
+	for _, p := range st.Processes {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d ms ago\n", p.Name, p.Role, p.DataCentre, p.State, p.Revision, p.HeardMsAgo)
+	}
+	_ = w.Flush()
+	if lacking := st.Lacking(st.Revision); len(lacking) > 0 {
+		_, _ = fmt.Fprintln(out, (&notInForceError{st.Revision, lacking}).Error())
+	}
+}
+
+func historyCommand(f *operatorFlags) *cobra.Command {
+	var limit int
+	cmd := &cobra.Command{
+		Use:     "history",
+		Short:   "List the accepted changes, newest first",
+		Example: "  skylarkctl config history --limit 5",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cl, err := f.client()
+			if err != nil {
+				return err
+			}
+			list, err := cl.History(cmd.Context(), limit)
+			if err != nil {
+				return err
+			}
+			return f.print(cmd.OutOrStdout(), list, func(w io.Writer) {
+				for _, h := range list {
+					_, _ = fmt.Fprintf(w, "%d  %s  %s  %s  %.200s\n", h.Revision, h.Time, h.Author, h.EditID, h.Patch)
+				}
+			})
+		},
+	}
+	cmd.Flags().IntVar(&limit, "limit", 20, "number of changes")
+	return cmd
+}
--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
@@ -24,6 +25,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(configCommand())
 	root.AddCommand(devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand())
 	return root
 }
@@ -33,12 +35,16 @@
 	if err == nil {
 		return ExitOK
 	}
+	var lacking *notInForceError
+	if errors.As(err, &lacking) {
+		return ExitNotInForce
+	}
 	switch errkind.KindOf(err) {
 	case errkind.InvalidConfig, errkind.InvalidRequest:
 		return ExitInvalid
 	case errkind.RevisionConflict, errkind.RevisionStale:
 		return ExitConflict
-	case errkind.StoreUnavailable, errkind.NotReady, errkind.TargetUnreachable:
+	case errkind.StoreUnavailable, errkind.NotReady, errkind.TargetUnreachable, errkind.Isolated:
 		return ExitUnavailable
 	default:
 		return ExitFailure
--- a/daemon/e2e/harness_test.go
+++ b/daemon/e2e/harness_test.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -64,8 +65,14 @@
 	log  *bytes.Buffer
 }
 
+var addrCount atomic.Uint32
+
+// freeAddr returns a loopback address of its own for each call. On a shared
+// address, the kernel may give the port to another socket before the process
+// under test listens on it.
 func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addrCount.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, n/250, 1+n%250))
 	require.NoError(t, err)
 	defer func() { _ = ln.Close() }()
 	return ln.Addr().String()
--- a/daemon/entry/apply.go
+++ b/daemon/entry/apply.go
@@ -33,7 +33,7 @@
 func (e *Entry) accept(ctx context.Context, allowMinority bool, run func(context.Context, uint64) (*configsync.Accepted, error)) (*configsync.Accepted, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	held, err := ask(ctx, e, func(c *control) uint64 { return c.replica.Revision() })
+	held, err := ask(ctx, e, (*control).revision)
 	if err != nil {
 		return nil, err
 	}
@@ -51,7 +51,8 @@
 	}
 	if !a.Already {
 		e.node.Events.Record(timeline.Event{Kind: timeline.RevisionAccepted, Revision: a.Revision, Detail: a.Delta.Author})
-		e.post(ctx, func(c *control) { c.acceptedHere(a) })
+		// The operator's next read at this entry must show the change.
+		_, _ = ask(ctx, e, func(c *control) bool { c.acceptedHere(a); return true })
 	}
 	return a, nil
 }
