--- a/api/design/operators.go
+++ b/api/design/operators.go
@@ -34,8 +34,9 @@
 	Attribute("revision", UInt64)
 	Attribute("store_reachable", Boolean)
 	Attribute("freshness_ms", Int64, "Age of the last confirmation of the head")
+	Attribute("freshness", String, "fresh, service_down or isolated")
 	Attribute("processes", ArrayOf(ProcessRevision))
-	Required("revision", "store_reachable", "freshness_ms", "processes")
+	Required("revision", "store_reachable", "freshness_ms", "freshness", "processes")
 })
 
 // HistoryItem is one accepted change.
@@ -72,6 +73,7 @@
 			Attribute("base_revision", UInt64, "Revision the edit was made on")
 			Attribute("edit_id", String, func() { MinLength(8); MaxLength(64) })
 			Attribute("allow_no_service", Boolean, func() { Default(false) })
+			Attribute("allow_minority", Boolean, "Accept at an entry that hears fewer than a majority", func() { Default(false) })
 			Attribute("document", Any)
 			Required("token", "base_revision", "edit_id", "document")
 		})
@@ -81,10 +83,33 @@
 			Header("base_revision:If-Match")
 			Header("edit_id:Edit-Id")
 			Param("allow_no_service")
+			Param("allow_minority")
 			Body("document")
 		})
 	})
 
+	Method("rollback_config", func() {
+		Description("Accepts the content of an earlier revision as a new, higher one.")
+		Payload(func() {
+			Token("token", String)
+			Attribute("base_revision", UInt64, "Revision accepted now")
+			Attribute("to_revision", UInt64, "Revision whose content is wanted")
+			Attribute("edit_id", String, func() { MinLength(8); MaxLength(64) })
+			Attribute("allow_no_service", Boolean, func() { Default(false) })
+			Attribute("allow_minority", Boolean, func() { Default(false) })
+			Required("token", "base_revision", "to_revision", "edit_id")
+		})
+		Result(ConfigAccepted)
+		HTTP(func() {
+			POST("/v1/config/rollback")
+			Header("base_revision:If-Match")
+			Header("edit_id:Edit-Id")
+			Param("to_revision")
+			Param("allow_no_service")
+			Param("allow_minority")
+		})
+	})
+
 	Method("config_status", func() {
 		Payload(func() {
 			Token("token", String)
--- a/api/gen/http/operators/client/client.go
+++ b/api/gen/http/operators/client/client.go
@@ -25,6 +25,10 @@
 	// apply_config endpoint.
 	ApplyConfigDoer goahttp.Doer
 
+	// RollbackConfig Doer is the HTTP client used to make requests to the
+	// rollback_config endpoint.
+	RollbackConfigDoer goahttp.Doer
+
 	// ConfigStatus Doer is the HTTP client used to make requests to the
 	// config_status endpoint.
 	ConfigStatusDoer goahttp.Doer
@@ -55,6 +59,7 @@
 	return &Client{
 		GetConfigDoer:       doer,
 		ApplyConfigDoer:     doer,
+		RollbackConfigDoer:  doer,
 		ConfigStatusDoer:    doer,
 		ConfigHistoryDoer:   doer,
 		RestoreResponseBody: restoreBody,
@@ -113,6 +118,30 @@
 	}
 }
 
+// RollbackConfig returns an endpoint that makes HTTP requests to the operators
+// service rollback_config server.
+func (c *Client) RollbackConfig() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeRollbackConfigRequest(c.encoder)
+		decodeResponse = DecodeRollbackConfigResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildRollbackConfigRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.RollbackConfigDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "rollback_config", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // ConfigStatus returns an endpoint that makes HTTP requests to the operators
 // service config_status server.
 func (c *Client) ConfigStatus() goa.Endpoint {
--- a/config/validate.go
+++ b/config/validate.go
@@ -50,6 +50,9 @@
 	return strings.Join(lines, "\n")
 }
 
+// ErrorDetail returns what an error answer shows to programs.
+func (f Faults) ErrorDetail() any { return f }
+
 // ParseConfig decodes and validates a configuration.
 func ParseConfig(data []byte) (*Config, error) {
 	var c Config
--- a/daemon/entry/configwatch.go
+++ b/daemon/entry/configwatch.go
@@ -5,101 +5,173 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"github.com/skylarkstep/skylarkstep/config"
-	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/timeline"
 )
 
-// headKey holds the accepted configuration.
-const headKey = "skylarkstep/config/head"
-
-const watchRetry = 500 * time.Millisecond
+const (
+	// headPoll is how often a watcher confirms the head. A watch alone does not
+	// show that it is still connected.
+	headPoll   = time.Second
+	watchRetry = 500 * time.Millisecond
+	// watchRetryLimit spreads reconnections over five seconds after an outage.
+	watchRetryLimit = 5 * time.Second
+)
 
-// watchConfig follows the head at the key-value service until ctx ends.
+// watchConfig reads the head at the start, and follows it while this entry is a
+// watcher, until ctx ends.
 func (e *Entry) watchConfig(ctx context.Context) {
+	retry := watchRetry
 	for ctx.Err() == nil {
-		if err := e.followHead(ctx); err != nil && ctx.Err() == nil {
-			e.node.Log.Warn("key-value service does not answer", "error", err)
+		pause := watchRetry
+		if e.watcher.Load() {
+			err := e.followHead(ctx)
+			if err != nil && ctx.Err() == nil {
+				e.post(ctx, func(c *control) { c.setReachable(false) })
+				e.node.Log.Warn("key-value service does not answer", "error", err)
+				pause = retry/2 + rand.N(retry)
+				retry = min(2*retry, watchRetryLimit)
+			} else {
+				retry = watchRetry
+			}
 		}
 		select {
-		case <-time.After(watchRetry + rand.N(watchRetry)):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
 }
 
+// followHead returns when the service does not answer or this entry is no
+// longer a watcher.
 func (e *Entry) followHead(ctx context.Context) error {
-	item, revision, err := e.kv.Get(ctx, headKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	at := time.Now()
+	st, err := e.store.Head(ctx)
+	if err != nil {
 		return err
 	}
-	if err == nil {
-		e.offer(ctx, item.Value)
+	if err := e.follow(ctx, st.Head, at); err != nil {
+		return err
 	}
-	changes, err := e.kv.Watch(ctx, headKey, revision)
+	changes, err := e.kv.Watch(ctx, configsync.HeadKey, st.ServiceRevision)
 	if err != nil {
 		return err
 	}
-	for events := range changes {
-		for _, ev := range events {
-			if !ev.Deleted {
-				e.offer(ctx, ev.Item.Value)
+	poll := time.NewTicker(headPoll)
+	defer poll.Stop()
+	for e.watcher.Load() {
+		select {
+		case events, ok := <-changes:
+			if !ok {
+				return nil
+			}
+			for _, ev := range events {
+				if ev.Deleted || ev.Err != nil {
+					continue
+				}
+				h, err := configsync.ParseHead(ev.Item.Value)
+				if err != nil {
+					return err
+				}
+				if err := e.follow(ctx, h, time.Time{}); err != nil {
+					return err
+				}
+			}
+		case <-poll.C:
+			at := time.Now()
+			st, err := e.store.Head(ctx)
+			if err != nil {
+				return err
+			}
+			if err := e.follow(ctx, st.Head, at); err != nil {
+				return err
 			}
 		}
 	}
 	return nil
 }
 
-func (e *Entry) offer(ctx context.Context, document []byte) {
-	next, err := config.ParseConfig(document)
+// follow puts the accepted revision into force. At is a moment before the head
+// was read, or zero for a watch event, which may have been delayed.
+func (e *Entry) follow(ctx context.Context, h *configsync.Head, at time.Time) error {
+	gap := make(chan bool, 1)
+	e.post(ctx, func(c *control) { gap <- c.headSeen(h, at) })
+	select {
+	case missing := <-gap:
+		if !missing {
+			return nil
+		}
+	case <-ctx.Done():
+		return nil
+	}
+	at = time.Now()
+	st, err := e.store.Load(ctx)
 	if err != nil {
-		e.node.Log.Error("configuration at the key-value service refused", "error", err)
-		return
+		return err
 	}
-	e.post(ctx, func(c *control) { c.install(next) })
+	e.post(ctx, func(c *control) {
+		changed, err := c.replica.Snapshot(st.Revision(), st.Tree)
+		if err != nil {
+			e.node.Log.Error("configuration at the key-value service refused", "error", err)
+			return
+		}
+		if changed {
+			c.installed()
+		}
+		c.headSeen(st.Head, at)
+	})
+	return nil
 }
 
-// apply accepts a configuration on top of the base revision.
-func (e *Entry) apply(ctx context.Context, base uint64, document []byte) (uint64, error) {
-	next, err := config.ParseConfig(document)
-	if err != nil {
-		return 0, err
+// headSeen compares the accepted revision with the one in force. It returns
+// true when the whole tree must be loaded.
+func (c *control) headSeen(h *configsync.Head, at time.Time) (gap bool) {
+	if h == nil {
+		c.trust(c.replica.Revision() == 0, 0, at)
+		return false
 	}
-	item, _, err := e.kv.Get(ctx, headKey)
-	var current config.Config
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-	case err != nil:
-		return 0, errkind.Wrap(err, errkind.StoreUnavailable, "read the head").WithDidRun(errkind.NotRun)
-	default:
-		parsed, err := config.ParseConfig(item.Value)
+	if h.Revision > c.replica.Revision() {
+		changed, gap, err := c.replica.Deltas(h.Deltas)
 		if err != nil {
-			return 0, err
+			c.entry.node.Log.Warn("deltas of the head do not fit", "error", err)
+		}
+		if changed {
+			c.installed()
+		}
+		if gap || c.replica.Revision() < h.Revision {
+			return true
 		}
-		current = *parsed
-	}
-	if current.Revision != base {
-		return 0, errkind.New(errkind.RevisionConflict, "based on revision %d, but %d is accepted", base, current.Revision)
 	}
-	next.Revision = base + 1
-	value, err := encode(next)
-	if err != nil {
-		return 0, err
+	c.trust(h.Revision == c.replica.Revision() && h.Digest == c.replica.Digest(), h.Revision, at)
+	return false
+}
+
+// trust confirms the revision in force, or raises an alarm when the store shows
+// less than that, as after a restore of a backup. Such a store counts as not
+// reachable: nothing changes and traffic goes on.
+func (c *control) trust(ok bool, shown uint64, at time.Time) {
+	if at.IsZero() && !ok {
+		return // an old watch event; the next read decides
 	}
-	res, err := e.kv.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: headKey, ModRevision: item.ModRevision}},
-		Puts:       []platform.Put{{Key: headKey, Value: value}},
-	})
-	if err != nil {
-		return 0, errkind.Wrap(err, errkind.StoreUnavailable, "write the head")
+	c.setReachable(ok)
+	switch {
+	case ok && at.After(c.confirmedAt):
+		c.confirmedAt = at
+		c.alarmed = false
+	case !ok && !c.alarmed:
+		c.alarmed = true
+		c.entry.node.Log.Error("key-value service shows another configuration than the one in force; keeping the one in force",
+			"shown", shown, "in_force", c.replica.Revision())
+		c.entry.node.Events.Record(timeline.Event{Kind: timeline.RevisionAlarm, Revision: shown})
 	}
-	if !res.Succeeded {
-		return 0, errkind.New(errkind.RevisionConflict, "another edit was accepted on revision %d", base)
+}
+
+// setReachable tells the other entries at once whether this one reaches the
+// store, since the rule for isolated processes depends on it.
+func (c *control) setReachable(ok bool) {
+	if c.entry.reachable.Swap(ok) != ok {
+		c.kickHeartbeats()
 	}
-	e.node.Events.Record(timeline.Event{Kind: timeline.RevisionAccepted, Revision: next.Revision})
-	e.post(ctx, func(c *control) { c.install(next) })
-	return next.Revision, nil
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/balancer/twochoice"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/daemon/claim"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
@@ -29,8 +30,12 @@
 
 	snapshot atomic.Pointer[snapshot]
 	events   chan controlEvent
-	work     node.Inflight
-	stopping atomic.Bool
+	store    *configsync.Store
+	// watcher and reachable are set by the control goroutine.
+	watcher   atomic.Bool
+	reachable atomic.Bool
+	work      node.Inflight
+	stopping  atomic.Bool
 
 	peerListener net.Listener
 	peerSessions peerSessions
@@ -56,7 +61,7 @@
 	if o.Policy == nil {
 		o.Policy = twochoice.Builder{}
 	}
-	return &Entry{
+	e := &Entry{
 		node:     o.Node,
 		settings: o.Settings,
 		kv:       o.KV,
@@ -64,8 +69,11 @@
 		claims:   claim.New(o.KV),
 		events:   make(chan controlEvent, eventQueue),
 
+		store:        configsync.NewStore(o.KV),
 		peerListener: o.PeerListener,
 	}
+	e.watcher.Store(true)
+	return e
 }
 
 // Run serves callers and operators on ln until ctx ends; then it stops
--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/daemon/target"
@@ -128,6 +129,7 @@
 func (f *fixture) start() {
 	f.pool.picker = inOrder(f.pool.targets)
 	f.entry.snapshot.Store(&snapshot{
+		verdict:   configsync.Verdict{Until: time.Now().Add(24 * time.Hour)},
 		config:    f.config,
 		customers: map[string]*config.Customer{sha(testCustomer): &f.config.Inventory.Customers[0]},
 		pools:     map[string]*pool{"pintor-lm": &f.pool},
--- a/daemon/entry/peer.go
+++ b/daemon/entry/peer.go
@@ -223,6 +223,10 @@
 	if p == nil || p.sessions[s] == nil {
 		return
 	}
+	if !p.sessions[s].Current(m) {
+		p.sessions[s].Heard(m)
+		return
+	}
 	changed := p.heartbeat.GetState() != m.GetState()
 	p.heartbeat, p.heardAt = m, time.Now()
 	c.acted(p.sessions[s], m, changed)
@@ -235,11 +239,11 @@
 	for _, addr := range c.entry.settings.Peers {
 		want[addr] = ""
 	}
-	if c.config != nil {
-		for _, en := range c.config.Inventory.Entries {
+	if cfg := c.replica.Config(); cfg != nil {
+		for _, en := range cfg.Inventory.Entries {
 			want[en.PeerAddr] = en.Name
 		}
-		for _, en := range c.config.Inventory.Entries {
+		for _, en := range cfg.Inventory.Entries {
 			if en.Name == c.entry.node.Name {
 				delete(want, en.PeerAddr)
 			}
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
@@ -16,6 +17,9 @@
 	pools     map[string]*pool            // by back end
 	members   map[string]route            // by target; also those that get no new work
 	leaving   map[string]bool             // entries that announced their stop
+
+	verdict  configsync.Verdict
+	judgedAt time.Time
 }
 
 // pool is the usable targets of one back end with a picker over them.
@@ -35,11 +39,16 @@
 
 // publish builds a new snapshot from the control state.
 func (c *control) publish() {
-	if c.config == nil {
+	now := time.Now()
+	c.updateWatcher(now)
+	cfg := c.replica.Config()
+	if cfg == nil {
 		return
 	}
 	s := &snapshot{
-		config:    c.config,
+		config:    cfg,
+		verdict:   c.judge(now),
+		judgedAt:  now,
 		customers: map[string]*config.Customer{},
 		pools:     map[string]*pool{},
 		members:   map[string]route{},
@@ -48,22 +57,21 @@
 	for name, p := range c.peers {
 		s.leaving[name] = p.leaving()
 	}
-	for i := range c.config.Inventory.Customers {
-		cu := &c.config.Inventory.Customers[i]
+	for i := range cfg.Inventory.Customers {
+		cu := &cfg.Inventory.Customers[i]
 		for _, key := range cu.KeySHA256 {
 			s.customers[key] = cu
 		}
 	}
 	views := map[string][]balancer.Target{}
-	now := time.Now()
-	for _, t := range c.config.Inventory.Targets {
+	for _, t := range cfg.Inventory.Targets {
 		m, l := c.members[t.Name], c.links[t.Name]
 		if l == nil || m == nil {
 			continue
 		}
 		to := route{name: t.Name, dataCentre: t.DataCentre, session: m.session, incarnation: m.incarnation, sent: l.sent}
 		s.members[t.Name] = to
-		if !usable(c.config, t, m, now) {
+		if !usable(cfg, t, m, now) {
 			continue
 		}
 		p := s.pools[t.Backend]
@@ -81,7 +89,7 @@
 }
 
 func usable(c *config.Config, t config.Target, m *member, now time.Time) bool {
-	if m == nil || c.IsLeaving(t) || now.Sub(m.heardAt) > suspectAfter {
+	if m == nil || c.IsLeaving(t) || now.Sub(m.heardAt) > suspectAfter || now.Sub(m.beats.EchoedAt()) > suspectAfter {
 		return false
 	}
 	return m.heartbeat.GetState() != wirepb.MemberState_MEMBER_STATE_LEAVING
--- a/daemon/httpapi/answer.go
+++ b/daemon/httpapi/answer.go
@@ -23,7 +23,10 @@
 	MayRepeat    bool   `json:"may_repeat"`
 	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
 	OperationID  string `json:"operation_id,omitempty"`
-	status       int
+	// Detail is what a program can use of the error, such as the changes of a
+	// conflict or the faults of a document.
+	Detail any `json:"detail,omitempty"`
+	status int
 }
 
 // StatusCode implements goahttp.Statuser.
@@ -33,7 +36,13 @@
 func NewErrorAnswer(err error, requestID string) *ErrorAnswer {
 	e := errkind.From(err)
 	row := e.Kind.Answer()
+	var detail any
+	var d interface{ ErrorDetail() any }
+	if errors.As(err, &d) {
+		detail = d.ErrorDetail()
+	}
 	return &ErrorAnswer{
+		Detail:       detail,
 		Kind:         row.Name,
 		Message:      e.Message,
 		RequestID:    requestID,
--- a/daemon/target/control.go
+++ b/daemon/target/control.go
@@ -1,9 +1,6 @@
 package target
 
 import (
-	"encoding/json"
-
-	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/timeline"
 	"github.com/skylarkstep/skylarkstep/wire"
@@ -48,9 +45,9 @@
 			t.node.Clock.Observe(timeline.Timestamp(body.Announce.GetHlc()))
 			t.pullIfBehind(s, body.Announce.GetRevision())
 		case *wirepb.Control_Pull:
-			t.answerPull(s)
+			t.answerPull(s, body.Pull.GetFromRevision())
 		case *wirepb.Control_Deltas:
-			t.install(body.Deltas.GetSnapshot())
+			t.take(s, body.Deltas)
 		}
 	}
 }
@@ -62,38 +59,38 @@
 }
 
 // answerPull serves an entry that learned from this process that it is behind.
-func (t *Target) answerPull(s *wire.Session) {
-	c := t.config.Load()
-	if c == nil {
-		return
+func (t *Target) answerPull(s *wire.Session, from uint64) {
+	t.replicaMu.Lock()
+	var m *wirepb.Control
+	if t.replica.Config() != nil {
+		m = node.AnswerPull(&t.replica, from)
 	}
-	document, err := json.Marshal(c)
-	if err != nil {
-		t.node.Log.Error("encode configuration", "error", err)
-		return
+	t.replicaMu.Unlock()
+	if m != nil {
+		_ = s.Control().Send(m)
 	}
-	_ = s.Control().Send(&wirepb.Control{Body: &wirepb.Control_Deltas{Deltas: &wirepb.Deltas{
-		Snapshot: document, SnapshotRevision: c.Revision,
-	}}})
 }
 
-// install takes a configuration with a higher revision than the one held.
-func (t *Target) install(document []byte) {
-	c, err := config.ParseConfig(document)
+// take puts into force what an entry sent after a pull.
+func (t *Target) take(s *wire.Session, d *wirepb.Deltas) {
+	t.replicaMu.Lock()
+	old := t.replica.Config()
+	changed, gap, err := node.TakeDeltas(&t.replica, d)
+	next := t.replica.Config()
+	if changed {
+		t.config.Store(next)
+	}
+	t.replicaMu.Unlock()
 	if err != nil {
-		t.node.Log.Error("configuration from peer refused", "error", err)
-		return
+		t.node.Log.Error("configuration from peer refused", "peer", s.Peer().GetInstance(), "error", err)
 	}
-	for {
-		old := t.config.Load()
-		if old != nil && old.Revision >= c.Revision {
-			return
-		}
-		if t.config.CompareAndSwap(old, c) {
-			t.configChanged(old, c)
-			t.node.Events.Record(timeline.Event{Kind: timeline.RevisionInForce, Target: t.node.Name, Revision: c.Revision})
-			t.kickHeartbeats()
-			return
-		}
+	if gap {
+		_ = s.Control().Send(&wirepb.Control{Body: &wirepb.Control_Pull{Pull: &wirepb.Pull{}}})
+	}
+	if !changed {
+		return
 	}
+	t.configChanged(old, next)
+	t.node.Events.Record(timeline.Event{Kind: timeline.RevisionInForce, Target: t.node.Name, Revision: next.Revision})
+	t.kickHeartbeats()
 }
