--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -14,7 +14,7 @@
 	ExitInvalid     = 2 // the document or the arguments have faults
 	ExitConflict    = 3 // another edit was accepted first
 	ExitUnavailable = 4 // no entry or no key-value service answered
-	ExitNotInForce  = 5 // the bound passed before every process had the revision
+	ExitNotInForce  = 5 // not in force everywhere within the bound, or status found problems
 )
 
 // Root returns the root command.
@@ -25,7 +25,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(configCommand())
+	root.AddCommand(configCommand(), overviewCommand())
 	root.AddCommand(devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand())
 	return root
 }
@@ -36,7 +36,8 @@
 		return ExitOK
 	}
 	var lacking *notInForceError
-	if errors.As(err, &lacking) {
+	var problems *problemsError
+	if errors.As(err, &lacking) || errors.As(err, &problems) {
 		return ExitNotInForce
 	}
 	switch errkind.KindOf(err) {
