--- a/api/gen/http/cli/skylarkstep/cli.go
+++ b/api/gen/http/cli/skylarkstep/cli.go
@@ -26,16 +26,16 @@
 func UsageCommands() []string {
 	return []string{
 		"callers (addresses|complete|issue-operation|outcome|call)",
-		"operators (get-config|apply-config|config-status|config-history)",
+		"operators (get-config|apply-config|rollback-config|config-status|config-history)",
 		"timeline query",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "callers addresses --token \"Est explicabo natus non reprehenderit.\"" + "\n" +
-		os.Args[0] + " " + "operators get-config --revision 7857371746352518722 --token \"Ipsam non voluptas architecto.\"" + "\n" +
-		os.Args[0] + " " + "timeline query --filter \"3kv\" --since 955018826535132947 --limit 7210 --scope \"process\" --token \"Omnis doloremque.\"" + "\n" +
+	return os.Args[0] + " " + "callers addresses --token \"Animi dolorum eligendi est ut voluptatem.\"" + "\n" +
+		os.Args[0] + " " + "operators get-config --revision 10444956282375894622 --token \"Harum aut.\"" + "\n" +
+		os.Args[0] + " " + "timeline query --filter \"o51\" --since 11405042867284892523 --limit 1426 --scope \"targets\" --token \"Ducimus debitis voluptatem tempora.\"" + "\n" +
 		""
 }
 
@@ -87,10 +87,19 @@
 		operatorsApplyConfigFlags              = flag.NewFlagSet("apply-config", flag.ExitOnError)
 		operatorsApplyConfigBodyFlag           = operatorsApplyConfigFlags.String("body", "REQUIRED", "")
 		operatorsApplyConfigAllowNoServiceFlag = operatorsApplyConfigFlags.String("allow-no-service", "", "")
+		operatorsApplyConfigAllowMinorityFlag  = operatorsApplyConfigFlags.String("allow-minority", "", "")
 		operatorsApplyConfigBaseRevisionFlag   = operatorsApplyConfigFlags.String("base-revision", "REQUIRED", "")
 		operatorsApplyConfigEditIDFlag         = operatorsApplyConfigFlags.String("edit-id", "REQUIRED", "")
 		operatorsApplyConfigTokenFlag          = operatorsApplyConfigFlags.String("token", "REQUIRED", "")
 
+		operatorsRollbackConfigFlags              = flag.NewFlagSet("rollback-config", flag.ExitOnError)
+		operatorsRollbackConfigToRevisionFlag     = operatorsRollbackConfigFlags.String("to-revision", "REQUIRED", "")
+		operatorsRollbackConfigAllowNoServiceFlag = operatorsRollbackConfigFlags.String("allow-no-service", "", "")
+		operatorsRollbackConfigAllowMinorityFlag  = operatorsRollbackConfigFlags.String("allow-minority", "", "")
+		operatorsRollbackConfigBaseRevisionFlag   = operatorsRollbackConfigFlags.String("base-revision", "REQUIRED", "")
+		operatorsRollbackConfigEditIDFlag         = operatorsRollbackConfigFlags.String("edit-id", "REQUIRED", "")
+		operatorsRollbackConfigTokenFlag          = operatorsRollbackConfigFlags.String("token", "REQUIRED", "")
+
 		operatorsConfigStatusFlags     = flag.NewFlagSet("config-status", flag.ExitOnError)
 		operatorsConfigStatusTokenFlag = operatorsConfigStatusFlags.String("token", "REQUIRED", "")
 
@@ -117,6 +126,7 @@
 	operatorsFlags.Usage = operatorsUsage
 	operatorsGetConfigFlags.Usage = operatorsGetConfigUsage
 	operatorsApplyConfigFlags.Usage = operatorsApplyConfigUsage
+	operatorsRollbackConfigFlags.Usage = operatorsRollbackConfigUsage
 	operatorsConfigStatusFlags.Usage = operatorsConfigStatusUsage
 	operatorsConfigHistoryFlags.Usage = operatorsConfigHistoryUsage
 
@@ -186,6 +196,9 @@
 			case "apply-config":
 				epf = operatorsApplyConfigFlags
 
+			case "rollback-config":
+				epf = operatorsRollbackConfigFlags
+
 			case "config-status":
 				epf = operatorsConfigStatusFlags
 
@@ -251,7 +264,10 @@
 				data, err = operatorsc.BuildGetConfigPayload(*operatorsGetConfigRevisionFlag, *operatorsGetConfigTokenFlag)
 			case "apply-config":
 				endpoint = c.ApplyConfig()
-				data, err = operatorsc.BuildApplyConfigPayload(*operatorsApplyConfigBodyFlag, *operatorsApplyConfigAllowNoServiceFlag, *operatorsApplyConfigBaseRevisionFlag, *operatorsApplyConfigEditIDFlag, *operatorsApplyConfigTokenFlag)
+				data, err = operatorsc.BuildApplyConfigPayload(*operatorsApplyConfigBodyFlag, *operatorsApplyConfigAllowNoServiceFlag, *operatorsApplyConfigAllowMinorityFlag, *operatorsApplyConfigBaseRevisionFlag, *operatorsApplyConfigEditIDFlag, *operatorsApplyConfigTokenFlag)
+			case "rollback-config":
+				endpoint = c.RollbackConfig()
+				data, err = operatorsc.BuildRollbackConfigPayload(*operatorsRollbackConfigToRevisionFlag, *operatorsRollbackConfigAllowNoServiceFlag, *operatorsRollbackConfigAllowMinorityFlag, *operatorsRollbackConfigBaseRevisionFlag, *operatorsRollbackConfigEditIDFlag, *operatorsRollbackConfigTokenFlag)
 			case "config-status":
 				endpoint = c.ConfigStatus()
 				data, err = operatorsc.BuildConfigStatusPayload(*operatorsConfigStatusTokenFlag)
@@ -304,7 +320,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers addresses --token \"Est explicabo natus non reprehenderit.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers addresses --token \"Animi dolorum eligendi est ut voluptatem.\"")
 }
 
 func callersCompleteUsage() {
@@ -326,7 +342,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"deadline_ms\": 2911958,\n      \"from_offset\": 2000146481891141070,\n      \"from_text\": \"Est ut voluptatem aut eligendi nulla.\",\n      \"max_tokens\": 30896,\n      \"model\": \"k\",\n      \"priority\": -5,\n      \"prompt\": \"m\"\n   }' --request-id \"h8r\" --token \"Qui quia laborum dolorem suscipit quidem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"deadline_ms\": 1019077,\n      \"from_offset\": 4119201909295021156,\n      \"from_text\": \"Repellendus ipsum culpa nisi.\",\n      \"max_tokens\": 11490,\n      \"model\": \"v5g\",\n      \"priority\": -9,\n      \"prompt\": \"rs\"\n   }' --request-id \"8g8\" --token \"Officiis in odit saepe totam quia et.\"")
 }
 
 func callersIssueOperationUsage() {
@@ -346,7 +362,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers issue-operation --body '{\n      \"back_end\": \"83\"\n   }' --token \"In odit saepe.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers issue-operation --body '{\n      \"back_end\": \"jl\"\n   }' --token \"Quia sequi quaerat dolor temporibus harum.\"")
 }
 
 func callersOutcomeUsage() {
@@ -366,7 +382,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers outcome --operation-id \"ln2\" --token \"Quaerat dolor temporibus harum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers outcome --operation-id \"mw5\" --token \"Quam at ex.\"")
 }
 
 func callersCallUsage() {
@@ -400,7 +416,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --back-end \"4ok\" --operation \"w73\" --request-id \"vtc\" --operation-id \"iwp\" --idempotency-key \"r55\" --deadline-ms 417028 --content-type \"w68\" --token \"Molestiae enim nam maxime suscipit.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --back-end \"553\" --operation \"68x\" --request-id \"3qn\" --operation-id \"0hi\" --idempotency-key \"c51\" --deadline-ms 97561 --content-type \"kdm\" --token \"Tenetur aut esse ut voluptate blanditiis et.\" --stream \"goa.png\"")
 }
 
 // operatorsUsage displays the usage of the operators command and its
@@ -411,6 +427,7 @@
 	fmt.Fprintln(os.Stderr, "COMMAND:")
 	fmt.Fprintln(os.Stderr, `    get-config: GetConfig implements get_config.`)
 	fmt.Fprintln(os.Stderr, `    apply-config: Accepts a whole configuration on top of the named base revision.`)
+	fmt.Fprintln(os.Stderr, `    rollback-config: Accepts the content of an earlier revision as a new, higher one.`)
 	fmt.Fprintln(os.Stderr, `    config-status: ConfigStatus implements config_status.`)
 	fmt.Fprintln(os.Stderr, `    config-history: ConfigHistory implements config_history.`)
 	fmt.Fprintln(os.Stderr)
@@ -434,7 +451,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get-config --revision 7857371746352518722 --token \"Ipsam non voluptas architecto.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get-config --revision 10444956282375894622 --token \"Harum aut.\"")
 }
 
 func operatorsApplyConfigUsage() {
@@ -442,6 +459,7 @@
 	fmt.Fprintf(os.Stderr, "%s [flags] operators apply-config", os.Args[0])
 	fmt.Fprint(os.Stderr, " -body JSON")
 	fmt.Fprint(os.Stderr, " -allow-no-service BOOL")
+	fmt.Fprint(os.Stderr, " -allow-minority BOOL")
 	fmt.Fprint(os.Stderr, " -base-revision UINT64")
 	fmt.Fprint(os.Stderr, " -edit-id STRING")
 	fmt.Fprint(os.Stderr, " -token STRING")
@@ -454,13 +472,42 @@
 	// Flags list
 	fmt.Fprintln(os.Stderr, `    -body JSON: `)
 	fmt.Fprintln(os.Stderr, `    -allow-no-service BOOL: `)
+	fmt.Fprintln(os.Stderr, `    -allow-minority BOOL: `)
+	fmt.Fprintln(os.Stderr, `    -base-revision UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -edit-id STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply-config --body \"Et in.\" --allow-no-service false --allow-minority true --base-revision 1227809291613634900 --edit-id \"z21\" --token \"Quam illum asperiores.\"")
+}
+
+func operatorsRollbackConfigUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operators rollback-config", os.Args[0])
+	fmt.Fprint(os.Stderr, " -to-revision UINT64")
+	fmt.Fprint(os.Stderr, " -allow-no-service BOOL")
+	fmt.Fprint(os.Stderr, " -allow-minority BOOL")
+	fmt.Fprint(os.Stderr, " -base-revision UINT64")
+	fmt.Fprint(os.Stderr, " -edit-id STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Accepts the content of an earlier revision as a new, higher one.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -to-revision UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -allow-no-service BOOL: `)
+	fmt.Fprintln(os.Stderr, `    -allow-minority BOOL: `)
 	fmt.Fprintln(os.Stderr, `    -base-revision UINT64: `)
 	fmt.Fprintln(os.Stderr, `    -edit-id STRING: `)
 	fmt.Fprintln(os.Stderr, `    -token STRING: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply-config --body \"Quo quo voluptatem qui.\" --allow-no-service true --base-revision 9868623183281831174 --edit-id \"rc8\" --token \"Doloremque at.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators rollback-config --to-revision 10146124894810746263 --allow-no-service false --allow-minority true --base-revision 5753512521912521915 --edit-id \"rx8\" --token \"Recusandae quia voluptatem.\"")
 }
 
 func operatorsConfigStatusUsage() {
@@ -478,7 +525,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-status --token \"Qui necessitatibus perferendis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-status --token \"Quod a placeat voluptas ea.\"")
 }
 
 func operatorsConfigHistoryUsage() {
@@ -498,7 +545,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-history --limit 880 --token \"Voluptas ea.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-history --limit 478 --token \"Dolor eveniet enim.\"")
 }
 
 // timelineUsage displays the usage of the timeline command and its subcommands.
@@ -534,5 +581,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "timeline query --filter \"3kv\" --since 955018826535132947 --limit 7210 --scope \"process\" --token \"Omnis doloremque.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "timeline query --filter \"o51\" --since 11405042867284892523 --limit 1426 --scope \"targets\" --token \"Ducimus debitis voluptatem tempora.\"")
 }
--- a/api/gen/http/operators/client/encode_decode.go
+++ b/api/gen/http/operators/client/encode_decode.go
@@ -144,6 +144,7 @@
 		}
 		values := req.URL.Query()
 		values.Add("allow_no_service", fmt.Sprintf("%v", p.AllowNoService))
+		values.Add("allow_minority", fmt.Sprintf("%v", p.AllowMinority))
 		req.URL.RawQuery = values.Encode()
 		body := p.Document
 		if err := encoder(req).Encode(&body); err != nil {
@@ -193,6 +194,95 @@
 	}
 }
 
+// BuildRollbackConfigRequest instantiates a HTTP request object with method
+// and path set to call the "operators" service "rollback_config" endpoint
+func (c *Client) BuildRollbackConfigRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RollbackConfigOperatorsPath()}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "rollback_config", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeRollbackConfigRequest returns an encoder for requests sent to the
+// operators rollback_config server.
+func EncodeRollbackConfigRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.RollbackConfigPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "rollback_config", "*operators.RollbackConfigPayload", v)
+		}
+		{
+			head := p.BaseRevision
+			headStr := strconv.FormatUint(head, 10)
+			req.Header.Set("If-Match", headStr)
+		}
+		{
+			head := p.EditID
+			req.Header.Set("Edit-Id", head)
+		}
+		{
+			head := p.Token
+			if !strings.Contains(head, " ") {
+				req.Header.Set("Authorization", "Bearer "+head)
+			} else {
+				req.Header.Set("Authorization", head)
+			}
+		}
+		values := req.URL.Query()
+		values.Add("to_revision", fmt.Sprintf("%v", p.ToRevision))
+		values.Add("allow_no_service", fmt.Sprintf("%v", p.AllowNoService))
+		values.Add("allow_minority", fmt.Sprintf("%v", p.AllowMinority))
+		req.URL.RawQuery = values.Encode()
+		return nil
+	}
+}
+
+// DecodeRollbackConfigResponse returns a decoder for responses returned by the
+// operators rollback_config endpoint. restoreBody controls whether the
+// response body should be restored after having been read.
+func DecodeRollbackConfigResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body RollbackConfigResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "rollback_config", err)
+			}
+			err = ValidateRollbackConfigResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "rollback_config", err)
+			}
+			res := NewRollbackConfigConfigAcceptedOK(&body)
+			return res, nil
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "rollback_config", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildConfigStatusRequest instantiates a HTTP request object with method and
 // path set to call the "operators" service "config_status" endpoint
 func (c *Client) BuildConfigStatusRequest(ctx context.Context, v any) (*http.Request, error) {
--- a/api/gen/http/operators/server/server.go
+++ b/api/gen/http/operators/server/server.go
@@ -18,11 +18,12 @@
 
 // Server lists the operators service endpoint HTTP handlers.
 type Server struct {
-	Mounts        []*MountPoint
-	GetConfig     http.Handler
-	ApplyConfig   http.Handler
-	ConfigStatus  http.Handler
-	ConfigHistory http.Handler
+	Mounts         []*MountPoint
+	GetConfig      http.Handler
+	ApplyConfig    http.Handler
+	RollbackConfig http.Handler
+	ConfigStatus   http.Handler
+	ConfigHistory  http.Handler
 }
 
 // MountPoint holds information about the mounted endpoints.
@@ -54,13 +55,15 @@
 		Mounts: []*MountPoint{
 			{"GetConfig", "GET", "/v1/config"},
 			{"ApplyConfig", "PUT", "/v1/config"},
+			{"RollbackConfig", "POST", "/v1/config/rollback"},
 			{"ConfigStatus", "GET", "/v1/config/status"},
 			{"ConfigHistory", "GET", "/v1/config/history"},
 		},
-		GetConfig:     NewGetConfigHandler(e.GetConfig, mux, decoder, encoder, errhandler, formatter),
-		ApplyConfig:   NewApplyConfigHandler(e.ApplyConfig, mux, decoder, encoder, errhandler, formatter),
-		ConfigStatus:  NewConfigStatusHandler(e.ConfigStatus, mux, decoder, encoder, errhandler, formatter),
-		ConfigHistory: NewConfigHistoryHandler(e.ConfigHistory, mux, decoder, encoder, errhandler, formatter),
+		GetConfig:      NewGetConfigHandler(e.GetConfig, mux, decoder, encoder, errhandler, formatter),
+		ApplyConfig:    NewApplyConfigHandler(e.ApplyConfig, mux, decoder, encoder, errhandler, formatter),
+		RollbackConfig: NewRollbackConfigHandler(e.RollbackConfig, mux, decoder, encoder, errhandler, formatter),
+		ConfigStatus:   NewConfigStatusHandler(e.ConfigStatus, mux, decoder, encoder, errhandler, formatter),
+		ConfigHistory:  NewConfigHistoryHandler(e.ConfigHistory, mux, decoder, encoder, errhandler, formatter),
 	}
 }
 
@@ -71,6 +74,7 @@
 func (s *Server) Use(m func(http.Handler) http.Handler) {
 	s.GetConfig = m(s.GetConfig)
 	s.ApplyConfig = m(s.ApplyConfig)
+	s.RollbackConfig = m(s.RollbackConfig)
 	s.ConfigStatus = m(s.ConfigStatus)
 	s.ConfigHistory = m(s.ConfigHistory)
 }
@@ -82,6 +86,7 @@
 func Mount(mux goahttp.Muxer, h *Server) {
 	MountGetConfigHandler(mux, h.GetConfig)
 	MountApplyConfigHandler(mux, h.ApplyConfig)
+	MountRollbackConfigHandler(mux, h.RollbackConfig)
 	MountConfigStatusHandler(mux, h.ConfigStatus)
 	MountConfigHistoryHandler(mux, h.ConfigHistory)
 }
@@ -197,6 +202,59 @@
 	})
 }
 
+// MountRollbackConfigHandler configures the mux to serve the "operators"
+// service "rollback_config" endpoint.
+func MountRollbackConfigHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/config/rollback", f)
+}
+
+// NewRollbackConfigHandler creates a HTTP handler which loads the HTTP request
+// and calls the "operators" service "rollback_config" endpoint.
+func NewRollbackConfigHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeRollbackConfigRequest(mux, decoder)
+		encodeResponse = EncodeRollbackConfigResponse(encoder)
+		encodeError    = goahttp.ErrorEncoder(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "rollback_config")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountConfigStatusHandler configures the mux to serve the "operators" service
 // "config_status" endpoint.
 func MountConfigStatusHandler(mux goahttp.Muxer, h http.Handler) {
--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
@@ -13,7 +14,7 @@
 	ExitInvalid     = 2 // the document or the arguments have faults
 	ExitConflict    = 3 // another edit was accepted first
 	ExitUnavailable = 4 // no entry or no key-value service answered
-	ExitNotInForce  = 5 // the bound passed before every process had the revision
+	ExitNotInForce  = 5 // not in force everywhere within the bound, or status found problems
 )
 
 // Root returns the root command.
@@ -24,6 +25,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(configCommand(), overviewCommand())
 	root.AddCommand(devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand())
 	return root
 }
@@ -33,12 +35,17 @@
 	if err == nil {
 		return ExitOK
 	}
+	var lacking *notInForceError
+	var problems *problemsError
+	if errors.As(err, &lacking) || errors.As(err, &problems) {
+		return ExitNotInForce
+	}
 	switch errkind.KindOf(err) {
 	case errkind.InvalidConfig, errkind.InvalidRequest:
 		return ExitInvalid
 	case errkind.RevisionConflict, errkind.RevisionStale:
 		return ExitConflict
-	case errkind.StoreUnavailable, errkind.NotReady, errkind.TargetUnreachable:
+	case errkind.StoreUnavailable, errkind.NotReady, errkind.TargetUnreachable, errkind.Isolated:
 		return ExitUnavailable
 	default:
 		return ExitFailure
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -40,6 +40,7 @@
 	watch   *watch
 	// release detaches the attempt from its context.
 	release func() bool
+	refused bool // the target itself said why the attempt failed
 }
 
 // pick chooses a target that the request has not tried.
@@ -142,6 +143,7 @@
 		a.request.entry.node.Clock.Observe(timeline.Timestamp(f.GetHlc()))
 	}
 	if x := f.GetFailure(); x != nil {
+		a.refused = true
 		a.request.entry.observeRevision(a.route.session, x.GetRevision())
 		return nil, failureError(x)
 	}
--- a/daemon/entry/control.go
+++ b/daemon/entry/control.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/timeline"
 	"github.com/skylarkstep/skylarkstep/wire"
@@ -20,15 +20,21 @@
 
 // control is the state that only the control goroutine touches.
 type control struct {
-	entry    *Entry
-	ctx      context.Context
-	config   *config.Config
-	document []byte
-	links    map[string]*link
-	members  map[string]*member
+	entry   *Entry
+	ctx     context.Context
+	replica configsync.Replica
+	links   map[string]*link
+	members map[string]*member
 
 	peerLinks map[string]*peerLink // by address
 	peers     map[string]*peer     // by name
+
+	// confirmedAt is when the revision in force was last seen to be the
+	// accepted one.
+	confirmedAt time.Time
+	alarmed     bool
+	verdict     configsync.Verdict
+	lastLoop    time.Time
 }
 
 // member is what is known about one target.
@@ -56,8 +62,10 @@
 		case <-ctx.Done():
 			return
 		case ev := <-e.events:
+			c.noticePause(time.Now())
 			ev(c)
 		case <-tick.C:
+			c.noticePause(time.Now())
 		}
 		c.publish()
 	}
@@ -71,23 +79,9 @@
 	}
 }
 
-// install takes a configuration with a higher revision than the one held.
-func (c *control) install(next *config.Config) {
-	if c.config != nil && next.Revision <= c.config.Revision {
-		if next.Revision < c.config.Revision {
-			c.entry.node.Log.Error("key-value service shows a lower revision than the one in force; keeping the higher one",
-				"shown", next.Revision, "in_force", c.config.Revision)
-			c.entry.node.Events.Record(timeline.Event{Kind: timeline.RevisionAlarm, Revision: next.Revision})
-		}
-		return
-	}
-	document, err := json.Marshal(next)
-	if err != nil {
-		c.entry.node.Log.Error("encode configuration", "error", err)
-		return
-	}
-	c.config, c.document = next, document
-	c.entry.node.Events.Record(timeline.Event{Kind: timeline.RevisionInForce, Revision: next.Revision})
+// installed spreads a configuration that has just come into force.
+func (c *control) installed() {
+	c.entry.node.Events.Record(timeline.Event{Kind: timeline.RevisionInForce, Revision: c.revision()})
 	c.updateLinks()
 	c.updatePeers()
 	c.publish()
@@ -106,7 +100,7 @@
 // has one.
 func (c *control) updateLinks() {
 	want := map[string]config.Target{}
-	for _, t := range c.config.Inventory.Targets {
+	for _, t := range c.replica.Config().Inventory.Targets {
 		want[t.Name] = t
 	}
 	for name, l := range c.links {
@@ -122,15 +116,10 @@
 	}
 }
 
-func (c *control) revision() uint64 {
-	if c.config == nil {
-		return 0
-	}
-	return c.config.Revision
-}
+func (c *control) revision() uint64 { return c.replica.Revision() }
 
 func (c *control) announce(s *wire.Session) {
-	if c.config == nil {
+	if c.replica.Config() == nil {
 		return
 	}
 	m := &wirepb.Control{Body: &wirepb.Control_Announce{Announce: &wirepb.Announce{
@@ -148,22 +137,33 @@
 	go func() { _ = s.Control().Send(m) }()
 }
 
-func (c *control) answerPull(s *wire.Session, _ uint64) {
-	m := &wirepb.Control{Body: &wirepb.Control_Deltas{Deltas: &wirepb.Deltas{
-		Snapshot: c.document, SnapshotRevision: c.revision(),
-	}}}
+func (c *control) answerPull(s *wire.Session, from uint64) {
+	if c.replica.Config() == nil {
+		return
+	}
+	m := node.AnswerPull(&c.replica, from)
 	go func() { _ = s.Control().Send(m) }()
 }
 
-// take installs what another process sent after a pull.
+// take puts into force what another process sent after a pull. A process that
+// has no configuration yet needs two peers that agree.
 func (c *control) take(s *wire.Session, d *wirepb.Deltas) {
-	next, err := config.ParseConfig(d.GetSnapshot())
+	var changed, gap bool
+	var err error
+	if c.replica.Config() == nil {
+		changed, err = c.replica.Offer(s.Peer().GetInstance(), len(c.entry.settings.Peers), d.GetSnapshotRevision(), d.GetSnapshot())
+	} else {
+		changed, gap, err = node.TakeDeltas(&c.replica, d)
+	}
 	if err != nil {
 		c.entry.node.Log.Error("configuration from peer refused", "peer", s.Peer().GetInstance(), "error", err)
-		return
 	}
-	if next.Revision > c.revision() {
-		c.install(next)
+	if changed {
+		c.installed()
+	}
+	if gap {
+		m := &wirepb.Control{Body: &wirepb.Control_Pull{Pull: &wirepb.Pull{}}}
+		go func() { _ = s.Control().Send(m) }()
 	}
 }
 
@@ -196,7 +196,7 @@
 }
 
 func (c *control) heard(target string, s *wire.Session, hb *wirepb.Heartbeat) {
-	if m := c.members[target]; m != nil && m.session == s {
+	if m := c.members[target]; m != nil && m.session == s && m.beats.Current(hb) {
 		changed := m.heartbeat.GetState() != hb.GetState()
 		m.heartbeat, m.heardAt = hb, time.Now()
 		c.acted(m.beats, hb, changed)
--- a/daemon/entry/link.go
+++ b/daemon/entry/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -87,12 +88,19 @@
 // heartbeat returns the state of this entry. It repairs a lost announcement: a
 // process pulls when the revision in a heartbeat is higher than its own.
 func (e *Entry) heartbeat() *wirepb.Heartbeat {
-	return &wirepb.Heartbeat{
-		Incarnation: e.node.Incarnation,
-		Revision:    e.revision(),
-		State:       e.state(),
-		Hlc:         uint64(e.node.Clock.Now()),
+	hb := &wirepb.Heartbeat{
+		Incarnation:    e.node.Incarnation,
+		Revision:       e.revision(),
+		State:          e.state(),
+		Hlc:            uint64(e.node.Clock.Now()),
+		StoreReachable: e.reachable.Load(),
+		FreshnessAgeMs: math.MaxInt32,
 	}
+	if s := e.snapshot.Load(); s != nil {
+		hb.Revision = s.config.Revision
+		hb.FreshnessAgeMs = uint64((s.verdict.Age + time.Since(s.judgedAt)).Milliseconds())
+	}
+	return hb
 }
 
 func (e *Entry) revision() uint64 {
--- a/daemon/httpapi/answer.go
+++ b/daemon/httpapi/answer.go
@@ -24,7 +24,10 @@
 	MayRepeat    bool   `json:"may_repeat"`
 	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
 	OperationID  string `json:"operation_id,omitempty"`
-	status       int
+	// Detail is what a program can use of the error, such as the changes of a
+	// conflict or the faults of a document.
+	Detail any `json:"detail,omitempty"`
+	status int
 }
 
 // StatusCode implements goahttp.Statuser.
@@ -34,7 +37,13 @@
 func NewErrorAnswer(err error, requestID string) *ErrorAnswer {
 	e := errkind.From(err)
 	row := e.Kind.Answer()
+	var detail any
+	var d interface{ ErrorDetail() any }
+	if errors.As(err, &d) {
+		detail = d.ErrorDetail()
+	}
 	return &ErrorAnswer{
+		Detail:       detail,
 		Kind:         row.Name,
 		Message:      e.Message,
 		RequestID:    requestID,
@@ -50,6 +59,12 @@
 	RequestID   string
 	OperationID string
 	Customer    string
+	// Shared says that the request carries an operation id or a key, under which
+	// another entry may be serving it. An error answer then says not_run only if
+	// Closed is set.
+	Shared bool
+	// Closed says that the owner of the operation id has closed it.
+	Closed bool
 	// Status replaces the status that goa writes when it is not zero.
 	Status int
 	// Header is added to the answer before its status is written.
@@ -77,7 +92,8 @@
 		if !validID(id) {
 			id = rand.Text()
 		}
-		st := &State{RequestID: id, Header: http.Header{}}
+		shared := r.Header.Get("Operation-Id") != "" || r.Header.Get("Idempotency-Key") != ""
+		st := &State{RequestID: id, Header: http.Header{}, Shared: shared}
 		w.Header().Set("X-Request-Id", id)
 		sw := &statusWriter{ResponseWriter: w, state: st}
 		r.Body = &limitedBody{ReadCloser: r.Body, state: st}
@@ -148,8 +164,13 @@
 		}
 		err = errkind.New(kind, "%s", ge.Message)
 	}
+	if e := errkind.From(err); st.Shared && !st.Closed && e.DidRun == errkind.NotRun {
+		err = e.WithDidRun(errkind.Unknown)
+	}
 	a := NewErrorAnswer(err, st.RequestID)
 	a.OperationID = st.OperationID
+	// Repeating under the same id or key is safe whatever became of the call.
+	a.MayRepeat = a.MayRepeat || st.Shared && errkind.From(err).Kind.Answer().MayRepeat
 	st.Status = a.status
 	if a.RetryAfterMs > 0 {
 		st.Header.Set("Retry-After", strconv.FormatInt(ceilSeconds(a.RetryAfterMs), 10))
--- a/daemon/target/dispatch.go
+++ b/daemon/target/dispatch.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/timeline"
@@ -25,30 +26,61 @@
 // Cancel or closes the stream.
 func (t *Target) serveDispatch(st *wire.Stream, d *wirepb.Dispatch) {
 	t.node.Clock.Observe(timeline.Timestamp(d.GetHlc()))
-	if err := t.admit(d); err != nil {
-		t.refuse(st, d, err)
+	if t.service != nil && (!d.GetIdempotent() || d.GetOperationId() != "") {
+		t.serveOperation(st, d)
 		return
 	}
-	defer t.work.End()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.GetRemainingMs())*time.Millisecond)
 	defer cancel()
 	go cancelOnClose(st, cancel)
+	t.serveAttempt(ctx, st, d)
+}
+
+// sink takes the frames of an attempt; it is the attempt's stream.
+type sink interface {
+	Send(m proto.Message) error
+}
+
+func (t *Target) serveAttempt(ctx context.Context, st sink, d *wirepb.Dispatch) {
+	if err := t.admit(d); err != nil {
+		t.refuse(st, d, err)
+		return
+	}
+	defer t.work.End()
 	if err := st.Send(&wirepb.Frame{Body: &wirepb.Frame_Accepted{
 		Accepted: &wirepb.Accepted{Incarnation: t.node.Incarnation},
 	}}); err != nil {
 		return
 	}
+	slot, err := t.enter(ctx, d)
+	if err != nil {
+		t.refuse(st, d, err)
+		return
+	}
 	t.record(timeline.BackendStarted, d, nil)
-	var err error
+	var last []*wirepb.Frame
 	if t.model != nil {
-		err = t.generate(ctx, st, d)
+		last, err = t.generate(ctx, st, d, slot)
 	} else {
-		err = t.call(ctx, st, d)
+		last, err = t.call(ctx, d, slot)
 	}
+	slot.leave(err)
 	t.record(timeline.BackendFinished, d, err)
 	if err != nil {
-		_ = st.Send(failureFrame(errkind.From(err), t.revision(), uint64(t.node.Clock.Now())))
+		last = []*wirepb.Frame{failureFrame(errkind.From(err), t.revision(), uint64(t.node.Clock.Now()))}
+	}
+	_ = sendAll(st, last)
+}
+
+// sendAll sends the frames that end an answer. They are sent after the back end
+// is recorded as finished, so that the entry's events follow that one.
+func sendAll(st sink, frames []*wirepb.Frame) error {
+	for _, f := range frames {
+		if err := st.Send(f); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 // admit has the last word on whether work may start. Admitted work must call
@@ -83,7 +115,7 @@
 	return nil
 }
 
-func (t *Target) refuse(st *wire.Stream, d *wirepb.Dispatch, err error) {
+func (t *Target) refuse(st sink, d *wirepb.Dispatch, err error) {
 	t.record(timeline.Refused, d, err)
 	_ = st.Send(failureFrame(errkind.From(err), t.revision(), uint64(t.node.Clock.Now())))
 }
@@ -117,75 +149,40 @@
 	_ = st.SetWriteDeadline(time.Unix(1, 0))
 }
 
-func (t *Target) generate(ctx context.Context, st *wire.Stream, d *wirepb.Dispatch) error {
+// generate streams the tokens and returns the frame that ends the answer.
+func (t *Target) generate(ctx context.Context, st sink, d *wirepb.Dispatch, slot *slot) ([]*wirepb.Frame, error) {
 	var req ModelRequest
 	if err := json.Unmarshal(d.GetBody(), &req); err != nil {
-		return errkind.Wrap(err, errkind.InvalidRequest, "body of the dispatch")
+		return nil, errkind.Wrap(err, errkind.InvalidRequest, "body of the dispatch")
 	}
+	deadline, _ := ctx.Deadline()
 	finish, err := t.model.Generate(ctx, engine.Generation{
 		RequestID:    d.GetRequestId(),
 		Model:        req.Model,
 		Prompt:       req.Prompt,
 		MaxTokens:    req.MaxTokens,
 		Priority:     int(d.GetPriority()),
-		Deadline:     time.Duration(d.GetRemainingMs()) * time.Millisecond,
+		Deadline:     time.Until(deadline), // what the queue has left
 		ResumeOffset: int(d.GetResumeOffset()),
 		ResumeText:   req.ResumeText,
 	}, func(tok engine.Token) error {
+		at := time.Now()
 		err := st.Send(&wirepb.Frame{Body: &wirepb.Frame_Tokens{
 			Tokens: &wirepb.Tokens{Offset: uint32(tok.Offset), Text: []string{tok.Text}},
 		}})
+		slot.sent(at, time.Since(at))
 		if err != nil {
 			return errkind.Wrap(err, errkind.Canceled, "the entry abandoned the attempt")
 		}
 		return nil
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return st.Send(&wirepb.Frame{
+	return []*wirepb.Frame{{
 		Hlc:  uint64(t.node.Clock.Now()),
 		Body: &wirepb.Frame_End{End: &wirepb.End{FinishReason: finish.Reason, Tokens: uint32(finish.Tokens)}},
-	})
-}
-
-func (t *Target) call(ctx context.Context, st *wire.Stream, d *wirepb.Dispatch) error {
-	header := http.Header{}
-	for _, h := range d.GetHeaders() {
-		header.Add(h.GetName(), h.GetValue())
-	}
-	reply, err := t.service.Call(ctx, engine.Call{
-		Method:      d.GetMethod(),
-		Operation:   d.GetOperation(),
-		Query:       d.GetQuery(),
-		Header:      header,
-		Body:        d.GetBody(),
-		Idempotent:  d.GetIdempotent(),
-		OperationID: d.GetOperationId(),
-	})
-	if err != nil {
-		return err
-	}
-	return sendReply(st, reply, uint64(t.node.Clock.Now()))
-}
-
-func sendReply(st *wire.Stream, reply engine.Reply, hlc uint64) error {
-	head := &wirepb.ResponseHead{Status: uint32(reply.Status)}
-	for name, values := range reply.Header {
-		for _, v := range values {
-			head.Headers = append(head.Headers, &wirepb.Header{Name: name, Value: v})
-		}
-	}
-	for _, f := range []*wirepb.Frame{
-		{Body: &wirepb.Frame_Head{Head: head}},
-		{Body: &wirepb.Frame_Data{Data: reply.Body}},
-		{Hlc: hlc, Body: &wirepb.Frame_End{End: &wirepb.End{FinishReason: "complete"}}},
-	} {
-		if err := st.Send(f); err != nil {
-			return err
-		}
-	}
-	return nil
+	}}, nil
 }
 
 func failureFrame(e *errkind.Error, revision, hlc uint64) *wirepb.Frame {
--- a/daemon/target/stop_test.go
+++ b/daemon/target/stop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"testing"
@@ -11,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/engine/standin"
@@ -81,7 +81,7 @@
 }
 
 func (f *fixture) install(c *config.Config) {
-	document, err := json.Marshal(c)
+	document, err := c.Tree()
 	require.NoError(f.t, err)
 	require.NoError(f.t, f.session.Control().Send(&wirepb.Control{Body: &wirepb.Control_Deltas{
 		Deltas: &wirepb.Deltas{Snapshot: document, SnapshotRevision: c.Revision},
@@ -89,10 +89,12 @@
 	f.control(func(m *wirepb.Control) bool { return m.GetHeartbeat().GetRevision() == c.Revision })
 }
 
-// dispatch sends a call as an entry that holds the given revision.
+// dispatch sends a call under a fresh operation id as an entry that holds the
+// given revision.
 func (f *fixture) dispatch(revision uint64) *wirepb.Frame {
+	id := atmostonce.NewID("cabina-app", "cabina-app-1", f.target.node.Incarnation, time.Now())
 	st, err := f.session.Open(&wirepb.Open{Body: &wirepb.Open_Dispatch{Dispatch: &wirepb.Dispatch{
-		RequestId: "r", Backend: "cabina-app", Operation: "book", Method: "POST", RemainingMs: 5000,
+		RequestId: "r", OperationId: id.String(), Backend: "cabina-app", Operation: "book", Method: "POST", RemainingMs: 5000,
 		EntryRevision: revision, TargetIncarnation: f.target.node.Incarnation, Body: []byte("{}"),
 	}}})
 	require.NoError(f.t, err)
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -9,7 +9,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/errkind"
@@ -25,8 +27,14 @@
 	model    engine.Model
 	service  engine.Service
 
-	config atomic.Pointer[config.Config]
-	work   node.Inflight
+	config    atomic.Pointer[config.Config]
+	replicaMu sync.Mutex
+	replica   configsync.Replica
+
+	work node.Inflight
+	gate *gate
+
+	operations *operations
 
 	mu       sync.Mutex
 	sessions map[*wire.Session]*node.Heartbeats
@@ -48,6 +56,10 @@
 		settings: o.Settings,
 		model:    o.Model,
 		service:  o.Service,
+		gate:     newGate(admissionRule(&config.Config{}, o.Settings.Target.Backend)),
+		operations: newOperations(atmostonce.NewTable(o.Settings.Target.Backend, o.Node.Name, o.Node.Incarnation,
+			atmostonce.Limits{Keep: atmostonce.DefaultKeep, MaxBytes: atmostonce.DefaultMaxBytes}),
+			func() time.Time { return o.Node.Clock.Now().Time() }),
 		sessions: map[*wire.Session]*node.Heartbeats{},
 	}
 }
@@ -89,8 +101,10 @@
 		t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "work finished"})
 	case <-time.After(time.Until(deadline)):
 		t.node.Log.Warn("planned stop: bound reached with work in progress", "running", t.work.Count())
+		t.handOver()
 		return
 	}
+	t.handOver()
 	t.drain(told, deadline)
 }
 
@@ -145,6 +159,10 @@
 	switch body := open.GetBody().(type) {
 	case *wirepb.Open_Dispatch:
 		t.serveDispatch(st, body.Dispatch)
+	case *wirepb.Open_Outcome:
+		t.serveOutcome(st, body.Outcome)
+	case *wirepb.Open_Handover:
+		t.serveHandover(st, body.Handover)
 	case *wirepb.Open_EventQuery:
 		t.serveEvents(st, body.EventQuery)
 	default:
