--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -99,6 +99,7 @@
 	web    *pipeListener
 	pool   pool
 	fields map[string]any // further fields of requests
+	nodes  []*node.Node   // of the target processes
 	peers  map[string]*pipeListener
 }
 
@@ -156,7 +157,9 @@
 	f.peers[name] = ln
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	tgt := target.New(target.Options{Settings: s, Node: testNode(s), Model: m})
+	n := testNode(s)
+	f.nodes = append(f.nodes, n)
+	tgt := target.New(target.Options{Settings: s, Node: n, Model: m})
 	go func() {
 		defer close(done)
 		assert.NoError(f.t, tgt.Run(ctx, ln))
