End attempts on targets whose heartbeats have stopped

The target process froze after it had accepted the dispatch and before the first token, so the attempt waited for the whole firstTokenTimeout of 10 s although heartbeats had stopped after 3 s. Ruled out: the second target, which answered at once.

Calls that may run only once still wait up to their deadline, since giving up earlier only yields an unknown outcome.

--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -102,7 +102,13 @@
 		return nil, err
 	}
 	a := &attempt{request: r, route: to, stream: st, number: r.attempts}
-	a.watch = newWatch(a.cancel)
+	var suspect func() bool
+	if d.GetIdempotent() {
+		// A call that may run only once waits for its owner up to its deadline:
+		// ending it earlier gains nothing but an unknown outcome.
+		suspect = func() bool { return r.entry.isSuspect(to.name) }
+	}
+	a.watch = newWatch(suspect, a.cancel)
 	a.release = context.AfterFunc(ctx, a.cancel)
 	return a, nil
 }
@@ -130,11 +136,10 @@
 // ends without an end frame is TargetLost, and one without progress Stalled.
 func (a *attempt) recv() (*wirepb.Frame, error) {
 	var f wirepb.Frame
-	limit := a.watch.start()
+	a.watch.start()
 	err := a.stream.Recv(&f)
-	a.watch.stop(&f)
-	if a.watch.expired.Load() {
-		return nil, errkind.New(errkind.Stalled, "target %s made no progress for %s", a.route.name, limit)
+	if reason := a.watch.stop(&f); reason != "" {
+		return nil, errkind.New(errkind.Stalled, "target %s %s", a.route.name, reason)
 	}
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.TargetLost, "target %s stopped answering", a.route.name)
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -16,6 +16,7 @@
 	customers map[string]*config.Customer // by SHA-256 of the key
 	pools     map[string]*pool            // by back end
 	members   map[string]route            // by target; also those that get no new work
+	suspect   map[string]bool             // targets whose heartbeats have stopped
 	leaving   map[string]bool             // entries that announced their stop
 
 	verdict  configsync.Verdict
@@ -52,6 +53,7 @@
 		customers: map[string]*config.Customer{},
 		pools:     map[string]*pool{},
 		members:   map[string]route{},
+		suspect:   map[string]bool{},
 		leaving:   map[string]bool{},
 	}
 	for name, p := range c.peers {
@@ -71,6 +73,7 @@
 		}
 		to := route{name: t.Name, dataCentre: t.DataCentre, session: m.session, incarnation: m.incarnation, sent: l.sent}
 		s.members[t.Name] = to
+		s.suspect[t.Name] = m.suspect(now)
 		if !usable(cfg, t, m, now) {
 			continue
 		}
@@ -88,8 +91,19 @@
 	c.entry.snapshot.Store(s)
 }
 
+// suspect reports whether heartbeats have stopped in either direction.
+func (m *member) suspect(now time.Time) bool {
+	return now.Sub(m.heardAt) > suspectAfter || now.Sub(m.beats.EchoedAt()) > suspectAfter
+}
+
+// isSuspect reports whether the heartbeats of a target have stopped.
+func (e *Entry) isSuspect(target string) bool {
+	s := e.snapshot.Load()
+	return s != nil && s.suspect[target]
+}
+
 func usable(c *config.Config, t config.Target, m *member, now time.Time) bool {
-	if m == nil || c.IsLeaving(t) || now.Sub(m.heardAt) > suspectAfter || now.Sub(m.beats.EchoedAt()) > suspectAfter {
+	if m == nil || c.IsLeaving(t) || m.suspect(now) {
 		return false
 	}
 	return m.heartbeat.GetState() != wirepb.MemberState_MEMBER_STATE_LEAVING
--- a/engine/openai/contract_test.go
+++ b/engine/openai/contract_test.go
@@ -205,6 +205,12 @@
 	_, err := reused.Load(t.Context())
 	require.NoError(t, err)
 	srv.Close()
+	// The client may write on the idle connection before it notices the close.
+	// Then the engine may have got the request, and not_run would be wrong.
+	_, _, err = collect(t.Context(), reused, engine.Generation{Prompt: "p"})
+	first := errkind.From(err)
+	require.Contains(t, []errkind.Kind{errkind.BackendUnreachable, errkind.BackendFailed}, first.Kind)
+	require.Equal(t, first.Kind == errkind.BackendUnreachable, first.DidRun == errkind.NotRun)
 	for name, c := range map[string]engine.Model{"new": openai.New(srv.URL), "reused": reused, "direct": m.Direct()} {
 		_, _, err := collect(t.Context(), c, engine.Generation{Prompt: "p"})
 		require.Equal(t, errkind.BackendUnreachable, errkind.KindOf(err), "%s: %v", name, err)
