--- a/lease/doc.go
+++ b/lease/doc.go
@@ -1,2 +1,4 @@
-// Package lease holds leases on the key-value service and their fencing numbers.
+// Package lease holds a lease on the key-value service and hands out the
+// fencing number of its holder. A holder stops by its own monotonic clock
+// before the lease can lapse at the service.
 package lease
--- /dev/null
+++ b/lease/holder.go
@@ -0,0 +1,195 @@
+package lease
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/platform"
+)
+
+const (
+	// pollInterval is how often a candidate looks whether the lease is free.
+	pollInterval = time.Second
+	// retryInterval is the pause after a call without an answer.
+	retryInterval = 500 * time.Millisecond
+	// releaseTimeout bounds the release at the end; the lease lapses anyway.
+	releaseTimeout = 2 * time.Second
+)
+
+// Options describe a lease.
+type Options struct {
+	KV  platform.KV
+	Key string
+	// Holder is unique to this process incarnation. It tells whose a key is
+	// after a lost reply.
+	Holder string
+	// Candidate reports whether this process may take the lease; nil always.
+	Candidate func() bool
+	// Taken and Lost are called on each change; nil is allowed.
+	Taken func(number uint64)
+	Lost  func(number uint64, reason string)
+}
+
+// Holder competes for a lease and keeps it.
+type Holder struct {
+	o  Options
+	mu sync.Mutex
+	t  term
+	id platform.LeaseID
+}
+
+var _ Token = (*Holder)(nil)
+
+// New returns a holder that does not compete yet.
+func New(o Options) *Holder { return &Holder{o: o} }
+
+// Token returns the fencing number and whether an order may be sent now. It
+// reads the clock itself, so that a process that was paused past its lease
+// finds out before it sends.
+func (h *Holder) Token() (number uint64, valid bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.t.number, h.t.valid(time.Now())
+}
+
+// Run competes for the lease until ctx ends, and releases it then.
+func (h *Holder) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if h.o.Candidate != nil && !h.o.Candidate() {
+			sleep(ctx, pollInterval)
+			continue
+		}
+		if !h.acquire(ctx) {
+			sleep(ctx, pollInterval/2+rand.N(pollInterval))
+			continue
+		}
+		h.lose(h.keep(ctx))
+	}
+}
+
+// acquire returns true when this process holds the key.
+func (h *Holder) acquire(ctx context.Context) bool {
+	if _, _, err := h.o.KV.Get(ctx, h.o.Key); !errors.Is(err, platform.ErrNotFound) {
+		return false
+	}
+	granted := time.Now()
+	id, err := h.o.KV.Grant(ctx, TTL)
+	if err != nil {
+		return false // a lease whose reply was lost holds no key and lapses
+	}
+	number, ok := h.take(ctx, id)
+	if !ok {
+		h.release(id)
+		return false
+	}
+	now := time.Now()
+	t := newTerm(number, granted, now)
+	if t.ended(now) {
+		h.release(id)
+		return false
+	}
+	h.mu.Lock()
+	h.t, h.id = t, id
+	h.mu.Unlock()
+	if h.o.Taken != nil {
+		h.o.Taken(number)
+	}
+	return true
+}
+
+// take writes the key if it does not exist. The fencing number is the revision
+// of that write. A lost reply is resolved by reading.
+func (h *Holder) take(ctx context.Context, id platform.LeaseID) (uint64, bool) {
+	res, err := h.o.KV.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: h.o.Key}},
+		Puts:       []platform.Put{{Key: h.o.Key, Value: []byte(h.o.Holder), Lease: id}},
+	})
+	if err == nil {
+		return uint64(res.Revision), res.Succeeded
+	}
+	if !errors.Is(err, platform.ErrUnknownOutcome) {
+		return 0, false
+	}
+	item, _, err := h.o.KV.Get(ctx, h.o.Key)
+	if err != nil || string(item.Value) != h.o.Holder || item.Lease != id {
+		// The caller revokes the lease, so that a write still on its way fails.
+		return 0, false
+	}
+	return uint64(item.CreateRevision), true
+}
+
+// keep renews the lease until the term ends, and returns why it ended. A
+// renewal is idempotent, so that one whose reply was lost is sent again.
+func (h *Holder) keep(ctx context.Context) string {
+	pause := Renew
+	for {
+		h.mu.Lock()
+		left := time.Until(h.t.until)
+		h.mu.Unlock()
+		sleep(ctx, min(pause, max(left, 0)))
+		if ctx.Err() != nil {
+			return "released"
+		}
+		sent := time.Now()
+		if h.ended(sent) {
+			return "not renewed in time"
+		}
+		remaining, err := h.o.KV.KeepAlive(ctx, h.id)
+		switch {
+		case errors.Is(err, platform.ErrLeaseNotFound) || err == nil && remaining <= 0:
+			return "lapsed at the key-value service"
+		case err != nil:
+			pause = retryInterval
+		default:
+			pause = Renew
+			h.mu.Lock()
+			h.t = h.t.renewed(sent, time.Now())
+			h.mu.Unlock()
+		}
+	}
+}
+
+func (h *Holder) ended(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.t.ended(now)
+}
+
+// lose ends the term before the lease is released.
+func (h *Holder) lose(reason string) {
+	h.mu.Lock()
+	number, id := h.t.number, h.id
+	h.t, h.id = term{}, 0
+	h.mu.Unlock()
+	if h.o.Lost != nil {
+		h.o.Lost(number, reason)
+	}
+	h.release(id)
+}
+
+// release revokes the lease. A revocation whose reply was lost is sent again;
+// then the service no longer knows the lease.
+func (h *Holder) release(id platform.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		err := h.o.KV.Revoke(ctx, id)
+		if err == nil || errors.Is(err, platform.ErrLeaseNotFound) {
+			return
+		}
+		sleep(ctx, retryInterval)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/lease/holder_test.go
@@ -0,0 +1,184 @@
+package lease
+
+import (
+	"context"
+	"flag"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkstep/skylarkstep/platform/standin"
+)
+
+// TestMain fixes the seed of the property tests, so that the verdict is the
+// same on every run.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// candidate is a holder with the events it reported.
+type candidate struct {
+	*Holder
+	mu     sync.Mutex
+	taken  []uint64
+	lost   []string
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func compete(kv *standin.KV, name string) *candidate {
+	c := &candidate{done: make(chan struct{})}
+	c.Holder = New(Options{
+		KV: kv.Direct(), Key: "lease/burgos", Holder: name,
+		Taken: func(n uint64) { c.mu.Lock(); c.taken = append(c.taken, n); c.mu.Unlock() },
+		Lost:  func(_ uint64, reason string) { c.mu.Lock(); c.lost = append(c.lost, reason); c.mu.Unlock() },
+	})
+	var ctx context.Context
+	ctx, c.cancel = context.WithCancel(context.Background())
+	go func() {
+		defer close(c.done)
+		c.Run(ctx)
+	}()
+	return c
+}
+
+func (c *candidate) stop() {
+	c.cancel()
+	<-c.done
+}
+
+// run lets time pass in small steps and checks at each that at most one
+// candidate may send orders and that numbers only grow.
+func run(t require.TestingT, d time.Duration, cs ...*candidate) (last uint64) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+		synctest.Wait()
+		valid := 0
+		for _, c := range cs {
+			if n, ok := c.Token(); ok {
+				valid++
+				require.GreaterOrEqual(t, n, last)
+				last = n
+			}
+		}
+		require.LessOrEqual(t, valid, 1, "two candidates may send orders")
+	}
+	return last
+}
+
+// Guards against a lease that is lost or taken twice because the reply to one
+// of its writes was lost.
+func TestLostRepliesAreResolved(t *testing.T) {
+	for name, lose := range map[string]func(*standin.KV, *candidate){
+		"renewal": func(kv *standin.KV, c *candidate) { kv.DropReplies(1); run(t, 2*Renew, c) },
+		"release": func(kv *standin.KV, c *candidate) { kv.DropReplies(1); c.stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := standin.NewKV()
+				a := compete(kv, "a")
+				require.NotZero(t, run(t, 5*time.Second, a))
+				lose(kv, a)
+				if name == "renewal" {
+					assert.Len(t, a.taken, 1, "a lost reply must not cost the lease")
+					assert.Empty(t, a.lost)
+					a.stop()
+				}
+				// A released lease is free at once, not after its TTL.
+				b := compete(kv, "b")
+				assert.NotZero(t, run(t, pollInterval+Wait+time.Second, b))
+				b.stop()
+			})
+		})
+	}
+}
+
+// Guards against a key that nobody uses because the reply to its write was lost.
+func TestLostReplyOnTake(t *testing.T) {
+	for lost := 1; lost <= 2; lost++ {
+		synctest.Test(t, func(t *testing.T) {
+			kv := standin.NewKV()
+			kv.DropReplies(lost) // the grant, then the write of the key
+			a := compete(kv, "a")
+			assert.NotZero(t, run(t, 6*time.Second, a))
+			a.stop()
+		})
+	}
+}
+
+// Guards against a holder that goes on sending orders while its lease may have
+// lapsed, and against a successor that starts too early.
+func TestOutageEndsTermBeforeLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := standin.NewKV()
+		a, b := compete(kv, "a"), compete(kv, "b")
+		first := run(t, 10*time.Second, a, b)
+		kv.SetStall(true)
+		run(t, TTL-Margin+time.Second, a, b)
+		_, av := a.Token()
+		_, bv := b.Token()
+		assert.False(t, av || bv, "no renewal for the TTL, but an order may be sent")
+		kv.SetStall(false)
+		assert.Greater(t, run(t, 15*time.Second, a, b), first)
+		a.stop()
+		b.stop()
+	})
+}
+
+// Guards against two effective holders under random outages, lost replies and
+// lapses. Each case is one line of events in virtual time.
+func TestAtMostOneEffectiveHolder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 4), 1, 12).Draw(rt, "steps")
+		waits := rapid.SliceOfN(rapid.IntRange(100, 8000), len(steps), len(steps)).Draw(rt, "waits")
+		synctest.Test(t, func(t *testing.T) {
+			kv := standin.NewKV()
+			cs := []*candidate{compete(kv, "a"), compete(kv, "b"), compete(kv, "c")}
+			for i, s := range steps {
+				switch s {
+				case 0:
+					kv.DropReplies(2)
+				case 1:
+					kv.SetStall(true)
+				case 2:
+					kv.SetRefuse(true)
+				case 3:
+					kv.SetLatency(900 * time.Millisecond)
+				case 4:
+					kv.SetLatency(0)
+				}
+				run(t, time.Duration(waits[i])*time.Millisecond, cs...)
+				kv.SetStall(false)
+				kv.SetRefuse(false)
+			}
+			kv.SetLatency(0)
+			assert.NotZero(t, run(t, 30*time.Second, cs...), "nobody holds the lease after the faults")
+			for _, c := range cs {
+				c.stop()
+			}
+		})
+	})
+}
+
+// Guards against a holder that was paused past its lease and sends an order
+// when it wakes, before anything else runs in it.
+func TestPausedHolderStopsByItsOwnClock(t *testing.T) {
+	now := time.Now()
+	term := newTerm(7, now, now)
+	assert.False(t, term.valid(now), "a new holder waits")
+	assert.True(t, term.valid(now.Add(Wait)))
+	assert.True(t, term.valid(now.Add(TTL-Margin-1)))
+	assert.False(t, term.valid(now.Add(TTL-Margin)))
+	late := now.Add(TTL)
+	assert.False(t, term.renewed(late, late).valid(late), "a term that ended must not be revived by a renewal")
+}
--- /dev/null
+++ b/lease/term.go
@@ -0,0 +1,51 @@
+package lease
+
+import "time"
+
+// Times of a lease. One lease per data centre renewed every 3 s gives 8
+// writes/s at 24 data centres.
+const (
+	TTL   = 9 * time.Second
+	Renew = 3 * time.Second
+	// Margin is how long before the end of the TTL a holder stops.
+	Margin = 2 * time.Second
+	// Wait is how long a new holder waits before its first order, so that an
+	// order that the former holder sent at its last moment arrives before it.
+	Wait = 2 * time.Second
+)
+
+// Token is what code that sends orders needs. The number is valid only while
+// valid is true, and must be asked for anew before each order.
+type Token interface {
+	Token() (number uint64, valid bool)
+}
+
+// term is one holder's time with the lease. It is a pure value.
+type term struct {
+	number uint64
+	from   time.Time
+	until  time.Time
+}
+
+// newTerm starts a term. Granted is before the lease was asked for, since the
+// TTL at the service may have begun at any moment after that.
+func newTerm(number uint64, granted, taken time.Time) term {
+	return term{number: number, from: taken.Add(Wait), until: granted.Add(TTL - Margin)}
+}
+
+// renewed extends the term; sent is before the renewal was sent. A term that
+// has ended stays ended: another holder may have begun.
+func (t term) renewed(sent, now time.Time) term {
+	if until := sent.Add(TTL - Margin); now.Before(t.until) && until.After(t.until) {
+		t.until = until
+	}
+	return t
+}
+
+// ended reports whether the holder must have stopped.
+func (t term) ended(now time.Time) bool { return !now.Before(t.until) }
+
+// valid reports whether an order may be sent.
+func (t term) valid(now time.Time) bool {
+	return t.number != 0 && !now.Before(t.from) && !t.ended(now)
+}
