Add coordinator leases, fencing numbers and the order path

One lease per data centre (TTL 9 s, renewed every 3 s) is held by one of the two watchers. A holder may send orders from 2 s after it took the lease until 2 s before the TTL ends, counted on its own clock from before the last renewal was sent; a term that has ended is never revived. Lost replies are resolved by reading or by repeating an idempotent call. Orders of a scope reach the engine one at a time, so that a checked order can't arrive after a later one.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkstep/skylarkstep/daemon/claim"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/platform"
 	"github.com/skylarkstep/skylarkstep/timeline"
 )
@@ -31,6 +32,7 @@
 	snapshot atomic.Pointer[snapshot]
 	events   chan controlEvent
 	store    *configsync.Store
+	lease    *lease.Holder
 	// watcher and reachable are set by the control goroutine.
 	watcher   atomic.Bool
 	reachable atomic.Bool
@@ -73,6 +75,7 @@
 		peerListener: o.PeerListener,
 	}
 	e.watcher.Store(true)
+	e.lease = e.newLease()
 	return e
 }
 
@@ -83,6 +86,16 @@
 	defer stopControl()
 	go e.runControl(control)
 	go e.watchConfig(control)
+	leaseCtx, releaseLease := context.WithCancel(control)
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		e.lease.Run(leaseCtx)
+	}()
+	defer func() {
+		releaseLease()
+		<-released
+	}()
 	if e.peerListener != nil {
 		defer func() { _ = e.peerListener.Close() }()
 		go e.acceptPeers(control, e.peerListener)
@@ -96,6 +109,7 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
+	releaseLease() // another entry coordinates while this one serves its last callers
 	e.stop(srv)
 	return nil
 }
--- /dev/null
+++ b/daemon/target/order_test.go
@@ -0,0 +1,113 @@
+package target
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/engine/standin"
+	"github.com/skylarkstep/skylarkstep/lease"
+	"github.com/skylarkstep/skylarkstep/platform"
+	kvstandin "github.com/skylarkstep/skylarkstep/platform/standin"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+func orderOf(scope string, fencing uint64) *wirepb.Order {
+	return &wirepb.Order{Scope: scope, Fencing: fencing, Kind: "load_version"}
+}
+
+// Guards against an order of a former coordinator that takes effect, at an
+// engine that checks fencing numbers and at one that ignores them.
+func TestLowerFencingNumberIsRefused(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		m := standin.NewModel(standin.ModelOptions{CheckFencing: checks})
+		tg := &Target{model: m.Direct()}
+		require.NoError(t, tg.order(orderOf("group-1", 5)))
+		require.NoError(t, tg.order(orderOf("group-1", 7)))
+		assert.Error(t, tg.order(orderOf("group-1", 6)), "engine checks: %t", checks)
+		require.NoError(t, tg.order(orderOf("group-1", 7)))
+		assert.Error(t, tg.order(orderOf("group-1", 0)))
+		assert.Len(t, m.Orders(), 3)
+	}
+}
+
+// Guards against an order that passed the check before a higher number came
+// and reaches the engine after it.
+func TestOrdersReachEngineInFencingOrder(t *testing.T) {
+	m := standin.NewModel(standin.ModelOptions{})
+	tg := &Target{model: m.Direct()}
+	var wg sync.WaitGroup
+	for n := uint64(1); n <= 200; n++ {
+		wg.Go(func() { _ = tg.order(orderOf("group-1", n)) })
+	}
+	wg.Wait()
+	var last uint64
+	for _, o := range m.Orders() {
+		require.GreaterOrEqual(t, o.Fencing, last)
+		last = o.Fencing
+	}
+	assert.Equal(t, uint64(200), last)
+}
+
+// Guards against an order whose answer is lost on the wire path.
+func TestOrderOverSession(t *testing.T) {
+	f := start(t)
+	st, err := f.session.Open(&wirepb.Open{Body: &wirepb.Open_Order{Order: orderOf("group-1", 1)}})
+	require.NoError(t, err)
+	require.NoError(t, st.SetReadDeadline(time.Now().Add(5*time.Second)))
+	var r wirepb.OrderResult
+	require.NoError(t, st.Recv(&r))
+	assert.False(t, r.GetAccepted())
+	assert.Contains(t, r.GetReason(), "plain service takes no orders")
+}
+
+// pausable is the key-value service of a process that can be paused.
+type pausable struct {
+	platform.KV
+	paused chan struct{}
+}
+
+func (p *pausable) KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
+	<-p.paused
+	return p.KV.KeepAlive(ctx, id)
+}
+
+// Guards against a coordinator that took its number, was paused past its
+// lease, and sends the order when it wakes, to an engine that ignores fencing
+// numbers.
+func TestPausedCoordinatorOrdersInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := kvstandin.NewKV()
+		m := standin.NewModel(standin.ModelOptions{})
+		tg := &Target{model: m.Direct()}
+		ctx, cancel := context.WithCancel(context.Background())
+		old := &pausable{KV: kv.Direct(), paused: make(chan struct{})}
+		a := lease.New(lease.Options{KV: old, Key: "lease", Holder: "a"})
+		b := lease.New(lease.Options{KV: kv.Direct(), Key: "lease", Holder: "b"})
+		var wg sync.WaitGroup
+		wg.Go(func() { a.Run(ctx) })
+		time.Sleep(lease.Wait + time.Second)
+		wg.Go(func() { b.Run(ctx) })
+		number, valid := a.Token()
+		require.True(t, valid)
+
+		time.Sleep(2 * lease.TTL) // a is paused; its renewals do not go out
+		next, valid := b.Token()
+		require.True(t, valid)
+		require.Greater(t, next, number)
+		require.NoError(t, tg.order(orderOf("group-1", next)))
+		_, valid = a.Token()
+		assert.False(t, valid, "the paused holder must stop by its own clock")
+		assert.Error(t, tg.order(orderOf("group-1", number)), "its order was on its way already")
+		assert.Len(t, m.Orders(), 1)
+
+		close(old.paused)
+		cancel()
+		wg.Wait()
+	})
+}
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -35,6 +35,7 @@
 	gate *gate
 
 	operations *operations
+	orders     orders
 
 	mu       sync.Mutex
 	sessions map[*wire.Session]*node.Heartbeats
@@ -163,6 +164,8 @@
 		t.serveOutcome(st, body.Outcome)
 	case *wirepb.Open_Handover:
 		t.serveHandover(st, body.Handover)
+	case *wirepb.Open_Order:
+		t.serveOrder(st, body.Order)
 	case *wirepb.Open_EventQuery:
 		t.serveEvents(st, body.EventQuery)
 	default:
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -82,6 +82,11 @@
 	for name, lose := range map[string]func(*standin.KV, *candidate){
 		"renewal": func(kv *standin.KV, c *candidate) { kv.DropReplies(1); run(t, 2*Renew, c) },
 		"release": func(kv *standin.KV, c *candidate) { kv.DropReplies(1); c.stop() },
+		"release that did not arrive": func(kv *standin.KV, c *candidate) {
+			kv.SetRefuse(true)
+			time.AfterFunc(retryInterval/2, func() { kv.SetRefuse(false) })
+			c.stop()
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
