--- a/api/gen/http/cli/skylarkstep/cli.go
+++ b/api/gen/http/cli/skylarkstep/cli.go
@@ -33,9 +33,9 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "callers addresses --token \"Sint totam.\"" + "\n" +
-		os.Args[0] + " " + "operators get-config --revision 383621814713922228 --token \"Sequi sunt delectus.\"" + "\n" +
-		os.Args[0] + " " + "timeline query --filter \"3kv\" --since 955018826535132947 --limit 7210 --scope \"process\" --token \"Omnis doloremque.\"" + "\n" +
+	return os.Args[0] + " " + "callers addresses --token \"Animi dolorum eligendi est ut voluptatem.\"" + "\n" +
+		os.Args[0] + " " + "operators get-config --revision 10444956282375894622 --token \"Harum aut.\"" + "\n" +
+		os.Args[0] + " " + "timeline query --filter \"o51\" --since 11405042867284892523 --limit 1426 --scope \"targets\" --token \"Ducimus debitis voluptatem tempora.\"" + "\n" +
 		""
 }
 
@@ -320,7 +320,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers addresses --token \"Sint totam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers addresses --token \"Animi dolorum eligendi est ut voluptatem.\"")
 }
 
 func callersCompleteUsage() {
@@ -342,7 +342,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"deadline_ms\": 3446315,\n      \"from_offset\": 7989877088303355449,\n      \"max_tokens\": 12087,\n      \"model\": \"p\",\n      \"priority\": -1,\n      \"prompt\": \"5o\"\n   }' --request-id \"ruj\" --token \"Laborum dolorem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"deadline_ms\": 1019077,\n      \"from_offset\": 4119201909295021156,\n      \"from_text\": \"Repellendus ipsum culpa nisi.\",\n      \"max_tokens\": 11490,\n      \"model\": \"v5g\",\n      \"priority\": -9,\n      \"prompt\": \"rs\"\n   }' --request-id \"8g8\" --token \"Officiis in odit saepe totam quia et.\"")
 }
 
 func callersIssueOperationUsage() {
@@ -362,7 +362,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers issue-operation --body '{\n      \"back_end\": \"cc\"\n   }' --token \"Culpa nisi beatae cum est.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers issue-operation --body '{\n      \"back_end\": \"jl\"\n   }' --token \"Quia sequi quaerat dolor temporibus harum.\"")
 }
 
 func callersOutcomeUsage() {
@@ -382,7 +382,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers outcome --operation-id \"sja\" --token \"Eum eveniet reiciendis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers outcome --operation-id \"mw5\" --token \"Quam at ex.\"")
 }
 
 func callersCallUsage() {
@@ -416,7 +416,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --back-end \"odc\" --operation \"bpy\" --request-id \"w5y\" --operation-id \"gm6\" --idempotency-key \"dz4\" --deadline-ms 313635 --content-type \"ww7\" --token \"Exercitationem rerum.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --back-end \"553\" --operation \"68x\" --request-id \"3qn\" --operation-id \"0hi\" --idempotency-key \"c51\" --deadline-ms 97561 --content-type \"kdm\" --token \"Tenetur aut esse ut voluptate blanditiis et.\" --stream \"goa.png\"")
 }
 
 // operatorsUsage displays the usage of the operators command and its
@@ -451,7 +451,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get-config --revision 383621814713922228 --token \"Sequi sunt delectus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get-config --revision 10444956282375894622 --token \"Harum aut.\"")
 }
 
 func operatorsApplyConfigUsage() {
@@ -479,7 +479,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply-config --body \"Suscipit recusandae eum aperiam pariatur doloribus.\" --allow-no-service false --allow-minority true --base-revision 586535773456308208 --edit-id \"qjp\" --token \"Odit ipsam non voluptas architecto.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply-config --body \"Et in.\" --allow-no-service false --allow-minority true --base-revision 1227809291613634900 --edit-id \"z21\" --token \"Quam illum asperiores.\"")
 }
 
 func operatorsRollbackConfigUsage() {
@@ -507,7 +507,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators rollback-config --to-revision 3349532865076543842 --allow-no-service true --allow-minority true --base-revision 13891474076705989266 --edit-id \"wrc\" --token \"Rerum doloremque at.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators rollback-config --to-revision 10146124894810746263 --allow-no-service false --allow-minority true --base-revision 5753512521912521915 --edit-id \"rx8\" --token \"Recusandae quia voluptatem.\"")
 }
 
 func operatorsConfigStatusUsage() {
@@ -525,7 +525,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-status --token \"Molestiae sed.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-status --token \"Quod a placeat voluptas ea.\"")
 }
 
 func operatorsConfigHistoryUsage() {
@@ -545,7 +545,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-history --limit 668 --token \"Quod a placeat voluptas ea.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-history --limit 478 --token \"Dolor eveniet enim.\"")
 }
 
 // timelineUsage displays the usage of the timeline command and its subcommands.
@@ -581,5 +581,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "timeline query --filter \"3kv\" --since 955018826535132947 --limit 7210 --scope \"process\" --token \"Omnis doloremque.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "timeline query --filter \"o51\" --since 11405042867284892523 --limit 1426 --scope \"targets\" --token \"Ducimus debitis voluptatem tempora.\"")
 }
