--- a/daemon/e2e/once_test.go
+++ b/daemon/e2e/once_test.go
@@ -22,10 +22,6 @@
 	RetryMS int `json:"retry_after_ms"`
 }
 
-func (k *cluster) signal(name string, s syscall.Signal) {
-	require.NoError(k.t, k.procs[name].cmd.Process.Signal(s))
-}
-
 // issue gets an operation id from an entry and returns it with its target.
 func (k *cluster) issue(entry int) (id, target string) {
 	res, err := k.request(http.MethodPost, k.entryURL(entry)+"/v1/operations", customerKey, nil, []byte(`{"back_end":"cabina-app"}`))
--- a/daemon/target/call.go
+++ b/daemon/target/call.go
@@ -5,17 +5,17 @@
 	"net/http"
 
 	"github.com/skylarkstep/skylarkstep/engine"
-	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
 // call runs an idempotent call. Calls that may run only once go through
 // serveOperation.
-func (t *Target) call(ctx context.Context, st *wire.Stream, d *wirepb.Dispatch) error {
+func (t *Target) call(ctx context.Context, st sink, d *wirepb.Dispatch, slot *slot) error {
 	reply, err := t.service.Call(ctx, engineCall(d))
 	if err != nil {
 		return err
 	}
+	slot.status = reply.Status
 	return sendReply(st, reply, uint64(t.node.Clock.Now()), false)
 }
 
@@ -35,7 +35,7 @@
 	}
 }
 
-func sendReply(st *wire.Stream, reply engine.Reply, hlc uint64, replayed bool) error {
+func sendReply(st sink, reply engine.Reply, hlc uint64, replayed bool) error {
 	for _, f := range []*wirepb.Frame{
 		{Body: &wirepb.Frame_Head{Head: responseHead(reply.Status, reply.Header)}},
 		{Body: &wirepb.Frame_Data{Data: reply.Body}},
--- a/daemon/target/control.go
+++ b/daemon/target/control.go
@@ -12,19 +12,23 @@
 
 // heartbeat returns the state and load of this process.
 func (t *Target) heartbeat() *wirepb.Heartbeat {
+	load, warming := t.load()
 	return &wirepb.Heartbeat{
 		Incarnation: t.node.Incarnation,
 		Revision:    t.revision(),
-		State:       t.state(),
-		Load:        &wirepb.LoadReport{Running: uint32(t.work.Count())},
+		State:       t.state(warming),
+		Load:        load,
 		Hlc:         uint64(t.node.Clock.Now()),
 	}
 }
 
-func (t *Target) state() wirepb.MemberState {
+func (t *Target) state(warming bool) wirepb.MemberState {
 	if t.work.Closed() {
 		return wirepb.MemberState_MEMBER_STATE_LEAVING
 	}
+	if warming {
+		return wirepb.MemberState_MEMBER_STATE_WARMING
+	}
 	return wirepb.MemberState_MEMBER_STATE_READY
 }
 
@@ -86,6 +90,7 @@
 			return
 		}
 		if t.config.CompareAndSwap(old, c) {
+			t.configChanged(old, c)
 			t.node.Events.Record(timeline.Event{Kind: timeline.RevisionInForce, Target: t.node.Name, Revision: c.Revision})
 			t.kickHeartbeats()
 			return
--- a/daemon/target/operation.go
+++ b/daemon/target/operation.go
@@ -21,7 +21,7 @@
 // serveOperation runs a call under its operation id, or repeats the answer that
 // the id already has. Every refusal closes the id first, so that not_run stays
 // true whatever dispatch arrives later.
-func (t *Target) serveOperation(st *wire.Stream, d *wirepb.Dispatch) {
+func (t *Target) serveOperation(ctx context.Context, st sink, d *wirepb.Dispatch) {
 	id, err := atmostonce.ParseID(d.GetOperationId())
 	if err != nil {
 		t.refuse(st, d, errkind.Wrap(err, errkind.UnknownOperation, "dispatch").WithDidRun(errkind.Unknown))
@@ -32,9 +32,14 @@
 	replayed := true
 	if err == nil && known.State == atmostonce.Absent {
 		var refused error
-		x, refused = t.startOperation(st, d, id, request)
+		x, refused = t.startOperation(ctx, st, d, id, request)
 		replayed = refused != nil
 		if refused != nil {
+			if errors.Is(ctx.Err(), context.Canceled) {
+				// The entry went away while the operation was queued. A repeat at
+				// another entry may run it.
+				return
+			}
 			if t.operations.close(id) == atmostonce.Closed {
 				t.refuse(st, d, errkind.From(refused).WithDidRun(errkind.NotRun))
 				return
@@ -43,29 +48,37 @@
 			known, x, err = t.operations.look(id, request)
 		}
 	}
-	t.answerOperation(st, d, known, x, err, replayed)
+	t.answerOperation(ctx, st, d, known, x, err, replayed)
 }
 
 // startOperation admits the operation and runs it apart from the stream, so
 // that it completes when the entry dies and the caller repeats elsewhere.
-func (t *Target) startOperation(st *wire.Stream, d *wirepb.Dispatch, id atmostonce.ID, r atmostonce.Request) (*execution, error) {
+func (t *Target) startOperation(
+	ctx context.Context, st sink, d *wirepb.Dispatch, id atmostonce.ID, r atmostonce.Request,
+) (*execution, error) {
 	if err := t.admit(d); err != nil {
 		return nil, err
 	}
+	_ = st.Send(&wirepb.Frame{Body: &wirepb.Frame_Accepted{Accepted: &wirepb.Accepted{Incarnation: t.node.Incarnation}}})
+	slot, err := t.enter(ctx, d)
+	if err != nil {
+		t.work.End()
+		return nil, err
+	}
 	x, started := t.operations.begin(id, r)
 	if !started {
+		slot.leave(errkind.New(errkind.Canceled, "not started"))
 		t.work.End()
 		return nil, errkind.New(errkind.OperationClosed, "operation %s was closed or started by another attempt", id)
 	}
-	_ = st.Send(&wirepb.Frame{Body: &wirepb.Frame_Accepted{Accepted: &wirepb.Accepted{Incarnation: t.node.Incarnation}}})
 	go func() {
 		defer t.work.End()
-		t.execute(d, id, x)
+		t.execute(d, id, x, slot)
 	}()
 	return x, nil
 }
 
-func (t *Target) execute(d *wirepb.Dispatch, id atmostonce.ID, x *execution) {
+func (t *Target) execute(d *wirepb.Dispatch, id atmostonce.ID, x *execution, slot *slot) {
 	bound := time.Duration(d.GetRemainingMs())*time.Millisecond + completionGrace
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
@@ -74,16 +87,20 @@
 	// The client repeats idempotent calls on reused connections by itself.
 	call.Idempotent = false
 	reply, err := t.service.Call(ctx, call)
+	slot.status = reply.Status
+	slot.leave(err)
 	t.record(timeline.BackendFinished, d, err)
 	t.operations.end(id, x, &atmostonce.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body}, err)
 }
 
 // answerOperation waits for a running operation and sends what is known.
 func (t *Target) answerOperation(
-	st *wire.Stream, d *wirepb.Dispatch, known atmostonce.Outcome, x *execution, err error, replayed bool,
+	ctx context.Context, st sink, d *wirepb.Dispatch, known atmostonce.Outcome, x *execution, err error, replayed bool,
 ) {
 	if err == nil && x != nil {
-		if !waitFor(x, st) {
+		select {
+		case <-x.done:
+		case <-ctx.Done(): // the entry went away; the operation goes on
 			return
 		}
 		if x.err != nil {
@@ -106,19 +123,6 @@
 	}
 }
 
-// waitFor returns false when the entry cancels or goes away. The operation goes
-// on.
-func waitFor(x *execution, st *wire.Stream) bool {
-	gone, cancel := context.WithCancel(context.Background())
-	go cancelOnClose(st, cancel)
-	select {
-	case <-x.done:
-		return true
-	case <-gone.Done():
-		return false
-	}
-}
-
 // RequestOf identifies the request of a dispatch by all that the back end sees
 // of it.
 func RequestOf(d *wirepb.Dispatch) atmostonce.Request {
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -28,6 +28,7 @@
 
 	config atomic.Pointer[config.Config]
 	work   node.Inflight
+	gate   *gate
 
 	operations *operations
 
@@ -54,6 +55,7 @@
 		operations: newOperations(atmostonce.NewTable(o.Settings.Target.Backend, o.Node.Name, o.Node.Incarnation,
 			atmostonce.Limits{Keep: atmostonce.DefaultKeep, MaxBytes: atmostonce.DefaultMaxBytes}),
 			func() time.Time { return o.Node.Clock.Now().Time() }),
+		gate:     newGate(admissionRule(&config.Config{}, o.Settings.Target.Backend)),
 		sessions: map[*wire.Session]*node.Heartbeats{},
 	}
 }
