Retry within budgets, eject failing targets, hedge slow idempotent calls

Retries had no bound but three attempts, so an outage tripled the load, and a target that failed fast drew requests. Module retry holds the budget (10% of first attempts per entry and per customer), the backoff with jitter, the rule which errors may be tried elsewhere, outlier ejection and the latency quantile, as state machines. Entries avoid the failed target and where possible its data centre, and hedge an idempotent call after the 0.95 quantile of its latency; the loser is cancelled and its time counted, or the quantile would sink. Retries after leaving and stale_incarnation need no budget, and neither does an answer that has begun to stream.

A repeat that waits for a running operation now gets an accepted frame, since the entry took it for stalled after 3 s.

--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -53,9 +53,8 @@
 	if p == nil {
 		return nil, noTarget(r.backend)
 	}
-	i, err := p.picker.Pick(balancer.Request{
+	i, err := r.choose(p, balancer.Request{
 		Allowed: func(dc string) bool { return s.config.Serves(r.customer.Name, dc) },
-		Avoid:   func(target string) bool { return r.tried[target] },
 		Tokens:  r.tokens,
 		Random:  rand.Uint64(),
 	})
@@ -160,12 +159,14 @@
 	switch kind {
 	case timeline.RequestReceived:
 		r.received = time.Now()
+		r.entry.retries.first(r.customer.Name)
 	case timeline.RequestFinished:
 		r.entry.observeRequest(r.backend, time.Since(r.received), err)
 	case timeline.AttemptStarted:
 		r.entry.counter(metricAttempts).Inc(1)
 	case timeline.AttemptEnded:
 		r.entry.observeAttempt(to, err)
+		r.observeHealth(to, err)
 	}
 	ev := timeline.Event{
 		Kind:      kind,
--- a/daemon/entry/call.go
+++ b/daemon/entry/call.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkstep/skylarkstep/api/gen/callers"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/retry"
 	"github.com/skylarkstep/skylarkstep/timeline"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
@@ -113,41 +114,10 @@
 	}
 }
 
-// runIdempotent tries targets until one answers.
-func (c *call) runIdempotent(ctx context.Context) (*callReply, error) {
-	for {
-		to, err := c.pick()
-		if err != nil {
-			return nil, err
-		}
-		reply, err := c.once(ctx, to)
-		if err == nil {
-			return reply, nil
-		}
-		if ctx.Err() != nil {
-			return nil, errkind.From(ctx.Err())
-		}
-		if !c.mayRetry(errkind.From(err)) {
-			return nil, err
-		}
-	}
-}
-
-func (c *call) mayRetry(err *errkind.Error) bool {
-	if c.attempts >= maxCallAttempts || !err.Kind.Answer().TryElsewhere {
-		return false
-	}
-	return c.dispatch.GetIdempotent() || err.DidRun == errkind.NotRun
-}
-
-func (c *call) once(ctx context.Context, to *route) (*callReply, error) {
-	a, err := c.start(ctx, to, c.dispatch)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := a.readReply()
-	a.end(err)
-	return reply, err
+// mayTryAgain reports whether another attempt can help, is safe, and is within
+// the budgets.
+func (c *call) mayTryAgain(err *errkind.Error) bool {
+	return c.attempts < maxCallAttempts && retry.Allowed(err, c.dispatch.GetIdempotent()) && c.mayRetry(err)
 }
 
 func (a *attempt) readReply() (*callReply, error) {
--- a/daemon/entry/complete.go
+++ b/daemon/entry/complete.go
@@ -141,8 +141,13 @@
 	}
 	g.failures++
 	g.lastFailure = err
-	return g.ctx.Err() == nil && errkind.KindOf(err).Answer().TryElsewhere &&
-		g.failures < maxModelAttempts && g.attempts < maxStreamAttempts
+	if g.ctx.Err() != nil || !errkind.KindOf(err).Answer().TryElsewhere ||
+		g.failures >= maxModelAttempts || g.attempts >= maxStreamAttempts {
+		return false
+	}
+	// An answer that has begun is continued whatever the budget: the work done
+	// for it would be lost.
+	return g.offset > g.startOffset || g.mayRetry(errkind.From(err))
 }
 
 func (g *generation) startAttempt() error {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -26,6 +26,7 @@
 	kv       platform.KV
 	policy   balancer.Builder
 	claims   *claim.Claims
+	retries  *retries
 
 	snapshot atomic.Pointer[snapshot]
 	events   chan controlEvent
@@ -62,6 +63,7 @@
 		kv:       o.KV,
 		policy:   o.Policy,
 		claims:   claim.New(o.KV),
+		retries:  newRetries(),
 		events:   make(chan controlEvent, eventQueue),
 
 		peerListener: o.PeerListener,
--- a/daemon/entry/once.go
+++ b/daemon/entry/once.go
@@ -19,7 +19,7 @@
 // internal id that no one else knows. Another target is tried only after the
 // owner has closed the id, or when no dispatch was written.
 func (c *call) runInternal(ctx context.Context) (*callReply, error) {
-	for {
+	for n := 0; ; n++ {
 		to, err := c.pick()
 		if err != nil {
 			return nil, err
@@ -28,9 +28,10 @@
 		if failure == nil {
 			return reply, nil
 		}
-		if ctx.Err() != nil || failure.DidRun != errkind.NotRun || !c.mayRetry(failure) {
+		if ctx.Err() != nil || !c.mayTryAgain(failure) {
 			return nil, failure
 		}
+		c.backoff(ctx, n)
 	}
 }
 
@@ -110,10 +111,16 @@
 	refused bool
 }
 
-// dispatchTo makes one attempt and returns at the latest when ctx ends. Writing
-// to a process that is paused may block for longer, so the attempt has a
-// goroutine of its own; a dispatch that is written late finds the id closed.
+// dispatchTo makes one attempt under the id.
 func (c *call) dispatchTo(ctx context.Context, to *route, id atmostonce.ID) dispatchResult {
+	return c.prepare(to, c.newDispatch(id))(ctx)
+}
+
+// prepare counts an attempt and returns the function that makes it, which ends
+// at the latest with its context. Writing to a process that is paused may block
+// for longer, so the attempt has a goroutine of its own; a dispatch that is
+// written late finds its operation closed.
+func (c *call) prepare(to *route, d *wirepb.Dispatch) func(context.Context) dispatchResult {
 	one := *c
 	one.tried = nil
 	c.attempts++
@@ -121,29 +128,32 @@
 		c.tried = map[string]bool{}
 	}
 	c.tried[to.name] = true
-	d := c.newDispatch(id)
 	results := make(chan dispatchResult, 1)
-	go func() {
-		a, err := one.start(ctx, to, d)
-		if err != nil {
-			results <- dispatchResult{err: errkind.From(err)}
-			return
-		}
-		reply, err := a.readReply()
-		a.end(err)
-		results <- dispatchResult{reply: reply, err: errkind.From(err), refused: a.refused}
-	}()
-	select {
-	case r := <-results:
-		if r.err != nil && !r.refused && ctx.Err() != nil {
-			r.err = errkind.From(ctx.Err())
+	return func(ctx context.Context) dispatchResult {
+		go func() { results <- one.attempt(ctx, to, d) }()
+		select {
+		case r := <-results:
+			return r
+		case <-ctx.Done():
+			return dispatchResult{err: errkind.From(ctx.Err())}
 		}
-		return r
-	case <-ctx.Done():
-		return dispatchResult{err: errkind.From(ctx.Err())}
 	}
 }
 
+func (c *call) attempt(ctx context.Context, to *route, d *wirepb.Dispatch) dispatchResult {
+	a, err := c.start(ctx, to, d)
+	if err != nil {
+		return dispatchResult{err: errkind.From(err)}
+	}
+	reply, err := a.readReply()
+	if err != nil && !a.refused && ctx.Err() != nil {
+		// The end of the context closed the stream; the target did not fail.
+		err = errkind.From(ctx.Err())
+	}
+	a.end(err)
+	return dispatchResult{reply: reply, err: errkind.From(err), refused: a.refused}
+}
+
 // newDispatch returns a dispatch of its own for each attempt, since a late
 // attempt may still be writing an earlier one.
 func (c *call) newDispatch(id atmostonce.ID) *wirepb.Dispatch {
--- /dev/null
+++ b/daemon/entry/retries.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/balancer"
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/retry"
+)
+
+// Names of the metrics of retries.
+const (
+	metricRetries    = "retries.sent"
+	metricOverBudget = "retries.over_budget"
+	metricHedges     = "hedges.sent"
+	metricHedgesWon  = "hedges.won"
+	metricEjections  = "targets.ejected"
+)
+
+// retryPolicy switches parts off, for measurements against the naive policy.
+type retryPolicy struct {
+	noBudget, noEjection, noHedging, noRetry bool
+}
+
+// retries guards the state machines of package retry.
+type retries struct {
+	policy retryPolicy
+
+	mu       sync.Mutex
+	budgets  *retry.Budgets
+	ejectors map[string]*retry.Ejector // by back end
+	latency  map[string]*retry.Latency // by back end and operation
+}
+
+func newRetries() *retries {
+	return &retries{
+		budgets:  retry.NewBudgets(),
+		ejectors: map[string]*retry.Ejector{},
+		latency:  map[string]*retry.Latency{},
+	}
+}
+
+func (t *retries) first(customer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.budgets.First(customer)
+}
+
+// take takes one retry or hedge from the budgets.
+func (t *retries) take(customer string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.budgets.Take(customer) || t.policy.noBudget
+}
+
+// mayRetry reports whether the budgets allow another attempt after err.
+func (r *request) mayRetry(err *errkind.Error) bool {
+	t := r.entry.retries
+	switch {
+	case t.policy.noRetry:
+		return false
+	case retry.Free(err) || t.take(r.customer.Name):
+		r.entry.counter(metricRetries).Inc(1)
+		return true
+	default:
+		r.entry.counter(metricOverBudget).Inc(1)
+		return false
+	}
+}
+
+// observe takes in the result of an attempt as evidence about the target.
+// Refusals and cancellations say nothing about its health.
+func (t *retries) observe(backend, target string, err error, size int) (ejected bool) {
+	switch errkind.KindOf(err) {
+	case errkind.Unspecified, errkind.TargetLost, errkind.TargetUnreachable, errkind.Stalled,
+		errkind.BackendFailed, errkind.BackendUnreachable:
+	default:
+		return false
+	}
+	if t.policy.noEjection {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.ejectors[backend]
+	if e == nil {
+		e = retry.NewEjector()
+		t.ejectors[backend] = e
+	}
+	return e.Observe(target, err != nil, size, time.Now())
+}
+
+func (r *request) observeHealth(to *route, err error) {
+	size := 0
+	if s := r.entry.snapshot.Load(); s != nil && s.pools[r.backend] != nil {
+		size = len(s.pools[r.backend].targets)
+	}
+	if r.entry.retries.observe(r.backend, to.name, err, size) {
+		r.entry.counter(metricEjections).Inc(1)
+		r.entry.node.Log.Warn("target ejected after repeated failures", "back_end", r.backend, "target", to.name, "error", err)
+	}
+}
+
+// suspects returns the targets that an attempt should avoid, or nil.
+func (t *retries) suspects(backend string, targets []route) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.ejectors[backend]
+	if e == nil || !e.Any() {
+		return nil
+	}
+	now := time.Now()
+	avoid := map[string]bool{}
+	for i := range targets {
+		if !e.Admit(targets[i].name, rand.Float64(), now) {
+			avoid[targets[i].name] = true
+		}
+	}
+	return avoid
+}
+
+// choose picks a target that the request has not tried. It prefers targets that
+// are not ejected and, after a failure, another data centre.
+func (r *request) choose(p *pool, q balancer.Request) (int, error) {
+	suspects := r.entry.retries.suspects(r.backend, p.targets)
+	q.Avoid = func(string) bool { return false }
+	if len(r.tried) == 0 && len(suspects) == 0 {
+		return p.picker.Pick(q)
+	}
+	failed := map[string]bool{}
+	byName := map[string]string{}
+	for i := range p.targets {
+		t := &p.targets[i]
+		byName[t.name] = t.dataCentre
+		if r.tried[t.name] {
+			failed[t.dataCentre] = true
+		}
+	}
+	var err error
+	for _, avoid := range []func(string) bool{
+		func(t string) bool { return r.tried[t] || suspects[t] || failed[byName[t]] },
+		func(t string) bool { return r.tried[t] || suspects[t] },
+		func(t string) bool { return r.tried[t] },
+	} {
+		var i int
+		q.Avoid = avoid
+		if i, err = p.picker.Pick(q); err == nil {
+			return i, nil
+		}
+	}
+	return 0, err
+}
+
+// backoff pauses before a retry, counted from zero.
+func (r *request) backoff(ctx context.Context, n int) {
+	pause := time.NewTimer(retry.Delay(n, rand.Float64()))
+	defer pause.Stop()
+	select {
+	case <-pause.C:
+	case <-ctx.Done():
+	}
+}
+
+func (t *retries) observeLatency(key string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.latency[key]
+	if l == nil {
+		l = &retry.Latency{}
+		t.latency[key] = l
+	}
+	l.Observe(d)
+}
+
+// hedgeDelay returns the time after which an attempt counts as slow.
+func (t *retries) hedgeDelay(key string) (time.Duration, bool) {
+	if t.policy.noHedging {
+		return 0, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.latency[key]
+	if l == nil {
+		return 0, false
+	}
+	return l.Quantile(retry.HedgeQuantile)
+}
--- a/daemon/entry/sim_test.go
+++ b/daemon/entry/sim_test.go
@@ -37,7 +37,8 @@
 	config   *config.Config
 	document []byte
 	kv       *standin.KV
-	service  *enginestandin.Service
+	service  *enginestandin.Service            // of all targets
+	services map[string]*enginestandin.Service // of single targets, if set
 	ctx      context.Context
 
 	mu      sync.Mutex
@@ -63,12 +64,14 @@
 	sessions map[string]*wire.Session
 }
 
-func newSim(t *testing.T, seed uint64) *sim {
+func newSim(t *testing.T, seed uint64) *sim { return newSimWith(t, seed, simConfig(), nil) }
+
+func newSimWith(t *testing.T, seed uint64, c *config.Config, services map[string]*enginestandin.Service) *sim {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	s := &sim{
 		t: t, kv: standin.NewKV(), service: enginestandin.NewService(enginestandin.ServiceOptions{}), ctx: ctx,
-		rng: rand.New(rand.NewPCG(seed, 1)), targets: map[string]*simTarget{}, config: simConfig(),
+		rng: rand.New(rand.NewPCG(seed, 1)), targets: map[string]*simTarget{}, config: c, services: services,
 	}
 	var err error
 	s.document, err = json.Marshal(s.config)
@@ -117,7 +120,11 @@
 		Target: config.TargetSettings{Backend: tg.Backend, Kind: config.KindService},
 	}
 	p := &simTarget{listener: newSimListener(), gate: newGate(), ended: make(chan struct{})}
-	t := target.New(target.Options{Settings: st, Node: node.New(st, io.Discard), Service: s.service.Direct()})
+	service := s.service
+	if own := s.services[tg.Name]; own != nil {
+		service = own
+	}
+	t := target.New(target.Options{Settings: st, Node: node.New(st, io.Discard), Service: service.Direct()})
 	ctx, stop := context.WithCancel(s.ctx)
 	p.stop = stop
 	go func() {
--- a/daemon/target/operation.go
+++ b/daemon/target/operation.go
@@ -98,6 +98,10 @@
 	ctx context.Context, st sink, d *wirepb.Dispatch, known atmostonce.Outcome, x *execution, err error, replayed bool,
 ) {
 	if err == nil && x != nil {
+		if replayed {
+			// A repeat that waits is not a stalled attempt.
+			_ = st.Send(&wirepb.Frame{Body: &wirepb.Frame_Accepted{Accepted: &wirepb.Accepted{Incarnation: t.node.Incarnation}}})
+		}
 		select {
 		case <-x.done:
 		case <-ctx.Done(): // the entry went away; the operation goes on
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -1,2 +1,4 @@
-// Package retry decides whether and when a failed attempt is repeated.
+// Package retry decides whether, when and where a failed attempt is repeated.
+// Its parts are pure state machines that take the time and random numbers as
+// arguments and are not safe for concurrent use.
 package retry
