--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -28,6 +28,7 @@
 	kv       platform.KV
 	policy   balancer.Builder
 	claims   *claim.Claims
+	retries  *retries
 
 	snapshot atomic.Pointer[snapshot]
 	events   chan controlEvent
@@ -69,6 +70,7 @@
 		kv:       o.KV,
 		policy:   o.Policy,
 		claims:   claim.New(o.KV),
+		retries:  newRetries(),
 		events:   make(chan controlEvent, eventQueue),
 
 		store:        configsync.NewStore(o.KV),
