Send reachability and age of one moment in heartbeats

Cause: when the key-value service came back, the first entry to notice sent a heartbeat that said it was reachable with the age from before. Its readers saw a reachable service and a stale configuration and refused work as isolated for 0.9 s, until the next heartbeat. Seen in the logs of TestZoneOutThenStoreDown, which failed in 1 of 6 runs on a busy machine. Ruled out: late heartbeats and pauses; no process logged one.

TestHeartbeatIsOfOneMoment fails with the reachability read directly; the end-to-end test passed 6 of 6 runs on the same busy machine.

--- a/daemon/entry/configwatch.go
+++ b/daemon/entry/configwatch.go
@@ -168,10 +168,12 @@
 	}
 }
 
-// setReachable tells the other entries at once whether this one reaches the
-// store, since the rule for isolated processes depends on it.
+// setReachable has the other entries told at once whether this one reaches the
+// store, since the rule for isolated processes depends on it. They are told
+// after the next snapshot: a heartbeat that says "reachable" with the age from
+// before makes its readers count as isolated until the next one.
 func (c *control) setReachable(ok bool) {
 	if c.entry.reachable.Swap(ok) != ok {
-		c.kickHeartbeats()
+		c.reachableChanged = true
 	}
 }
--- a/daemon/entry/control.go
+++ b/daemon/entry/control.go
@@ -35,6 +35,9 @@
 	alarmed     bool
 	verdict     configsync.Verdict
 	lastLoop    time.Time
+
+	// reachableChanged asks for heartbeats after the next snapshot.
+	reachableChanged bool
 }
 
 // member is what is known about one target.
@@ -68,6 +71,10 @@
 			c.noticePause(time.Now())
 		}
 		c.publish()
+		if c.reachableChanged {
+			c.reachableChanged = false
+			c.kickHeartbeats()
+		}
 	}
 }
 
--- /dev/null
+++ b/daemon/entry/freshness_test.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
+	"github.com/skylarkstep/skylarkstep/daemon/node"
+)
+
+// Guards against a heartbeat that says that the key-value service is reachable
+// with the age from before: when the service came back after an outage, its
+// readers refused work as isolated until the next heartbeat.
+func TestHeartbeatIsOfOneMoment(t *testing.T) {
+	s := &config.Settings{Role: config.RoleEntry, Name: "entry-1"}
+	e := New(Options{Settings: s, Node: node.New(s, io.Discard)})
+	e.snapshot.Store(&snapshot{
+		config:   &config.Config{Revision: 2},
+		verdict:  configsync.Verdict{State: configsync.ServiceDown, Age: time.Minute},
+		judgedAt: time.Now(),
+	})
+	e.reachable.Store(true)
+	hb := e.heartbeat()
+	assert.False(t, hb.GetStoreReachable(), "age %d ms", hb.GetFreshnessAgeMs())
+}
--- a/daemon/entry/link.go
+++ b/daemon/entry/link.go
@@ -93,11 +93,11 @@
 		Revision:       e.revision(),
 		State:          e.state(),
 		Hlc:            uint64(e.node.Clock.Now()),
-		StoreReachable: e.reachable.Load(),
 		FreshnessAgeMs: math.MaxInt32,
 	}
 	if s := e.snapshot.Load(); s != nil {
 		hb.Revision = s.config.Revision
+		hb.StoreReachable = s.reachable
 		hb.FreshnessAgeMs = uint64((s.verdict.Age + time.Since(s.judgedAt)).Milliseconds())
 	}
 	return hb
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -21,6 +21,9 @@
 
 	verdict  configsync.Verdict
 	judgedAt time.Time
+	// reachable says that this entry reached the key-value service when the
+	// verdict was made.
+	reachable bool
 }
 
 // pool is the usable targets of one back end with a picker over them.
@@ -50,6 +53,7 @@
 		config:    cfg,
 		verdict:   c.judge(now),
 		judgedAt:  now,
+		reachable: c.entry.reachable.Load(),
 		customers: map[string]*config.Customer{},
 		pools:     map[string]*pool{},
 		members:   map[string]route{},
