--- a/api/gen/http/operators/client/cli.go
+++ b/api/gen/http/operators/client/cli.go
@@ -43,13 +43,13 @@
 
 // BuildApplyConfigPayload builds the payload for the operators apply_config
 // endpoint from CLI flags.
-func BuildApplyConfigPayload(operatorsApplyConfigBody string, operatorsApplyConfigAllowNoService string, operatorsApplyConfigBaseRevision string, operatorsApplyConfigEditID string, operatorsApplyConfigToken string) (*operators.ApplyConfigPayload, error) {
+func BuildApplyConfigPayload(operatorsApplyConfigBody string, operatorsApplyConfigAllowNoService string, operatorsApplyConfigAllowMinority string, operatorsApplyConfigBaseRevision string, operatorsApplyConfigEditID string, operatorsApplyConfigToken string) (*operators.ApplyConfigPayload, error) {
 	var err error
 	var body any
 	{
 		err = json.Unmarshal([]byte(operatorsApplyConfigBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Minima tempore quas eos.\"")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Et in.\"")
 		}
 	}
 	var allowNoService bool
@@ -61,6 +61,15 @@
 			}
 		}
 	}
+	var allowMinority bool
+	{
+		if operatorsApplyConfigAllowMinority != "" {
+			allowMinority, err = strconv.ParseBool(operatorsApplyConfigAllowMinority)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for allowMinority, must be BOOL")
+			}
+		}
+	}
 	var baseRevision uint64
 	{
 		baseRevision, err = strconv.ParseUint(operatorsApplyConfigBaseRevision, 10, 64)
@@ -90,6 +99,7 @@
 		Document: v,
 	}
 	res.AllowNoService = allowNoService
+	res.AllowMinority = allowMinority
 	res.BaseRevision = baseRevision
 	res.EditID = editID
 	res.Token = token
@@ -97,6 +107,70 @@
 	return res, nil
 }
 
+// BuildRollbackConfigPayload builds the payload for the operators
+// rollback_config endpoint from CLI flags.
+func BuildRollbackConfigPayload(operatorsRollbackConfigToRevision string, operatorsRollbackConfigAllowNoService string, operatorsRollbackConfigAllowMinority string, operatorsRollbackConfigBaseRevision string, operatorsRollbackConfigEditID string, operatorsRollbackConfigToken string) (*operators.RollbackConfigPayload, error) {
+	var err error
+	var toRevision uint64
+	{
+		toRevision, err = strconv.ParseUint(operatorsRollbackConfigToRevision, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("invalid value for toRevision, must be UINT64")
+		}
+	}
+	var allowNoService bool
+	{
+		if operatorsRollbackConfigAllowNoService != "" {
+			allowNoService, err = strconv.ParseBool(operatorsRollbackConfigAllowNoService)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for allowNoService, must be BOOL")
+			}
+		}
+	}
+	var allowMinority bool
+	{
+		if operatorsRollbackConfigAllowMinority != "" {
+			allowMinority, err = strconv.ParseBool(operatorsRollbackConfigAllowMinority)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for allowMinority, must be BOOL")
+			}
+		}
+	}
+	var baseRevision uint64
+	{
+		baseRevision, err = strconv.ParseUint(operatorsRollbackConfigBaseRevision, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("invalid value for baseRevision, must be UINT64")
+		}
+	}
+	var editID string
+	{
+		editID = operatorsRollbackConfigEditID
+		if utf8.RuneCountInString(editID) < 8 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("edit_id", editID, utf8.RuneCountInString(editID), 8, true))
+		}
+		if utf8.RuneCountInString(editID) > 64 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("edit_id", editID, utf8.RuneCountInString(editID), 64, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var token string
+	{
+		token = operatorsRollbackConfigToken
+	}
+	v := &operators.RollbackConfigPayload{}
+	v.ToRevision = toRevision
+	v.AllowNoService = allowNoService
+	v.AllowMinority = allowMinority
+	v.BaseRevision = baseRevision
+	v.EditID = editID
+	v.Token = token
+
+	return v, nil
+}
+
 // BuildConfigStatusPayload builds the payload for the operators config_status
 // endpoint from CLI flags.
 func BuildConfigStatusPayload(operatorsConfigStatusToken string) (*operators.ConfigStatusPayload, error) {
--- a/api/gen/http/operators/server/encode_decode.go
+++ b/api/gen/http/operators/server/encode_decode.go
@@ -106,12 +106,14 @@
 
 		var (
 			allowNoService bool
+			allowMinority  bool
 			baseRevision   uint64
 			editID         string
 			token          string
 		)
+		qp := r.URL.Query()
 		{
-			allowNoServiceRaw := r.URL.Query().Get("allow_no_service")
+			allowNoServiceRaw := qp.Get("allow_no_service")
 			if allowNoServiceRaw != "" {
 				v, err2 := strconv.ParseBool(allowNoServiceRaw)
 				if err2 != nil {
@@ -120,6 +122,113 @@
 				allowNoService = v
 			}
 		}
+		{
+			allowMinorityRaw := qp.Get("allow_minority")
+			if allowMinorityRaw != "" {
+				v, err2 := strconv.ParseBool(allowMinorityRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("allow_minority", allowMinorityRaw, "boolean"))
+				}
+				allowMinority = v
+			}
+		}
+		{
+			baseRevisionRaw := r.Header.Get("If-Match")
+			if baseRevisionRaw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("base_revision", "header"))
+			}
+			v, err2 := strconv.ParseUint(baseRevisionRaw, 10, 64)
+			if err2 != nil {
+				err = goa.MergeErrors(err, goa.InvalidFieldTypeError("base_revision", baseRevisionRaw, "unsigned integer"))
+			}
+			baseRevision = v
+		}
+		editID = r.Header.Get("Edit-Id")
+		if editID == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("edit_id", "header"))
+		}
+		if utf8.RuneCountInString(editID) < 8 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("edit_id", editID, utf8.RuneCountInString(editID), 8, true))
+		}
+		if utf8.RuneCountInString(editID) > 64 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("edit_id", editID, utf8.RuneCountInString(editID), 64, false))
+		}
+		token = r.Header.Get("Authorization")
+		if token == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("token", "header"))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewApplyConfigPayload(body, allowNoService, allowMinority, baseRevision, editID, token)
+		if strings.Contains(payload.Token, " ") {
+			// Remove authorization scheme prefix (e.g. "Bearer")
+			cred := strings.SplitN(payload.Token, " ", 2)[1]
+			payload.Token = cred
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeRollbackConfigResponse returns an encoder for responses returned by
+// the operators rollback_config endpoint.
+func EncodeRollbackConfigResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operators.ConfigAccepted)
+		enc := encoder(ctx, w)
+		body := NewRollbackConfigResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeRollbackConfigRequest returns a decoder for requests sent to the
+// operators rollback_config endpoint.
+func DecodeRollbackConfigRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.RollbackConfigPayload, error) {
+	return func(r *http.Request) (*operators.RollbackConfigPayload, error) {
+		var payload *operators.RollbackConfigPayload
+		var (
+			toRevision     uint64
+			allowNoService bool
+			allowMinority  bool
+			baseRevision   uint64
+			editID         string
+			token          string
+			err            error
+		)
+		qp := r.URL.Query()
+		{
+			toRevisionRaw := qp.Get("to_revision")
+			if toRevisionRaw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("to_revision", "query string"))
+			}
+			v, err2 := strconv.ParseUint(toRevisionRaw, 10, 64)
+			if err2 != nil {
+				err = goa.MergeErrors(err, goa.InvalidFieldTypeError("to_revision", toRevisionRaw, "unsigned integer"))
+			}
+			toRevision = v
+		}
+		{
+			allowNoServiceRaw := qp.Get("allow_no_service")
+			if allowNoServiceRaw != "" {
+				v, err2 := strconv.ParseBool(allowNoServiceRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("allow_no_service", allowNoServiceRaw, "boolean"))
+				}
+				allowNoService = v
+			}
+		}
+		{
+			allowMinorityRaw := qp.Get("allow_minority")
+			if allowMinorityRaw != "" {
+				v, err2 := strconv.ParseBool(allowMinorityRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("allow_minority", allowMinorityRaw, "boolean"))
+				}
+				allowMinority = v
+			}
+		}
 		{
 			baseRevisionRaw := r.Header.Get("If-Match")
 			if baseRevisionRaw == "" {
@@ -148,7 +257,7 @@
 		if err != nil {
 			return payload, err
 		}
-		payload = NewApplyConfigPayload(body, allowNoService, baseRevision, editID, token)
+		payload = NewRollbackConfigPayload(toRevision, allowNoService, allowMinority, baseRevision, editID, token)
 		if strings.Contains(payload.Token, " ") {
 			// Remove authorization scheme prefix (e.g. "Bearer")
 			cred := strings.SplitN(payload.Token, " ", 2)[1]
--- a/api/gen/operators/service.go
+++ b/api/gen/operators/service.go
@@ -19,6 +19,8 @@
 	GetConfig(context.Context, *GetConfigPayload) (res *ConfigDocument, err error)
 	// Accepts a whole configuration on top of the named base revision.
 	ApplyConfig(context.Context, *ApplyConfigPayload) (res *ConfigAccepted, err error)
+	// Accepts the content of an earlier revision as a new, higher one.
+	RollbackConfig(context.Context, *RollbackConfigPayload) (res *ConfigAccepted, err error)
 	// ConfigStatus implements config_status.
 	ConfigStatus(context.Context, *ConfigStatusPayload) (res *RevisionStatus, err error)
 	// ConfigHistory implements config_history.
@@ -45,7 +47,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [4]string{"get_config", "apply_config", "config_status", "config_history"}
+var MethodNames = [5]string{"get_config", "apply_config", "rollback_config", "config_status", "config_history"}
 
 // ApplyConfigPayload is the payload type of the operators service apply_config
 // method.
@@ -55,7 +57,9 @@
 	BaseRevision   uint64
 	EditID         string
 	AllowNoService bool
-	Document       any
+	// Accept at an entry that hears fewer than a majority
+	AllowMinority bool
+	Document      any
 }
 
 // ConfigAccepted is the result type of the operators service apply_config
@@ -121,5 +125,20 @@
 	StoreReachable bool
 	// Age of the last confirmation of the head
 	FreshnessMs int64
-	Processes   []*ProcessRevision
+	// fresh, service_down or isolated
+	Freshness string
+	Processes []*ProcessRevision
+}
+
+// RollbackConfigPayload is the payload type of the operators service
+// rollback_config method.
+type RollbackConfigPayload struct {
+	Token string
+	// Revision accepted now
+	BaseRevision uint64
+	// Revision whose content is wanted
+	ToRevision     uint64
+	EditID         string
+	AllowNoService bool
+	AllowMinority  bool
 }
--- a/ctl/command/operator.go
+++ b/ctl/command/operator.go
@@ -1,10 +1,8 @@
 package command
 
 import (
-	"context"
 	"encoding/json"
 	"io"
-	"net/http"
 	"os"
 	"strings"
 
@@ -62,19 +60,3 @@
 	enc.SetIndent("", "  ")
 	return errors.WithStack(enc.Encode(v))
 }
-
-// call sends a request to the first entry that answers. A change may go to
-// several entries, since its edit id keeps it from being applied twice.
-func (f *operatorFlags) call(ctx context.Context, method, path string, h http.Header, body, answer any) error {
-	c, err := f.client()
-	if err != nil {
-		return err
-	}
-	r := client.Request{Method: method, Path: path, Header: h}
-	if body != nil {
-		if r.Body, err = json.Marshal(body); err != nil {
-			return errors.Wrap(err, "encode request")
-		}
-	}
-	return c.Any(ctx, r, answer)
-}
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -37,10 +37,10 @@
 	stream  *wire.Stream
 	number  uint32
 	done    bool
-	refused bool // the target itself said why the attempt failed
 	watch   *watch
 	// release detaches the attempt from its context.
 	release func() bool
+	refused bool // the target itself said why the attempt failed
 }
 
 // pick chooses a target that the request has not tried.
--- a/daemon/entry/handler.go
+++ b/daemon/entry/handler.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	goahttp "goa.design/goa/v3/http"
@@ -18,6 +19,7 @@
 	"github.com/skylarkstep/skylarkstep/api/gen/operators"
 	gentimeline "github.com/skylarkstep/skylarkstep/api/gen/timeline"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/errkind"
 )
@@ -56,8 +58,8 @@
 	})
 }
 
-// ready returns the snapshot if the entry may take new work.
-func (e *Entry) ready() (*snapshot, error) {
+// current returns the snapshot, whether or not new work may start.
+func (e *Entry) current() (*snapshot, error) {
 	s := e.snapshot.Load()
 	if s == nil {
 		return nil, errkind.New(errkind.NotReady, "entry %s has no configuration yet", e.node.Name)
@@ -65,6 +67,20 @@
 	return s, nil
 }
 
+// ready returns the snapshot if the entry may take new work. It compares the
+// time itself: after a pause, requests may run before the control goroutine.
+func (e *Entry) ready() (*snapshot, error) {
+	s, err := e.current()
+	if err != nil {
+		return nil, err
+	}
+	if time.Now().After(s.verdict.Until) && s.config.Rules.Isolated != config.IsolatedServe {
+		return nil, errkind.New(errkind.Isolated, "entry %s may have missed a change of the configuration; use another address", e.node.Name).
+			WithRetryAfter(configsync.FreshFor)
+	}
+	return s, nil
+}
+
 type customerKey struct{}
 
 // authenticate finds the customer of a bearer key.
--- a/daemon/entry/sim_test.go
+++ b/daemon/entry/sim_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/daemon/target"
 	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
@@ -202,7 +203,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	snap := &snapshot{
-		config: s.config, customers: map[string]*config.Customer{}, pools: map[string]*pool{},
+		verdict: configsync.Verdict{Until: time.Now().Add(24 * time.Hour)},
+		config:  s.config, customers: map[string]*config.Customer{}, pools: map[string]*pool{},
 		members: map[string]route{}, leaving: map[string]bool{},
 	}
 	cu := &s.config.Inventory.Customers[0]
--- a/daemon/node/heartbeat.go
+++ b/daemon/node/heartbeat.go
@@ -20,12 +20,16 @@
 	sent    atomic.Uint64
 	heard   atomic.Uint64
 	echoed  atomic.Uint64
+	// echoedAt is when the echo last advanced, in nanoseconds since started.
+	echoedAt atomic.Int64
+	minEcho  atomic.Uint64
+	started  time.Time
 }
 
 // NewHeartbeats returns the heartbeats of a session; build fills in the state
 // of the process.
 func NewHeartbeats(s *wire.Session, build func() *wirepb.Heartbeat) *Heartbeats {
-	return &Heartbeats{session: s, build: build, kick: make(chan struct{}, 1)}
+	return &Heartbeats{session: s, build: build, kick: make(chan struct{}, 1), started: time.Now()}
 }
 
 // Run sends a heartbeat each interval, and at once after Kick, until the
@@ -61,9 +65,23 @@
 // that the echo tells the peer that this process acts on it.
 func (h *Heartbeats) Heard(hb *wirepb.Heartbeat) {
 	h.heard.Store(max(h.heard.Load(), hb.GetSequence()))
-	h.echoed.Store(max(h.echoed.Load(), hb.GetEcho()))
+	if hb.GetEcho() > h.echoed.Load() {
+		h.echoed.Store(hb.GetEcho())
+		h.echoedAt.Store(int64(time.Since(h.started)))
+	}
 }
 
+// EchoedAt returns when the peer last showed that it hears this process. A
+// stale time means a partition in one direction.
+func (h *Heartbeats) EchoedAt() time.Time { return h.started.Add(time.Duration(h.echoedAt.Load())) }
+
+// Resume is called when this process was paused. Heartbeats that waited in the
+// socket meanwhile are old; only those that echo one sent from now on count.
+func (h *Heartbeats) Resume() { h.minEcho.Store(h.sent.Load() + 1) }
+
+// Current reports whether a heartbeat was sent after the last Resume.
+func (h *Heartbeats) Current(hb *wirepb.Heartbeat) bool { return hb.GetEcho() >= h.minEcho.Load() }
+
 // Sent returns the sequence number of the last heartbeat sent.
 func (h *Heartbeats) Sent() uint64 { return h.sent.Load() }
 
--- a/daemon/target/admission_test.go
+++ b/daemon/target/admission_test.go
@@ -94,7 +94,7 @@
 	require.NoError(b.t, err)
 	_, err = config.ParseConfig(document)
 	require.NoError(b.t, err)
-	b.target.install(document)
+	b.target.take(nil, &wirepb.Deltas{Snapshot: document, SnapshotRevision: b.config.Revision})
 	require.Equal(b.t, b.config.Revision, b.target.revision())
 }
 
--- a/daemon/target/call.go
+++ b/daemon/target/call.go
@@ -8,15 +8,15 @@
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
-// call runs an idempotent call. Calls that may run only once go through
-// serveOperation.
-func (t *Target) call(ctx context.Context, st sink, d *wirepb.Dispatch, slot *slot) error {
+// call runs an idempotent call and returns the frames of its answer. Calls that
+// may run only once go through serveOperation.
+func (t *Target) call(ctx context.Context, d *wirepb.Dispatch, slot *slot) ([]*wirepb.Frame, error) {
 	reply, err := t.service.Call(ctx, engineCall(d))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	slot.status = reply.Status
-	return sendReply(st, reply, uint64(t.node.Clock.Now()), false)
+	return replyFrames(reply, uint64(t.node.Clock.Now()), false), nil
 }
 
 func engineCall(d *wirepb.Dispatch) engine.Call {
@@ -35,17 +35,12 @@
 	}
 }
 
-func sendReply(st sink, reply engine.Reply, hlc uint64, replayed bool) error {
-	for _, f := range []*wirepb.Frame{
+func replyFrames(reply engine.Reply, hlc uint64, replayed bool) []*wirepb.Frame {
+	return []*wirepb.Frame{
 		{Body: &wirepb.Frame_Head{Head: responseHead(reply.Status, reply.Header)}},
 		{Body: &wirepb.Frame_Data{Data: reply.Body}},
 		{Hlc: hlc, Body: &wirepb.Frame_End{End: &wirepb.End{FinishReason: "complete", Replayed: replayed}}},
-	} {
-		if err := st.Send(f); err != nil {
-			return err
-		}
 	}
-	return nil
 }
 
 func responseHead(status int, header http.Header) *wirepb.ResponseHead {
--- a/daemon/target/dispatch.go
+++ b/daemon/target/dispatch.go
@@ -58,16 +58,29 @@
 		return
 	}
 	t.record(timeline.BackendStarted, d, nil)
+	var last []*wirepb.Frame
 	if t.model != nil {
-		err = t.generate(ctx, st, d, slot)
+		last, err = t.generate(ctx, st, d, slot)
 	} else {
-		err = t.call(ctx, st, d, slot)
+		last, err = t.call(ctx, d, slot)
 	}
 	slot.leave(err)
 	t.record(timeline.BackendFinished, d, err)
 	if err != nil {
-		_ = st.Send(failureFrame(errkind.From(err), t.revision(), uint64(t.node.Clock.Now())))
+		last = []*wirepb.Frame{failureFrame(errkind.From(err), t.revision(), uint64(t.node.Clock.Now()))}
 	}
+	_ = sendAll(st, last)
+}
+
+// sendAll sends the frames that end an answer. They are sent after the back end
+// is recorded as finished, so that the entry's events follow that one.
+func sendAll(st sink, frames []*wirepb.Frame) error {
+	for _, f := range frames {
+		if err := st.Send(f); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // admit has the last word on whether work may start. Admitted work must call
@@ -136,10 +149,11 @@
 	_ = st.SetWriteDeadline(time.Unix(1, 0))
 }
 
-func (t *Target) generate(ctx context.Context, st sink, d *wirepb.Dispatch, slot *slot) error {
+// generate streams the tokens and returns the frame that ends the answer.
+func (t *Target) generate(ctx context.Context, st sink, d *wirepb.Dispatch, slot *slot) ([]*wirepb.Frame, error) {
 	var req ModelRequest
 	if err := json.Unmarshal(d.GetBody(), &req); err != nil {
-		return errkind.Wrap(err, errkind.InvalidRequest, "body of the dispatch")
+		return nil, errkind.Wrap(err, errkind.InvalidRequest, "body of the dispatch")
 	}
 	deadline, _ := ctx.Deadline()
 	finish, err := t.model.Generate(ctx, engine.Generation{
@@ -163,12 +177,12 @@
 		return nil
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return st.Send(&wirepb.Frame{
+	return []*wirepb.Frame{{
 		Hlc:  uint64(t.node.Clock.Now()),
 		Body: &wirepb.Frame_End{End: &wirepb.End{FinishReason: finish.Reason, Tokens: uint32(finish.Tokens)}},
-	})
+	}}, nil
 }
 
 func failureFrame(e *errkind.Error, revision, hlc uint64) *wirepb.Frame {
--- a/daemon/target/operation_test.go
+++ b/daemon/target/operation_test.go
@@ -20,18 +20,18 @@
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
-// opBench is one target process with a session of an entry.
-type opBench struct {
+// operationBench is one target process with a session of an entry.
+type operationBench struct {
 	t       *testing.T
 	target  *Target
 	service *enginestandin.Service
 	session *wire.Session
 }
 
-func newOpBench(t *testing.T) *opBench {
+func newOperationBench(t *testing.T) *operationBench {
 	s := &config.Settings{Role: config.RoleTarget, Name: "app-1", ClusterKey: "0123456789abcdef", StopBoundMs: 1000}
 	s.Target = config.TargetSettings{Backend: "app", Kind: config.KindService}
-	b := &opBench{t: t, service: enginestandin.NewService(enginestandin.ServiceOptions{})}
+	b := &operationBench{t: t, service: enginestandin.NewService(enginestandin.ServiceOptions{})}
 	b.target = New(Options{Settings: s, Node: node.New(s, io.Discard), Service: b.service.Direct()})
 	c := &config.Config{Revision: 1}
 	c.Inventory.Targets = []config.Target{{Name: "app-1", Backend: "app"}}
@@ -54,12 +54,12 @@
 	return 0, r.st.Recv(&m)
 }
 
-func (b *opBench) id() atmostonce.ID {
+func (b *operationBench) id() atmostonce.ID {
 	return atmostonce.NewID("app", "app-1", b.target.node.Incarnation, time.Now())
 }
 
 // dispatch returns the body and whether it was replayed, or the failure.
-func (b *opBench) dispatch(id atmostonce.ID, body string) (string, bool, *wirepb.Failure) {
+func (b *operationBench) dispatch(id atmostonce.ID, body string) (string, bool, *wirepb.Failure) {
 	st, err := b.session.Open(&wirepb.Open{Body: &wirepb.Open_Dispatch{Dispatch: &wirepb.Dispatch{
 		OperationId: id.String(), Customer: "taller", Backend: "app", Operation: "book", Body: []byte(body),
 		RemainingMs: 5000, TargetIncarnation: b.target.node.Incarnation,
@@ -81,11 +81,11 @@
 	}
 }
 
-func (b *opBench) outcome(id atmostonce.ID, closeIfAbsent bool) wirepb.OutcomeReply_State {
+func (b *operationBench) outcome(id atmostonce.ID, closeIfAbsent bool) wirepb.OutcomeReply_State {
 	return b.ask(&wirepb.Outcome{OperationId: id.String(), CloseIfAbsent: closeIfAbsent, Customer: "taller"}).GetState()
 }
 
-func (b *opBench) ask(q *wirepb.Outcome) *wirepb.OutcomeReply {
+func (b *operationBench) ask(q *wirepb.Outcome) *wirepb.OutcomeReply {
 	st, err := b.session.Open(&wirepb.Open{Body: &wirepb.Open_Outcome{Outcome: q}})
 	require.NoError(b.t, err)
 	defer func() { _ = st.Close() }()
@@ -97,7 +97,7 @@
 // Guards against a call that its entry gave up and that then gets the answer of
 // another request, or another customer, under the same id.
 func TestOutcomeIsOfTheSameRequest(t *testing.T) {
-	b := newOpBench(t)
+	b := newOperationBench(t)
 	id := b.id()
 	_, _, failure := b.dispatch(id, "x")
 	require.Nil(t, failure)
@@ -122,7 +122,7 @@
 // Guards against running a dispatch that was queued behind the question with
 // which its entry closed the id and said not_run.
 func TestDispatchAfterCloseDoesNotRun(t *testing.T) {
-	b := newOpBench(t)
+	b := newOperationBench(t)
 	id := b.id()
 	require.Equal(t, wirepb.OutcomeReply_STATE_CLOSED, b.outcome(id, true))
 	_, _, failure := b.dispatch(id, "x")
@@ -136,23 +136,23 @@
 func TestEveryRefusalClosesTheID(t *testing.T) {
 	for _, tc := range []struct {
 		name       string
-		fail, heal func(*opBench)
+		fail, heal func(*operationBench)
 	}{
-		{"leaving", func(b *opBench) {
+		{"leaving", func(b *operationBench) {
 			c := *b.target.config.Load()
 			c.Rules.Leaving = []string{"app-1"}
 			b.target.config.Store(&c)
-		}, func(b *opBench) {
+		}, func(b *operationBench) {
 			c := *b.target.config.Load()
 			c.Rules.Leaving = nil
 			b.target.config.Store(&c)
 		}},
 		{"service unreachable",
-			func(b *opBench) { b.service.SetFaults(enginestandin.ServiceFaults{Unreachable: true}) },
-			func(b *opBench) { b.service.SetFaults(enginestandin.ServiceFaults{}) }},
+			func(b *operationBench) { b.service.SetFaults(enginestandin.ServiceFaults{Unreachable: true}) },
+			func(b *operationBench) { b.service.SetFaults(enginestandin.ServiceFaults{}) }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			b := newOpBench(t)
+			b := newOperationBench(t)
 			id := b.id()
 			tc.fail(b)
 			_, _, failure := b.dispatch(id, "x")
@@ -170,7 +170,7 @@
 // Guards against a second run by concurrent repeats, and against a repeat that
 // does not wait for the first answer.
 func TestConcurrentRepeatsShareOneRun(t *testing.T) {
-	b := newOpBench(t)
+	b := newOperationBench(t)
 	b.service.SetFaults(enginestandin.ServiceFaults{StallBefore: 50 * time.Millisecond})
 	id := b.id()
 	var wg sync.WaitGroup
@@ -196,7 +196,7 @@
 
 // Guards against an answer of a lost reply that is called not_run or repeated.
 func TestLostReplyIsUnknown(t *testing.T) {
-	b := newOpBench(t)
+	b := newOperationBench(t)
 	b.service.SetFaults(enginestandin.ServiceFaults{DropReply: true})
 	id := b.id()
 	for _, kind := range []errkind.Kind{errkind.BackendFailed, errkind.OperationUnknown} {
@@ -212,7 +212,7 @@
 // Guards against a planned stop that loses answers, or that waits for a
 // successor that does not answer.
 func TestHandOverMovesAnswersToASuccessor(t *testing.T) {
-	heir := newOpBench(t)
+	heir := newOperationBench(t)
 	heir.target.node.Name = "app-2"
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -221,7 +221,7 @@
 	go func() { defer close(done); _ = heir.target.Run(ctx, ln) }()
 	t.Cleanup(func() { cancel(); <-done })
 
-	b := newOpBench(t)
+	b := newOperationBench(t)
 	c := *b.target.config.Load()
 	c.Inventory.Targets = append(c.Inventory.Targets,
 		config.Target{Name: "app-2", Backend: "app", PeerAddr: ln.Addr().String()},
--- a/daemon/target/stop_test.go
+++ b/daemon/target/stop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"testing"
@@ -82,7 +81,7 @@
 }
 
 func (f *fixture) install(c *config.Config) {
-	document, err := json.Marshal(c)
+	document, err := c.Tree()
 	require.NoError(f.t, err)
 	require.NoError(f.t, f.session.Control().Send(&wirepb.Control{Body: &wirepb.Control_Deltas{
 		Deltas: &wirepb.Deltas{Snapshot: document, SnapshotRevision: c.Revision},
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -11,6 +11,7 @@
 
 	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/errkind"
@@ -26,9 +27,12 @@
 	model    engine.Model
 	service  engine.Service
 
-	config atomic.Pointer[config.Config]
-	work   node.Inflight
-	gate   *gate
+	config    atomic.Pointer[config.Config]
+	replicaMu sync.Mutex
+	replica   configsync.Replica
+
+	work node.Inflight
+	gate *gate
 
 	operations *operations
 
@@ -52,10 +56,10 @@
 		settings: o.Settings,
 		model:    o.Model,
 		service:  o.Service,
+		gate:     newGate(admissionRule(&config.Config{}, o.Settings.Target.Backend)),
 		operations: newOperations(atmostonce.NewTable(o.Settings.Target.Backend, o.Node.Name, o.Node.Incarnation,
 			atmostonce.Limits{Keep: atmostonce.DefaultKeep, MaxBytes: atmostonce.DefaultMaxBytes}),
 			func() time.Time { return o.Node.Clock.Now().Time() }),
-		gate:     newGate(admissionRule(&config.Config{}, o.Settings.Target.Backend)),
 		sessions: map[*wire.Session]*node.Heartbeats{},
 	}
 }
