--- a/daemon/target/operation_test.go
+++ b/daemon/target/operation_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	target  *Target
 	service *enginestandin.Service
 	session *wire.Session
+	// accepted counts the accepted frames of all dispatches.
+	accepted atomic.Int32
 }
 
 func newOpBench(t *testing.T) *opBench {
@@ -71,6 +74,8 @@
 		var f wirepb.Frame
 		require.NoError(b.t, st.Recv(&f))
 		switch x := f.GetBody().(type) {
+		case *wirepb.Frame_Accepted:
+			b.accepted.Add(1)
 		case *wirepb.Frame_Data:
 			data = append(data, x.Data...)
 		case *wirepb.Frame_End:
@@ -194,6 +199,25 @@
 	assert.Equal(t, wirepb.OutcomeReply_STATE_FINISHED, b.outcome(id, true))
 }
 
+// Guards against a repeat that its entry takes for stalled while it waits for
+// the first answer.
+func TestWaitingRepeatIsAccepted(t *testing.T) {
+	b := newOpBench(t)
+	b.service.SetFaults(enginestandin.ServiceFaults{StallBefore: time.Second})
+	id := b.id()
+	first := make(chan *wirepb.Failure, 1)
+	go func() {
+		_, _, failure := b.dispatch(id, "x")
+		first <- failure
+	}()
+	require.Eventually(t, func() bool { return b.outcome(id, false) == wirepb.OutcomeReply_STATE_RUNNING }, 10*time.Second, time.Millisecond)
+	_, replayed, failure := b.dispatch(id, "x")
+	require.Nil(t, failure)
+	require.Nil(t, <-first)
+	assert.True(t, replayed)
+	assert.EqualValues(t, 2, b.accepted.Load())
+}
+
 // Guards against an answer of a lost reply that is called not_run or repeated.
 func TestLostReplyIsUnknown(t *testing.T) {
 	b := newOpBench(t)
