--- a/ctl/dev/faults.go
+++ b/ctl/dev/faults.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
-	"slices"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/ctl/client"
 	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
 	"github.com/skylarkstep/skylarkstep/timeline"
@@ -32,30 +27,8 @@
 
 // SetZone takes a data centre out or brings it back, as an operator does.
 func (d *Deployment) SetZone(ctx context.Context, dataCentre string, out bool) error {
-	c := d.Client()
-	var current struct {
-		Revision uint64        `json:"revision"`
-		Document config.Config `json:"document"`
-	}
-	if err := c.Any(ctx, client.Request{Method: http.MethodGet, Path: "/v1/config"}, &current); err != nil {
-		return err
-	}
-	next := current.Document
-	next.Rules.Out = slices.DeleteFunc(slices.Clone(next.Rules.Out), func(dc string) bool { return dc == dataCentre })
-	if out {
-		next.Rules.Out = append(next.Rules.Out, dataCentre)
-	}
-	body, err := json.Marshal(&next)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	revision := strconv.FormatUint(current.Revision, 10)
-	return c.Any(ctx, client.Request{
-		Method: http.MethodPut,
-		Path:   "/v1/config",
-		Header: http.Header{"If-Match": {revision}, "Edit-Id": {"zone-edit-" + revision}},
-		Body:   body,
-	}, nil)
+	_, err := d.Client().SetZone(ctx, dataCentre, out, false)
+	return err
 }
 
 // Stall makes the engine of a target stop every stream after some tokens.
