Order acceptance before its effects in the time line, and record ramp restarts

Cause: the accepting entry recorded the acceptance after the write, so that a process that read the change at the key-value service could stamp its own event earlier.

The change now carries the clock reading from before the write, readers observe it, and the acceptance is recorded at it. Restarts of a warm-up ramp become events; they were only in the enumeration. dev gets free ports without a race, which its tests use.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -101,6 +101,9 @@
 	c.ramp.SetRule(rule.Ramp)
 }
 
+// Restarts counts the restarts of the ramp, by relapse or by Restart.
+func (c *Controller) Restarts() uint64 { return c.ramp.Restarts() }
+
 // Restart makes the target cold, for example when its data centre comes back.
 func (c *Controller) Restart(now time.Time) { c.ramp.Restart(now) }
 
--- a/admission/ramp/ramp.go
+++ b/admission/ramp/ramp.go
@@ -91,6 +91,9 @@
 	r.stepAt, r.evidence, r.saturated = now, 0, false
 }
 
+// Restarts counts the restarts since the target process started.
+func (r *Ramp) Restarts() uint64 { return r.epoch - 1 }
+
 // SetRule takes another rule. A lower limit is in effect at once; a higher one
 // is reached in steps.
 func (r *Ramp) SetRule(rule Rule) {
--- a/config/delta.go
+++ b/config/delta.go
@@ -22,6 +22,9 @@
 	Patch json.RawMessage `json:"patch"`
 	// Digest is that of the resulting tree.
 	Digest string `json:"digest"`
+	// HLC is the hybrid logical clock of the accepting entry before the change
+	// was written, so that processes that read it order their events after it.
+	HLC uint64 `json:"hlc,omitempty"`
 }
 
 // Digest returns the SHA-256 of canonical JSON.
--- a/configsync/store.go
+++ b/configsync/store.go
@@ -114,6 +114,8 @@
 	// Held is the revision in force at the entry. A store that shows a lower
 	// one has lost changes and accepts nothing.
 	Held uint64
+	// HLC is the reading of the hybrid logical clock before the change.
+	HLC uint64
 }
 
 // Accepted tells the revision of an accepted change. Already says that the
@@ -195,7 +197,7 @@
 	}
 	return &Record{Reverse: reverse, Delta: config.Delta{
 		Revision: c.Base + 1, EditID: c.EditID, Author: c.Author, Time: time.Now().UTC(),
-		Patch: patch, Digest: config.Digest(to),
+		Patch: patch, Digest: config.Digest(to), HLC: c.HLC,
 	}}, nil
 }
 
--- a/ctl/command/config_test.go
+++ b/ctl/command/config_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -25,19 +24,8 @@
 	require.NoError(t, err)
 	c.Inventory.Targets = []config.Target{c.Inventory.Targets[0], c.Inventory.Targets[len(c.Inventory.Targets)-1]}
 	c.Inventory.Groups = nil
-	free := func() string {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = ln.Close() }()
-		return ln.Addr().String()
-	}
-	for i := range c.Inventory.Targets {
-		c.Inventory.Targets[i].PeerAddr, c.Inventory.Targets[i].Group = free(), ""
-	}
-	for i := range c.Inventory.Entries {
-		c.Inventory.Entries[i].PeerAddr, c.Inventory.Entries[i].HTTPAddr = free(), free()
-	}
-	d, err := dev.Start(context.Background(), dev.Options{Config: c})
+	c.Inventory.Targets[0].Group, c.Inventory.Targets[1].Group = "", ""
+	d, err := dev.Start(context.Background(), dev.Options{Config: c, AnyPorts: true})
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
 	require.NoError(t, d.WaitReady(context.Background()))
--- a/ctl/dev/dev.go
+++ b/ctl/dev/dev.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 	Service enginestandin.ServiceOptions
 	// StopBound is the longest planned stop; zero takes the default.
 	StopBound time.Duration
+	// AnyPorts replaces the addresses of the configuration by free loopback
+	// ports, so that several deployments can run at the same time.
+	AnyPorts bool
 }
 
 // Deployment is a running deployment. Its stand-ins are open to tests, which
@@ -52,6 +56,10 @@
 	mu      sync.Mutex
 	procs   map[string]*process
 	closers []func()
+	// opened holds the listeners of AnyPorts until their process starts. They
+	// are opened before any address is published, so that no other socket can
+	// take a port in between.
+	opened map[string]net.Listener
 }
 
 // process is one role that runs in this process.
@@ -72,6 +80,7 @@
 		Services: map[string]*enginestandin.Service{},
 		options:  o,
 		procs:    map[string]*process{},
+		opened:   map[string]net.Listener{},
 	}
 	if err := d.start(ctx); err != nil {
 		d.Close()
@@ -81,6 +90,11 @@
 }
 
 func (d *Deployment) start(ctx context.Context) error {
+	if d.options.AnyPorts {
+		if err := d.openPorts(); err != nil {
+			return err
+		}
+	}
 	var err error
 	if d.kvURL, err = d.serve(d.KV); err != nil {
 		return err
@@ -186,11 +200,11 @@
 }
 
 func (d *Deployment) run(o role.Options) error {
-	peer, err := net.Listen("tcp", o.Settings.PeerAddr)
+	peer, err := d.listen(o.Settings.PeerAddr)
 	if err != nil {
 		return errors.Wrap(err, o.Settings.Name)
 	}
-	web, err := net.Listen("tcp", o.Settings.HTTPAddr)
+	web, err := d.listen(o.Settings.HTTPAddr)
 	if err != nil {
 		_ = peer.Close()
 		return errors.Wrap(err, o.Settings.Name)
@@ -213,6 +227,39 @@
 	return nil
 }
 
+// openPorts listens on a free port for every address of the inventory and puts
+// the addresses into a copy of the configuration.
+func (d *Deployment) openPorts() error {
+	c := *d.Config
+	c.Inventory.Entries = slices.Clone(c.Inventory.Entries)
+	c.Inventory.Targets = slices.Clone(c.Inventory.Targets)
+	var addrs []*string
+	for i := range c.Inventory.Entries {
+		addrs = append(addrs, &c.Inventory.Entries[i].HTTPAddr, &c.Inventory.Entries[i].PeerAddr)
+	}
+	for i := range c.Inventory.Targets {
+		addrs = append(addrs, &c.Inventory.Targets[i].PeerAddr)
+	}
+	for _, a := range addrs {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Wrap(err, "free port")
+		}
+		*a = ln.Addr().String()
+		d.opened[*a] = ln
+	}
+	d.Config = &c
+	return nil
+}
+
+func (d *Deployment) listen(addr string) (net.Listener, error) {
+	if ln := d.opened[addr]; ln != nil {
+		delete(d.opened, addr)
+		return ln, nil
+	}
+	return net.Listen("tcp", addr)
+}
+
 // Stop asks a process for a planned stop and waits for its end.
 func (d *Deployment) Stop(ctx context.Context, name string) error {
 	d.mu.Lock()
--- a/daemon/entry/apply.go
+++ b/daemon/entry/apply.go
@@ -50,7 +50,8 @@
 		return nil, err
 	}
 	if !a.Already {
-		e.node.Events.Record(timeline.Event{Kind: timeline.RevisionAccepted, Revision: a.Revision, Detail: a.Delta.Author})
+		e.node.Events.RecordAt(timeline.Timestamp(a.Delta.HLC),
+			timeline.Event{Kind: timeline.RevisionAccepted, Revision: a.Revision, Detail: a.Delta.Author})
 		// The operator's next read at this entry must show the change.
 		_, _ = ask(ctx, e, func(c *control) bool { c.acceptedHere(a); return true })
 	}
--- a/daemon/entry/configwatch.go
+++ b/daemon/entry/configwatch.go
@@ -111,6 +111,9 @@
 	if err != nil {
 		return err
 	}
+	if st.Head != nil && len(st.Head.Deltas) > 0 {
+		e.node.Clock.Observe(timeline.Timestamp(st.Head.Deltas[len(st.Head.Deltas)-1].HLC))
+	}
 	e.post(ctx, func(c *control) {
 		changed, err := c.replica.Snapshot(st.Revision(), st.Tree)
 		if err != nil {
@@ -132,6 +135,9 @@
 		c.trust(c.replica.Revision() == 0, 0, at)
 		return false
 	}
+	if n := len(h.Deltas); n > 0 {
+		c.entry.node.Clock.Observe(timeline.Timestamp(h.Deltas[n-1].HLC))
+	}
 	if h.Revision > c.replica.Revision() {
 		changed, gap, err := c.replica.Deltas(h.Deltas)
 		if err != nil {
--- a/daemon/entry/operators.go
+++ b/daemon/entry/operators.go
@@ -70,6 +70,7 @@
 		return nil, err
 	}
 	change := configsync.Change{
+		HLC:  uint64(s.entry.node.Clock.Now()),
 		Base: p.BaseRevision, EditID: p.EditID, Author: operatorFrom(ctx), Config: next, AllowNoService: p.AllowNoService,
 	}
 	return s.accepted(s.entry.accept(ctx, p.AllowMinority, func(ctx context.Context, held uint64) (*configsync.Accepted, error) {
@@ -81,6 +82,7 @@
 // RollbackConfig accepts the content of an earlier revision as a new one.
 func (s *operatorService) RollbackConfig(ctx context.Context, p *operators.RollbackConfigPayload) (*operators.ConfigAccepted, error) {
 	change := configsync.Change{
+		HLC:  uint64(s.entry.node.Clock.Now()),
 		Base: p.BaseRevision, EditID: p.EditID, Author: operatorFrom(ctx), AllowNoService: p.AllowNoService,
 	}
 	return s.accepted(s.entry.accept(ctx, p.AllowMinority, func(ctx context.Context, held uint64) (*configsync.Accepted, error) {
--- a/daemon/target/admission.go
+++ b/daemon/target/admission.go
@@ -27,13 +27,17 @@
 	waiting    map[uint64]chan admission.Decision
 	lastID     uint64
 	timer      *time.Timer
+	// restarts is the number of ramp restarts that onRestart was told of.
+	restarts  uint64
+	onRestart func()
 
 	// runningTokens are the expected tokens of started work that are not sent yet.
 	runningTokens atomic.Int64
 }
 
-func newGate(rule admission.Rule) *gate {
+func newGate(rule admission.Rule, onRestart func()) *gate {
 	return &gate{
+		onRestart:  onRestart,
 		controller: admission.NewController(rule, rand.Uint64(), time.Now()),
 		waiting:    map[uint64]chan admission.Decision{},
 	}
@@ -82,6 +86,10 @@
 		g.waiting[d.ID] <- d
 		delete(g.waiting, d.ID)
 	}
+	if n := g.controller.Restarts(); n != g.restarts {
+		g.restarts = n
+		g.onRestart()
+	}
 	wake := g.controller.Wake(now)
 	switch {
 	case wake.IsZero():
--- a/daemon/target/control.go
+++ b/daemon/target/control.go
@@ -90,7 +90,7 @@
 	if !changed {
 		return
 	}
-	t.configChanged(old, next)
 	t.node.Events.Record(timeline.Event{Kind: timeline.RevisionInForce, Target: t.node.Name, Revision: next.Revision})
+	t.configChanged(old, next)
 	t.kickHeartbeats()
 }
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -57,7 +57,10 @@
 		settings: o.Settings,
 		model:    o.Model,
 		service:  o.Service,
-		gate:     newGate(admissionRule(&config.Config{}, o.Settings.Target.Backend)),
+		gate: newGate(admissionRule(&config.Config{}, o.Settings.Target.Backend), func() {
+			o.Node.Events.Record(timeline.Event{Kind: timeline.RampRestarted, Target: o.Node.Name, Backend: o.Settings.Target.Backend})
+			o.Node.Log.Info("warm-up ramp restarted")
+		}),
 		operations: newOperations(atmostonce.NewTable(o.Settings.Target.Backend, o.Node.Name, o.Node.Incarnation,
 			atmostonce.Limits{Keep: atmostonce.DefaultKeep, MaxBytes: atmostonce.DefaultMaxBytes}),
 			func() time.Time { return o.Node.Clock.Now().Time() }),
--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -27,14 +27,21 @@
 
 // Record adds an event and stamps it with the process and the time. The data
 // centre of the process is filled in when the event names none.
-func (r *Recorder) Record(e Event) {
+func (r *Recorder) Record(e Event) { r.RecordAt(0, e) }
+
+// RecordAt adds an event that happened at a reading of the clock taken earlier;
+// zero means now. An event that became known only after its effects could begin
+// keeps its place before them.
+func (r *Recorder) RecordAt(at Timestamp, e Event) {
 	e.Process, e.Incarnation = r.process, r.incarnation
 	if e.DataCentre == "" {
 		e.DataCentre = r.dataCentre
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e.At = r.clock.Now()
+	if e.At = at; at == 0 {
+		e.At = r.clock.Now()
+	}
 	e.Sequence = r.next
 	r.ring[r.next%uint64(len(r.ring))] = e
 	r.next++
