--- a/ctl/command/bench.go
+++ b/ctl/command/bench.go
@@ -61,7 +61,7 @@
 	cmd := &cobra.Command{
 		Use:     "bench-serve",
 		Short:   "Run the measured process of bench until standard input ends",
-		Example: "  skylarkctl bench-serve --kind path --model-url http://127.0.0.1:9001 --service-url http://127.0.0.1:9002",
+		Example: "  skylarkctl bench-serve --kind proxy --model-url http://127.0.0.1:9000 --service-url http://127.0.0.1:9001",
 		Hidden:  true,
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkstep/skylarkstep/daemon/claim"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/platform"
 	"github.com/skylarkstep/skylarkstep/timeline"
 )
@@ -27,10 +28,12 @@
 	kv       platform.KV
 	policy   balancer.Builder
 	claims   *claim.Claims
+	retries  *retries
 
 	snapshot atomic.Pointer[snapshot]
 	events   chan controlEvent
 	store    *configsync.Store
+	lease    *lease.Holder
 	// watcher and reachable are set by the control goroutine.
 	watcher   atomic.Bool
 	reachable atomic.Bool
@@ -67,12 +70,14 @@
 		kv:       o.KV,
 		policy:   o.Policy,
 		claims:   claim.New(o.KV),
+		retries:  newRetries(),
 		events:   make(chan controlEvent, eventQueue),
 
 		store:        configsync.NewStore(o.KV),
 		peerListener: o.PeerListener,
 	}
 	e.watcher.Store(true)
+	e.lease = e.newLease()
 	return e
 }
 
@@ -83,6 +88,16 @@
 	defer stopControl()
 	go e.runControl(control)
 	go e.watchConfig(control)
+	leaseCtx, releaseLease := context.WithCancel(control)
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		e.lease.Run(leaseCtx)
+	}()
+	defer func() {
+		releaseLease()
+		<-released
+	}()
 	if e.peerListener != nil {
 		defer func() { _ = e.peerListener.Close() }()
 		go e.acceptPeers(control, e.peerListener)
@@ -96,6 +111,7 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
+	releaseLease() // another entry coordinates while this one serves its last callers
 	e.stop(srv)
 	return nil
 }
--- a/daemon/target/dispatch.go
+++ b/daemon/target/dispatch.go
@@ -26,10 +26,6 @@
 // Cancel or closes the stream.
 func (t *Target) serveDispatch(st *wire.Stream, d *wirepb.Dispatch) {
 	t.node.Clock.Observe(timeline.Timestamp(d.GetHlc()))
-	if t.service != nil && (!d.GetIdempotent() || d.GetOperationId() != "") {
-		t.serveOperation(st, d)
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.GetRemainingMs())*time.Millisecond)
 	defer cancel()
 	go cancelOnClose(st, cancel)
@@ -42,6 +38,10 @@
 }
 
 func (t *Target) serveAttempt(ctx context.Context, st sink, d *wirepb.Dispatch) {
+	if t.service != nil && (!d.GetIdempotent() || d.GetOperationId() != "") {
+		t.serveOperation(ctx, st, d)
+		return
+	}
 	if err := t.admit(d); err != nil {
 		t.refuse(st, d, err)
 		return
