--- a/config/config.go
+++ b/config/config.go
@@ -165,6 +165,11 @@
 	return contains(c.Rules.Leaving, t.Name) || c.IsOut(t.DataCentre)
 }
 
+// IsFrozen reports whether operators have frozen the group's expert map.
+func (c *Config) IsFrozen(group string) bool {
+	return contains(c.Rules.FrozenGroup, group)
+}
+
 // IsIdempotent reports whether a rule names the operation.
 func (c *Config) IsIdempotent(backend, operation string) bool {
 	for _, r := range c.Rules.Idempotent {
--- a/config/settings.go
+++ b/config/settings.go
@@ -47,6 +47,9 @@
 	Kind      BackendKind `json:"kind,omitempty"`
 	EngineURL string      `json:"engine_url,omitempty"`
 	Group     string      `json:"group,omitempty"`
+	// ChecksFencing says that the engine of the group refuses lower fencing
+	// numbers by itself. The target process checks for engines that do not.
+	ChecksFencing bool `json:"checks_fencing,omitempty"`
 }
 
 // DefaultStopBound is the longest time a planned stop takes by default.
--- a/daemon/cmd/skylarkd/main.go
+++ b/daemon/cmd/skylarkd/main.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkstep/skylarkstep/daemon/role"
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/engine/openai"
+	"github.com/skylarkstep/skylarkstep/engine/rankgroup"
 	"github.com/skylarkstep/skylarkstep/engine/service"
 	"github.com/skylarkstep/skylarkstep/platform/kvhttp"
 )
@@ -96,6 +97,7 @@
 		KV:           kvhttp.New(s.Platform.KVURL),
 		Model:        model(s),
 		Service:      plainService(s),
+		Group:        group(s),
 	})
 }
 
@@ -106,6 +108,13 @@
 	return openai.New(s.Target.EngineURL)
 }
 
+func group(s *config.Settings) engine.Group {
+	if s.Role != config.RoleTarget || s.Target.Group == "" {
+		return nil
+	}
+	return rankgroup.New(s.Target.EngineURL)
+}
+
 func plainService(s *config.Settings) engine.Service {
 	if s.Role != config.RoleTarget || s.Target.Kind != config.KindService {
 		return nil
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/balancer/twochoice"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/groups"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/platform"
@@ -32,6 +33,9 @@
 
 	peerListener net.Listener
 	peerSessions peerSessions
+
+	fence  groups.Fence
+	groups atomic.Pointer[groups.Runner]
 }
 
 // Options are the parts that the caller of New provides.
@@ -43,6 +47,8 @@
 	PeerListener net.Listener
 	// Policy is the routing policy; nil takes the default.
 	Policy balancer.Builder
+	// Fence is the lease of the coordinator role; nil never coordinates.
+	Fence groups.Fence
 }
 
 // eventQueue bounds the control events that wait; senders block when it is
@@ -62,6 +68,7 @@
 		events:   make(chan controlEvent, eventQueue),
 
 		peerListener: o.PeerListener,
+		fence:        o.Fence,
 	}
 }
 
@@ -72,6 +79,7 @@
 	defer stopControl()
 	go e.runControl(control)
 	go e.watchConfig(control)
+	go e.runGroups(control, e.fence)
 	if e.peerListener != nil {
 		defer func() { _ = e.peerListener.Close() }()
 		go e.acceptPeers(control, e.peerListener)
--- /dev/null
+++ b/daemon/entry/groups.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/groups"
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/wire"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+// groupStallMs is how long a group may make no step before it gets no new
+// work: 28 steps at 71 ms.
+const groupStallMs = 2000
+
+// stalledGroups returns the groups whose steps do not advance, by the report of
+// any of their targets. Ranks run in lockstep, so one report counts for all.
+func (c *control) stalledGroups() map[string]bool {
+	stalled := map[string]bool{}
+	for _, m := range c.members {
+		if g := m.heartbeat.GetGroup(); g != nil && g.GetLastStepAgeMs() >= groupStallMs {
+			stalled[g.GetGroup()] = true
+		}
+	}
+	return stalled
+}
+
+// runGroups coordinates the groups of this entry's data centre while the fence
+// is valid.
+func (e *Entry) runGroups(ctx context.Context, fence groups.Fence) {
+	if fence == nil {
+		return
+	}
+	e.groups.Store(groups.New(groups.Options{
+		DataCentre: e.node.DataCentre,
+		Fence:      fence,
+		Config: func() *config.Config {
+			if s := e.snapshot.Load(); s != nil {
+				return s.config
+			}
+			return nil
+		},
+		Send: e.sendOrder,
+	}))
+	e.groups.Load().Run(ctx)
+}
+
+// sendOrder gives an order to a target over a stream of its own.
+func (e *Entry) sendOrder(ctx context.Context, target string, o *wirepb.Order) (*wirepb.OrderResult, error) {
+	s := e.memberSession(ctx, target)
+	if s == nil {
+		return nil, errkind.New(errkind.TargetUnreachable, "no session to target %q", target)
+	}
+	o.Hlc = uint64(e.node.Clock.Now())
+	st, err := s.Open(&wirepb.Open{Body: &wirepb.Open_Order{Order: o}})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = st.Close() }()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = st.SetReadDeadline(deadline)
+	}
+	var result wirepb.OrderResult
+	if err := st.Recv(&result); err != nil {
+		return nil, errkind.Wrap(err, errkind.TargetUnreachable, "result of an order to target %s", target)
+	}
+	return &result, nil
+}
+
+// memberSession returns the session to a target, usable for requests or not.
+func (e *Entry) memberSession(ctx context.Context, target string) *wire.Session {
+	answer := make(chan *wire.Session, 1)
+	e.post(ctx, func(c *control) {
+		if m := c.members[target]; m != nil {
+			answer <- m.session
+			return
+		}
+		answer <- nil
+	})
+	select {
+	case s := <-answer:
+		return s
+	case <-ctx.Done():
+		return nil
+	}
+}
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -54,9 +54,10 @@
 	}
 	views := map[string][]balancer.Target{}
 	now := time.Now()
+	stalled := c.stalledGroups()
 	for _, t := range c.config.Inventory.Targets {
 		m, l := c.members[t.Name], c.links[t.Name]
-		if l == nil || !usable(c.config, t, m, now) {
+		if l == nil || stalled[t.Group] || !usable(c.config, t, m, now) {
 			continue
 		}
 		p := s.pools[t.Backend]
--- a/daemon/role/role.go
+++ b/daemon/role/role.go
@@ -25,6 +25,7 @@
 	KV           platform.KV
 	Model        engine.Model
 	Service      engine.Service
+	Group        engine.Group
 }
 
 // Run runs the role until ctx ends and its planned stop is done.
@@ -36,7 +37,7 @@
 		e := entry.New(entry.Options{Settings: o.Settings, Node: n, KV: o.KV, PeerListener: o.PeerListener})
 		return e.Run(ctx, o.HTTPListener)
 	}
-	t := target.New(target.Options{Settings: o.Settings, Node: n, Model: o.Model, Service: o.Service})
+	t := target.New(target.Options{Settings: o.Settings, Node: n, Model: o.Model, Service: o.Service, Group: o.Group})
 	srv := httpapi.NewServer(t.Handler(), n.Log)
 	go func() { _ = srv.Serve(o.HTTPListener) }()
 	defer func() { _ = srv.Close() }()
--- a/daemon/target/control.go
+++ b/daemon/target/control.go
@@ -19,6 +19,7 @@
 		State:       t.state(warming),
 		Load:        load,
 		Hlc:         uint64(t.node.Clock.Now()),
+		Group:       t.group.report(),
 	}
 }
 
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -28,6 +28,7 @@
 	config atomic.Pointer[config.Config]
 	work   node.Inflight
 	gate   *gate
+	group  *group
 
 	mu       sync.Mutex
 	sessions map[*wire.Session]*node.Heartbeats
@@ -40,6 +41,8 @@
 	Node     *node.Node
 	Model    engine.Model
 	Service  engine.Service
+	// Group is set when the target runs ranks of a group.
+	Group engine.Group
 }
 
 // New returns a target process that does not run yet.
@@ -50,6 +53,7 @@
 		model:    o.Model,
 		service:  o.Service,
 		gate:     newGate(admissionRule(&config.Config{}, o.Settings.Target.Backend)),
+		group:    newGroup(o.Settings.Target.Group, o.Group, o.Settings.Target.ChecksFencing, o.Node.Incarnation),
 		sessions: map[*wire.Session]*node.Heartbeats{},
 	}
 }
@@ -57,6 +61,7 @@
 // Run serves sessions from ln until ctx ends; then it stops gracefully within
 // the stop bound of the settings.
 func (t *Target) Run(ctx context.Context, ln net.Listener) error {
+	go t.group.watch(ctx)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -147,6 +152,8 @@
 	switch body := open.GetBody().(type) {
 	case *wirepb.Open_Dispatch:
 		t.serveDispatch(st, body.Dispatch)
+	case *wirepb.Open_Order:
+		t.serveOrder(st, body.Order)
 	case *wirepb.Open_EventQuery:
 		t.serveEvents(st, body.EventQuery)
 	default:
--- /dev/null
+++ b/engine/group.go
@@ -0,0 +1,30 @@
+package engine
+
+import (
+	"context"
+
+	"github.com/skylarkstep/skylarkstep/expertmap"
+)
+
+// GroupProgress is the state of a rank group as its engine reports it.
+type GroupProgress struct {
+	// Step is the last step that all ranks have entered. It falls when a new
+	// generation starts.
+	Step       uint64 `json:"step"`
+	MapVersion uint64 `json:"map_version"`
+	// Skew is the slowest rank's time of the last step over the mean.
+	Skew float64 `json:"skew"`
+	// Rebalancing is set while a switch is pending or a rank loads weights.
+	Rebalancing bool `json:"rebalancing"`
+	// Idle is set while the group has no step to take because it has no work.
+	Idle bool `json:"idle"`
+}
+
+// Group is the engine of a rank group, or of the part of its ranks that one
+// target runs.
+type Group interface {
+	// Switch hands a message of the switch protocol to a rank and returns its
+	// answer.
+	Switch(ctx context.Context, m expertmap.Message) (expertmap.Message, error)
+	Progress(ctx context.Context) (GroupProgress, error)
+}
--- /dev/null
+++ b/engine/rankgroup/client.go
@@ -0,0 +1,83 @@
+// Package rankgroup is the HTTP client of the engine of a rank group.
+package rankgroup
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/engine"
+	"github.com/skylarkstep/skylarkstep/engine/internal/httpcall"
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/expertmap"
+)
+
+const (
+	dialTimeout    = 2 * time.Second
+	maxAnswerBytes = 64 << 10
+)
+
+// Client is an engine.Group over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ engine.Group = (*Client)(nil)
+
+// New returns a client of the engine at baseURL.
+func New(baseURL string) *Client {
+	return &Client{
+		base: strings.TrimSuffix(baseURL, "/"),
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
+		}},
+	}
+}
+
+// Switch implements engine.Group.
+func (c *Client) Switch(ctx context.Context, m expertmap.Message) (expertmap.Message, error) {
+	var answer expertmap.Message
+	body, err := json.Marshal(m)
+	if err != nil {
+		return answer, errkind.Wrap(err, errkind.Internal, "encode message")
+	}
+	err = c.do(ctx, http.MethodPost, "/group/switch", body, &answer)
+	return answer, err
+}
+
+// Progress implements engine.Group.
+func (c *Client) Progress(ctx context.Context) (engine.GroupProgress, error) {
+	var p engine.GroupProgress
+	err := c.do(ctx, http.MethodGet, "/group/progress", nil, &p)
+	return p, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "request to %s", c.base)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := httpcall.Do(c.http, req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err != nil {
+		return httpcall.Broken(ctx, err)
+	}
+	if res.StatusCode != http.StatusOK {
+		return errkind.New(errkind.BackendFailed, "engine of the group answers %d: %s", res.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return errkind.Wrap(err, errkind.BackendFailed, "answer of the engine of the group")
+	}
+	return nil
+}
--- /dev/null
+++ b/engine/standin/group.go
@@ -0,0 +1,231 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/engine"
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/expertmap"
+)
+
+// GroupOptions sets the behaviour of a Group.
+type GroupOptions struct {
+	Ranks int
+	// CheckFencing gives each rank a gate of its own. Without it the group
+	// obeys every order.
+	CheckFencing bool
+	// LoadSteps is the number of calls of Advance that loading a map takes.
+	LoadSteps int
+}
+
+// Group is a rank group whose ranks run in lockstep. Each call of Advance lets
+// every rank that may do so enter one step.
+type Group struct {
+	opts GroupOptions
+	mux  *http.ServeMux
+
+	mu        sync.Mutex
+	ranks     []*groupRank
+	next      uint64
+	used      map[groupStep]expertmap.MapID
+	disagreed map[groupStep]bool
+	idle      bool
+}
+
+type groupRank struct {
+	rank    expertmap.Rank
+	gate    expertmap.Gate
+	stalled bool
+	loading int
+	time    float64
+}
+
+type groupStep struct {
+	generation expertmap.Generation
+	step       uint64
+}
+
+var _ engine.Group = (*Group)(nil)
+
+// NewGroup returns a group whose ranks are all cold.
+func NewGroup(o GroupOptions) *Group {
+	g := &Group{opts: o, used: map[groupStep]expertmap.MapID{}, disagreed: map[groupStep]bool{}}
+	g.ranks = make([]*groupRank, o.Ranks)
+	for i := range g.ranks {
+		g.restart(i)
+	}
+	g.mux = http.NewServeMux()
+	g.mux.HandleFunc("POST /group/switch", func(w http.ResponseWriter, r *http.Request) {
+		var m expertmap.Message
+		err := json.NewDecoder(r.Body).Decode(&m)
+		if err == nil {
+			m, err = g.Switch(r.Context(), m)
+		}
+		reply(w, m, err)
+	})
+	g.mux.HandleFunc("GET /group/progress", func(w http.ResponseWriter, r *http.Request) {
+		p, err := g.Progress(r.Context())
+		reply(w, p, err)
+	})
+	return g
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Group) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.mux.ServeHTTP(w, r) }
+
+// restart replaces a rank by a cold one. The caller holds g.mu.
+func (g *Group) restart(i int) {
+	g.next++
+	g.ranks[i] = &groupRank{rank: expertmap.NewRank(i, g.next), time: 1}
+}
+
+// Restart restarts a rank cold: it forgets its map, promises and gate.
+func (g *Group) Restart(i int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.restart(i)
+}
+
+// Stall stops a rank between steps, or lets it go on. It still answers.
+func (g *Group) Stall(i int, stalled bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ranks[i].stalled = stalled
+}
+
+// SetIdle tells that the group has no work and takes no steps.
+func (g *Group) SetIdle(idle bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.idle = idle
+}
+
+// SetStepTime sets the time that a rank takes for a step.
+func (g *Group) SetStepTime(i int, t float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ranks[i].time = t
+}
+
+// Disagreements returns the number of steps in which ranks used different maps.
+func (g *Group) Disagreements() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.disagreed)
+}
+
+// Steps returns the number of steps that at least one rank has entered.
+func (g *Group) Steps() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.used)
+}
+
+// Switch implements engine.Group.
+func (g *Group) Switch(_ context.Context, m expertmap.Message) (expertmap.Message, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.Rank < 0 || m.Rank >= len(g.ranks) {
+		return m, errkind.New(errkind.InvalidRequest, "group has no rank %d", m.Rank)
+	}
+	r := g.ranks[m.Rank]
+	if !g.opts.CheckFencing {
+		return r.rank.Handle(m), nil
+	}
+	in, ok := r.gate.Admit(m)
+	if !ok {
+		return in, nil
+	}
+	return r.gate.Answer(in, r.rank.Handle(in)), nil
+}
+
+// Run advances the group at an interval until ctx ends.
+func (g *Group) Run(ctx context.Context, interval time.Duration) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			g.Advance()
+		}
+	}
+}
+
+// Advance lets every rank load, and enter its next step if the barrier is open.
+func (g *Group) Advance() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.idle {
+		return
+	}
+	open := make([]bool, len(g.ranks))
+	for i, r := range g.ranks {
+		open[i] = !r.stalled && g.barrierOpen(r.rank.Status())
+	}
+	for i, r := range g.ranks {
+		g.load(r)
+		if open[i] {
+			g.enter(r)
+		}
+	}
+}
+
+func (g *Group) load(r *groupRank) {
+	id, ok := r.rank.Wants()
+	if !ok {
+		return
+	}
+	r.loading++
+	if r.loading > g.opts.LoadSteps {
+		r.loading = 0
+		r.rank.Loaded(id)
+	}
+}
+
+// barrierOpen reports whether all ranks have entered the step that a rank in
+// state s leaves.
+func (g *Group) barrierOpen(s expertmap.Status) bool {
+	for _, r := range g.ranks {
+		o := r.rank.Status()
+		if !o.Running || o.Generation != s.Generation || o.Step < s.Step {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *Group) enter(r *groupRank) {
+	id, ok := r.rank.Enter()
+	if !ok {
+		return
+	}
+	at := groupStep{r.rank.Status().Generation, r.rank.Status().Step}
+	if other, ok := g.used[at]; ok && other != id {
+		g.disagreed[at] = true
+	}
+	g.used[at] = id
+}
+
+// Progress implements engine.Group.
+func (g *Group) Progress(context.Context) (engine.GroupProgress, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	first := g.ranks[0].rank.Status()
+	p := engine.GroupProgress{Step: first.Step, MapVersion: first.Map.Version, Idle: g.idle}
+	sum, slowest := 0.0, 0.0
+	for _, r := range g.ranks {
+		s := r.rank.Status()
+		p.Step, p.MapVersion = min(p.Step, s.Step), min(p.MapVersion, s.Map.Version)
+		_, wants := r.rank.Wants()
+		p.Rebalancing = p.Rebalancing || wants || s.Phase != expertmap.PhaseNone
+		sum, slowest = sum+r.time, max(slowest, r.time)
+	}
+	p.Skew = slowest * float64(len(g.ranks)) / sum
+	return p, nil
+}
--- a/expertmap/coordinator.go
+++ b/expertmap/coordinator.go
@@ -328,11 +328,8 @@
 	for _, v := range c.views {
 		s := v.status
 		w.Step = max(w.Step, s.Step)
-		if s.Map.Version > w.Map.Version {
-			w.Map = s.Map
-		}
-		if s.Phase == PhaseCommitted && s.Pending.Map.Version > w.Map.Version {
-			w.Map = s.Pending.Map
+		if id := s.Decided(); id.Version > w.Map.Version {
+			w.Map = id
 		}
 	}
 	if w.Map == (MapID{}) {
--- a/expertmap/gate.go
+++ b/expertmap/gate.go
@@ -49,5 +49,9 @@
 	return m
 }
 
+// Forget is called when the rank may still get an admitted message later, such
+// as after a timeout. Only a new generation makes such a message harmless.
+func (g *Gate) Forget() { g.formed = Generation{} }
+
 // Highest returns the highest fencing number seen.
 func (g *Gate) Highest() uint64 { return g.highest }
--- a/expertmap/message.go
+++ b/expertmap/message.go
@@ -71,6 +71,14 @@
 	Highest uint64 `json:"highest"`
 }
 
+// Decided returns the newest map that the rank uses or has committed to use.
+func (s Status) Decided() MapID {
+	if s.Phase == PhaseCommitted {
+		return s.Pending.Map
+	}
+	return s.Map
+}
+
 // Message is one message between a coordinator and a rank.
 type Message struct {
 	Kind Kind `json:"kind"`
