Join rank groups: lease, orders over wire, target process, stand-in ranks

An entry that holds the coordinator lease runs a coordinator per group of its data centre. Its messages go as orders to the target processes, which check fencing in place of engines that ignore it, report the group's progress in the heartbeat, and keep entries from routing to a group that makes no step.

--- a/api/gen/http/operators/server/paths.go
+++ b/api/gen/http/operators/server/paths.go
@@ -17,6 +17,11 @@
 	return "/v1/config"
 }
 
+// RollbackConfigOperatorsPath returns the URL path to the operators service rollback_config HTTP endpoint.
+func RollbackConfigOperatorsPath() string {
+	return "/v1/config/rollback"
+}
+
 // ConfigStatusOperatorsPath returns the URL path to the operators service config_status HTTP endpoint.
 func ConfigStatusOperatorsPath() string {
 	return "/v1/config/status"
--- a/api/gen/operators/client.go
+++ b/api/gen/operators/client.go
@@ -15,19 +15,21 @@
 
 // Client is the "operators" service client.
 type Client struct {
-	GetConfigEndpoint     goa.Endpoint
-	ApplyConfigEndpoint   goa.Endpoint
-	ConfigStatusEndpoint  goa.Endpoint
-	ConfigHistoryEndpoint goa.Endpoint
+	GetConfigEndpoint      goa.Endpoint
+	ApplyConfigEndpoint    goa.Endpoint
+	RollbackConfigEndpoint goa.Endpoint
+	ConfigStatusEndpoint   goa.Endpoint
+	ConfigHistoryEndpoint  goa.Endpoint
 }
 
 // NewClient initializes a "operators" service client given the endpoints.
-func NewClient(getConfig, applyConfig, configStatus, configHistory goa.Endpoint) *Client {
+func NewClient(getConfig, applyConfig, rollbackConfig, configStatus, configHistory goa.Endpoint) *Client {
 	return &Client{
-		GetConfigEndpoint:     getConfig,
-		ApplyConfigEndpoint:   applyConfig,
-		ConfigStatusEndpoint:  configStatus,
-		ConfigHistoryEndpoint: configHistory,
+		GetConfigEndpoint:      getConfig,
+		ApplyConfigEndpoint:    applyConfig,
+		RollbackConfigEndpoint: rollbackConfig,
+		ConfigStatusEndpoint:   configStatus,
+		ConfigHistoryEndpoint:  configHistory,
 	}
 }
 
@@ -51,6 +53,17 @@
 	return ires.(*ConfigAccepted), nil
 }
 
+// RollbackConfig calls the "rollback_config" endpoint of the "operators"
+// service.
+func (c *Client) RollbackConfig(ctx context.Context, p *RollbackConfigPayload) (res *ConfigAccepted, err error) {
+	var ires any
+	ires, err = c.RollbackConfigEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*ConfigAccepted), nil
+}
+
 // ConfigStatus calls the "config_status" endpoint of the "operators" service.
 func (c *Client) ConfigStatus(ctx context.Context, p *ConfigStatusPayload) (res *RevisionStatus, err error) {
 	var ires any
--- a/api/gen/operators/endpoints.go
+++ b/api/gen/operators/endpoints.go
@@ -16,10 +16,11 @@
 
 // Endpoints wraps the "operators" service endpoints.
 type Endpoints struct {
-	GetConfig     goa.Endpoint
-	ApplyConfig   goa.Endpoint
-	ConfigStatus  goa.Endpoint
-	ConfigHistory goa.Endpoint
+	GetConfig      goa.Endpoint
+	ApplyConfig    goa.Endpoint
+	RollbackConfig goa.Endpoint
+	ConfigStatus   goa.Endpoint
+	ConfigHistory  goa.Endpoint
 }
 
 // NewEndpoints wraps the methods of the "operators" service with endpoints.
@@ -27,10 +28,11 @@
 	// Casting service to Auther interface
 	a := s.(Auther)
 	return &Endpoints{
-		GetConfig:     NewGetConfigEndpoint(s, a.JWTAuth),
-		ApplyConfig:   NewApplyConfigEndpoint(s, a.JWTAuth),
-		ConfigStatus:  NewConfigStatusEndpoint(s, a.JWTAuth),
-		ConfigHistory: NewConfigHistoryEndpoint(s, a.JWTAuth),
+		GetConfig:      NewGetConfigEndpoint(s, a.JWTAuth),
+		ApplyConfig:    NewApplyConfigEndpoint(s, a.JWTAuth),
+		RollbackConfig: NewRollbackConfigEndpoint(s, a.JWTAuth),
+		ConfigStatus:   NewConfigStatusEndpoint(s, a.JWTAuth),
+		ConfigHistory:  NewConfigHistoryEndpoint(s, a.JWTAuth),
 	}
 }
 
@@ -38,6 +40,7 @@
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.GetConfig = m(e.GetConfig)
 	e.ApplyConfig = m(e.ApplyConfig)
+	e.RollbackConfig = m(e.RollbackConfig)
 	e.ConfigStatus = m(e.ConfigStatus)
 	e.ConfigHistory = m(e.ConfigHistory)
 }
@@ -80,6 +83,25 @@
 	}
 }
 
+// NewRollbackConfigEndpoint returns an endpoint function that calls the method
+// "rollback_config" of service "operators".
+func NewRollbackConfigEndpoint(s Service, authJWTFn security.AuthJWTFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*RollbackConfigPayload)
+		var err error
+		sc := security.JWTScheme{
+			Name:           "operator_token",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		ctx, err = authJWTFn(ctx, p.Token, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.RollbackConfig(ctx, p)
+	}
+}
+
 // NewConfigStatusEndpoint returns an endpoint function that calls the method
 // "config_status" of service "operators".
 func NewConfigStatusEndpoint(s Service, authJWTFn security.AuthJWTFunc) goa.Endpoint {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -12,9 +12,12 @@
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/balancer/twochoice"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
+	"github.com/skylarkstep/skylarkstep/daemon/claim"
 	"github.com/skylarkstep/skylarkstep/daemon/groups"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/platform"
 	"github.com/skylarkstep/skylarkstep/timeline"
 )
@@ -25,16 +28,22 @@
 	settings *config.Settings
 	kv       platform.KV
 	policy   balancer.Builder
+	claims   *claim.Claims
+	retries  *retries
 
 	snapshot atomic.Pointer[snapshot]
 	events   chan controlEvent
-	work     node.Inflight
-	stopping atomic.Bool
+	store    *configsync.Store
+	lease    *lease.Holder
+	// watcher and reachable are set by the control goroutine.
+	watcher   atomic.Bool
+	reachable atomic.Bool
+	work      node.Inflight
+	stopping  atomic.Bool
 
 	peerListener net.Listener
 	peerSessions peerSessions
 
-	fence  groups.Fence
 	groups atomic.Pointer[groups.Runner]
 }
 
@@ -47,8 +56,6 @@
 	PeerListener net.Listener
 	// Policy is the routing policy; nil takes the default.
 	Policy balancer.Builder
-	// Fence is the lease of the coordinator role; nil never coordinates.
-	Fence groups.Fence
 }
 
 // eventQueue bounds the control events that wait; senders block when it is
@@ -60,16 +67,21 @@
 	if o.Policy == nil {
 		o.Policy = twochoice.Builder{}
 	}
-	return &Entry{
+	e := &Entry{
 		node:     o.Node,
 		settings: o.Settings,
 		kv:       o.KV,
 		policy:   o.Policy,
+		claims:   claim.New(o.KV),
+		retries:  newRetries(),
 		events:   make(chan controlEvent, eventQueue),
 
+		store:        configsync.NewStore(o.KV),
 		peerListener: o.PeerListener,
-		fence:        o.Fence,
 	}
+	e.watcher.Store(true)
+	e.lease = e.newLease()
+	return e
 }
 
 // Run serves callers and operators on ln until ctx ends; then it stops
@@ -79,7 +91,17 @@
 	defer stopControl()
 	go e.runControl(control)
 	go e.watchConfig(control)
-	go e.runGroups(control, e.fence)
+	leaseCtx, releaseLease := context.WithCancel(control)
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		e.lease.Run(leaseCtx)
+	}()
+	defer func() {
+		releaseLease()
+		<-released
+	}()
+	go e.runGroups(leaseCtx)
 	if e.peerListener != nil {
 		defer func() { _ = e.peerListener.Close() }()
 		go e.acceptPeers(control, e.peerListener)
@@ -93,6 +115,7 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
+	releaseLease() // another entry coordinates while this one serves its last callers
 	e.stop(srv)
 	return nil
 }
--- a/daemon/entry/groups.go
+++ b/daemon/entry/groups.go
@@ -26,29 +26,34 @@
 	return stalled
 }
 
-// runGroups coordinates the groups of this entry's data centre while the fence
-// is valid.
-func (e *Entry) runGroups(ctx context.Context, fence groups.Fence) {
-	if fence == nil {
-		return
-	}
+// runGroups coordinates the groups of this entry's data centre while it holds
+// the lease.
+func (e *Entry) runGroups(ctx context.Context) {
 	e.groups.Store(groups.New(groups.Options{
 		DataCentre: e.node.DataCentre,
-		Fence:      fence,
+		Fence:      e.lease,
 		Config: func() *config.Config {
 			if s := e.snapshot.Load(); s != nil {
 				return s.config
 			}
 			return nil
 		},
-		Send: e.sendOrder,
+		Send: e.sendGroupOrder,
 	}))
 	e.groups.Load().Run(ctx)
 }
 
-// sendOrder gives an order to a target over a stream of its own.
-func (e *Entry) sendOrder(ctx context.Context, target string, o *wirepb.Order) (*wirepb.OrderResult, error) {
-	s := e.memberSession(ctx, target)
+// sendGroupOrder gives an order to a target over a stream of its own.
+func (e *Entry) sendGroupOrder(ctx context.Context, target string, o *wirepb.Order) (*wirepb.OrderResult, error) {
+	s, err := ask(ctx, e, func(c *control) *wire.Session {
+		if m := c.members[target]; m != nil {
+			return m.session
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
 	if s == nil {
 		return nil, errkind.New(errkind.TargetUnreachable, "no session to target %q", target)
 	}
@@ -67,21 +72,3 @@
 	}
 	return &result, nil
 }
-
-// memberSession returns the session to a target, usable for requests or not.
-func (e *Entry) memberSession(ctx context.Context, target string) *wire.Session {
-	answer := make(chan *wire.Session, 1)
-	e.post(ctx, func(c *control) {
-		if m := c.members[target]; m != nil {
-			answer <- m.session
-			return
-		}
-		answer <- nil
-	})
-	select {
-	case s := <-answer:
-		return s
-	case <-ctx.Done():
-		return nil
-	}
-}
--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"runtime"
@@ -16,11 +17,13 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/daemon/target"
@@ -41,9 +44,11 @@
 
 // inBubble runs a test in virtual time. yamux keeps timers in a sync.Pool; a
 // timer of an earlier bubble must not be taken from it, and two collections
-// empty a pool.
+// empty a pool. The first meter of go-metrics starts a goroutine that never
+// ends, so it must be made outside.
 func inBubble(t *testing.T, f func(t *testing.T)) {
 	t.Helper()
+	metrics.NewMeter().Stop()
 	runtime.GC()
 	runtime.GC()
 	synctest.Test(t, f)
@@ -93,7 +98,9 @@
 	config *config.Config
 	web    *pipeListener
 	pool   pool
-	conns  map[string]net.Conn
+	fields map[string]any // further fields of requests
+	nodes  []*node.Node   // of the target processes
+	peers  map[string]*pipeListener
 }
 
 func newFixture(t *testing.T, targets ...string) *fixture {
@@ -111,7 +118,7 @@
 		})
 	}
 	s := &config.Settings{Role: config.RoleEntry, Name: "entry-burgos", DataCentre: "burgos"}
-	f := &fixture{t: t, config: c, web: newPipeListener(), conns: map[string]net.Conn{}}
+	f := &fixture{t: t, config: c, web: newPipeListener(), peers: map[string]*pipeListener{}}
 	f.entry = New(Options{Settings: s, Node: testNode(s)})
 	return f
 }
@@ -125,6 +132,7 @@
 func (f *fixture) start() {
 	f.pool.picker = inOrder(f.pool.targets)
 	f.entry.snapshot.Store(&snapshot{
+		verdict:   configsync.Verdict{Until: time.Now().Add(24 * time.Hour)},
 		config:    f.config,
 		customers: map[string]*config.Customer{sha(testCustomer): &f.config.Inventory.Customers[0]},
 		pools:     map[string]*pool{"pintor-lm": &f.pool},
@@ -134,6 +142,9 @@
 	f.t.Cleanup(func() {
 		_ = srv.Close()
 		_ = f.web.Close()
+		// net/http lingers for half a second before it closes a connection with
+		// unread input. The sleep is in virtual time.
+		time.Sleep(time.Second)
 		synctest.Wait()
 	})
 }
@@ -143,9 +154,12 @@
 	s := &config.Settings{Role: config.RoleTarget, Name: name, DataCentre: "burgos", StopBoundMs: 1000,
 		Target: config.TargetSettings{Backend: "pintor-lm", Kind: config.KindModel}}
 	ln := newPipeListener()
+	f.peers[name] = ln
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	tgt := target.New(target.Options{Settings: s, Node: testNode(s), Model: m})
+	n := testNode(s)
+	f.nodes = append(f.nodes, n)
+	tgt := target.New(target.Options{Settings: s, Node: n, Model: m})
 	go func() {
 		defer close(done)
 		assert.NoError(f.t, tgt.Run(ctx, ln))
@@ -197,7 +211,6 @@
 	session, err := wire.Client(conn, testKey, f.entry.node.Hello(0))
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { _ = session.Close() })
-	f.conns[name] = conn
 	f.pool.targets = append(f.pool.targets, route{
 		name: name, dataCentre: "burgos", session: session,
 		incarnation: session.Peer().GetIncarnation(), sent: &balancer.Counter{},
@@ -220,7 +233,9 @@
 func (f *fixture) connect(tokens int, prompt string) net.Conn {
 	conn, err := f.web.dial()
 	require.NoError(f.t, err)
-	body, err := json.Marshal(map[string]any{"model": "pintor", "prompt": prompt, "max_tokens": tokens, "deadline_ms": 3600000})
+	fields := map[string]any{"model": "pintor", "prompt": prompt, "max_tokens": tokens, "deadline_ms": 3600000}
+	maps.Copy(fields, f.fields)
+	body, err := json.Marshal(fields)
 	require.NoError(f.t, err)
 	req, err := http.NewRequest(http.MethodPost, "http://entry/v1/completions", bytes.NewReader(body))
 	require.NoError(f.t, err)
--- a/daemon/entry/operators.go
+++ b/daemon/entry/operators.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -14,27 +13,46 @@
 
 	"github.com/skylarkstep/skylarkstep/api/gen/operators"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/errkind"
 )
 
 // operatorService implements the goa service for operators.
 type operatorService struct{ entry *Entry }
 
+type operatorKey struct{}
+
+func operatorFrom(ctx context.Context) string {
+	name, _ := ctx.Value(operatorKey{}).(string)
+	return name
+}
+
 // JWTAuth implements operators.Auther.
 func (s *operatorService) JWTAuth(ctx context.Context, token string, _ *security.JWTScheme) (context.Context, error) {
 	sum := sha256.Sum256([]byte(token))
 	got := []byte(hex.EncodeToString(sum[:]))
 	for _, o := range s.entry.settings.Operators {
 		if subtle.ConstantTimeCompare(got, []byte(o.TokenSHA256)) == 1 {
-			return ctx, nil
+			return context.WithValue(ctx, operatorKey{}, o.Name), nil
 		}
 	}
 	return ctx, errkind.New(errkind.Unauthenticated, "the bearer token belongs to no operator")
 }
 
-// GetConfig returns the configuration in force.
-func (s *operatorService) GetConfig(_ context.Context, _ *operators.GetConfigPayload) (*operators.ConfigDocument, error) {
-	snap, err := s.entry.ready()
+// GetConfig returns the configuration in force, or an earlier one.
+func (s *operatorService) GetConfig(ctx context.Context, p *operators.GetConfigPayload) (*operators.ConfigDocument, error) {
+	if p.Revision != nil && *p.Revision != 0 {
+		tree, err := s.entry.store.At(ctx, *p.Revision)
+		if err != nil {
+			return nil, err
+		}
+		c, err := config.FromTree(tree, *p.Revision)
+		if err != nil {
+			return nil, err
+		}
+		return &operators.ConfigDocument{Revision: c.Revision, Document: c}, nil
+	}
+	snap, err := s.entry.current()
 	if err != nil {
 		return nil, err
 	}
@@ -47,27 +65,46 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidRequest, "document")
 	}
-	revision, err := s.entry.apply(ctx, p.BaseRevision, document)
+	next, err := config.ParseConfig(document)
 	if err != nil {
 		return nil, err
 	}
-	return &operators.ConfigAccepted{Revision: revision}, nil
+	change := configsync.Change{
+		Base: p.BaseRevision, EditID: p.EditID, Author: operatorFrom(ctx), Config: next, AllowNoService: p.AllowNoService,
+	}
+	return s.accepted(s.entry.accept(ctx, p.AllowMinority, func(ctx context.Context, held uint64) (*configsync.Accepted, error) {
+		change.Held = held
+		return s.entry.store.Apply(ctx, change)
+	}))
+}
+
+// RollbackConfig accepts the content of an earlier revision as a new one.
+func (s *operatorService) RollbackConfig(ctx context.Context, p *operators.RollbackConfigPayload) (*operators.ConfigAccepted, error) {
+	change := configsync.Change{
+		Base: p.BaseRevision, EditID: p.EditID, Author: operatorFrom(ctx), AllowNoService: p.AllowNoService,
+	}
+	return s.accepted(s.entry.accept(ctx, p.AllowMinority, func(ctx context.Context, held uint64) (*configsync.Accepted, error) {
+		change.Held = held
+		return s.entry.store.Rollback(ctx, p.ToRevision, change)
+	}))
+}
+
+func (s *operatorService) accepted(a *configsync.Accepted, err error) (*operators.ConfigAccepted, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &operators.ConfigAccepted{Revision: a.Revision, Already: a.Already}, nil
 }
 
 // ConfigStatus tells which processes have the revision in force.
 func (s *operatorService) ConfigStatus(ctx context.Context, _ *operators.ConfigStatusPayload) (*operators.RevisionStatus, error) {
-	answer := make(chan *operators.RevisionStatus, 1)
-	s.entry.post(ctx, func(c *control) { answer <- c.status() })
-	select {
-	case st := <-answer:
-		return st, nil
-	case <-ctx.Done():
-		return nil, errkind.From(ctx.Err())
-	}
+	return ask(ctx, s.entry, (*control).status)
 }
 
 func (c *control) status() *operators.RevisionStatus {
-	st := &operators.RevisionStatus{Revision: c.revision(), StoreReachable: true}
+	st := &operators.RevisionStatus{Revision: c.revision(), StoreReachable: c.entry.reachable.Load()}
+	verdict := c.judge(time.Now())
+	st.FreshnessMs, st.Freshness = verdict.Age.Milliseconds(), string(verdict.State)
 	st.Processes = append(st.Processes, &operators.ProcessRevision{
 		Name:        c.entry.node.Name,
 		Role:        string(c.entry.node.Role),
@@ -77,15 +114,16 @@
 		Revision:    c.revision(),
 		InForce:     true,
 	})
-	if c.config == nil {
+	cfg := c.replica.Config()
+	if cfg == nil {
 		return st
 	}
-	for _, en := range c.config.Inventory.Entries {
+	for _, en := range cfg.Inventory.Entries {
 		if en.Name != c.entry.node.Name {
 			st.Processes = append(st.Processes, c.entryStatus(en))
 		}
 	}
-	for _, t := range c.config.Inventory.Targets {
+	for _, t := range cfg.Inventory.Targets {
 		st.Processes = append(st.Processes, c.targetStatus(t))
 	}
 	return st
@@ -123,14 +161,16 @@
 }
 
 // ConfigHistory lists the accepted changes.
-func (s *operatorService) ConfigHistory(context.Context, *operators.ConfigHistoryPayload) ([]*operators.HistoryItem, error) {
-	return []*operators.HistoryItem{}, nil
-}
-
-func encode(c *config.Config) ([]byte, error) {
-	var b bytes.Buffer
-	if err := json.NewEncoder(&b).Encode(c); err != nil {
-		return nil, errkind.Wrap(err, errkind.Internal, "encode configuration")
+func (s *operatorService) ConfigHistory(ctx context.Context, p *operators.ConfigHistoryPayload) ([]*operators.HistoryItem, error) {
+	records, err := s.entry.store.History(ctx, p.Limit)
+	if err != nil {
+		return nil, err
+	}
+	items := make([]*operators.HistoryItem, 0, len(records))
+	for _, r := range records {
+		items = append(items, &operators.HistoryItem{
+			Revision: r.Revision, EditID: r.EditID, Author: r.Author, Time: r.Time.Format(time.RFC3339Nano), Patch: r.Patch,
+		})
 	}
-	return b.Bytes(), nil
+	return items, nil
 }
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
@@ -14,7 +15,12 @@
 	config    *config.Config
 	customers map[string]*config.Customer // by SHA-256 of the key
 	pools     map[string]*pool            // by back end
+	members   map[string]route            // by target; also those that get no new work
+	suspect   map[string]bool             // targets whose heartbeats have stopped
 	leaving   map[string]bool             // entries that announced their stop
+
+	verdict  configsync.Verdict
+	judgedAt time.Time
 }
 
 // pool is the usable targets of one back end with a picker over them.
@@ -34,30 +40,42 @@
 
 // publish builds a new snapshot from the control state.
 func (c *control) publish() {
-	if c.config == nil {
+	now := time.Now()
+	c.updateWatcher(now)
+	cfg := c.replica.Config()
+	if cfg == nil {
 		return
 	}
 	s := &snapshot{
-		config:    c.config,
+		config:    cfg,
+		verdict:   c.judge(now),
+		judgedAt:  now,
 		customers: map[string]*config.Customer{},
 		pools:     map[string]*pool{},
+		members:   map[string]route{},
+		suspect:   map[string]bool{},
 		leaving:   map[string]bool{},
 	}
 	for name, p := range c.peers {
 		s.leaving[name] = p.leaving()
 	}
-	for i := range c.config.Inventory.Customers {
-		cu := &c.config.Inventory.Customers[i]
+	for i := range cfg.Inventory.Customers {
+		cu := &cfg.Inventory.Customers[i]
 		for _, key := range cu.KeySHA256 {
 			s.customers[key] = cu
 		}
 	}
 	views := map[string][]balancer.Target{}
-	now := time.Now()
 	stalled := c.stalledGroups()
-	for _, t := range c.config.Inventory.Targets {
+	for _, t := range cfg.Inventory.Targets {
 		m, l := c.members[t.Name], c.links[t.Name]
-		if l == nil || stalled[t.Group] || !usable(c.config, t, m, now) {
+		if l == nil || m == nil {
+			continue
+		}
+		to := route{name: t.Name, dataCentre: t.DataCentre, session: m.session, incarnation: m.incarnation, sent: l.sent}
+		s.members[t.Name] = to
+		s.suspect[t.Name] = m.suspect(now)
+		if stalled[t.Group] || !usable(cfg, t, m, now) {
 			continue
 		}
 		p := s.pools[t.Backend]
@@ -65,9 +83,7 @@
 			p = &pool{}
 			s.pools[t.Backend] = p
 		}
-		p.targets = append(p.targets, route{
-			name: t.Name, dataCentre: t.DataCentre, session: m.session, incarnation: m.incarnation, sent: l.sent,
-		})
+		p.targets = append(p.targets, to)
 		views[t.Backend] = append(views[t.Backend], view(t, m, l, now))
 	}
 	for name, p := range s.pools {
@@ -76,8 +92,19 @@
 	c.entry.snapshot.Store(s)
 }
 
+// suspect reports whether heartbeats have stopped in either direction.
+func (m *member) suspect(now time.Time) bool {
+	return now.Sub(m.heardAt) > suspectAfter || now.Sub(m.beats.EchoedAt()) > suspectAfter
+}
+
+// isSuspect reports whether the heartbeats of a target have stopped.
+func (e *Entry) isSuspect(target string) bool {
+	s := e.snapshot.Load()
+	return s != nil && s.suspect[target]
+}
+
 func usable(c *config.Config, t config.Target, m *member, now time.Time) bool {
-	if m == nil || c.IsLeaving(t) || now.Sub(m.heardAt) > suspectAfter {
+	if m == nil || c.IsLeaving(t) || m.suspect(now) {
 		return false
 	}
 	return m.heartbeat.GetState() != wirepb.MemberState_MEMBER_STATE_LEAVING
--- a/daemon/groups/fencing_test.go
+++ b/daemon/groups/fencing_test.go
@@ -22,7 +22,7 @@
 			for _, m := range messages {
 				arguments, err := json.Marshal(m)
 				require.NoError(t, err)
-				r := f.targets[TargetOf(f.config, g, m.Rank)].HandleOrder(&wirepb.Order{
+				r := f.targets[TargetOf(f.config, g, m.Rank)].HandleSwitch(&wirepb.Order{
 					Scope: "group/g1", Fencing: m.Fencing, Kind: orderKind, Arguments: arguments,
 				})
 				var answer expertmap.Message
--- a/daemon/groups/runner_test.go
+++ b/daemon/groups/runner_test.go
@@ -92,7 +92,7 @@
 		if late {
 			time.Sleep(3 * time.Second)
 		}
-		done <- p.HandleOrder(o)
+		done <- p.HandleSwitch(o)
 	})
 	select {
 	case r := <-done:
--- a/daemon/target/group.go
+++ b/daemon/target/group.go
@@ -10,7 +10,6 @@
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/expertmap"
 	"github.com/skylarkstep/skylarkstep/timeline"
-	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
@@ -73,13 +72,11 @@
 	return gate.Answer(in, answer), nil
 }
 
-func (t *Target) serveOrder(st *wire.Stream, o *wirepb.Order) { _ = st.Send(t.HandleOrder(o)) }
-
-// HandleOrder carries out an order of a coordinator.
-func (t *Target) HandleOrder(o *wirepb.Order) *wirepb.OrderResult {
+// HandleSwitch carries out an order that is a message of the switch protocol.
+func (t *Target) HandleSwitch(o *wirepb.Order) *wirepb.OrderResult {
 	t.node.Clock.Observe(timeline.Timestamp(o.GetHlc()))
 	result := &wirepb.OrderResult{}
-	answer, err := t.order(o)
+	answer, err := t.switchOrder(o)
 	if err == nil {
 		result.Result, err = json.Marshal(answer)
 	}
@@ -92,7 +89,7 @@
 	return result
 }
 
-func (t *Target) order(o *wirepb.Order) (expertmap.Message, error) {
+func (t *Target) switchOrder(o *wirepb.Order) (expertmap.Message, error) {
 	var m expertmap.Message
 	if t.group == nil || o.GetKind() != OrderSwitch || o.GetScope() != "group/"+t.group.name {
 		return m, errkind.New(errkind.InvalidRequest, "target %s takes no order %s for %s", t.node.Name, o.GetKind(), o.GetScope())
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -9,7 +9,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/errkind"
@@ -25,10 +27,16 @@
 	model    engine.Model
 	service  engine.Service
 
-	config atomic.Pointer[config.Config]
-	work   node.Inflight
-	gate   *gate
-	group  *group
+	config    atomic.Pointer[config.Config]
+	replicaMu sync.Mutex
+	replica   configsync.Replica
+
+	work node.Inflight
+	gate *gate
+
+	operations *operations
+	orders     orders
+	group      *group
 
 	mu       sync.Mutex
 	sessions map[*wire.Session]*node.Heartbeats
@@ -54,6 +62,9 @@
 		service:  o.Service,
 		gate:     newGate(admissionRule(&config.Config{}, o.Settings.Target.Backend)),
 		group:    newGroup(o.Settings.Target.Group, o.Group, o.Settings.Target.ChecksFencing, o.Node.Incarnation),
+		operations: newOperations(atmostonce.NewTable(o.Settings.Target.Backend, o.Node.Name, o.Node.Incarnation,
+			atmostonce.Limits{Keep: atmostonce.DefaultKeep, MaxBytes: atmostonce.DefaultMaxBytes}),
+			func() time.Time { return o.Node.Clock.Now().Time() }),
 		sessions: map[*wire.Session]*node.Heartbeats{},
 	}
 }
@@ -96,8 +107,10 @@
 		t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "work finished"})
 	case <-time.After(time.Until(deadline)):
 		t.node.Log.Warn("planned stop: bound reached with work in progress", "running", t.work.Count())
+		t.handOver()
 		return
 	}
+	t.handOver()
 	t.drain(told, deadline)
 }
 
@@ -152,7 +165,15 @@
 	switch body := open.GetBody().(type) {
 	case *wirepb.Open_Dispatch:
 		t.serveDispatch(st, body.Dispatch)
+	case *wirepb.Open_Outcome:
+		t.serveOutcome(st, body.Outcome)
+	case *wirepb.Open_Handover:
+		t.serveHandover(st, body.Handover)
 	case *wirepb.Open_Order:
+		if body.Order.GetKind() == OrderSwitch {
+			_ = st.Send(t.HandleSwitch(body.Order))
+			return
+		}
 		t.serveOrder(st, body.Order)
 	case *wirepb.Open_EventQuery:
 		t.serveEvents(st, body.EventQuery)
