--- a/daemon/e2e/harness_test.go
+++ b/daemon/e2e/harness_test.go
@@ -48,6 +48,7 @@
 // cluster is a small deployment: entries and target processes as separate
 // processes, stand-ins in the test.
 type cluster struct {
+	wrap     func(target string, engine http.Handler) http.Handler
 	t        *testing.T
 	config   *config.Config
 	kv       *standin.KV
@@ -143,7 +144,7 @@
 			k.models[tg.Name] = enginestandin.NewModel(enginestandin.ModelOptions{
 				TokenInterval: 2 * time.Millisecond, AnswerTokens: 32768,
 			})
-			k.urls[tg.Name] = k.serve(k.models[tg.Name])
+			k.urls[tg.Name] = k.serve(k.wrapEngine(tg.Name, k.models[tg.Name]))
 		} else {
 			k.services[tg.Name] = enginestandin.NewService(enginestandin.ServiceOptions{})
 			k.urls[tg.Name] = k.serve(k.services[tg.Name])
@@ -167,6 +168,14 @@
 	return srv.URL
 }
 
+// wrapEngine puts the handler of a test in front of an engine.
+func (k *cluster) wrapEngine(target string, engine http.Handler) http.Handler {
+	if k.wrap == nil {
+		return engine
+	}
+	return k.wrap(target, engine)
+}
+
 func (k *cluster) startTarget(tg config.Target) {
 	b, _ := k.config.Backend(tg.Backend)
 	if addr := k.listenAt[tg.Name]; addr != "" {
@@ -175,7 +184,7 @@
 	k.start(&config.Settings{
 		Role: config.RoleTarget, Name: tg.Name, DataCentre: tg.DataCentre,
 		HTTPAddr: freeAddr(k.t), PeerAddr: tg.PeerAddr,
-		Target: config.TargetSettings{Backend: tg.Backend, Kind: b.Kind, EngineURL: k.urls[tg.Name]},
+		Target: config.TargetSettings{Backend: tg.Backend, Kind: b.Kind, EngineURL: k.urls[tg.Name], Group: tg.Group},
 	})
 }
 
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/daemon/claim"
+	"github.com/skylarkstep/skylarkstep/daemon/groups"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/lease"
@@ -42,6 +43,8 @@
 
 	peerListener net.Listener
 	peerSessions peerSessions
+
+	groups atomic.Pointer[groups.Runner]
 }
 
 // Options are the parts that the caller of New provides.
@@ -98,6 +101,7 @@
 		releaseLease()
 		<-released
 	}()
+	go e.runGroups(leaseCtx)
 	if e.peerListener != nil {
 		defer func() { _ = e.peerListener.Close() }()
 		go e.acceptPeers(control, e.peerListener)
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -36,6 +36,7 @@
 
 	operations *operations
 	orders     orders
+	group      *group
 
 	mu       sync.Mutex
 	sessions map[*wire.Session]*node.Heartbeats
@@ -48,6 +49,8 @@
 	Node     *node.Node
 	Model    engine.Model
 	Service  engine.Service
+	// Group is set when the target runs ranks of a group.
+	Group engine.Group
 }
 
 // New returns a target process that does not run yet.
@@ -61,6 +64,7 @@
 			o.Node.Events.Record(timeline.Event{Kind: timeline.RampRestarted, Target: o.Node.Name, Backend: o.Settings.Target.Backend})
 			o.Node.Log.Info("warm-up ramp restarted")
 		}),
+		group: newGroup(o.Settings.Target.Group, o.Group, o.Settings.Target.ChecksFencing, o.Node.Incarnation),
 		operations: newOperations(atmostonce.NewTable(o.Settings.Target.Backend, o.Node.Name, o.Node.Incarnation,
 			atmostonce.Limits{Keep: atmostonce.DefaultKeep, MaxBytes: atmostonce.DefaultMaxBytes}),
 			func() time.Time { return o.Node.Clock.Now().Time() }),
@@ -71,6 +75,7 @@
 // Run serves sessions from ln until ctx ends; then it stops gracefully within
 // the stop bound of the settings.
 func (t *Target) Run(ctx context.Context, ln net.Listener) error {
+	go t.group.watch(ctx)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -168,6 +173,10 @@
 	case *wirepb.Open_Handover:
 		t.serveHandover(st, body.Handover)
 	case *wirepb.Open_Order:
+		if body.Order.GetKind() == OrderSwitch {
+			_ = st.Send(t.HandleSwitch(body.Order))
+			return
+		}
 		t.serveOrder(st, body.Order)
 	case *wirepb.Open_EventQuery:
 		t.serveEvents(st, body.EventQuery)
