--- a/daemon/e2e/outage_test.go
+++ b/daemon/e2e/outage_test.go
@@ -139,3 +139,20 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, res.status, "%s", res.body)
 }
+
+// Guards against an accepted change that only the accepting entry knows, which
+// is lost to the others if that entry and the store fail right after.
+func TestAcceptedChangeIsHeldByMajority(t *testing.T) {
+	k := startCluster(t, twoByTwo(t))
+	k.waitPeers()
+	c := k.current()
+	for base := uint64(1); base <= 20; base++ {
+		c.Rules.AddressTTLMs = 500 + int(base)
+		k.apply(base, c)
+		res, err := k.request(http.MethodGet, k.entryURL(1)+"/v1/config", operatorToken, nil, nil)
+		require.NoError(t, err)
+		var doc struct{ Revision uint64 }
+		require.NoError(t, json.Unmarshal(res.body, &doc))
+		require.Equal(t, base+1, doc.Revision)
+	}
+}
--- a/daemon/entry/apply.go
+++ b/daemon/entry/apply.go
@@ -53,10 +53,51 @@
 		e.node.Events.Record(timeline.Event{Kind: timeline.RevisionAccepted, Revision: a.Revision, Detail: a.Delta.Author})
 		// The operator's next read at this entry must show the change.
 		_, _ = ask(ctx, e, func(c *control) bool { c.acceptedHere(a); return true })
+		if held > 0 && heard {
+			e.waitSpread(ctx, a.Revision)
+		}
 	}
 	return a, nil
 }
 
+// Bounds of the wait for a majority that holds an accepted revision.
+const (
+	spreadBound = 2 * time.Second
+	spreadPoll  = 5 * time.Millisecond
+)
+
+// waitSpread holds the operator's answer back until a majority of the entries
+// has the revision in force. Otherwise a change is known to this process alone
+// if both it and the store fail right after the answer. The change stays
+// accepted if the bound passes.
+func (e *Entry) waitSpread(ctx context.Context, revision uint64) {
+	ctx, cancel := context.WithTimeout(ctx, spreadBound)
+	defer cancel()
+	tick := time.NewTicker(spreadPoll)
+	defer tick.Stop()
+	for {
+		if done, err := ask(ctx, e, func(c *control) bool { return c.majorityHolds(revision) }); done || err != nil {
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *control) majorityHolds(revision uint64) bool {
+	entries := c.replica.Config().Inventory.Entries
+	holds := 0
+	for _, en := range entries {
+		if p := c.peers[en.Name]; en.Name == c.entry.node.Name || p != nil && p.heartbeat.GetRevision() >= revision {
+			holds++
+		}
+	}
+	return holds > len(entries)/2
+}
+
 // acceptedHere puts a change that this entry accepted into force without
 // waiting for the watch.
 func (c *control) acceptedHere(a *configsync.Accepted) {
--- a/daemon/entry/configwatch.go
+++ b/daemon/entry/configwatch.go
@@ -24,7 +24,9 @@
 	retry := watchRetry
 	for ctx.Err() == nil {
 		pause := watchRetry
-		if e.watcher.Load() {
+		if !e.watcher.Load() {
+			e.post(ctx, func(c *control) { c.setReachable(false) })
+		} else {
 			err := e.followHead(ctx)
 			if err != nil && ctx.Err() == nil {
 				e.post(ctx, func(c *control) { c.setReachable(false) })
@@ -155,7 +157,6 @@
 	if at.IsZero() && !ok {
 		return // an old watch event; the next read decides
 	}
-	c.setReachable(ok)
 	switch {
 	case ok && at.After(c.confirmedAt):
 		c.confirmedAt = at
@@ -166,12 +167,19 @@
 			"shown", shown, "in_force", c.replica.Revision())
 		c.entry.node.Events.Record(timeline.Event{Kind: timeline.RevisionAlarm, Revision: shown})
 	}
+	c.setReachable(ok)
 }
 
 // setReachable tells the other entries at once whether this one reaches the
 // store, since the rule for isolated processes depends on it.
 func (c *control) setReachable(ok bool) {
-	if c.entry.reachable.Swap(ok) != ok {
-		c.kickHeartbeats()
+	if c.entry.reachable.Load() == ok {
+		return
 	}
+	// The age must be published first: a heartbeat that says reachable with the
+	// age of the outage would make the other entries take themselves for
+	// isolated.
+	c.publish()
+	c.entry.reachable.Store(ok)
+	c.kickHeartbeats()
 }
--- a/daemon/entry/control.go
+++ b/daemon/entry/control.go
@@ -7,12 +7,13 @@
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/membership"
 	"github.com/skylarkstep/skylarkstep/timeline"
 	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
-// suspectAfter is how long a silent target gets no new work.
+// suspectAfter is how long an entry counts as heard after its last heartbeat.
 const suspectAfter = 3 * time.Second
 
 // controlEvent changes the control state. It runs on the control goroutine.
@@ -25,6 +26,9 @@
 	replica configsync.Replica
 	links   map[string]*link
 	members map[string]*member
+	// detectors outlive sessions, so that a target that comes and goes is seen
+	// to flap.
+	detectors map[string]*membership.Detector
 
 	peerLinks map[string]*peerLink // by address
 	peers     map[string]*peer     // by name
@@ -48,12 +52,16 @@
 
 const controlTick = 250 * time.Millisecond
 
-// runControl owns the control state until ctx ends.
-func (e *Entry) runControl(ctx context.Context) {
-	c := &control{
-		entry: e, ctx: ctx, links: map[string]*link{}, members: map[string]*member{},
+func newControl(ctx context.Context, e *Entry) *control {
+	return &control{
+		entry: e, ctx: ctx, links: map[string]*link{}, members: map[string]*member{}, detectors: map[string]*membership.Detector{},
 		peerLinks: map[string]*peerLink{}, peers: map[string]*peer{},
 	}
+}
+
+// runControl owns the control state until ctx ends.
+func (e *Entry) runControl(ctx context.Context) {
+	c := newControl(ctx, e)
 	c.updatePeers()
 	tick := time.NewTicker(controlTick)
 	defer tick.Stop()
@@ -96,13 +104,31 @@
 	}
 }
 
-// updateLinks starts and stops sessions so that every target of the inventory
-// has one.
-func (c *control) updateLinks() {
-	want := map[string]config.Target{}
+// chosenTargets returns the subset of each back end that this entry keeps
+// sessions to.
+func (c *control) chosenTargets() map[string]config.Target {
+	byBackend, all := map[string][]membership.Member{}, map[string]config.Target{}
 	for _, t := range c.replica.Config().Inventory.Targets {
-		want[t.Name] = t
+		all[t.Name] = t
+		byBackend[t.Backend] = append(byBackend[t.Backend], membership.Member{Name: t.Name, DataCentre: t.DataCentre})
+	}
+	want := map[string]config.Target{}
+	for _, members := range byBackend {
+		for _, m := range membership.Subset(c.entry.node.Name, members, membership.MaxSessions) {
+			want[m.Name] = all[m.Name]
+		}
 	}
+	for name := range c.detectors {
+		if _, ok := want[name]; !ok {
+			delete(c.detectors, name)
+		}
+	}
+	return want
+}
+
+// updateLinks starts and stops sessions so that every chosen target has one.
+func (c *control) updateLinks() {
+	want := c.chosenTargets()
 	for name, l := range c.links {
 		if t, ok := want[name]; !ok || t.PeerAddr != l.target.PeerAddr {
 			l.stop()
@@ -184,13 +210,29 @@
 
 func (c *control) joined(target string, s *wire.Session, hb *node.Heartbeats) {
 	c.members[target] = &member{session: s, beats: hb, incarnation: s.Peer().GetIncarnation(), heardAt: time.Now()}
+	if c.detectors[target] == nil {
+		c.detectors[target] = &membership.Detector{}
+	}
+	c.detectors[target].Connected(time.Now())
 	c.record(timeline.MemberJoined, target, s)
 	c.announce(s)
 }
 
+// targetState returns the failure state of a target.
+func (c *control) targetState(target string, now time.Time) membership.State {
+	d := c.detectors[target]
+	if d == nil {
+		return membership.Gone
+	}
+	return d.State(now)
+}
+
 func (c *control) left(target string, s *wire.Session) {
 	if m := c.members[target]; m != nil && m.session == s {
 		delete(c.members, target)
+		if d := c.detectors[target]; d != nil {
+			d.Disconnected(time.Now())
+		}
 		c.record(timeline.MemberLeft, target, s)
 	}
 }
@@ -200,6 +242,9 @@
 		changed := m.heartbeat.GetState() != hb.GetState()
 		m.heartbeat, m.heardAt = hb, time.Now()
 		c.acted(m.beats, hb, changed)
+		if d := c.detectors[target]; d != nil {
+			d.Heard(m.heardAt, m.beats.EchoedAt())
+		}
 	}
 }
 
--- a/daemon/entry/operators.go
+++ b/daemon/entry/operators.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
 // operatorService implements the goa service for operators.
@@ -135,7 +136,10 @@
 	if m == nil {
 		return p
 	}
-	p.State = "ready"
+	p.State = string(c.targetState(t.Name, time.Now()))
+	if m.heartbeat.GetState() == wirepb.MemberState_MEMBER_STATE_LEAVING {
+		p.State = "leaving"
+	}
 	p.Incarnation = fmt.Sprintf("%x", m.incarnation)
 	p.Revision = m.heartbeat.GetRevision()
 	p.InForce = p.Revision >= c.revision()
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -6,6 +6,7 @@
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/configsync"
+	"github.com/skylarkstep/skylarkstep/membership"
 	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
@@ -64,6 +65,7 @@
 		}
 	}
 	views := map[string][]balancer.Target{}
+	ready := c.readyBackends(now)
 	for _, t := range cfg.Inventory.Targets {
 		m, l := c.members[t.Name], c.links[t.Name]
 		if l == nil || m == nil {
@@ -71,7 +73,8 @@
 		}
 		to := route{name: t.Name, dataCentre: t.DataCentre, session: m.session, incarnation: m.incarnation, sent: l.sent}
 		s.members[t.Name] = to
-		if !usable(cfg, t, m, now) {
+		state := c.targetState(t.Name, now)
+		if !state.Usable() || !usable(cfg, t, m) || state == membership.Slow && ready[t.Backend] {
 			continue
 		}
 		p := s.pools[t.Backend]
@@ -88,11 +91,23 @@
 	c.entry.snapshot.Store(s)
 }
 
-func usable(c *config.Config, t config.Target, m *member, now time.Time) bool {
-	if m == nil || c.IsLeaving(t) || now.Sub(m.heardAt) > suspectAfter || now.Sub(m.beats.EchoedAt()) > suspectAfter {
-		return false
+// readyBackends tells which back ends have a target that is usable and not
+// slow. Slow targets of these are not a first choice, so they get no work.
+func (c *control) readyBackends(now time.Time) map[string]bool {
+	ready := map[string]bool{}
+	cfg := c.replica.Config()
+	for _, t := range cfg.Inventory.Targets {
+		if c.targetState(t.Name, now) == membership.Ready && usable(cfg, t, c.members[t.Name]) {
+			ready[t.Backend] = true
+		}
 	}
-	return m.heartbeat.GetState() != wirepb.MemberState_MEMBER_STATE_LEAVING
+	return ready
+}
+
+// usable reports whether neither operators nor the target itself keep new work
+// away from it.
+func usable(c *config.Config, t config.Target, m *member) bool {
+	return m != nil && !c.IsLeaving(t) && m.heartbeat.GetState() != wirepb.MemberState_MEMBER_STATE_LEAVING
 }
 
 func view(t config.Target, m *member, l *link, now time.Time) balancer.Target {
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -1,2 +1,3 @@
-// Package membership detects failed instances and chooses subsets of peers.
+// Package membership decides which processes are usable and which pairs of
+// processes keep sessions. It has no I/O and no clock.
 package membership
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,129 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests, so that the verdict is the
+// same on every run.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+// Guards against work for a process that is silent, half connected or unsteady.
+func TestDetectorStates(t *testing.T) {
+	var d Detector
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	d.Connected(at(0))
+	d.Heard(at(1), at(1))
+	assert.Equal(t, Ready, d.State(at(3)))
+	assert.Equal(t, Slow, d.State(at(3.1)))
+	assert.Equal(t, Suspect, d.State(at(4.1)))
+	assert.Equal(t, Gone, d.State(at(61.1)))
+	d.Heard(at(62), at(62))
+	assert.Equal(t, Ready, d.State(at(62)), "one outage is no flapping")
+
+	for s := 63.0; s < 67; s++ {
+		d.Heard(at(s), at(62)) // heartbeats come, but the peer hears nothing
+	}
+	assert.Equal(t, Suspect, d.State(at(66)))
+	d.Heard(at(67), at(67))
+	assert.Equal(t, Flapping, d.State(at(67)), "three changes within a minute")
+	for s := 68.0; s < 98; s++ {
+		d.Heard(at(s), at(s))
+		assert.False(t, d.State(at(s)).Usable() && s < 97, "at %v s", s)
+	}
+	assert.Equal(t, Ready, d.State(at(98)), "steady for 30 s")
+}
+
+// Guards against new work after the bound of 3 s since a process was last
+// heard in both directions.
+func TestNoWorkAfterSilence(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var d Detector
+		now := start
+		d.Connected(now)
+		last := now
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(rt, "event") {
+			case 0:
+				d.Heard(now, now)
+				last = now
+			case 1:
+				d.Heard(now, last)
+			case 2:
+				d.Disconnected(now)
+				require.False(rt, d.State(now).Usable())
+			case 3:
+				if d.broken {
+					d.Connected(now)
+					last = now
+				}
+			}
+			if now.Sub(last) > suspectAfter {
+				require.False(rt, d.State(now).Usable())
+			}
+		}
+	})
+}
+
+func fleet(n int) []Member {
+	list := make([]Member, n)
+	for i := range list {
+		list[i] = Member{Name: fmt.Sprintf("runner-%05d", i), DataCentre: fmt.Sprintf("dc-%d", i%24)}
+	}
+	return list
+}
+
+// Guards against targets with no or too many sessions, and against a change of
+// one member that moves many pairs, with 100 sessions an entry and 16 a target
+// on average, as at the size of section 1.4.
+func TestSubsetsAreBalancedAndMoveLittle(t *testing.T) {
+	const entries, targets, removed = 400, 2500, 1711
+	all := fleet(targets)
+	without := append(append([]Member{}, all[:removed]...), all[removed+1:]...)
+	load := map[string]int{}
+	moved := 0
+	for e := range entries {
+		self := fmt.Sprintf("entry-%04d", e)
+		before := Subset(self, append([]Member{}, all...), MaxSessions)
+		require.Len(t, before, MaxSessions)
+		had := map[string]bool{}
+		dcs := map[string]int{}
+		for _, m := range before {
+			load[m.Name]++
+			dcs[m.DataCentre]++
+			had[m.Name] = true
+		}
+		require.Len(t, dcs, 24, "every data centre is reached")
+		for _, m := range Subset(self, append([]Member{}, without...), MaxSessions) {
+			if !had[m.Name] {
+				moved++
+			}
+		}
+	}
+	lowest, highest := entries, 0
+	for _, m := range all {
+		lowest, highest = min(lowest, load[m.Name]), max(highest, load[m.Name])
+	}
+	t.Logf("sessions per target: lowest %d, mean 16, highest %d; new pairs after removing one target: %d of %d",
+		lowest, highest, moved, entries*MaxSessions)
+	assert.GreaterOrEqual(t, lowest, 1)
+	assert.LessOrEqual(t, highest, 40)
+	assert.LessOrEqual(t, moved, 2*load[all[removed].Name]+entries/24)
+}
