--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -53,9 +53,8 @@
 	if p == nil {
 		return nil, noTarget(r.backend)
 	}
-	i, err := p.picker.Pick(balancer.Request{
+	i, err := r.choose(p, balancer.Request{
 		Allowed: func(dc string) bool { return s.config.Serves(r.customer.Name, dc) },
-		Avoid:   func(target string) bool { return r.tried[target] },
 		Tokens:  r.tokens,
 		Random:  rand.Uint64(),
 	})
@@ -102,7 +101,13 @@
 		return nil, err
 	}
 	a := &attempt{request: r, route: to, stream: st, number: r.attempts}
-	a.watch = newWatch(a.cancel)
+	var suspect func() bool
+	if d.GetIdempotent() {
+		// A call that may run only once waits for its owner up to its deadline:
+		// ending it earlier gains nothing but an unknown outcome.
+		suspect = func() bool { return r.entry.isSuspect(to.name) }
+	}
+	a.watch = newWatch(suspect, a.cancel)
 	a.release = context.AfterFunc(ctx, a.cancel)
 	return a, nil
 }
@@ -130,11 +135,10 @@
 // ends without an end frame is TargetLost, and one without progress Stalled.
 func (a *attempt) recv() (*wirepb.Frame, error) {
 	var f wirepb.Frame
-	limit := a.watch.start()
+	a.watch.start()
 	err := a.stream.Recv(&f)
-	a.watch.stop(&f)
-	if a.watch.expired.Load() {
-		return nil, errkind.New(errkind.Stalled, "target %s made no progress for %s", a.route.name, limit)
+	if reason := a.watch.stop(&f); reason != "" {
+		return nil, errkind.New(errkind.Stalled, "target %s %s", a.route.name, reason)
 	}
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.TargetLost, "target %s stopped answering", a.route.name)
@@ -160,12 +164,14 @@
 	switch kind {
 	case timeline.RequestReceived:
 		r.received = time.Now()
+		r.entry.retries.first(r.customer.Name)
 	case timeline.RequestFinished:
 		r.entry.observeRequest(r.backend, time.Since(r.received), err)
 	case timeline.AttemptStarted:
 		r.entry.counter(metricAttempts).Inc(1)
 	case timeline.AttemptEnded:
 		r.entry.observeAttempt(to, err)
+		r.observeHealth(to, err)
 	}
 	ev := timeline.Event{
 		Kind:      kind,
