--- a/daemon/entry/configwatch.go
+++ b/daemon/entry/configwatch.go
@@ -24,7 +24,9 @@
 	retry := watchRetry
 	for ctx.Err() == nil {
 		pause := watchRetry
-		if e.watcher.Load() {
+		if !e.watcher.Load() {
+			e.post(ctx, func(c *control) { c.setReachable(false) })
+		} else {
 			err := e.followHead(ctx)
 			if err != nil && ctx.Err() == nil {
 				e.post(ctx, func(c *control) { c.setReachable(false) })
@@ -161,7 +163,6 @@
 	if at.IsZero() && !ok {
 		return // an old watch event; the next read decides
 	}
-	c.setReachable(ok)
 	switch {
 	case ok && at.After(c.confirmedAt):
 		c.confirmedAt = at
@@ -172,6 +173,7 @@
 			"shown", shown, "in_force", c.replica.Revision())
 		c.entry.node.Events.Record(timeline.Event{Kind: timeline.RevisionAlarm, Revision: shown})
 	}
+	c.setReachable(ok)
 }
 
 // setReachable has the other entries told at once whether this one reaches the
