--- a/ctl/load/run.go
+++ b/ctl/load/run.go
@@ -74,7 +74,7 @@
 // doneEvent is a timed event that was brought about.
 type doneEvent struct {
 	event Event
-	at    time.Duration
+	at    time.Duration // when it began
 	err   error
 }
 
@@ -102,6 +102,7 @@
 		if !r.sleepUntil(ctx, e.At()) {
 			return
 		}
+		at := time.Since(r.sender.start)
 		err := error(nil)
 		if r.deployment.Do == nil {
 			err = fmt.Errorf("this deployment offers no events")
@@ -109,7 +110,7 @@
 			err = r.deployment.Do(ctx, e)
 		}
 		r.mu.Lock()
-		r.done = append(r.done, doneEvent{event: e, at: time.Since(r.sender.start), err: err})
+		r.done = append(r.done, doneEvent{event: e, at: at, err: err})
 		r.mu.Unlock()
 	}
 }
