Add the asset register import

skylarkctl inventory import reads a CSV or JSON export with a mapping file and writes the configuration with the entries and targets of the export. All faults are reported at once with row and column, and then no document is written; a row of a kind that the mapping does not name is a fault.

--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -25,7 +25,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(configCommand(), overviewCommand())
+	root.AddCommand(configCommand(), inventoryCommand(), overviewCommand())
 	root.AddCommand(benchCommand(), benchServeCommand(), devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand())
 	return root
 }
