--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -71,7 +71,8 @@
 		}
 	}
 	views := map[string][]balancer.Target{}
-	ready := c.readyBackends(now)
+	stalled := c.stalledGroups()
+	ready := c.readyBackends(stalled, now)
 	for _, t := range cfg.Inventory.Targets {
 		m, l := c.members[t.Name], c.links[t.Name]
 		if l == nil || m == nil {
@@ -81,7 +82,7 @@
 		s.members[t.Name] = to
 		s.suspect[t.Name] = m.suspect(now)
 		state := c.targetState(t.Name, now)
-		if !state.Usable() || !usable(cfg, t, m) || state == membership.Slow && ready[t.Backend] {
+		if stalled[t.Group] || !state.Usable() || !usable(cfg, t, m) || state == membership.Slow && ready[t.Backend] {
 			continue
 		}
 		p := s.pools[t.Backend]
@@ -100,11 +101,11 @@
 
 // readyBackends tells which back ends have a target that is usable and not
 // slow. Slow targets of these are not a first choice, so they get no work.
-func (c *control) readyBackends(now time.Time) map[string]bool {
+func (c *control) readyBackends(stalled map[string]bool, now time.Time) map[string]bool {
 	ready := map[string]bool{}
 	cfg := c.replica.Config()
 	for _, t := range cfg.Inventory.Targets {
-		if c.targetState(t.Name, now) == membership.Ready && usable(cfg, t, c.members[t.Name]) {
+		if !stalled[t.Group] && c.targetState(t.Name, now) == membership.Ready && usable(cfg, t, c.members[t.Name]) {
 			ready[t.Backend] = true
 		}
 	}
--- a/daemon/target/control.go
+++ b/daemon/target/control.go
@@ -16,6 +16,7 @@
 		State:       t.state(warming),
 		Load:        load,
 		Hlc:         uint64(t.node.Clock.Now()),
+		Group:       t.group.report(),
 	}
 }
 
@@ -90,7 +91,7 @@
 	if !changed {
 		return
 	}
-	t.configChanged(old, next)
 	t.node.Events.Record(timeline.Event{Kind: timeline.RevisionInForce, Target: t.node.Name, Revision: next.Revision})
+	t.configChanged(old, next)
 	t.kickHeartbeats()
 }
