--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -70,6 +70,7 @@
 		}
 	}
 	views := map[string][]balancer.Target{}
+	stalled := c.stalledGroups()
 	for _, t := range cfg.Inventory.Targets {
 		m, l := c.members[t.Name], c.links[t.Name]
 		if l == nil || m == nil {
@@ -78,7 +79,7 @@
 		to := route{name: t.Name, dataCentre: t.DataCentre, session: m.session, incarnation: m.incarnation, sent: l.sent}
 		s.members[t.Name] = to
 		s.suspect[t.Name] = m.suspect(now)
-		if !usable(cfg, t, m, now) {
+		if stalled[t.Group] || !usable(cfg, t, m, now) {
 			continue
 		}
 		p := s.pools[t.Backend]
