--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -15,6 +15,10 @@
 type Counter struct {
 	Requests atomic.Int64
 	Tokens   atomic.Int64
+	// Chosen, Finished and CostMicros are the statistics of package ucb.
+	Chosen     atomic.Int64
+	Finished   atomic.Int64
+	CostMicros atomic.Int64
 }
 
 // Target is one candidate. A picker never changes it.
@@ -28,9 +32,17 @@
 	Running      int
 	Queued       int
 	QueuedTokens int
-	Limit        int
-	HasReport    bool
-	ReportAge    time.Duration
+	// RunningTokens are the expected tokens of running work that are not sent
+	// yet, and UnitTime is the mean service time of one unit of work.
+	RunningTokens int
+	UnitTime      time.Duration
+	Limit         int
+	HasReport     bool
+	ReportAge     time.Duration
+	// SentRequests and SentTokens are what this entry had in progress at the
+	// target when the report was made; the report contains them.
+	SentRequests int64
+	SentTokens   int64
 	// Sent counts what this entry has in progress at the target.
 	Sent *Counter
 	// Slow targets are used only when no other may take the request.
--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -24,6 +24,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(experimentCommand())
 	root.AddCommand(devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand())
 	return root
 }
