--- a/balancer/roundrobin/roundrobin.go
+++ b/balancer/roundrobin/roundrobin.go
@@ -8,8 +8,8 @@
 	"github.com/skylarkstep/skylarkstep/balancer/locality"
 )
 
-// Builder builds pickers that go through the targets in turn. The position is
-// shared by all of its pickers.
+// Builder builds pickers that go through the targets in turn, each from
+// another position.
 type Builder struct {
 	position *atomic.Uint64
 }
@@ -27,7 +27,11 @@
 // Build implements balancer.Builder.
 func (b Builder) Build(s balancer.Snapshot) balancer.Picker {
 	return locality.Build(s, func(v *balancer.View, members []int32) locality.Group {
-		return group{v, members, b.position}
+		// Each group has its own position. With a shared one, a request that looks
+		// at both groups would skip local targets.
+		position := &atomic.Uint64{}
+		position.Store(b.position.Add(1) * 0x9e3779b97f4a7c15 >> 32)
+		return group{v, members, position}
 	})
 }
 
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -24,6 +24,7 @@
 	backend  string
 	deadline time.Time
 	tokens   int
+	prefix   uint64 // of the prompt, zero for a call
 	tried    map[string]bool
 	attempts uint32
 	received time.Time
@@ -53,10 +54,11 @@
 		return nil, noTarget(r.backend)
 	}
 	i, err := p.picker.Pick(balancer.Request{
-		Allowed: func(dc string) bool { return s.config.Serves(r.customer.Name, dc) },
-		Avoid:   func(target string) bool { return r.tried[target] },
-		Tokens:  r.tokens,
-		Random:  rand.Uint64(),
+		Allowed:    func(dc string) bool { return s.config.Serves(r.customer.Name, dc) },
+		Avoid:      func(target string) bool { return r.tried[target] },
+		PrefixHash: r.prefix,
+		Tokens:     r.tokens,
+		Random:     rand.Uint64(),
 	})
 	if err != nil {
 		return nil, noTarget(r.backend)
--- a/daemon/entry/complete.go
+++ b/daemon/entry/complete.go
@@ -70,6 +70,7 @@
 			backend:  backend.Name,
 			deadline: deadline,
 			tokens:   p.MaxTokens,
+			prefix:   prefixHash(p.Prompt),
 		},
 		body:    target.ModelRequest{Model: p.Model, Prompt: p.Prompt, MaxTokens: p.MaxTokens},
 		payload: p,
--- a/daemon/entry/control.go
+++ b/daemon/entry/control.go
@@ -38,6 +38,8 @@
 	incarnation uint64
 	heartbeat   *wirepb.Heartbeat
 	heardAt     time.Time
+	// sentThen is what this entry had in progress when the report was made.
+	sentThen inProgress
 }
 
 const controlTick = 250 * time.Millisecond
@@ -199,6 +201,9 @@
 	if m := c.members[target]; m != nil && m.session == s {
 		changed := m.heartbeat.GetState() != hb.GetState()
 		m.heartbeat, m.heardAt = hb, time.Now()
+		if l := c.links[target]; l != nil {
+			m.sentThen = l.sentWhenMade(m.heardAt, hb.GetLoad())
+		}
 		c.acted(m.beats, hb, changed)
 	}
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/balancer"
-	"github.com/skylarkstep/skylarkstep/balancer/twochoice"
+	"github.com/skylarkstep/skylarkstep/balancer/prefix"
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
@@ -52,7 +52,7 @@
 // New returns an entry that does not run yet.
 func New(o Options) *Entry {
 	if o.Policy == nil {
-		o.Policy = twochoice.Builder{}
+		o.Policy = prefix.Builder{}
 	}
 	return &Entry{
 		node:     o.Node,
--- a/daemon/entry/link.go
+++ b/daemon/entry/link.go
@@ -25,7 +25,9 @@
 	entry  *Entry
 	target config.Target
 	sent   *balancer.Counter
-	stop   context.CancelFunc
+	// history belongs to the control goroutine.
+	history balancer.History
+	stop    context.CancelFunc
 }
 
 func startLink(parent context.Context, e *Entry, t config.Target) *link {
--- /dev/null
+++ b/daemon/entry/loadview.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/balancer"
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+// prefixBytes is the start of a prompt that decides on its target, about 64
+// tokens. A shorter one would send everything that begins with the same system
+// prompt to one target.
+const prefixBytes = 256
+
+// prefixHash is the same in every entry, so that a prefix has one target.
+func prefixHash(prompt string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(prompt[:min(len(prompt), prefixBytes)]))
+	return h.Sum64()
+}
+
+// inProgress is what this entry has in progress at a target.
+type inProgress struct {
+	requests, tokens int64
+}
+
+// sentWhenMade returns what this entry had in progress when a report was made
+// that has just arrived.
+func (l *link) sentWhenMade(now time.Time, load *wirepb.LoadReport) inProgress {
+	if load.GetAgeMs() == 0 {
+		return inProgress{l.sent.Requests.Load(), l.sent.Tokens.Load()}
+	}
+	requests, tokens := l.history.At(now.Add(-time.Duration(load.GetAgeMs()) * time.Millisecond))
+	return inProgress{requests, tokens}
+}
+
+// view returns what the routing policy sees of a target.
+func view(t config.Target, m *member, l *link, now time.Time) balancer.Target {
+	l.history.Note(now, l.sent)
+	v := balancer.Target{Name: t.Name, DataCentre: t.DataCentre, Group: t.Group, Sent: l.sent}
+	if load := m.heartbeat.GetLoad(); load != nil {
+		v.HasReport = true
+		v.Running, v.Queued = int(load.GetRunning()), int(load.GetQueued())
+		v.RunningTokens, v.QueuedTokens = int(load.GetRunningTokens()), int(load.GetQueuedTokens())
+		v.Limit = int(load.GetLimit())
+		v.UnitTime = time.Duration(load.GetServiceTimeUs()) * time.Microsecond
+		v.ReportAge = now.Sub(m.heardAt) + time.Duration(load.GetAgeMs())*time.Millisecond
+		v.SentRequests, v.SentTokens = m.sentThen.requests, m.sentThen.tokens
+	}
+	return v
+}
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -81,14 +81,3 @@
 	}
 	return m.heartbeat.GetState() != wirepb.MemberState_MEMBER_STATE_LEAVING
 }
-
-func view(t config.Target, m *member, l *link, now time.Time) balancer.Target {
-	v := balancer.Target{Name: t.Name, DataCentre: t.DataCentre, Group: t.Group, Sent: l.sent}
-	if load := m.heartbeat.GetLoad(); load != nil {
-		v.HasReport = true
-		v.Running, v.Queued = int(load.GetRunning()), int(load.GetQueued())
-		v.QueuedTokens, v.Limit = int(load.GetQueuedTokens()), int(load.GetLimit())
-		v.ReportAge = now.Sub(m.heardAt) + time.Duration(load.GetAgeMs())*time.Millisecond
-	}
-	return v
-}
