--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -26,7 +26,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(configCommand(), inventoryCommand(), overviewCommand())
-	root.AddCommand(benchCommand(), benchServeCommand(), devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand())
+	root.AddCommand(benchCommand(), benchServeCommand(), devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand(), experimentCommand())
 	return root
 }
 
