--- /dev/null
+++ b/ctl/bench/bench_test.go
@@ -0,0 +1,47 @@
+package bench
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestMain lets the test program be the measured process, too.
+func TestMain(m *testing.M) {
+	if kind := os.Getenv("BENCH_KIND"); kind != "" {
+		o := ServeOptions{Kind: Kind(kind), ModelURL: os.Getenv("BENCH_MODEL"), ServiceURL: os.Getenv("BENCH_SERVICE")}
+		if Serve(context.Background(), o, os.Stdin, os.Stdout) != nil {
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against a comparison that leaves one side out, and against a load that
+// counts requests without an answer: both sides must serve every request.
+func TestRunMeasuresBothSides(t *testing.T) {
+	results, err := Run(t.Context(), Options{
+		Command: func(o ServeOptions) *exec.Cmd {
+			cmd := exec.Command(os.Args[0])
+			cmd.Env = append(os.Environ(), "BENCH_KIND="+string(o.Kind), "BENCH_MODEL="+o.ModelURL, "BENCH_SERVICE="+o.ServiceURL)
+			return cmd
+		},
+		Duration: 100 * time.Millisecond, Concurrency: 4, Tokens: 8,
+	})
+	require.NoError(t, err)
+	require.Len(t, results, 6)
+	for i, r := range results {
+		assert.Equal(t, []Kind{Direct, Proxy, Path}[i%3], r.Kind)
+		assert.Positive(t, r.PerSecond)
+		if r.Kind != Direct {
+			assert.Positive(t, r.PerCPUSecond)
+			assert.Positive(t, r.Allocations)
+		}
+	}
+}
