--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -24,6 +24,7 @@
 	backend  string
 	deadline time.Time
 	tokens   int
+	prefix   uint64 // of the prompt, zero for a call
 	tried    map[string]bool
 	attempts uint32
 	received time.Time
@@ -54,9 +55,10 @@
 		return nil, noTarget(r.backend)
 	}
 	i, err := r.choose(p, balancer.Request{
-		Allowed: func(dc string) bool { return s.config.Serves(r.customer.Name, dc) },
-		Tokens:  r.tokens,
-		Random:  rand.Uint64(),
+		Allowed:    func(dc string) bool { return s.config.Serves(r.customer.Name, dc) },
+		PrefixHash: r.prefix,
+		Tokens:     r.tokens,
+		Random:     rand.Uint64(),
 	})
 	if err != nil {
 		return nil, noTarget(r.backend)
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -128,14 +128,3 @@
 func usable(c *config.Config, t config.Target, m *member) bool {
 	return m != nil && !c.IsLeaving(t) && m.heartbeat.GetState() != wirepb.MemberState_MEMBER_STATE_LEAVING
 }
-
-func view(t config.Target, m *member, l *link, now time.Time) balancer.Target {
-	v := balancer.Target{Name: t.Name, DataCentre: t.DataCentre, Group: t.Group, Sent: l.sent}
-	if load := m.heartbeat.GetLoad(); load != nil {
-		v.HasReport = true
-		v.Running, v.Queued = int(load.GetRunning()), int(load.GetQueued())
-		v.QueuedTokens, v.Limit = int(load.GetQueuedTokens()), int(load.GetLimit())
-		v.ReportAge = now.Sub(m.heardAt) + time.Duration(load.GetAgeMs())*time.Millisecond
-	}
-	return v
-}
