--- a/balancer/experiment/run.go
+++ b/balancer/experiment/run.go
@@ -88,6 +88,9 @@
 		r.names = append(r.names, targetName(i))
 		r.targets = append(r.targets, newTarget(r.loop, s.rule(), s.Seed+uint64(i)))
 	}
+	for _, t := range r.targets {
+		t.blind = s.NoBound
+	}
 	if s.Scenario.Slow > 0 {
 		r.targets[0].slow = s.Scenario.Slow
 	}
--- a/balancer/experiment/target.go
+++ b/balancer/experiment/target.go
@@ -30,6 +30,7 @@
 	controller *admission.Controller
 	slow       float64
 	out        bool
+	blind      bool // to deadlines
 	waiting    map[uint64]*attempt
 	running    map[uint64]*attempt
 	lastID     uint64
@@ -83,8 +84,12 @@
 	t.lastID++
 	a.id = t.lastID
 	t.waiting[a.id] = a
+	deadline := a.request.deadline
+	if t.blind {
+		deadline = deadline.Add(time.Hour)
+	}
 	t.controller.Offer(t.loop.now, admission.Work{
-		ID: a.id, Customer: a.request.customer, Weight: 1, Cost: a.request.expected, Deadline: a.request.deadline,
+		ID: a.id, Customer: a.request.customer, Weight: 1, Cost: a.request.expected, Deadline: deadline,
 	})
 	t.advance()
 }
@@ -141,9 +146,12 @@
 		}
 	})
 	done := now.Add(a.prefill + time.Duration(a.request.tokens)*a.interval)
-	if done.After(a.request.deadline) {
+	switch isLate := done.After(a.request.deadline); {
+	case isLate && t.blind:
+		t.loop.at(done, func() { t.finish(a, late) })
+	case isLate:
 		t.loop.at(a.request.deadline, func() { t.finish(a, late) })
-	} else {
+	default:
 		t.loop.at(done, func() { t.finish(a, complete) })
 	}
 }
