--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -26,7 +26,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(configCommand(), overviewCommand())
-	root.AddCommand(devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand())
+	root.AddCommand(devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand(), experimentCommand())
 	return root
 }
 
