--- /dev/null
+++ b/expertmap/bench_test.go
@@ -0,0 +1,58 @@
+package expertmap
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+// BenchmarkCoordinators runs one switch in each of 52 groups of 64 ranks, the
+// share of one data centre of 24 in 1,250 groups.
+func BenchmarkCoordinators(b *testing.B) {
+	const groups, ranks = 52, 64
+	b.ReportAllocs()
+	worlds := make([]*world, groups)
+	coords := make([]*Coordinator, groups)
+	for i := range worlds {
+		worlds[i] = newWorld(ranks, budget{})
+		worlds[i].last = 1 << 60
+		coords[i] = NewCoordinator(1, ranks, oldMap)
+	}
+	messages := 0
+	run := func(i int, out []Message) {
+		for len(out) > 0 {
+			var next []Message
+			for _, m := range out {
+				messages += 2
+				next = append(next, coords[i].Handle(worlds[i].deliver(m, allGuards))...)
+			}
+			out = next
+		}
+	}
+	load := func(i int) {
+		for k := range worlds[i].nodes {
+			r := &worlds[i].nodes[k].rank
+			if id, ok := r.Wants(); ok {
+				r.Loaded(id)
+			}
+		}
+	}
+	for i := range coords {
+		run(i, coords[i].Resend())
+	}
+	messages = 0
+	for b.Loop() {
+		for i, c := range coords {
+			step := worlds[i].nodes[0].rank.status.Step
+			run(i, c.Propose(22, step+1))
+			load(i)
+			run(i, c.Resend())
+			for k := range worlds[i].nodes {
+				worlds[i].nodes[k].rank.Enter()
+			}
+		}
+	}
+	b.ReportMetric(float64(messages)/float64(b.N)/groups, "messages/switch")
+	request, _ := json.Marshal(coords[0].message(Commit, 5))
+	answer, _ := json.Marshal(worlds[0].nodes[5].rank.report(Message{Fencing: 1, Round: 1}))
+	b.ReportMetric(float64(len(request)+len(answer))/2, "bytes/message")
+}
--- a/expertmap/plan/improve.go
+++ b/expertmap/plan/improve.go
@@ -9,6 +9,8 @@
 	layer    Layer
 	replicas []int
 	sums     []float64
+	holders  [][]int // ranks by expert, once for each replica
+	delta    []float64
 }
 
 func newLayerState(s Shape, l Layer, load []float64) *layerState {
@@ -16,9 +18,21 @@
 	for _, e := range l {
 		st.replicas[e]++
 	}
+	st.holders, st.delta = make([][]int, s.Experts), make([]float64, s.Ranks)
+	st.index()
 	return st
 }
 
+// index rebuilds the holders of every expert.
+func (st *layerState) index() {
+	for e := range st.holders {
+		st.holders[e] = st.holders[e][:0]
+	}
+	for i, e := range st.layer {
+		st.holders[e] = append(st.holders[e], i/st.shape.SlotsPerRank)
+	}
+}
+
 func (st *layerState) holds(rank, e int) bool {
 	n := st.shape.SlotsPerRank
 	return slices.Contains(st.layer[rank*n:(rank+1)*n], e)
@@ -117,36 +131,41 @@
 	return max(here, there)
 }
 
-// peakAfter returns the highest load of the ranks that a replacement touches.
+// peakAfter returns the highest load of the ranks that a replacement touches:
+// the holders of both experts and the rank of the slot.
 func (st *layerState) peakAfter(m move) float64 {
-	n := st.shape.SlotsPerRank
 	old, e := st.layer[m.slot], m.expert
-	less := st.load[e]/float64(st.replicas[e]) - st.load[e]/float64(st.replicas[e]+1)
+	next := st.load[e] / float64(st.replicas[e]+1)
 	more := st.load[old]/float64(st.replicas[old]-1) - st.share(old)
-	peak := 0.0
-	for r := range st.sums {
-		w := 0.0
-		touched := false
-		for i := r * n; i < (r+1)*n; i++ {
-			switch x := st.layer[i]; {
-			case i == m.slot:
-				w += st.load[e]/float64(st.replicas[e]+1) - st.share(old)
-				touched = true
-			case x == e:
-				w -= less
-				touched = true
-			case x == old:
-				w += more
-				touched = true
-			}
-		}
-		if touched {
-			peak = max(peak, st.sums[r]+w/st.shape.speed(r))
-		}
+	r := m.slot / st.shape.SlotsPerRank
+	st.delta[r] = next - st.share(old) - more
+	for _, h := range st.holders[e] {
+		st.delta[h] += next - st.share(e)
+	}
+	for _, h := range st.holders[old] {
+		st.delta[h] += more
+	}
+	peak := st.after(r)
+	for _, h := range st.holders[e] {
+		peak = max(peak, st.after(h))
+	}
+	for _, h := range st.holders[old] {
+		peak = max(peak, st.after(h))
+	}
+	st.delta[r] = 0
+	for _, h := range st.holders[e] {
+		st.delta[h] = 0
+	}
+	for _, h := range st.holders[old] {
+		st.delta[h] = 0
 	}
 	return peak
 }
 
+func (st *layerState) after(rank int) float64 {
+	return st.sums[rank] + st.delta[rank]/st.shape.speed(rank)
+}
+
 func (st *layerState) apply(m move) {
 	if m.with >= 0 {
 		st.layer[m.slot], st.layer[m.with] = st.layer[m.with], st.layer[m.slot]
@@ -156,4 +175,5 @@
 		st.layer[m.slot] = m.expert
 	}
 	st.sums = rankLoads(st.shape, st.layer, st.load)
+	st.index()
 }
