--- a/ctl/command/experiment.go
+++ b/ctl/command/experiment.go
@@ -7,8 +7,8 @@
 )
 
 func experimentCommand() *cobra.Command {
-	c := &cobra.Command{Use: "experiment", Short: "Compares policies in virtual time"}
-	c.AddCommand(routingCommand())
+	c := &cobra.Command{Use: "experiment", Short: "Compare policies on generated load and traces"}
+	c.AddCommand(routingCommand(), experimentMapsCommand())
 	return c
 }
 
@@ -17,7 +17,7 @@
 	var seed uint64
 	c := &cobra.Command{
 		Use:     "routing",
-		Short:   "Compares the routing policies on the same recorded arrivals and prints a table",
+		Short:   "Compare the routing policies on the same recorded arrivals and print a table",
 		Example: "  skylarkctl experiment routing --targets 12 --entries 6 --seed 1",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
