--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -25,8 +25,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(configCommand(), overviewCommand())
-	root.AddCommand(devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand(), experimentCommand())
+	root.AddCommand(configCommand(), inventoryCommand(), overviewCommand())
+	root.AddCommand(benchCommand(), benchServeCommand(), devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand(), experimentCommand())
 	return root
 }
 
--- a/daemon/entry/configwatch.go
+++ b/daemon/entry/configwatch.go
@@ -24,7 +24,9 @@
 	retry := watchRetry
 	for ctx.Err() == nil {
 		pause := watchRetry
-		if e.watcher.Load() {
+		if !e.watcher.Load() {
+			e.post(ctx, func(c *control) { c.setReachable(false) })
+		} else {
 			err := e.followHead(ctx)
 			if err != nil && ctx.Err() == nil {
 				e.post(ctx, func(c *control) { c.setReachable(false) })
@@ -111,6 +113,9 @@
 	if err != nil {
 		return err
 	}
+	if st.Head != nil && len(st.Head.Deltas) > 0 {
+		e.node.Clock.Observe(timeline.Timestamp(st.Head.Deltas[len(st.Head.Deltas)-1].HLC))
+	}
 	e.post(ctx, func(c *control) {
 		changed, err := c.replica.Snapshot(st.Revision(), st.Tree)
 		if err != nil {
@@ -132,6 +137,9 @@
 		c.trust(c.replica.Revision() == 0, 0, at)
 		return false
 	}
+	if n := len(h.Deltas); n > 0 {
+		c.entry.node.Clock.Observe(timeline.Timestamp(h.Deltas[n-1].HLC))
+	}
 	if h.Revision > c.replica.Revision() {
 		changed, gap, err := c.replica.Deltas(h.Deltas)
 		if err != nil {
@@ -155,7 +163,6 @@
 	if at.IsZero() && !ok {
 		return // an old watch event; the next read decides
 	}
-	c.setReachable(ok)
 	switch {
 	case ok && at.After(c.confirmedAt):
 		c.confirmedAt = at
@@ -166,12 +173,15 @@
 			"shown", shown, "in_force", c.replica.Revision())
 		c.entry.node.Events.Record(timeline.Event{Kind: timeline.RevisionAlarm, Revision: shown})
 	}
+	c.setReachable(ok)
 }
 
-// setReachable tells the other entries at once whether this one reaches the
-// store, since the rule for isolated processes depends on it.
+// setReachable has the other entries told at once whether this one reaches the
+// store, since the rule for isolated processes depends on it. They are told
+// after the next snapshot: a heartbeat that says "reachable" with the age from
+// before makes its readers count as isolated until the next one.
 func (c *control) setReachable(ok bool) {
 	if c.entry.reachable.Swap(ok) != ok {
-		c.kickHeartbeats()
+		c.reachableChanged = true
 	}
 }
--- a/daemon/entry/link.go
+++ b/daemon/entry/link.go
@@ -26,7 +26,9 @@
 	entry  *Entry
 	target config.Target
 	sent   *balancer.Counter
-	stop   context.CancelFunc
+	// history belongs to the control goroutine.
+	history balancer.History
+	stop    context.CancelFunc
 }
 
 func startLink(parent context.Context, e *Entry, t config.Target) *link {
@@ -93,11 +95,11 @@
 		Revision:       e.revision(),
 		State:          e.state(),
 		Hlc:            uint64(e.node.Clock.Now()),
-		StoreReachable: e.reachable.Load(),
 		FreshnessAgeMs: math.MaxInt32,
 	}
 	if s := e.snapshot.Load(); s != nil {
 		hb.Revision = s.config.Revision
+		hb.StoreReachable = s.reachable
 		hb.FreshnessAgeMs = uint64((s.verdict.Age + time.Since(s.judgedAt)).Milliseconds())
 	}
 	return hb
--- a/daemon/entry/operators.go
+++ b/daemon/entry/operators.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/configsync"
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
 // operatorService implements the goa service for operators.
@@ -70,6 +71,7 @@
 		return nil, err
 	}
 	change := configsync.Change{
+		HLC:  uint64(s.entry.node.Clock.Now()),
 		Base: p.BaseRevision, EditID: p.EditID, Author: operatorFrom(ctx), Config: next, AllowNoService: p.AllowNoService,
 	}
 	return s.accepted(s.entry.accept(ctx, p.AllowMinority, func(ctx context.Context, held uint64) (*configsync.Accepted, error) {
@@ -81,6 +83,7 @@
 // RollbackConfig accepts the content of an earlier revision as a new one.
 func (s *operatorService) RollbackConfig(ctx context.Context, p *operators.RollbackConfigPayload) (*operators.ConfigAccepted, error) {
 	change := configsync.Change{
+		HLC:  uint64(s.entry.node.Clock.Now()),
 		Base: p.BaseRevision, EditID: p.EditID, Author: operatorFrom(ctx), AllowNoService: p.AllowNoService,
 	}
 	return s.accepted(s.entry.accept(ctx, p.AllowMinority, func(ctx context.Context, held uint64) (*configsync.Accepted, error) {
@@ -135,7 +138,10 @@
 	if m == nil {
 		return p
 	}
-	p.State = "ready"
+	p.State = string(c.targetState(t.Name, time.Now()))
+	if m.heartbeat.GetState() == wirepb.MemberState_MEMBER_STATE_LEAVING {
+		p.State = "leaving"
+	}
 	p.Incarnation = fmt.Sprintf("%x", m.incarnation)
 	p.Revision = m.heartbeat.GetRevision()
 	p.InForce = p.Revision >= c.revision()
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -60,8 +60,11 @@
 		settings: o.Settings,
 		model:    o.Model,
 		service:  o.Service,
-		gate:     newGate(admissionRule(&config.Config{}, o.Settings.Target.Backend)),
-		group:    newGroup(o.Settings.Target.Group, o.Group, o.Settings.Target.ChecksFencing, o.Node.Incarnation),
+		gate: newGate(admissionRule(&config.Config{}, o.Settings.Target.Backend), func() {
+			o.Node.Events.Record(timeline.Event{Kind: timeline.RampRestarted, Target: o.Node.Name, Backend: o.Settings.Target.Backend})
+			o.Node.Log.Info("warm-up ramp restarted")
+		}),
+		group: newGroup(o.Settings.Target.Group, o.Group, o.Settings.Target.ChecksFencing, o.Node.Incarnation),
 		operations: newOperations(atmostonce.NewTable(o.Settings.Target.Backend, o.Node.Name, o.Node.Incarnation,
 			atmostonce.Limits{Keep: atmostonce.DefaultKeep, MaxBytes: atmostonce.DefaultMaxBytes}),
 			func() time.Time { return o.Node.Clock.Now().Time() }),
