--- a/daemon/groups/runner_test.go
+++ b/daemon/groups/runner_test.go
@@ -106,11 +106,27 @@
 	}
 }
 
+// freeze puts a configuration in force in which the group is frozen, or not.
+func (f *fixture) freeze(frozen bool) {
+	c := *f.config
+	c.Rules.FrozenGroup = nil
+	if frozen {
+		c.Rules.FrozenGroup = []string{"g1"}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.config = &c
+}
+
 // runner starts a coordinator.
 func (f *fixture) runner(fc Fence) *Runner {
 	r := New(Options{
 		DataCentre: "gent-a", Fence: fc, Lead: 40, Audit: 3 * time.Second, Send: f.send,
-		Config: func() *config.Config { return f.config },
+		Config: func() *config.Config {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.config
+		},
 	})
 	f.wait.Go(func() { r.Run(f.ctx) })
 	return r
@@ -143,8 +159,12 @@
 			r := f.runner(fc)
 			time.Sleep(5*time.Second + tickInterval/2)
 			require.Equal(f.t, uint64(1), f.version(), "the cold group forms on the base map")
+			f.freeze(true)
 			r.Want("g1", 99)
 			time.Sleep(10 * time.Second)
+			require.Equal(f.t, uint64(1), f.version(), "a frozen group keeps its map")
+			f.freeze(false)
+			time.Sleep(10 * time.Second)
 			require.Equal(f.t, uint64(2), f.version())
 			_, id := r.Phase("g1")
 			require.Equal(f.t, uint64(99), id.Digest)
