--- a/daemon/entry/configwatch.go
+++ b/daemon/entry/configwatch.go
@@ -182,6 +182,6 @@
 // before makes its readers count as isolated until the next one.
 func (c *control) setReachable(ok bool) {
 	if c.entry.reachable.Swap(ok) != ok {
-		c.reachableChanged = true
+		c.reachableChanged, c.urgent = true, true
 	}
 }
--- a/daemon/entry/control.go
+++ b/daemon/entry/control.go
@@ -40,8 +40,14 @@
 	verdict     configsync.Verdict
 	lastLoop    time.Time
 
+	// urgent asks for a snapshot right after the event.
+	urgent bool
 	// reachableChanged asks for heartbeats after the next snapshot.
 	reachableChanged bool
+
+	// customers belong to the configuration customersOf.
+	customers   map[string]*config.Customer
+	customersOf *config.Config
 }
 
 // member is what is known about one target.
@@ -55,7 +61,13 @@
 	sentThen inProgress
 }
 
-const controlTick = 250 * time.Millisecond
+const (
+	controlTick = 250 * time.Millisecond
+	// publishInterval bounds how often a snapshot is built for events that can
+	// wait, such as load reports. With 64 targets and 570 customers, a snapshot
+	// for each heartbeat cost 3.4% of a core.
+	publishInterval = 50 * time.Millisecond
+)
 
 func newControl(ctx context.Context, e *Entry) *control {
 	return &control{
@@ -70,6 +82,9 @@
 	c.updatePeers()
 	tick := time.NewTicker(controlTick)
 	defer tick.Stop()
+	soon := time.NewTimer(0)
+	defer soon.Stop()
+	waiting := true
 	for {
 		select {
 		case <-ctx.Done():
@@ -77,9 +92,19 @@
 		case ev := <-e.events:
 			c.noticePause(time.Now())
 			ev(c)
+			if !c.urgent {
+				if !waiting {
+					waiting = true
+					soon.Reset(publishInterval)
+				}
+				continue
+			}
+		case <-soon.C:
+			waiting = false
 		case <-tick.C:
 			c.noticePause(time.Now())
 		}
+		c.urgent = false
 		c.publish()
 		if c.reachableChanged {
 			c.reachableChanged = false
@@ -223,6 +248,7 @@
 		c.detectors[target] = &membership.Detector{}
 	}
 	c.detectors[target].Connected(time.Now())
+	c.urgent = true
 	c.record(timeline.MemberJoined, target, s)
 	c.announce(s)
 }
@@ -239,6 +265,7 @@
 func (c *control) left(target string, s *wire.Session) {
 	if m := c.members[target]; m != nil && m.session == s {
 		delete(c.members, target)
+		c.urgent = true
 		if d := c.detectors[target]; d != nil {
 			d.Disconnected(time.Now())
 		}
--- a/daemon/entry/operators.go
+++ b/daemon/entry/operators.go
@@ -106,8 +106,9 @@
 
 func (c *control) status() *operators.RevisionStatus {
 	st := &operators.RevisionStatus{Revision: c.revision(), StoreReachable: c.entry.reachable.Load()}
-	verdict := c.judge(time.Now())
-	st.FreshnessMs, st.Freshness = verdict.Age.Milliseconds(), string(verdict.State)
+	// Traffic works by the state that is told here.
+	c.publish()
+	st.FreshnessMs, st.Freshness = c.verdict.Age.Milliseconds(), string(c.verdict.State)
 	st.Processes = append(st.Processes, &operators.ProcessRevision{
 		Name:        c.entry.node.Name,
 		Role:        string(c.entry.node.Role),
@@ -127,7 +128,10 @@
 		}
 	}
 	for _, t := range cfg.Inventory.Targets {
-		st.Processes = append(st.Processes, c.targetStatus(t))
+		// Other entries tell about the targets outside this entry's subset.
+		if c.links[t.Name] != nil {
+			st.Processes = append(st.Processes, c.targetStatus(t))
+		}
 	}
 	return st
 }
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -55,7 +55,7 @@
 		verdict:   c.judge(now),
 		judgedAt:  now,
 		reachable: c.entry.reachable.Load(),
-		customers: map[string]*config.Customer{},
+		customers: c.customersByKey(cfg),
 		pools:     map[string]*pool{},
 		members:   map[string]route{},
 		suspect:   map[string]bool{},
@@ -64,12 +64,6 @@
 	for name, p := range c.peers {
 		s.leaving[name] = p.leaving()
 	}
-	for i := range cfg.Inventory.Customers {
-		cu := &cfg.Inventory.Customers[i]
-		for _, key := range cu.KeySHA256 {
-			s.customers[key] = cu
-		}
-	}
 	views := map[string][]balancer.Target{}
 	stalled := c.stalledGroups()
 	ready := c.readyBackends(stalled, now)
@@ -112,6 +106,22 @@
 	return ready
 }
 
+// customersByKey returns the customers by the SHA-256 of their keys. Snapshots of
+// one configuration share the map, which is never changed.
+func (c *control) customersByKey(cfg *config.Config) map[string]*config.Customer {
+	if c.customersOf == cfg {
+		return c.customers
+	}
+	c.customersOf, c.customers = cfg, map[string]*config.Customer{}
+	for i := range cfg.Inventory.Customers {
+		cu := &cfg.Inventory.Customers[i]
+		for _, key := range cu.KeySHA256 {
+			c.customers[key] = cu
+		}
+	}
+	return c.customers
+}
+
 // suspect reports whether heartbeats have stopped in either direction.
 func (m *member) suspect(now time.Time) bool {
 	return now.Sub(m.heardAt) > suspectAfter || now.Sub(m.beats.EchoedAt()) > suspectAfter
