--- a/api/gen/http/callers/client/cli.go
+++ b/api/gen/http/callers/client/cli.go
@@ -38,7 +38,7 @@
 	{
 		err = json.Unmarshal([]byte(callersCompleteBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline_ms\": 1019077,\n      \"from_offset\": 4119201909295021156,\n      \"from_text\": \"Repellendus ipsum culpa nisi.\",\n      \"max_tokens\": 11490,\n      \"model\": \"v5g\",\n      \"priority\": -9,\n      \"prompt\": \"rs\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline_ms\": 1428659,\n      \"from_offset\": 4975515225900329169,\n      \"from_text\": \"Eos vero voluptas consequatur.\",\n      \"max_tokens\": 6202,\n      \"model\": \"s\",\n      \"priority\": -5,\n      \"prompt\": \"a0\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Model) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.model", body.Model, utf8.RuneCountInString(body.Model), 1, true))
@@ -143,7 +143,7 @@
 	{
 		err = json.Unmarshal([]byte(callersIssueOperationBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"back_end\": \"jl\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"back_end\": \"w5\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.BackEnd) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.back_end", body.BackEnd, utf8.RuneCountInString(body.BackEnd), 1, true))
--- a/api/gen/http/cli/skylarkstep/cli.go
+++ b/api/gen/http/cli/skylarkstep/cli.go
@@ -14,6 +14,7 @@
 	"os"
 
 	callersc "github.com/skylarkstep/skylarkstep/api/gen/http/callers/client"
+	groupsc "github.com/skylarkstep/skylarkstep/api/gen/http/groups/client"
 	operatorsc "github.com/skylarkstep/skylarkstep/api/gen/http/operators/client"
 	timelinec "github.com/skylarkstep/skylarkstep/api/gen/http/timeline/client"
 	goahttp "goa.design/goa/v3/http"
@@ -26,6 +27,7 @@
 func UsageCommands() []string {
 	return []string{
 		"callers (addresses|complete|issue-operation|outcome|call)",
+		"groups list",
 		"operators (get-config|apply-config|rollback-config|config-status|config-history)",
 		"timeline query",
 	}
@@ -33,9 +35,10 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "callers addresses --token \"Animi dolorum eligendi est ut voluptatem.\"" + "\n" +
-		os.Args[0] + " " + "operators get-config --revision 10444956282375894622 --token \"Harum aut.\"" + "\n" +
-		os.Args[0] + " " + "timeline query --filter \"o51\" --since 11405042867284892523 --limit 1426 --scope \"targets\" --token \"Ducimus debitis voluptatem tempora.\"" + "\n" +
+	return os.Args[0] + " " + "callers addresses --token \"Maxime repellendus ipsum culpa nisi beatae cum.\"" + "\n" +
+		os.Args[0] + " " + "groups list --token \"Quo voluptatem qui unde similique dolorem.\"" + "\n" +
+		os.Args[0] + " " + "operators get-config --revision 6114267553042434212 --token \"Recusandae quia voluptatem.\"" + "\n" +
+		os.Args[0] + " " + "timeline query --filter \"ijb\" --since 4691399722158741927 --limit 998 --scope \"targets\" --token \"Dolorem et occaecati earum error sed quia.\"" + "\n" +
 		""
 }
 
@@ -78,6 +81,11 @@
 		callersCallTokenFlag          = callersCallFlags.String("token", "REQUIRED", "")
 		callersCallStreamFlag         = callersCallFlags.String("stream", "REQUIRED", "path to file containing the streamed request body")
 
+		groupsFlags = flag.NewFlagSet("groups", flag.ContinueOnError)
+
+		groupsListFlags     = flag.NewFlagSet("list", flag.ExitOnError)
+		groupsListTokenFlag = groupsListFlags.String("token", "REQUIRED", "")
+
 		operatorsFlags = flag.NewFlagSet("operators", flag.ContinueOnError)
 
 		operatorsGetConfigFlags        = flag.NewFlagSet("get-config", flag.ExitOnError)
@@ -123,6 +131,9 @@
 	callersOutcomeFlags.Usage = callersOutcomeUsage
 	callersCallFlags.Usage = callersCallUsage
 
+	groupsFlags.Usage = groupsUsage
+	groupsListFlags.Usage = groupsListUsage
+
 	operatorsFlags.Usage = operatorsUsage
 	operatorsGetConfigFlags.Usage = operatorsGetConfigUsage
 	operatorsApplyConfigFlags.Usage = operatorsApplyConfigUsage
@@ -150,6 +161,8 @@
 		switch svcn {
 		case "callers":
 			svcf = callersFlags
+		case "groups":
+			svcf = groupsFlags
 		case "operators":
 			svcf = operatorsFlags
 		case "timeline":
@@ -188,6 +201,13 @@
 
 			}
 
+		case "groups":
+			switch epn {
+			case "list":
+				epf = groupsListFlags
+
+			}
+
 		case "operators":
 			switch epn {
 			case "get-config":
@@ -256,6 +276,13 @@
 					data, err = callersc.BuildCallStreamPayload(data, *callersCallStreamFlag)
 				}
 			}
+		case "groups":
+			c := groupsc.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "list":
+				endpoint = c.List()
+				data, err = groupsc.BuildListPayload(*groupsListTokenFlag)
+			}
 		case "operators":
 			c := operatorsc.NewClient(scheme, host, doer, enc, dec, restore)
 			switch epn {
@@ -320,7 +347,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers addresses --token \"Animi dolorum eligendi est ut voluptatem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers addresses --token \"Maxime repellendus ipsum culpa nisi beatae cum.\"")
 }
 
 func callersCompleteUsage() {
@@ -342,7 +369,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"deadline_ms\": 1019077,\n      \"from_offset\": 4119201909295021156,\n      \"from_text\": \"Repellendus ipsum culpa nisi.\",\n      \"max_tokens\": 11490,\n      \"model\": \"v5g\",\n      \"priority\": -9,\n      \"prompt\": \"rs\"\n   }' --request-id \"8g8\" --token \"Officiis in odit saepe totam quia et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers complete --body '{\n      \"deadline_ms\": 1428659,\n      \"from_offset\": 4975515225900329169,\n      \"from_text\": \"Eos vero voluptas consequatur.\",\n      \"max_tokens\": 6202,\n      \"model\": \"s\",\n      \"priority\": -5,\n      \"prompt\": \"a0\"\n   }' --request-id \"3qr\" --token \"Harum quas voluptatum.\"")
 }
 
 func callersIssueOperationUsage() {
@@ -362,7 +389,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers issue-operation --body '{\n      \"back_end\": \"jl\"\n   }' --token \"Quia sequi quaerat dolor temporibus harum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers issue-operation --body '{\n      \"back_end\": \"w5\"\n   }' --token \"Quam at ex.\"")
 }
 
 func callersOutcomeUsage() {
@@ -382,7 +409,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers outcome --operation-id \"mw5\" --token \"Quam at ex.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers outcome --operation-id \"tcm\" --token \"Consequatur nulla voluptatem consectetur quia eos.\"")
 }
 
 func callersCallUsage() {
@@ -416,7 +443,35 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --back-end \"553\" --operation \"68x\" --request-id \"3qn\" --operation-id \"0hi\" --idempotency-key \"c51\" --deadline-ms 97561 --content-type \"kdm\" --token \"Tenetur aut esse ut voluptate blanditiis et.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --back-end \"dl5\" --operation \"r17\" --request-id \"7vm\" --operation-id \"rqj\" --idempotency-key \"ij3\" --deadline-ms 119024 --content-type \"ch0\" --token \"Tempore quas eos suscipit recusandae.\" --stream \"goa.png\"")
+}
+
+// groupsUsage displays the usage of the groups command and its subcommands.
+func groupsUsage() {
+	fmt.Fprintln(os.Stderr, `Rank groups as this entry sees them.`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] groups COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    list: List implements list.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s groups COMMAND --help\n", os.Args[0])
+}
+func groupsListUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] groups list", os.Args[0])
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `List implements list.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "groups list --token \"Quo voluptatem qui unde similique dolorem.\"")
 }
 
 // operatorsUsage displays the usage of the operators command and its
@@ -451,7 +506,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get-config --revision 10444956282375894622 --token \"Harum aut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get-config --revision 6114267553042434212 --token \"Recusandae quia voluptatem.\"")
 }
 
 func operatorsApplyConfigUsage() {
@@ -479,7 +534,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply-config --body \"Et in.\" --allow-no-service false --allow-minority true --base-revision 1227809291613634900 --edit-id \"z21\" --token \"Quam illum asperiores.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators apply-config --body \"Sed iste omnis doloremque unde dolor.\" --allow-no-service false --allow-minority false --base-revision 17984496678828066931 --edit-id \"177\" --token \"Aut commodi accusamus aut eos soluta.\"")
 }
 
 func operatorsRollbackConfigUsage() {
@@ -507,7 +562,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators rollback-config --to-revision 10146124894810746263 --allow-no-service false --allow-minority true --base-revision 5753512521912521915 --edit-id \"rx8\" --token \"Recusandae quia voluptatem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators rollback-config --to-revision 17038532632625571490 --allow-no-service true --allow-minority false --base-revision 13597146900308103542 --edit-id \"cue\" --token \"Error eius voluptate maiores vel delectus.\"")
 }
 
 func operatorsConfigStatusUsage() {
@@ -525,7 +580,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-status --token \"Quod a placeat voluptas ea.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-status --token \"Aut earum veritatis repellendus reprehenderit recusandae sit.\"")
 }
 
 func operatorsConfigHistoryUsage() {
@@ -545,7 +600,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-history --limit 478 --token \"Dolor eveniet enim.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators config-history --limit 89 --token \"Omnis temporibus est temporibus eum.\"")
 }
 
 // timelineUsage displays the usage of the timeline command and its subcommands.
@@ -581,5 +636,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "timeline query --filter \"o51\" --since 11405042867284892523 --limit 1426 --scope \"targets\" --token \"Ducimus debitis voluptatem tempora.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "timeline query --filter \"ijb\" --since 4691399722158741927 --limit 998 --scope \"targets\" --token \"Dolorem et occaecati earum error sed quia.\"")
 }
--- a/api/gen/http/operators/client/cli.go
+++ b/api/gen/http/operators/client/cli.go
@@ -49,7 +49,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorsApplyConfigBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Et in.\"")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Sed iste omnis doloremque unde dolor.\"")
 		}
 	}
 	var allowNoService bool
--- a/ctl/command/config_test.go
+++ b/ctl/command/config_test.go
@@ -23,7 +23,9 @@
 	c, err := config.ParseConfig(data)
 	require.NoError(t, err)
 	c.Inventory.Targets = []config.Target{c.Inventory.Targets[0], c.Inventory.Targets[len(c.Inventory.Targets)-1]}
-	c.Inventory.Groups = nil
+	c.Inventory.Groups = []config.Group{{
+		Name: "g1", Backend: c.Inventory.Targets[0].Backend, DataCentre: "burgos", Ranks: 4, Experts: 8, Layers: 2, SlotsPerRank: 3,
+	}}
 	c.Inventory.Targets[0].Group, c.Inventory.Targets[1].Group = "", ""
 	d, err := dev.Start(context.Background(), dev.Options{Config: c, AnyPorts: true})
 	require.NoError(t, err)
--- /dev/null
+++ b/ctl/command/groups_test.go
@@ -0,0 +1,54 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/ctl/client"
+)
+
+// Guards against a group shown as not reported, or with an old step, because
+// another entry does not hear its targets.
+func TestGroupsTakeTheLatestReport(t *testing.T) {
+	entry := func(list ...groupState) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(list)
+		}))
+		t.Cleanup(srv.Close)
+		return srv.URL
+	}
+	older := groupState{Name: "g1", DataCentre: "burgos", Reported: true, Step: 5, MapVersion: 2}
+	newer := groupState{Name: "g1", DataCentre: "burgos", Reported: true, Step: 9, MapVersion: 3, Stalled: true, LastStepAgeMs: 2500, Frozen: true}
+	unheard := groupState{Name: "g1", DataCentre: "burgos"}
+	states, err := groupStates(context.Background(), client.New([]string{entry(unheard), entry(older), entry(newer), entry(unheard)}, "t"))
+	require.NoError(t, err)
+	require.Equal(t, []groupState{newer}, states)
+	var out bytes.Buffer
+	printGroups(&out, states)
+	assert.Contains(t, out.String(), "stalled for 2500 ms, frozen")
+}
+
+// Guards against a freeze that is lost, or accepted for a group that does not
+// exist.
+func TestGroupsFreeze(t *testing.T) {
+	d := deployment(t)
+	out, code := run("groups", "freeze", "no-such-group")
+	assert.Equal(t, ExitInvalid, code, out)
+	out, code = run("groups", "freeze", "g1")
+	require.Equal(t, ExitOK, code, out)
+	out, code = run("groups")
+	require.Equal(t, ExitOK, code, out)
+	assert.Contains(t, out, "not reported, frozen")
+	out, code = run("groups", "unfreeze", "g1")
+	require.Equal(t, ExitOK, code, out)
+	doc, err := d.Client().Config(context.Background())
+	require.NoError(t, err)
+	assert.Empty(t, doc.Document.Rules.FrozenGroup)
+}
--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -25,7 +25,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(configCommand(), inventoryCommand(), overviewCommand())
+	root.AddCommand(configCommand(), inventoryCommand(), overviewCommand(), groupsCommand())
 	root.AddCommand(benchCommand(), benchServeCommand(), devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand(), experimentCommand())
 	return root
 }
--- a/daemon/e2e/groups_test.go
+++ b/daemon/e2e/groups_test.go
@@ -17,7 +17,7 @@
 // Guards against a break between the lease, the coordinator in an entry, the
 // order over the wire, the target process and the ranks, each in a process of
 // its own: a cold group forms on its base map, and forms again after a rank and
-// then the coordinator's process are lost.
+// then its target process are lost.
 func TestGroupFormsEndToEnd(t *testing.T) {
 	c := twoByTwo(t)
 	g := config.Group{Name: "g1", Backend: "pintor-lm", DataCentre: "burgos", Ranks: 4, Experts: 8, Layers: 2, SlotsPerRank: 3}
--- /dev/null
+++ b/daemon/entry/groupstate.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"context"
+
+	gengroups "github.com/skylarkstep/skylarkstep/api/gen/groups"
+	"github.com/skylarkstep/skylarkstep/config"
+)
+
+// groupService implements the goa service for rank groups.
+type groupService struct{ *operatorService }
+
+// List returns the groups of the inventory.
+func (s *groupService) List(ctx context.Context, _ *gengroups.ListPayload) ([]*gengroups.GroupState, error) {
+	return ask(ctx, s.entry, (*control).groupStates)
+}
+
+func (c *control) groupStates() []*gengroups.GroupState {
+	states := []*gengroups.GroupState{}
+	cfg := c.replica.Config()
+	if cfg == nil {
+		return states
+	}
+	stalled := c.stalledGroups()
+	for _, g := range cfg.Inventory.Groups {
+		st := &gengroups.GroupState{
+			Name: g.Name, DataCentre: g.DataCentre, Stalled: stalled[g.Name], Frozen: cfg.IsFrozen(g.Name),
+		}
+		c.fillGroup(st, cfg)
+		states = append(states, st)
+	}
+	return states
+}
+
+// fillGroup takes the report of the target that saw the latest step.
+func (c *control) fillGroup(st *gengroups.GroupState, cfg *config.Config) {
+	for _, t := range cfg.Inventory.Targets {
+		m := c.members[t.Name]
+		if t.Group != st.Name || m == nil {
+			continue
+		}
+		r := m.heartbeat.GetGroup()
+		if r == nil || st.Reported && r.GetStep() < st.Step {
+			continue
+		}
+		st.Reported = true
+		st.MapVersion, st.Step, st.LastStepAgeMs = r.GetMapVersion(), r.GetStep(), r.GetLastStepAgeMs()
+		st.Skew, st.Rebalancing = r.GetSkew(), r.GetRebalancing()
+	}
+}
--- a/daemon/entry/handler.go
+++ b/daemon/entry/handler.go
@@ -13,7 +13,9 @@
 	"goa.design/goa/v3/security"
 
 	"github.com/skylarkstep/skylarkstep/api/gen/callers"
+	gengroups "github.com/skylarkstep/skylarkstep/api/gen/groups"
 	callersrv "github.com/skylarkstep/skylarkstep/api/gen/http/callers/server"
+	groupsrv "github.com/skylarkstep/skylarkstep/api/gen/http/groups/server"
 	operatorsrv "github.com/skylarkstep/skylarkstep/api/gen/http/operators/server"
 	timelinesrv "github.com/skylarkstep/skylarkstep/api/gen/http/timeline/server"
 	"github.com/skylarkstep/skylarkstep/api/gen/operators"
@@ -34,6 +36,8 @@
 	cs.Mount(mux)
 	ops := operatorsrv.New(operators.NewEndpoints(&operatorService{e}), mux, jsonDecoder, goahttp.ResponseEncoder, onError, httpapi.Format)
 	ops.Mount(mux)
+	gs := groupsrv.New(gengroups.NewEndpoints(&groupService{&operatorService{e}}), mux, jsonDecoder, goahttp.ResponseEncoder, onError, httpapi.Format)
+	gs.Mount(mux)
 	tl := timelinesrv.New(gentimeline.NewEndpoints(&timelineService{&operatorService{e}}), mux, jsonDecoder, goahttp.ResponseEncoder, onError, httpapi.Format)
 	tl.Mount(mux)
 	httpapi.MountOps(mux, e.node, func() error {
