Keep address answers to the customer's data centres and to entries that are heard

An entry that had died stayed in the answers at a random rank, and a customer limited to some data centres was sent to entries of the others. Entries that are not heard now come last, since the one that answers may itself be cut off.

--- a/daemon/entry/callers.go
+++ b/daemon/entry/callers.go
@@ -18,29 +18,45 @@
 }
 
 // Addresses tells a caller which entries to use.
-func (s *callerService) Addresses(_ context.Context, _ *callers.AddressesPayload) (*callers.AddressList, error) {
+func (s *callerService) Addresses(ctx context.Context, _ *callers.AddressesPayload) (*callers.AddressList, error) {
 	snap, err := s.entry.ready()
 	if err != nil {
 		return nil, err
 	}
-	var usable []config.Entry
-	for _, en := range snap.config.Inventory.Entries {
-		if snap.config.IsOut(en.DataCentre) || s.entry.isLeaving(snap, en.Name) {
-			continue
-		}
-		usable = append(usable, en)
-	}
 	list := &callers.AddressList{
 		Addresses: []*callers.Address{},
 		TTLMs:     int(snap.config.AddressTTL().Milliseconds()),
 		Revision:  snap.config.Revision,
 	}
-	for _, en := range rankEntries(usable, rand.Perm(len(usable))) {
+	for _, en := range s.entry.entriesFor(snap, customerFrom(ctx).Name, rand.Perm) {
 		list.Addresses = append(list.Addresses, &callers.Address{URL: "http://" + en.HTTPAddr, DataCentre: en.DataCentre})
 	}
 	return list, nil
 }
 
+// entriesFor ranks the entries that a customer may use. Entries that this one
+// does not hear come last and not never, since this one may be the one that is
+// cut off. A customer whose data centres have no entry may use all.
+func (e *Entry) entriesFor(s *snapshot, customer string, perm func(int) []int) []config.Entry {
+	var heard, unheard, elsewhere []config.Entry
+	for _, en := range s.config.Inventory.Entries {
+		switch {
+		case s.config.IsOut(en.DataCentre) || e.isLeaving(s, en.Name):
+		case !s.config.Serves(customer, en.DataCentre):
+			elsewhere = append(elsewhere, en)
+		case en.Name != e.node.Name && !s.heard[en.Name]:
+			unheard = append(unheard, en)
+		default:
+			heard = append(heard, en)
+		}
+	}
+	if len(heard)+len(unheard) == 0 {
+		heard = elsewhere
+	}
+	ranked := append(rankEntries(heard, perm(len(heard))), rankEntries(unheard, perm(len(unheard)))...)
+	return ranked[:min(len(ranked), maxAddresses)]
+}
+
 // isLeaving reports whether an entry must be absent from new address answers.
 func (e *Entry) isLeaving(s *snapshot, name string) bool {
 	return s.leaving[name] || name == e.node.Name && e.stopping.Load()
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -19,6 +19,7 @@
 	members   map[string]route            // by target; also those that get no new work
 	suspect   map[string]bool             // targets whose heartbeats have stopped
 	leaving   map[string]bool             // entries that announced their stop
+	heard     map[string]bool             // entries whose heartbeats arrive
 
 	verdict  configsync.Verdict
 	judgedAt time.Time
@@ -60,9 +61,11 @@
 		members:   map[string]route{},
 		suspect:   map[string]bool{},
 		leaving:   map[string]bool{},
+		heard:     map[string]bool{},
 	}
 	for name, p := range c.peers {
 		s.leaving[name] = p.leaving()
+		s.heard[name] = len(p.sessions) > 0 && now.Sub(p.heardAt) <= suspectAfter
 	}
 	views := map[string][]balancer.Target{}
 	stalled := c.stalledGroups()
