--- a/ctl/dev/faults.go
+++ b/ctl/dev/faults.go
@@ -96,7 +96,7 @@
 
 // LastWork returns how long after from the last new work before to started in
 // a data centre, as the kept events tell.
-func (d *Deployment) LastWork(ctx context.Context, dataCentre string, from, to time.Time) time.Duration {
+func (d *Deployment) LastWork(ctx context.Context, dataCentre string, from, to time.Time) (time.Duration, error) {
 	t, err := d.Client().Timeline(ctx, timeline.Filter{
 		DataCentre: dataCentre,
 		Kinds:      []timeline.Kind{timeline.BackendStarted},
@@ -104,7 +104,7 @@
 		To:         to,
 	})
 	if err != nil || len(t.Events) == 0 {
-		return 0
+		return 0, err
 	}
-	return t.Events[len(t.Events)-1].At.Time().Sub(from)
+	return t.Events[len(t.Events)-1].At.Time().Sub(from), nil
 }
--- a/ctl/load/report.go
+++ b/ctl/load/report.go
@@ -132,7 +132,12 @@
 	}
 	if d.event.Kind == ZoneOut && d.err == nil && r.deployment.LastWork != nil {
 		from := r.sender.start.Add(d.at)
-		ms := r.deployment.LastWork(ctx, d.event.DataCentre, from, r.returned(d)).Milliseconds()
+		last, err := r.deployment.LastWork(ctx, d.event.DataCentre, from, r.returned(d))
+		if err != nil {
+			e.Error = err.Error()
+			return e
+		}
+		ms := last.Milliseconds()
 		e.LastWorkMs = &ms
 	}
 	return e
--- a/ctl/load/run.go
+++ b/ctl/load/run.go
@@ -20,7 +20,7 @@
 	Executed func() map[string]int
 	// LastWork returns how long after from the last new work before to started
 	// in a data centre, or zero when none did.
-	LastWork func(ctx context.Context, dataCentre string, from, to time.Time) time.Duration
+	LastWork func(ctx context.Context, dataCentre string, from, to time.Time) (time.Duration, error)
 }
 
 // maxInFlight bounds the requests in progress, so that a hung system can't
