Read the instance list and bound the open connections of listeners

Entries ignored the platform's instance list, so a target on a leaving instance got work until its process was stopped. Rows that leave now take the target or the entry out; missing rows and empty answers change nothing, since the list lags. TestLeavingInstanceGetsNoNewWork fails when routing ignores the rows.

Listeners had no bound on connections; netutil.LimitListener holds 8,192.

--- a/ctl/dev/dev.go
+++ b/ctl/dev/dev.go
@@ -19,6 +19,7 @@
 	"github.com/skylarkstep/skylarkstep/engine/openai"
 	"github.com/skylarkstep/skylarkstep/engine/service"
 	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
+	"github.com/skylarkstep/skylarkstep/platform/instancehttp"
 	"github.com/skylarkstep/skylarkstep/platform/kvhttp"
 	"github.com/skylarkstep/skylarkstep/platform/standin"
 )
@@ -46,13 +47,15 @@
 // Deployment is a running deployment. Its stand-ins are open to tests, which
 // turn faults on.
 type Deployment struct {
-	Config   *config.Config
-	KV       *standin.KV
-	Models   map[string]*enginestandin.Model
-	Services map[string]*enginestandin.Service
+	Config    *config.Config
+	KV        *standin.KV
+	Instances *standin.InstanceList
+	Models    map[string]*enginestandin.Model
+	Services  map[string]*enginestandin.Service
 
 	options Options
 	kvURL   string
+	listURL string
 	mu      sync.Mutex
 	procs   map[string]*process
 	closers []func()
@@ -74,13 +77,14 @@
 // entry accept the configuration.
 func Start(ctx context.Context, o Options) (*Deployment, error) {
 	d := &Deployment{
-		Config:   o.Config,
-		KV:       standin.NewKV(),
-		Models:   map[string]*enginestandin.Model{},
-		Services: map[string]*enginestandin.Service{},
-		options:  o,
-		procs:    map[string]*process{},
-		opened:   map[string]net.Listener{},
+		Config:    o.Config,
+		KV:        standin.NewKV(),
+		Instances: standin.NewInstanceList(),
+		Models:    map[string]*enginestandin.Model{},
+		Services:  map[string]*enginestandin.Service{},
+		options:   o,
+		procs:     map[string]*process{},
+		opened:    map[string]net.Listener{},
 	}
 	if err := d.start(ctx); err != nil {
 		d.Close()
@@ -99,6 +103,9 @@
 	if d.kvURL, err = d.serve(d.KV); err != nil {
 		return err
 	}
+	if d.listURL, err = d.serve(d.Instances); err != nil {
+		return err
+	}
 	for _, t := range d.Config.Inventory.Targets {
 		if err := d.StartTarget(t); err != nil {
 			return err
@@ -181,7 +188,7 @@
 			s.Peers = append(s.Peers, other.PeerAddr)
 		}
 	}
-	return d.run(role.Options{Settings: s, KV: kvhttp.New(d.kvURL)})
+	return d.run(role.Options{Settings: s, KV: kvhttp.New(d.kvURL), Instances: instancehttp.New(d.listURL)})
 }
 
 func (d *Deployment) settings(r config.Role, name, dc, peerAddr, httpAddr string) *config.Settings {
@@ -193,7 +200,7 @@
 		HTTPAddr:    httpAddr,
 		PeerAddr:    peerAddr,
 		ClusterKey:  clusterKey,
-		Platform:    config.Platform{KVURL: d.kvURL},
+		Platform:    config.Platform{KVURL: d.kvURL, InstanceListURL: d.listURL},
 		Operators:   []config.Operator{{Name: "dev", TokenSHA256: hex.EncodeToString(sum[:])}},
 		StopBoundMs: int(d.options.StopBound.Milliseconds()),
 	}
--- /dev/null
+++ b/ctl/dev/instances_test.go
@@ -0,0 +1,53 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/platform"
+)
+
+// Guards against new work on a target that the platform's instance list shows
+// as leaving, and against one that stays without work after it is live again.
+func TestLeavingInstanceGetsNoNewWork(t *testing.T) {
+	data, err := os.ReadFile("../../examples/cabina-norte.json")
+	require.NoError(t, err)
+	c, err := config.ParseConfig(data)
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	d, err := Start(ctx, Options{Config: c, AnyPorts: true})
+	require.NoError(t, err)
+	defer d.Close()
+	require.NoError(t, d.WaitReady(ctx))
+	calls := 0
+	call := func() {
+		calls++
+		header := http.Header{"Content-Type": {"application/json"}}
+		res, err := d.do(ctx, http.MethodPost, "/v1/services/cabina-app/slot-board", d.CustomerKey("flotas-duero"), header,
+			fmt.Appendf(nil, `{"id":"call-%d"}`, calls))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, res.status, "%s", res.body)
+	}
+	const name = "cabina-app-burgos"
+	works := func() bool {
+		before := d.Services[name].Executions()
+		for range 20 {
+			call()
+		}
+		return d.Services[name].Executions() > before
+	}
+	require.True(t, works(), "the target of the entry's own data centre comes first")
+	d.Instances.Set(platform.Instance{Name: name, DataCentre: "burgos", Addr: "127.0.0.1:1", State: platform.InstanceLeaving})
+	// The bound of G7 is a few seconds; an entry reads the list every 1 to 3 s.
+	require.Eventually(t, func() bool { return !works() }, 5*time.Second, 100*time.Millisecond)
+	d.Instances.Set(platform.Instance{Name: name, DataCentre: "burgos", Addr: "127.0.0.1:1", State: platform.InstanceLive})
+	require.Eventually(t, works, 5*time.Second, 100*time.Millisecond)
+}
--- a/daemon/cmd/skylarkd/main.go
+++ b/daemon/cmd/skylarkd/main.go
@@ -19,6 +19,8 @@
 	"github.com/skylarkstep/skylarkstep/engine/openai"
 	"github.com/skylarkstep/skylarkstep/engine/rankgroup"
 	"github.com/skylarkstep/skylarkstep/engine/service"
+	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/platform/instancehttp"
 	"github.com/skylarkstep/skylarkstep/platform/kvhttp"
 )
 
@@ -95,12 +97,20 @@
 		PeerListener: peer,
 		HTTPListener: web,
 		KV:           kvhttp.New(s.Platform.KVURL),
+		Instances:    instances(s),
 		Model:        model(s),
 		Service:      plainService(s),
 		Group:        group(s),
 	})
 }
 
+func instances(s *config.Settings) platform.InstanceList {
+	if s.Platform.InstanceListURL == "" {
+		return nil
+	}
+	return instancehttp.New(s.Platform.InstanceListURL)
+}
+
 func model(s *config.Settings) engine.Model {
 	if s.Role != config.RoleTarget || s.Target.Kind != config.KindModel {
 		return nil
--- a/daemon/entry/control.go
+++ b/daemon/entry/control.go
@@ -45,6 +45,9 @@
 	// reachableChanged asks for heartbeats after the next snapshot.
 	reachableChanged bool
 
+	// leavingInstances are those that the instance list shows as leaving.
+	leavingInstances map[string]bool
+
 	// customers belong to the configuration customersOf.
 	customers   map[string]*config.Customer
 	customersOf *config.Config
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -24,12 +24,13 @@
 
 // Entry is one running entry instance.
 type Entry struct {
-	node     *node.Node
-	settings *config.Settings
-	kv       platform.KV
-	policy   balancer.Builder
-	claims   *claim.Claims
-	retries  *retries
+	node      *node.Node
+	settings  *config.Settings
+	instances platform.InstanceList
+	kv        platform.KV
+	policy    balancer.Builder
+	claims    *claim.Claims
+	retries   *retries
 
 	snapshot atomic.Pointer[snapshot]
 	events   chan controlEvent
@@ -52,6 +53,8 @@
 	Settings *config.Settings
 	Node     *node.Node
 	KV       platform.KV
+	// Instances is the instance list; nil does without.
+	Instances platform.InstanceList
 	// PeerListener accepts sessions of other entries; nil accepts none.
 	PeerListener net.Listener
 	// Policy is the routing policy; nil takes the default.
@@ -68,13 +71,14 @@
 		o.Policy = prefix.Builder{}
 	}
 	e := &Entry{
-		node:     o.Node,
-		settings: o.Settings,
-		kv:       o.KV,
-		policy:   o.Policy,
-		claims:   claim.New(o.KV),
-		retries:  newRetries(),
-		events:   make(chan controlEvent, eventQueue),
+		node:      o.Node,
+		settings:  o.Settings,
+		kv:        o.KV,
+		instances: o.Instances,
+		policy:    o.Policy,
+		claims:    claim.New(o.KV),
+		retries:   newRetries(),
+		events:    make(chan controlEvent, eventQueue),
 
 		store:        configsync.NewStore(o.KV),
 		peerListener: o.PeerListener,
@@ -91,6 +95,9 @@
 	defer stopControl()
 	go e.runControl(control)
 	go e.watchConfig(control)
+	if e.instances != nil {
+		go e.watchInstances(control)
+	}
 	leaseCtx, releaseLease := context.WithCancel(control)
 	released := make(chan struct{})
 	go func() {
--- a/daemon/entry/snapshot.go
+++ b/daemon/entry/snapshot.go
@@ -67,6 +67,9 @@
 		s.leaving[name] = p.leaving()
 		s.heard[name] = len(p.sessions) > 0 && now.Sub(p.heardAt) <= suspectAfter
 	}
+	for name := range c.leavingInstances {
+		s.leaving[name] = true
+	}
 	views := map[string][]balancer.Target{}
 	stalled := c.stalledGroups()
 	ready := c.readyBackends(stalled, now)
@@ -79,7 +82,7 @@
 		s.members[t.Name] = to
 		s.suspect[t.Name] = m.suspect(now)
 		state := c.targetState(t.Name, now)
-		if stalled[t.Group] || !state.Usable() || !usable(cfg, t, m) || state == membership.Slow && ready[t.Backend] {
+		if s.leaving[t.Name] || stalled[t.Group] || !state.Usable() || !usable(cfg, t, m) || state == membership.Slow && ready[t.Backend] {
 			continue
 		}
 		p := s.pools[t.Backend]
--- a/daemon/role/role.go
+++ b/daemon/role/role.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 
+	"golang.org/x/net/netutil"
+
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/entry"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
@@ -23,6 +25,7 @@
 	PeerListener net.Listener
 	HTTPListener net.Listener
 	KV           platform.KV
+	Instances    platform.InstanceList
 	Model        engine.Model
 	Service      engine.Service
 	Group        engine.Group
@@ -34,12 +37,18 @@
 	n.Log.Info("started", "http_addr", o.HTTPListener.Addr().String(), "peer_addr", o.PeerListener.Addr().String())
 	defer n.Log.Info("stopped")
 	if o.Settings.Role == config.RoleEntry {
-		e := entry.New(entry.Options{Settings: o.Settings, Node: n, KV: o.KV, PeerListener: o.PeerListener})
-		return e.Run(ctx, o.HTTPListener)
+		e := entry.New(entry.Options{Settings: o.Settings, Node: n, KV: o.KV, Instances: o.Instances, PeerListener: limited(o.PeerListener)})
+		return e.Run(ctx, limited(o.HTTPListener))
 	}
 	t := target.New(target.Options{Settings: o.Settings, Node: n, Model: o.Model, Service: o.Service, Group: o.Group})
 	srv := httpapi.NewServer(t.Handler(), n.Log)
-	go func() { _ = srv.Serve(o.HTTPListener) }()
+	go func() { _ = srv.Serve(limited(o.HTTPListener)) }()
 	defer func() { _ = srv.Close() }()
-	return t.Run(ctx, o.PeerListener)
+	return t.Run(ctx, limited(o.PeerListener))
 }
+
+// maxConnections bounds the open connections of each listener. Further ones wait
+// in the backlog of the kernel.
+const maxConnections = 8192
+
+func limited(ln net.Listener) net.Listener { return netutil.LimitListener(ln, maxConnections) }
