--- a/daemon/httpapi/ops.go
+++ b/daemon/httpapi/ops.go
@@ -14,8 +14,9 @@
 	Handle(method, pattern string, handler http.HandlerFunc)
 }
 
-// MountOps serves liveness, readiness and metrics. Liveness says that the
-// process answers; readiness says that it takes new work.
+// MountOps serves liveness, readiness and metrics. Liveness says that the process
+// answers; readiness says that it takes new work. Metrics come as JSON and in the
+// Prometheus text format.
 func MountOps(mux Mux, n *node.Node, ready func() error) {
 	mux.Handle(http.MethodGet, "/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, health{Process: n.Name, Alive: true})
@@ -31,6 +32,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(n.Metrics, w)
 	})
+	mux.Handle(http.MethodGet, "/metrics/prometheus", servePrometheus(n.Metrics))
 }
 
 type health struct {
--- a/daemon/target/control.go
+++ b/daemon/target/control.go
@@ -10,13 +10,15 @@
 // heartbeat returns the state and load of this process.
 func (t *Target) heartbeat() *wirepb.Heartbeat {
 	load, warming := t.load()
+	group := t.group.report()
+	t.observe(load, group)
 	return &wirepb.Heartbeat{
 		Incarnation: t.node.Incarnation,
 		Revision:    t.revision(),
 		State:       t.state(warming),
 		Load:        load,
 		Hlc:         uint64(t.node.Clock.Now()),
-		Group:       t.group.report(),
+		Group:       group,
 	}
 }
 
