--- a/ctl/command/dev.go
+++ b/ctl/command/dev.go
@@ -18,7 +18,7 @@
 
 func devCommand() *cobra.Command {
 	var file, logFile string
-	var once bool
+	var once, anyPorts bool
 	cmd := &cobra.Command{
 		Use:   "dev --config FILE",
 		Short: "Run a whole small deployment in this process, with stand-ins, on loopback",
@@ -29,17 +29,18 @@
 			"  skylarkctl dev --config examples/taartplateau.json --once",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runDev(cmd.Context(), cmd.OutOrStdout(), file, logFile, once)
+			return runDev(cmd.Context(), cmd.OutOrStdout(), file, logFile, once, anyPorts)
 		},
 	}
 	cmd.Flags().StringVar(&file, "config", "", "configuration file (required)")
 	cmd.Flags().StringVar(&logFile, "log", "", "file for the logs of all processes (default: discard)")
 	cmd.Flags().BoolVar(&once, "once", false, "end after the sample requests")
+	cmd.Flags().BoolVar(&anyPorts, "any-ports", false, "use free ports in place of those in the configuration")
 	_ = cmd.MarkFlagRequired("config")
 	return cmd
 }
 
-func runDev(ctx context.Context, out io.Writer, file, logFile string, once bool) error {
+func runDev(ctx context.Context, out io.Writer, file, logFile string, once, anyPorts bool) error {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return errors.Wrap(err, "read configuration")
@@ -57,7 +58,7 @@
 		defer func() { _ = f.Close() }()
 		logs = f
 	}
-	d, err := dev.Start(ctx, dev.Options{Config: c, LogOutput: logs})
+	d, err := dev.Start(ctx, dev.Options{Config: c, LogOutput: logs, AnyPorts: anyPorts})
 	if err != nil {
 		return err
 	}
