--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -25,8 +25,11 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(configCommand(), inventoryCommand(), overviewCommand(), groupsCommand())
-	root.AddCommand(benchCommand(), benchServeCommand(), devCommand(), zoneCommand(), timelineCommand(), explainCommand(), loadCommand(), docsCommand(), experimentCommand())
+	root.AddCommand(
+		overviewCommand(), configCommand(), inventoryCommand(), zoneCommand(), groupsCommand(),
+		timelineCommand(), explainCommand(),
+		devCommand(), loadCommand(), experimentCommand(), benchCommand(), benchServeCommand(), docsCommand(),
+	)
 	return root
 }
 
