--- a/ctl/bench/run.go
+++ b/ctl/bench/run.go
@@ -49,15 +49,15 @@
 
 // Result is one line of the report.
 type Result struct {
-	Request           string
-	Kind              Kind
-	PerCPUSecond      float64 // requests per second of CPU time of the measured process
-	PerSecond         float64
-	Allocations       float64 // per request
-	P50, P99          time.Duration
-	AddedP50          time.Duration
-	AddedP99          time.Duration
-	ShareOfProxyPerCP float64
+	Request      string
+	Kind         Kind
+	PerCPUSecond float64 // requests per second of CPU time of the measured process
+	PerSecond    float64
+	Allocations  float64 // per request
+	P50, P99     time.Duration
+	AddedP50     time.Duration
+	AddedP99     time.Duration
+	ShareOfProxy float64
 }
 
 const readyTimeout = 10 * time.Second
@@ -115,7 +115,7 @@
 			}
 			res.AddedP50, res.AddedP99 = res.P50-base.P50, res.P99-base.P99
 			if k == Path {
-				res.ShareOfProxyPerCP = res.PerCPUSecond / results[len(results)-1].PerCPUSecond
+				res.ShareOfProxy = res.PerCPUSecond / results[len(results)-1].PerCPUSecond
 			}
 			results = append(results, res)
 		}
--- a/ctl/client/config.go
+++ b/ctl/client/config.go
@@ -81,14 +81,6 @@
 	return nil, err
 }
 
-// ConfigAt returns the configuration of an earlier revision.
-func (c *Client) ConfigAt(ctx context.Context, revision uint64) (*ConfigDocument, error) {
-	var doc ConfigDocument
-	q := url.Values{"revision": {strconv.FormatUint(revision, 10)}}
-	err := c.Any(ctx, Request{Method: http.MethodGet, Path: "/v1/config", Query: q}, &doc)
-	return &doc, err
-}
-
 // Rollback accepts the content of an earlier revision as a new one.
 func (c *Client) Rollback(ctx context.Context, to uint64, e Edit) (*Accepted, error) {
 	q := e.query()
