Require the base revision of an applied configuration; add config show

A file made on an earlier revision thus undid the edits since then without a conflict, which is a lost edit. TestConfigCommands gets a stale file, which must conflict, and an apply without a base, which must be refused; with the former default the latter is accepted. Two steps that relied on that default now name their base.

--- a/ctl/command/config.go
+++ b/ctl/command/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -31,7 +32,7 @@
 			"accepted first, 4 no entry or no key-value service answered, 5 not in force everywhere within the bound.",
 	}
 	f.register(cmd)
-	cmd.AddCommand(validateCommand(f), diffCommand(f), applyCommand(f), statusCommand(f), historyCommand(f),
+	cmd.AddCommand(showCommand(f), validateCommand(f), diffCommand(f), applyCommand(f), statusCommand(f), historyCommand(f),
 		rollbackCommand(f), waitCommand(f))
 	return cmd
 }
@@ -94,6 +95,31 @@
 	return doc, patch, err
 }
 
+// showCommand writes a file that config apply takes, with the revision that edits
+// of it are based on.
+func showCommand(f *operatorFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:     "show",
+		Short:   "Write the configuration in force, as a start for an edit",
+		Example: "  skylarkctl config show > cabina-norte.json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cl, err := f.client()
+			if err != nil {
+				return err
+			}
+			doc, err := cl.Config(cmd.Context())
+			if err != nil {
+				return err
+			}
+			doc.Document.Revision = doc.Revision
+			enc := json.NewEncoder(cmd.OutOrStdout())
+			enc.SetIndent("", "  ")
+			return errors.WithStack(enc.Encode(doc.Document))
+		},
+	}
+}
+
 func diffCommand(f *operatorFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:     "diff FILE",
@@ -127,7 +153,7 @@
 }
 
 func (e *editFlags) register(cmd *cobra.Command) {
-	cmd.Flags().Uint64Var(&e.Base, "base", 0, "revision that the edit was made on (default: the one in force)")
+	cmd.Flags().Uint64Var(&e.Base, "base", 0, "revision that the edit was made on (default: apply takes that of the file, rollback the one in force)")
 	cmd.Flags().StringVar(&e.ID, "edit-id", "", "id of the edit; use it again to repeat after a lost answer (default: random)")
 	cmd.Flags().BoolVar(&e.AllowNoService, "allow-no-service", false, "accept even if a customer is left with no data centre")
 	cmd.Flags().BoolVar(&e.AllowMinority, "allow-minority", false, "accept at an entry that hears fewer than a majority of the entries")
@@ -166,11 +192,13 @@
 				return err
 			}
 			if !cmd.Flags().Changed("base") {
-				doc, _, err := diffTo(cmd.Context(), cl, c)
-				if err != nil {
-					return err
+				// The revision in force would be no base: a file made on an earlier
+				// one would undo the edits since then without a conflict.
+				if c.Revision == 0 {
+					return errkind.New(errkind.InvalidRequest,
+						"%s names no revision that the edit was made on; use --base, or start from config show", args[0])
 				}
-				e.Base = doc.Revision
+				e.Base = c.Revision
 			}
 			if e.ID == "" {
 				e.ID = rand.Text()
--- a/ctl/command/config_test.go
+++ b/ctl/command/config_test.go
@@ -63,6 +63,12 @@
 	broken := filepath.Join(t.TempDir(), "broken.json")
 	require.NoError(t, os.WriteFile(broken, []byte(`{"inventory":{},"rules":{"colour":1}}`), 0o600))
 
+	// A file that was taken before another edit must not undo that edit.
+	shown, exit := run("config", "show")
+	require.Equal(t, ExitOK, exit, shown)
+	stale := filepath.Join(t.TempDir(), "stale.json")
+	require.NoError(t, os.WriteFile(stale, []byte(shown), 0o600))
+
 	zone := d.Config.Inventory.DataCentres[0].Name
 	for _, step := range []struct {
 		name string
@@ -73,9 +79,11 @@
 		{"valid", "config validate " + file, ExitOK, "is valid"},
 		{"faults", "config validate " + broken, ExitInvalid, "colour"},
 		{"diff", "config diff " + file, ExitOK, `{"rules":{"address_ttl_ms":1234}}`},
-		{"apply", "config apply " + file + " --wait --edit-id edit-id-1", ExitOK, "revision 2 accepted"},
+		{"no base", "config apply " + file, ExitInvalid, "names no revision"},
+		{"apply", "config apply " + file + " --base 1 --wait --edit-id edit-id-1", ExitOK, "revision 2 accepted"},
 		{"repeat", "config apply " + file + " --base 1 --edit-id edit-id-1 --output json", ExitOK, `"already": true`},
 		{"conflict", "config apply " + file + " --base 1", ExitConflict, "revision 2 by dev changed"},
+		{"stale file", "config apply " + stale, ExitConflict, "revision 2 by dev changed"},
 		{"status", "config status", ExitOK, "revision 2, fresh"},
 		{"zone out", "zone out " + zone, ExitOK, "revision 3"},
 		{"zone out again", "zone out " + zone, ExitOK, "revision 3"},
@@ -93,7 +101,7 @@
 	}
 	last := d.Config.Inventory.Targets[1].Name
 	require.NoError(t, d.Stop(context.Background(), last))
-	out, exit := run("config", "apply", file, "--wait", "--bound", "1s")
+	out, exit := run("config", "apply", file, "--base", "5", "--wait", "--bound", "1s")
 	assert.Equal(t, ExitNotInForce, exit, out)
 	assert.Contains(t, out, last+" (gone")
 }
