--- a/configsync/history.go
+++ b/configsync/history.go
@@ -8,13 +8,13 @@
 
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 )
 
 // Record reads one change of the history.
 func (s *Store) Record(ctx context.Context, revision uint64) (*Record, error) {
 	item, _, err := s.kv.Get(ctx, deltaKey(revision))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return nil, errkind.New(errkind.InvalidRequest, "revision %d is not in the history", revision)
 	}
 	if err != nil {
--- a/configsync/store.go
+++ b/configsync/store.go
@@ -10,7 +10,7 @@
 
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 )
 
 const (
@@ -26,18 +26,18 @@
 
 // Store is the configuration at the key-value service.
 type Store struct {
-	kv platform.KV
+	kv infra.KV
 }
 
 // NewStore returns the configuration kept in kv.
-func NewStore(kv platform.KV) *Store { return &Store{kv: kv} }
+func NewStore(kv infra.KV) *Store { return &Store{kv: kv} }
 
 // Stored is what is accepted: the head with its tree. The zero Stored means that
 // nothing is accepted yet.
 type Stored struct {
 	Head *Head
 	Tree []byte
-	item platform.Item
+	item infra.Item
 	// ServiceRevision is that of the key-value service at the read.
 	ServiceRevision int64
 }
@@ -53,7 +53,7 @@
 // Head reads the head without its parts.
 func (s *Store) Head(ctx context.Context) (*Stored, error) {
 	item, revision, err := s.kv.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return &Stored{ServiceRevision: revision}, nil
 	}
 	if err != nil {
@@ -79,7 +79,7 @@
 		}
 		// A change that is accepted after the read of the head deletes the
 		// parts that it replaces.
-		if !errors.Is(err, platform.ErrNotFound) || try == maxLoads {
+		if !errors.Is(err, infra.ErrNotFound) || try == maxLoads {
 			return nil, unavailable(err, "read the parts")
 		}
 	}
@@ -206,12 +206,12 @@
 func (s *Store) writeParts(ctx context.Context, parts map[string][]byte, fresh []PartRef) error {
 	for len(fresh) > 0 {
 		n := min(partsPerTxn, len(fresh))
-		var txn platform.Txn
+		var txn infra.Txn
 		for _, p := range fresh[:n] {
-			txn.Puts = append(txn.Puts, platform.Put{Key: p.key(), Value: parts[p.Name]})
+			txn.Puts = append(txn.Puts, infra.Put{Key: p.key(), Value: parts[p.Name]})
 		}
 		if _, err := s.kv.Commit(ctx, txn); err != nil {
-			if !errors.Is(err, platform.ErrUnknownOutcome) {
+			if !errors.Is(err, infra.ErrUnknownOutcome) {
 				return unavailable(err, "write the parts")
 			}
 			if !pause(ctx) {
@@ -227,18 +227,18 @@
 
 // commitTxn swaps the head. The edit key must not exist, so that an edit id
 // that reached the store by another entry can't be applied again.
-func commitTxn(st *Stored, r *Record, parts []PartRef) (platform.Txn, error) {
+func commitTxn(st *Stored, r *Record, parts []PartRef) (infra.Txn, error) {
 	head, err := json.Marshal(st.Head.next(r.Delta, parts))
 	if err != nil {
-		return platform.Txn{}, errors.WithStack(err)
+		return infra.Txn{}, errors.WithStack(err)
 	}
 	record, err := r.encode()
 	if err != nil {
-		return platform.Txn{}, err
+		return infra.Txn{}, err
 	}
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: HeadKey, ModRevision: st.item.ModRevision}, {Key: editKey(r.EditID)}},
-		Puts: []platform.Put{
+	txn := infra.Txn{
+		Conditions: []infra.Condition{{Key: HeadKey, ModRevision: st.item.ModRevision}, {Key: editKey(r.EditID)}},
+		Puts: []infra.Put{
 			{Key: HeadKey, Value: head},
 			{Key: deltaKey(r.Revision), Value: record},
 			{Key: editKey(r.EditID), Value: []byte(strconv.FormatUint(r.Revision, 10))},
@@ -249,7 +249,7 @@
 }
 
 // prune deletes the record that leaves the history, with its edit id.
-func (s *Store) prune(ctx context.Context, txn *platform.Txn, accepted uint64) error {
+func (s *Store) prune(ctx context.Context, txn *infra.Txn, accepted uint64) error {
 	if accepted <= historyLength {
 		return nil
 	}
@@ -267,13 +267,13 @@
 // commit runs the transaction until its outcome is known. After a lost reply
 // it reads the edit key; if that is absent, the same transaction may be sent
 // again, since its conditions let it take effect only once.
-func (s *Store) commit(ctx context.Context, c Change, txn platform.Txn) error {
+func (s *Store) commit(ctx context.Context, c Change, txn infra.Txn) error {
 	for {
 		res, err := s.kv.Commit(ctx, txn)
 		switch {
 		case err == nil && res.Succeeded:
 			return nil
-		case err != nil && !errors.Is(err, platform.ErrUnknownOutcome):
+		case err != nil && !errors.Is(err, infra.ErrUnknownOutcome):
 			return unavailable(err, "write the head")
 		}
 		lost := err
@@ -304,7 +304,7 @@
 // acceptedBefore looks the edit id up.
 func (s *Store) acceptedBefore(ctx context.Context, editID string) (*Accepted, error) {
 	item, _, err := s.kv.Get(ctx, editKey(editID))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
--- a/configsync/store_test.go
+++ b/configsync/store_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform/standin"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
 )
 
 // sample is a configuration with n customers in three data centres.
--- a/ctl/bench/serve.go
+++ b/ctl/bench/serve.go
@@ -22,8 +22,8 @@
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/engine/openai"
 	"github.com/skylarkstep/skylarkstep/engine/service"
-	"github.com/skylarkstep/skylarkstep/platform/kvhttp"
-	"github.com/skylarkstep/skylarkstep/platform/standin"
+	"github.com/skylarkstep/skylarkstep/infra/kvhttp"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
 )
 
 // Names in the configuration of the measured process.
--- a/ctl/dev/dev.go
+++ b/ctl/dev/dev.go
@@ -19,9 +19,9 @@
 	"github.com/skylarkstep/skylarkstep/engine/openai"
 	"github.com/skylarkstep/skylarkstep/engine/service"
 	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
-	"github.com/skylarkstep/skylarkstep/platform/instancehttp"
-	"github.com/skylarkstep/skylarkstep/platform/kvhttp"
-	"github.com/skylarkstep/skylarkstep/platform/standin"
+	"github.com/skylarkstep/skylarkstep/infra/instancehttp"
+	"github.com/skylarkstep/skylarkstep/infra/kvhttp"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
 )
 
 // OperatorToken is the operator token of every dev deployment.
--- a/ctl/dev/instances_test.go
+++ b/ctl/dev/instances_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/config"
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 )
 
 // Guards against new work on a target that the platform's instance list shows
@@ -45,9 +45,9 @@
 		return d.Services[name].Executions() > before
 	}
 	require.True(t, works(), "the target of the entry's own data centre comes first")
-	d.Instances.Set(platform.Instance{Name: name, DataCentre: "burgos", Addr: "127.0.0.1:1", State: platform.InstanceLeaving})
+	d.Instances.Set(infra.Instance{Name: name, DataCentre: "burgos", Addr: "127.0.0.1:1", State: infra.InstanceLeaving})
 	// The bound of G7 is a few seconds; an entry reads the list every 1 to 3 s.
 	require.Eventually(t, func() bool { return !works() }, 5*time.Second, 100*time.Millisecond)
-	d.Instances.Set(platform.Instance{Name: name, DataCentre: "burgos", Addr: "127.0.0.1:1", State: platform.InstanceLive})
+	d.Instances.Set(infra.Instance{Name: name, DataCentre: "burgos", Addr: "127.0.0.1:1", State: infra.InstanceLive})
 	require.Eventually(t, works, 5*time.Second, 100*time.Millisecond)
 }
--- a/daemon/claim/claim.go
+++ b/daemon/claim/claim.go
@@ -14,7 +14,7 @@
 
 	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 )
 
 const (
@@ -40,20 +40,20 @@
 
 // Claims makes claims for one entry.
 type Claims struct {
-	kv      platform.KV
+	kv      infra.KV
 	limiter *rate.Limiter
 	// granting is held while a lease is requested. It is a channel, so that a
 	// caller stops waiting at its deadline.
 	granting chan struct{}
 
 	mu        sync.Mutex
-	lease     platform.LeaseID
+	lease     infra.LeaseID
 	granted   time.Time
 	downUntil time.Time
 }
 
 // New returns the claims of an entry.
-func New(kv platform.KV) *Claims {
+func New(kv infra.KV) *Claims {
 	return &Claims{kv: kv, limiter: rate.NewLimiter(writesPerSecond, writesPerSecond), granting: make(chan struct{}, 1)}
 }
 
@@ -92,7 +92,7 @@
 	}
 	if err != nil {
 		// Reads have no budget, so that a repeat of a bound key still goes on.
-		if bound, readErr := c.read(ctx, k, own); !errors.Is(readErr, platform.ErrNotFound) {
+		if bound, readErr := c.read(ctx, k, own); !errors.Is(readErr, infra.ErrNotFound) {
 			return bound, readErr
 		}
 		return id, err
@@ -108,22 +108,22 @@
 		return atmostonce.ID{}, errkind.Wrap(err, errkind.Internal, "encode the claim")
 	}
 	for attempt := 0; ; attempt++ {
-		var res platform.TxnResult
+		var res infra.TxnResult
 		lease, err := c.currentLease(ctx)
 		if err == nil {
-			res, err = c.kv.Commit(ctx, platform.Txn{
-				Conditions: []platform.Condition{{Key: key}},
-				Puts:       []platform.Put{{Key: key, Value: data, Lease: lease}},
+			res, err = c.kv.Commit(ctx, infra.Txn{
+				Conditions: []infra.Condition{{Key: key}},
+				Puts:       []infra.Put{{Key: key, Value: data, Lease: lease}},
 			})
 		}
 		if err == nil && res.Succeeded {
 			return atmostonce.ParseID(v.OperationID)
 		}
-		if errors.Is(err, platform.ErrLeaseNotFound) {
+		if errors.Is(err, infra.ErrLeaseNotFound) {
 			c.forget(lease)
 		}
 		id, readErr := c.read(ctx, key, v.Digest)
-		if !errors.Is(readErr, platform.ErrNotFound) {
+		if !errors.Is(readErr, infra.ErrNotFound) {
 			return id, readErr
 		}
 		if attempt+1 == maxAttempts {
@@ -138,7 +138,7 @@
 // read returns the id that the key is bound to, or ErrNotFound.
 func (c *Claims) read(ctx context.Context, key, digest string) (atmostonce.ID, error) {
 	item, _, err := c.kv.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return atmostonce.ID{}, err
 	}
 	if err != nil {
@@ -160,7 +160,7 @@
 }
 
 // currentLease returns the lease that new claims are attached to.
-func (c *Claims) currentLease(ctx context.Context) (platform.LeaseID, error) {
+func (c *Claims) currentLease(ctx context.Context) (infra.LeaseID, error) {
 	select {
 	case c.granting <- struct{}{}:
 		defer func() { <-c.granting }()
@@ -184,7 +184,7 @@
 	return lease, nil
 }
 
-func (c *Claims) forget(lease platform.LeaseID) {
+func (c *Claims) forget(lease infra.LeaseID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.lease == lease {
--- a/daemon/claim/claim_test.go
+++ b/daemon/claim/claim_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform/standin"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
 )
 
 func issuer(target string) func() (atmostonce.ID, error) {
--- a/daemon/cmd/skylarkd/main.go
+++ b/daemon/cmd/skylarkd/main.go
@@ -19,9 +19,9 @@
 	"github.com/skylarkstep/skylarkstep/engine/openai"
 	"github.com/skylarkstep/skylarkstep/engine/rankgroup"
 	"github.com/skylarkstep/skylarkstep/engine/service"
-	"github.com/skylarkstep/skylarkstep/platform"
-	"github.com/skylarkstep/skylarkstep/platform/instancehttp"
-	"github.com/skylarkstep/skylarkstep/platform/kvhttp"
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/instancehttp"
+	"github.com/skylarkstep/skylarkstep/infra/kvhttp"
 )
 
 func main() {
@@ -104,7 +104,7 @@
 	})
 }
 
-func instances(s *config.Settings) platform.InstanceList {
+func instances(s *config.Settings) infra.InstanceList {
 	if s.Platform.InstanceListURL == "" {
 		return nil
 	}
--- a/daemon/e2e/harness_test.go
+++ b/daemon/e2e/harness_test.go
@@ -23,7 +23,7 @@
 
 	"github.com/skylarkstep/skylarkstep/config"
 	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
-	"github.com/skylarkstep/skylarkstep/platform/standin"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
 )
 
 const (
--- a/daemon/e2e/measure_test.go
+++ b/daemon/e2e/measure_test.go
@@ -18,8 +18,8 @@
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/role"
 	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
-	"github.com/skylarkstep/skylarkstep/platform/kvhttp"
-	"github.com/skylarkstep/skylarkstep/platform/standin"
+	"github.com/skylarkstep/skylarkstep/infra/kvhttp"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
 )
 
 // The measurements behind docs/CAPACITY.md run only on demand:
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -18,7 +18,7 @@
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/lease"
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/timeline"
 )
 
@@ -26,8 +26,8 @@
 type Entry struct {
 	node      *node.Node
 	settings  *config.Settings
-	instances platform.InstanceList
-	kv        platform.KV
+	instances infra.InstanceList
+	kv        infra.KV
 	policy    balancer.Builder
 	claims    *claim.Claims
 	retries   *retries
@@ -52,9 +52,9 @@
 type Options struct {
 	Settings *config.Settings
 	Node     *node.Node
-	KV       platform.KV
+	KV       infra.KV
 	// Instances is the instance list; nil does without.
-	Instances platform.InstanceList
+	Instances infra.InstanceList
 	// PeerListener accepts sessions of other entries; nil accepts none.
 	PeerListener net.Listener
 	// Policy is the routing policy; nil takes the default.
--- a/daemon/entry/instances.go
+++ b/daemon/entry/instances.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/timeline"
 )
 
@@ -34,13 +34,13 @@
 // listed takes an answer of the instance list. The list only removes: instances
 // that it shows as leaving get no new work. A missing row says nothing, since
 // the list lags, and an empty list removes nobody.
-func (c *control) listed(rows []platform.Instance) {
+func (c *control) listed(rows []infra.Instance) {
 	if len(rows) == 0 {
 		return
 	}
 	leaving := map[string]bool{}
 	for _, r := range rows {
-		if r.State != platform.InstanceLeaving {
+		if r.State != infra.InstanceLeaving {
 			continue
 		}
 		leaving[r.Name] = true
--- a/daemon/entry/instances_test.go
+++ b/daemon/entry/instances_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 )
 
 // Guards against a lagging or empty instance list that takes work away from
@@ -16,16 +16,16 @@
 func TestInstanceListOnlyRemovesWhatIsLeaving(t *testing.T) {
 	s := &config.Settings{Role: config.RoleEntry, Name: "e1"}
 	c := newControl(t.Context(), New(Options{Settings: s, Node: node.New(s, io.Discard)}))
-	leaving := platform.Instance{Name: "t1", State: platform.InstanceLeaving}
-	live := platform.Instance{Name: "t2", State: platform.InstanceLive}
+	leaving := infra.Instance{Name: "t1", State: infra.InstanceLeaving}
+	live := infra.Instance{Name: "t2", State: infra.InstanceLive}
 	for _, tc := range []struct {
 		name string
-		rows []platform.Instance
+		rows []infra.Instance
 		want map[string]bool
 	}{
-		{"one leaves, one is not listed yet", []platform.Instance{leaving, live}, map[string]bool{"t1": true}},
+		{"one leaves, one is not listed yet", []infra.Instance{leaving, live}, map[string]bool{"t1": true}},
 		{"an empty list changes nothing", nil, map[string]bool{"t1": true}},
-		{"it is back", []platform.Instance{{Name: "t1", State: platform.InstanceLive}, live}, map[string]bool{}},
+		{"it is back", []infra.Instance{{Name: "t1", State: infra.InstanceLive}, live}, map[string]bool{}},
 	} {
 		c.listed(tc.rows)
 		assert.Equal(t, tc.want, c.leavingInstances, tc.name)
--- a/daemon/entry/sim_test.go
+++ b/daemon/entry/sim_test.go
@@ -20,7 +20,7 @@
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/daemon/target"
 	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
-	"github.com/skylarkstep/skylarkstep/platform/standin"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
 	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
--- a/daemon/role/role.go
+++ b/daemon/role/role.go
@@ -15,7 +15,7 @@
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/daemon/target"
 	"github.com/skylarkstep/skylarkstep/engine"
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 )
 
 // Options are what a process needs besides its settings.
@@ -24,8 +24,8 @@
 	LogOutput    io.Writer
 	PeerListener net.Listener
 	HTTPListener net.Listener
-	KV           platform.KV
-	Instances    platform.InstanceList
+	KV           infra.KV
+	Instances    infra.InstanceList
 	Model        engine.Model
 	Service      engine.Service
 	Group        engine.Group
--- a/daemon/target/order_test.go
+++ b/daemon/target/order_test.go
@@ -13,8 +13,8 @@
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/engine/standin"
 	"github.com/skylarkstep/skylarkstep/lease"
-	"github.com/skylarkstep/skylarkstep/platform"
-	kvstandin "github.com/skylarkstep/skylarkstep/platform/standin"
+	"github.com/skylarkstep/skylarkstep/infra"
+	kvstandin "github.com/skylarkstep/skylarkstep/infra/standin"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
@@ -90,11 +90,11 @@
 
 // pausable is the key-value service of a process that can be paused.
 type pausable struct {
-	platform.KV
+	infra.KV
 	paused chan struct{}
 }
 
-func (p *pausable) KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
+func (p *pausable) KeepAlive(ctx context.Context, id infra.LeaseID) (time.Duration, error) {
 	<-p.paused
 	return p.KV.KeepAlive(ctx, id)
 }
--- a/platform/http_contract_test.go
+++ b/infra/http_contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"net/http"
@@ -9,30 +9,30 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform"
-	"github.com/skylarkstep/skylarkstep/platform/instancehttp"
-	"github.com/skylarkstep/skylarkstep/platform/standin"
-	"github.com/skylarkstep/skylarkstep/platform/weighthttp"
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/instancehttp"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
+	"github.com/skylarkstep/skylarkstep/infra/weighthttp"
 )
 
 // TestInstanceListContract guards against a partial or failed answer that
 // looks like a short list, which would remove live instances.
 func TestInstanceListContract(t *testing.T) {
-	rows := []platform.Instance{
-		{Name: "i1", DataCentre: "d1", Addr: "127.0.0.1:1", State: platform.InstanceLive},
-		{Name: "i2", DataCentre: "d2", Addr: "127.0.0.1:2", State: platform.InstanceLeaving},
+	rows := []infra.Instance{
+		{Name: "i1", DataCentre: "d1", Addr: "127.0.0.1:1", State: infra.InstanceLive},
+		{Name: "i2", DataCentre: "d2", Addr: "127.0.0.1:2", State: infra.InstanceLeaving},
 	}
 	for _, c := range []struct {
 		name  string
 		limit int64
 		set   func(*standin.InstanceList)
-		want  []platform.Instance
+		want  []infra.Instance
 		kind  errkind.Kind
 	}{
 		{"rows", 1 << 20, func(l *standin.InstanceList) { l.Set(rows...) }, rows, 0},
-		{"empty", 1 << 20, func(*standin.InstanceList) {}, []platform.Instance{}, 0},
+		{"empty", 1 << 20, func(*standin.InstanceList) {}, []infra.Instance{}, 0},
 		{"latency", 1 << 20, func(l *standin.InstanceList) { l.Set(rows...); l.SetLatency(10 * time.Millisecond) }, rows, 0},
-		{"row without name", 1 << 20, func(l *standin.InstanceList) { l.Set(rows[0], platform.Instance{}) }, nil, errkind.StoreUnavailable},
+		{"row without name", 1 << 20, func(l *standin.InstanceList) { l.Set(rows[0], infra.Instance{}) }, nil, errkind.StoreUnavailable},
 		{"too large", 100, func(l *standin.InstanceList) { l.Set(rows...) }, nil, errkind.TooLarge},
 		{"refuse", 1 << 20, func(l *standin.InstanceList) { l.SetRefuse(true) }, nil, errkind.StoreUnavailable},
 		{"lost reply", 1 << 20, func(l *standin.InstanceList) { l.DropReplies(2) }, nil, errkind.StoreUnavailable},
@@ -93,7 +93,7 @@
 			require.Equal(t, c.want, n)
 			_, err = client.Fetch(t.Context(), "none")
 			if c.kind == 0 {
-				require.ErrorIs(t, err, platform.ErrNotFound)
+				require.ErrorIs(t, err, infra.ErrNotFound)
 				_, err = client.Fetch(t.Context(), c.object)
 				require.Equal(t, errkind.Overloaded, errkind.KindOf(err), "%v", err)
 				require.InDelta(t, 10, errkind.From(err).RetryAfter.Seconds(), 1)
--- a/platform/platform.go
+++ b/infra/infra.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
--- a/platform/instancehttp/client.go
+++ b/infra/instancehttp/client.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 )
 
 const (
@@ -17,7 +17,7 @@
 	defaultMaxResponse = 8 << 20
 )
 
-// Client implements platform.InstanceList.
+// Client implements infra.InstanceList.
 type Client struct {
 	url         string
 	timeout     time.Duration
@@ -25,7 +25,7 @@
 	http        *http.Client
 }
 
-var _ platform.InstanceList = (*Client)(nil)
+var _ infra.InstanceList = (*Client)(nil)
 
 // Option changes a default of the client.
 type Option func(*Client)
@@ -48,10 +48,10 @@
 	return c
 }
 
-// Instances implements platform.InstanceList. An answer that is cut, too large
+// Instances implements infra.InstanceList. An answer that is cut, too large
 // or has a row without name or address is an error: acting on a part of the
 // list would remove instances that are live.
-func (c *Client) Instances(ctx context.Context) ([]platform.Instance, error) {
+func (c *Client) Instances(ctx context.Context) ([]infra.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
@@ -73,7 +73,7 @@
 	if int64(len(data)) > c.maxResponse {
 		return nil, errkind.New(errkind.TooLarge, "instance list: answer exceeds %d bytes", c.maxResponse)
 	}
-	var rows []platform.Instance
+	var rows []infra.Instance
 	if err := json.Unmarshal(data, &rows); err != nil {
 		return nil, errkind.Wrap(err, errkind.StoreUnavailable, "instance list")
 	}
--- a/platform/internal/gateway/gateway.go
+++ b/infra/internal/gateway/gateway.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 )
 
 // Paths of the gateway.
@@ -179,7 +179,7 @@
 }
 
 // FromTxn converts a transaction.
-func FromTxn(t platform.Txn) TxnRequest {
+func FromTxn(t infra.Txn) TxnRequest {
 	var r TxnRequest
 	for _, c := range t.Conditions {
 		r.Compare = append(r.Compare, Compare{Result: "EQUAL", Target: "MOD", Key: []byte(c.Key), ModRevision: c.ModRevision})
@@ -194,16 +194,16 @@
 }
 
 // Item converts a stored key.
-func (k KeyValue) Item() platform.Item {
-	return platform.Item{
+func (k KeyValue) Item() infra.Item {
+	return infra.Item{
 		Key: string(k.Key), Value: k.Value, CreateRevision: k.CreateRevision,
-		ModRevision: k.ModRevision, Lease: platform.LeaseID(k.Lease),
+		ModRevision: k.ModRevision, Lease: infra.LeaseID(k.Lease),
 	}
 }
 
 // Items converts the answer of a read.
-func (r RangeResponse) Items() []platform.Item {
-	items := make([]platform.Item, 0, len(r.Kvs))
+func (r RangeResponse) Items() []infra.Item {
+	items := make([]infra.Item, 0, len(r.Kvs))
 	for _, k := range r.Kvs {
 		items = append(items, k.Item())
 	}
@@ -211,10 +211,10 @@
 }
 
 // PlatformEvents converts the changes of a watch message.
-func (r WatchResult) PlatformEvents() []platform.Event {
-	events := make([]platform.Event, 0, len(r.Events))
+func (r WatchResult) PlatformEvents() []infra.Event {
+	events := make([]infra.Event, 0, len(r.Events))
 	for _, e := range r.Events {
-		events = append(events, platform.Event{Item: e.Kv.Item(), Deleted: e.Type == DeleteEvent})
+		events = append(events, infra.Event{Item: e.Kv.Item(), Deleted: e.Type == DeleteEvent})
 	}
 	return events
 }
--- a/platform/kv_contract_test.go
+++ b/infra/kv_contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"bytes"
@@ -11,9 +11,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform"
-	"github.com/skylarkstep/skylarkstep/platform/kvhttp"
-	"github.com/skylarkstep/skylarkstep/platform/standin"
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/kvhttp"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
 )
 
 // testTimeout is long enough for a loopback call under the race detector and
@@ -22,17 +22,17 @@
 
 type kvCase struct {
 	name string
-	run  func(t *testing.T, s *standin.KV, kv platform.KV)
+	run  func(t *testing.T, s *standin.KV, kv infra.KV)
 }
 
-func put(key, value string, mod int64) platform.Txn {
-	return platform.Txn{
-		Conditions: []platform.Condition{{Key: key, ModRevision: mod}},
-		Puts:       []platform.Put{{Key: key, Value: []byte(value)}},
+func put(key, value string, mod int64) infra.Txn {
+	return infra.Txn{
+		Conditions: []infra.Condition{{Key: key, ModRevision: mod}},
+		Puts:       []infra.Put{{Key: key, Value: []byte(value)}},
 	}
 }
 
-func mustPut(t *testing.T, kv platform.KV, key, value string, mod int64) int64 {
+func mustPut(t *testing.T, kv infra.KV, key, value string, mod int64) int64 {
 	t.Helper()
 	r, err := kv.Commit(t.Context(), put(key, value, mod))
 	require.NoError(t, err)
@@ -41,7 +41,7 @@
 }
 
 // nextEvents fails the test if the watch is silent.
-func nextEvents(t *testing.T, ch <-chan []platform.Event) []platform.Event {
+func nextEvents(t *testing.T, ch <-chan []infra.Event) []infra.Event {
 	t.Helper()
 	select {
 	case e := <-ch:
@@ -54,14 +54,14 @@
 
 func requireUnknown(t *testing.T, err error) {
 	t.Helper()
-	require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	require.ErrorIs(t, err, infra.ErrUnknownOutcome)
 	require.Equal(t, errkind.StoreUnavailable, errkind.KindOf(err))
 	require.Equal(t, errkind.Unknown, errkind.From(err).DidRun)
 }
 
 var kvCases = []kvCase{
 	// A second writer on the same base must lose, or an edit is overwritten.
-	{"compare and swap", func(t *testing.T, _ *standin.KV, kv platform.KV) {
+	{"compare and swap", func(t *testing.T, _ *standin.KV, kv infra.KV) {
 		first := mustPut(t, kv, "a", "1", 0)
 		r, err := kv.Commit(t.Context(), put("a", "2", 0))
 		require.NoError(t, err)
@@ -69,11 +69,11 @@
 		second := mustPut(t, kv, "a", "3", first)
 		item, rev, err := kv.Get(t.Context(), "a")
 		require.NoError(t, err)
-		require.Equal(t, platform.Item{Key: "a", Value: []byte("3"), CreateRevision: first, ModRevision: second}, item)
+		require.Equal(t, infra.Item{Key: "a", Value: []byte("3"), CreateRevision: first, ModRevision: second}, item)
 		require.Equal(t, second, rev)
 	}},
 	// A prefix read must not miss a key, add a neighbour or change the order.
-	{"list", func(t *testing.T, _ *standin.KV, kv platform.KV) {
+	{"list", func(t *testing.T, _ *standin.KV, kv infra.KV) {
 		for _, k := range []string{"p/b", "p/a", "p0", "p/\xff"} {
 			mustPut(t, kv, k, "v", 0)
 		}
@@ -90,19 +90,19 @@
 		}
 	}},
 	// A missing key must be told apart from a failed read.
-	{"missing key", func(t *testing.T, s *standin.KV, kv platform.KV) {
+	{"missing key", func(t *testing.T, s *standin.KV, kv infra.KV) {
 		_, rev, err := kv.Get(t.Context(), "none")
-		require.ErrorIs(t, err, platform.ErrNotFound)
+		require.ErrorIs(t, err, infra.ErrNotFound)
 		require.Equal(t, s.Revision(), rev)
 	}},
 	// A value over the limit must be refused as such, not retried as an outage.
-	{"value limit", func(t *testing.T, _ *standin.KV, kv platform.KV) {
-		mustPut(t, kv, "a", string(bytes.Repeat([]byte("x"), platform.MaxValueBytes)), 0)
-		_, err := kv.Commit(t.Context(), put("b", string(bytes.Repeat([]byte("x"), platform.MaxValueBytes+1)), 0))
+	{"value limit", func(t *testing.T, _ *standin.KV, kv infra.KV) {
+		mustPut(t, kv, "a", string(bytes.Repeat([]byte("x"), infra.MaxValueBytes)), 0)
+		_, err := kv.Commit(t.Context(), put("b", string(bytes.Repeat([]byte("x"), infra.MaxValueBytes+1)), 0))
 		require.Equal(t, errkind.TooLarge, errkind.KindOf(err))
 	}},
 	// A holder must learn that its lease lapsed, and its keys must go.
-	{"lapsed lease", func(t *testing.T, s *standin.KV, kv platform.KV) {
+	{"lapsed lease", func(t *testing.T, s *standin.KV, kv infra.KV) {
 		id, err := kv.Grant(t.Context(), 8500*time.Millisecond)
 		require.NoError(t, err)
 		txn := put("l", "v", 0)
@@ -117,20 +117,20 @@
 		require.NoError(t, err)
 		require.Zero(t, left)
 		_, _, err = kv.Get(t.Context(), "l")
-		require.ErrorIs(t, err, platform.ErrNotFound)
+		require.ErrorIs(t, err, infra.ErrNotFound)
 		_, err = kv.Commit(t.Context(), txn)
-		require.ErrorIs(t, err, platform.ErrLeaseNotFound)
-		require.ErrorIs(t, kv.Revoke(t.Context(), id), platform.ErrLeaseNotFound)
+		require.ErrorIs(t, err, infra.ErrLeaseNotFound)
+		require.ErrorIs(t, kv.Revoke(t.Context(), id), infra.ErrLeaseNotFound)
 	}},
 	// A change between a list and the watch must not be missed.
-	{"watch", func(t *testing.T, s *standin.KV, kv platform.KV) {
+	{"watch", func(t *testing.T, s *standin.KV, kv infra.KV) {
 		rev := mustPut(t, kv, "w/a", "1", 0)
 		mustPut(t, kv, "w/b", "2", 0)
 		ch, err := kv.Watch(t.Context(), "w/", rev)
 		require.NoError(t, err)
 		require.Equal(t, "w/b", nextEvents(t, ch)[0].Item.Key)
 		mustPut(t, kv, "x", "outside the prefix", 0)
-		_, err = kv.Commit(t.Context(), platform.Txn{Deletes: []string{"w/a"}})
+		_, err = kv.Commit(t.Context(), infra.Txn{Deletes: []string{"w/a"}})
 		require.NoError(t, err)
 		e := nextEvents(t, ch)[0]
 		require.True(t, e.Deleted)
@@ -138,23 +138,23 @@
 		require.Equal(t, map[string]int{"txn": 4, "watch": 1}, s.Calls(), "a waiting watch counts as one call")
 	}},
 	// A silent watch on a broken connection would keep stale state in effect.
-	{"watch breaks", func(t *testing.T, s *standin.KV, kv platform.KV) {
+	{"watch breaks", func(t *testing.T, s *standin.KV, kv infra.KV) {
 		ch, err := kv.Watch(t.Context(), "w/", 0)
 		require.NoError(t, err)
 		s.BreakWatches()
 		require.Nil(t, nextEvents(t, ch), "the channel must be closed")
 	}},
 	// A watch that skips compacted changes without notice would lose edits.
-	{"watch compacted", func(t *testing.T, s *standin.KV, kv platform.KV) {
+	{"watch compacted", func(t *testing.T, s *standin.KV, kv infra.KV) {
 		rev := mustPut(t, kv, "w/a", "1", 0)
 		s.Compact(mustPut(t, kv, "w/a", "2", rev))
 		ch, err := kv.Watch(t.Context(), "w/", rev)
 		require.NoError(t, err)
-		require.ErrorIs(t, nextEvents(t, ch)[0].Err, platform.ErrCompacted)
+		require.ErrorIs(t, nextEvents(t, ch)[0].Err, infra.ErrCompacted)
 		require.Nil(t, nextEvents(t, ch), "the channel must be closed")
 	}},
 	// A write that took effect must not be reported as failed or sent twice.
-	{"lost reply", func(t *testing.T, s *standin.KV, kv platform.KV) {
+	{"lost reply", func(t *testing.T, s *standin.KV, kv infra.KV) {
 		mustPut(t, kv, "warm", "the connection is reused", 0)
 		before := s.Calls()["txn"]
 		s.DropReplies(1)
@@ -172,7 +172,7 @@
 	}},
 	// A stalled service must not hold a caller past the request timeout, and a
 	// write that waits there may still run.
-	{"stall", func(t *testing.T, s *standin.KV, kv platform.KV) {
+	{"stall", func(t *testing.T, s *standin.KV, kv infra.KV) {
 		s.SetStall(true)
 		_, err := kv.Commit(t.Context(), put("a", "1", 0))
 		requireUnknown(t, err)
@@ -184,7 +184,7 @@
 		mustPut(t, kv, "b", "1", 0)
 	}},
 	// A 503 to a write does not prove that it did not run.
-	{"refuse", func(t *testing.T, s *standin.KV, kv platform.KV) {
+	{"refuse", func(t *testing.T, s *standin.KV, kv infra.KV) {
 		s.SetRefuse(true)
 		_, _, err := kv.List(t.Context(), "")
 		require.Equal(t, errkind.StoreUnavailable, errkind.KindOf(err))
@@ -194,7 +194,7 @@
 		require.Equal(t, errkind.StoreUnavailable, errkind.KindOf(err))
 	}},
 	// Latency below the timeout must not be taken for an outage.
-	{"latency", func(t *testing.T, s *standin.KV, kv platform.KV) {
+	{"latency", func(t *testing.T, s *standin.KV, kv infra.KV) {
 		s.SetLatency(20 * time.Millisecond)
 		start := time.Now()
 		mustPut(t, kv, "a", "1", 0)
@@ -202,7 +202,7 @@
 	}},
 	// A rolled back store must be visible as a lower revision, so that the
 	// reader can raise an alarm, and must not leave a watch waiting for good.
-	{"rollback", func(t *testing.T, s *standin.KV, kv platform.KV) {
+	{"rollback", func(t *testing.T, s *standin.KV, kv infra.KV) {
 		old := mustPut(t, kv, "a", "1", 0)
 		now := mustPut(t, kv, "a", "2", old)
 		ch, err := kv.Watch(t.Context(), "a", now)
@@ -264,7 +264,7 @@
 	kv := kvhttp.New(srv.URL)
 	srv.Close()
 	_, err := kv.Commit(context.Background(), put("a", "1", 0))
-	require.NotErrorIs(t, err, platform.ErrUnknownOutcome)
+	require.NotErrorIs(t, err, infra.ErrUnknownOutcome)
 	require.Equal(t, errkind.StoreUnavailable, errkind.KindOf(err))
 	require.Equal(t, errkind.NotRun, errkind.From(err).DidRun)
 }
--- a/platform/kvhttp/client.go
+++ b/infra/kvhttp/client.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform"
-	"github.com/skylarkstep/skylarkstep/platform/internal/gateway"
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/internal/gateway"
 )
 
 const (
@@ -31,7 +31,7 @@
 	keepAliveCount    = 3
 )
 
-// Client implements platform.KV. It is safe for concurrent use.
+// Client implements infra.KV. It is safe for concurrent use.
 type Client struct {
 	base        string
 	timeout     time.Duration
@@ -39,7 +39,7 @@
 	http        *http.Client
 }
 
-var _ platform.KV = (*Client)(nil)
+var _ infra.KV = (*Client)(nil)
 
 // Option changes a default of the client.
 type Option func(*Client)
@@ -118,7 +118,7 @@
 	case !connected:
 		return errkind.Wrap(err, errkind.StoreUnavailable, "%s: not sent", path).WithDidRun(errkind.NotRun)
 	case write:
-		return errkind.Wrap(platform.ErrUnknownOutcome, errkind.StoreUnavailable, "%s: no answer (%v)", path, err)
+		return errkind.Wrap(infra.ErrUnknownOutcome, errkind.StoreUnavailable, "%s: no answer (%v)", path, err)
 	default:
 		return errkind.Wrap(err, errkind.StoreUnavailable, "%s: no answer", path)
 	}
@@ -138,32 +138,32 @@
 func codeError(s gateway.Status, status int, path string, write bool) error {
 	switch {
 	case strings.Contains(s.Message, gateway.TextLeaseNotFound):
-		return errors.Wrap(platform.ErrLeaseNotFound, path)
+		return errors.Wrap(infra.ErrLeaseNotFound, path)
 	case strings.Contains(s.Message, gateway.TextCompacted):
-		return errors.Wrap(platform.ErrCompacted, path)
+		return errors.Wrap(infra.ErrCompacted, path)
 	case strings.Contains(s.Message, gateway.TextTooLarge):
 		return errkind.New(errkind.TooLarge, "%s: %s", path, s.Message)
 	case status >= http.StatusInternalServerError && write:
-		return errkind.Wrap(platform.ErrUnknownOutcome, errkind.StoreUnavailable, "%s: status %d: %s", path, status, s.Message)
+		return errkind.Wrap(infra.ErrUnknownOutcome, errkind.StoreUnavailable, "%s: status %d: %s", path, status, s.Message)
 	default:
 		return errkind.New(errkind.StoreUnavailable, "%s: status %d: %s", path, status, s.Message).WithDidRun(errkind.NotRun)
 	}
 }
 
-// Get implements platform.KV.
-func (c *Client) Get(ctx context.Context, key string) (platform.Item, int64, error) {
+// Get implements infra.KV.
+func (c *Client) Get(ctx context.Context, key string) (infra.Item, int64, error) {
 	var a gateway.RangeResponse
 	if err := c.call(ctx, gateway.PathRange, false, gateway.RangeRequest{Key: []byte(key)}, &a); err != nil {
-		return platform.Item{}, 0, err
+		return infra.Item{}, 0, err
 	}
 	if len(a.Kvs) == 0 {
-		return platform.Item{}, a.Header.Revision, errors.Wrapf(platform.ErrNotFound, "key %q", key)
+		return infra.Item{}, a.Header.Revision, errors.Wrapf(infra.ErrNotFound, "key %q", key)
 	}
 	return a.Kvs[0].Item(), a.Header.Revision, nil
 }
 
-// List implements platform.KV.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Item, int64, error) {
+// List implements infra.KV.
+func (c *Client) List(ctx context.Context, prefix string) ([]infra.Item, int64, error) {
 	key, end := gateway.Prefix(prefix)
 	var a gateway.RangeResponse
 	if err := c.call(ctx, gateway.PathRange, false, gateway.RangeRequest{Key: key, RangeEnd: end}, &a); err != nil {
@@ -172,24 +172,24 @@
 	return a.Items(), a.Header.Revision, nil
 }
 
-// Commit implements platform.KV.
-func (c *Client) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Commit implements infra.KV.
+func (c *Client) Commit(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	var a gateway.TxnResponse
 	if err := c.call(ctx, gateway.PathTxn, true, gateway.FromTxn(txn), &a); err != nil {
-		return platform.TxnResult{}, err
+		return infra.TxnResult{}, err
 	}
-	return platform.TxnResult{Succeeded: a.Succeeded, Revision: a.Header.Revision}, nil
+	return infra.TxnResult{Succeeded: a.Succeeded, Revision: a.Header.Revision}, nil
 }
 
-// Grant implements platform.KV. The TTL is rounded up to whole seconds.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements infra.KV. The TTL is rounded up to whole seconds.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	var a gateway.LeaseResponse
 	err := c.call(ctx, gateway.PathGrant, true, gateway.LeaseRequest{TTL: gateway.Seconds(ttl)}, &a)
-	return platform.LeaseID(a.ID), err
+	return infra.LeaseID(a.ID), err
 }
 
-// KeepAlive implements platform.KV.
-func (c *Client) KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
+// KeepAlive implements infra.KV.
+func (c *Client) KeepAlive(ctx context.Context, id infra.LeaseID) (time.Duration, error) {
 	var a gateway.KeepAliveResponse
 	if err := c.call(ctx, gateway.PathKeepAlive, true, gateway.LeaseRequest{ID: int64(id)}, &a); err != nil {
 		return 0, err
@@ -203,7 +203,7 @@
 	return time.Duration(a.Result.TTL) * time.Second, nil
 }
 
-// Revoke implements platform.KV.
-func (c *Client) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements infra.KV.
+func (c *Client) Revoke(ctx context.Context, id infra.LeaseID) error {
 	return c.call(ctx, gateway.PathRevoke, true, gateway.LeaseRequest{ID: int64(id)}, &gateway.LeaseResponse{})
 }
--- a/platform/kvhttp/watch.go
+++ b/infra/kvhttp/watch.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform"
-	"github.com/skylarkstep/skylarkstep/platform/internal/gateway"
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/internal/gateway"
 )
 
 // limitReader fails once more than left bytes were read. Unlike
@@ -66,12 +66,12 @@
 	return *m.Result, nil
 }
 
-// Watch implements platform.KV. It returns once the service has confirmed the
+// Watch implements infra.KV. It returns once the service has confirmed the
 // watch.
-func (c *Client) Watch(ctx context.Context, prefix string, after int64) (<-chan []platform.Event, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after int64) (<-chan []infra.Event, error) {
 	key, end := gateway.Prefix(prefix)
 	body := gateway.WatchRequest{Create: gateway.WatchCreate{Key: key, RangeEnd: end, StartRevision: after + 1}}
-	out := make(chan []platform.Event)
+	out := make(chan []infra.Event)
 	confirmed := make(chan error, 1)
 	go func() {
 		defer close(out)
@@ -85,7 +85,7 @@
 
 // runWatch sends the result of opening the watch to confirmed, and then events
 // until the watch ends.
-func (c *Client) runWatch(ctx context.Context, body gateway.WatchRequest, confirmed chan<- error, out chan<- []platform.Event) {
+func (c *Client) runWatch(ctx context.Context, body gateway.WatchRequest, confirmed chan<- error, out chan<- []infra.Event) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	opening := time.AfterFunc(c.timeout, cancel)
@@ -116,12 +116,12 @@
 }
 
 // forward sends events until the stream breaks or ctx ends.
-func forward(ctx context.Context, stream *watchStream, m gateway.WatchResult, out chan<- []platform.Event) {
+func forward(ctx context.Context, stream *watchStream, m gateway.WatchResult, out chan<- []infra.Event) {
 	for {
 		events := m.PlatformEvents()
 		if m.CompactRevision > 0 {
-			err := errors.Wrapf(platform.ErrCompacted, "changes are kept from revision %d on", m.CompactRevision)
-			events = []platform.Event{{Err: err}}
+			err := errors.Wrapf(infra.ErrCompacted, "changes are kept from revision %d on", m.CompactRevision)
+			events = []infra.Event{{Err: err}}
 		}
 		if len(events) > 0 {
 			select {
--- a/platform/kvhttp/watch_test.go
+++ b/infra/kvhttp/watch_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 )
 
 // TestWireFormat guards against an error that client and stand-in share,
@@ -23,13 +23,13 @@
 		_, _ = io.WriteString(w, `{"header":{"cluster_id":"14841639068965178418","revision":"7","raft_term":"2"},"succeeded":true,"responses":[{"response_put":{"header":{"revision":"7"}}}]}`)
 	}))
 	defer srv.Close()
-	r, err := New(srv.URL).Commit(t.Context(), platform.Txn{
-		Conditions: []platform.Condition{{Key: "foo"}},
-		Puts:       []platform.Put{{Key: "foo", Value: []byte("bar"), Lease: 9}},
+	r, err := New(srv.URL).Commit(t.Context(), infra.Txn{
+		Conditions: []infra.Condition{{Key: "foo"}},
+		Puts:       []infra.Put{{Key: "foo", Value: []byte("bar"), Lease: 9}},
 		Deletes:    []string{"old"},
 	})
 	require.NoError(t, err)
-	require.Equal(t, platform.TxnResult{Succeeded: true, Revision: 7}, r)
+	require.Equal(t, infra.TxnResult{Succeeded: true, Revision: 7}, r)
 	require.Equal(t, "/v3/kv/txn", path)
 	require.JSONEq(t, `{"compare":[{"result":"EQUAL","target":"MOD","key":"Zm9v","mod_revision":"0"}],
 		"success":[{"request_put":{"key":"Zm9v","value":"YmFy","lease":"9"}},{"request_delete_range":{"key":"b2xk"}}]}`, body)
@@ -46,8 +46,8 @@
 	_, _, err := c.List(t.Context(), "")
 	require.ErrorContains(t, err, "size limit")
 	require.Equal(t, errkind.StoreUnavailable, errkind.KindOf(err))
-	_, err = c.Commit(t.Context(), platform.Txn{})
-	require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	_, err = c.Commit(t.Context(), infra.Txn{})
+	require.ErrorIs(t, err, infra.ErrUnknownOutcome)
 }
 
 // TestRedirectedWrite guards against net/http sending a second request for a
@@ -59,7 +59,7 @@
 			calls++
 			http.Redirect(w, r, "/again", status)
 		}))
-		_, err := New(srv.URL).Commit(t.Context(), platform.Txn{})
+		_, err := New(srv.URL).Commit(t.Context(), infra.Txn{})
 		srv.Close()
 		require.Error(t, err)
 		require.Equal(t, 1, calls)
--- a/platform/standin/direct.go
+++ b/infra/standin/direct.go
@@ -9,20 +9,20 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform"
-	"github.com/skylarkstep/skylarkstep/platform/internal/gateway"
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/internal/gateway"
 )
 
 // directTimeout is the request timeout of the HTTP client.
 const directTimeout = time.Second
 
-// direct is a platform.KV without HTTP, for testing/synctest bubbles.
+// direct is a infra.KV without HTTP, for testing/synctest bubbles.
 type direct struct{ kv *KV }
 
 // Direct returns an in-process view that answers like an HTTP client of the
 // stand-in, with the same faults. In a synctest bubble, create the KV inside
 // the bubble.
-func (k *KV) Direct() platform.KV { return direct{k} }
+func (k *KV) Direct() infra.KV { return direct{k} }
 
 // call applies the fault switches around run.
 func (d direct) call(ctx context.Context, kind string, run func() *gateway.Status) error {
@@ -37,17 +37,17 @@
 	case err != nil && !write:
 		return errkind.Wrap(err, errkind.StoreUnavailable, "%s: no answer", kind)
 	case refused || err != nil:
-		return errkind.Wrap(platform.ErrUnknownOutcome, errkind.StoreUnavailable, "%s: no answer", kind)
+		return errkind.Wrap(infra.ErrUnknownOutcome, errkind.StoreUnavailable, "%s: no answer", kind)
 	}
 	s := run()
 	if write && d.kv.dropReply() {
-		return errkind.Wrap(platform.ErrUnknownOutcome, errkind.StoreUnavailable, "%s: reply lost", kind)
+		return errkind.Wrap(infra.ErrUnknownOutcome, errkind.StoreUnavailable, "%s: reply lost", kind)
 	}
 	switch {
 	case s == nil:
 		return nil
 	case strings.Contains(s.Message, gateway.TextLeaseNotFound):
-		return errors.Wrap(platform.ErrLeaseNotFound, kind)
+		return errors.Wrap(infra.ErrLeaseNotFound, kind)
 	case strings.Contains(s.Message, gateway.TextTooLarge):
 		return errkind.New(errkind.TooLarge, "%s: %s", kind, s.Message)
 	default:
@@ -55,7 +55,7 @@
 	}
 }
 
-func (d direct) read(ctx context.Context, q gateway.RangeRequest) ([]platform.Item, int64, error) {
+func (d direct) read(ctx context.Context, q gateway.RangeRequest) ([]infra.Item, int64, error) {
 	var a gateway.RangeResponse
 	err := d.call(ctx, "range", func() *gateway.Status { a = d.kv.rangeOp(q); return nil })
 	if err != nil {
@@ -68,36 +68,36 @@
 	return items, a.Header.Revision, nil
 }
 
-// Get implements platform.KV.
-func (d direct) Get(ctx context.Context, key string) (platform.Item, int64, error) {
+// Get implements infra.KV.
+func (d direct) Get(ctx context.Context, key string) (infra.Item, int64, error) {
 	items, revision, err := d.read(ctx, gateway.RangeRequest{Key: []byte(key)})
 	if err != nil {
-		return platform.Item{}, 0, err
+		return infra.Item{}, 0, err
 	}
 	if len(items) == 0 {
-		return platform.Item{}, revision, errors.Wrapf(platform.ErrNotFound, "key %q", key)
+		return infra.Item{}, revision, errors.Wrapf(infra.ErrNotFound, "key %q", key)
 	}
 	return items[0], revision, nil
 }
 
-// List implements platform.KV.
-func (d direct) List(ctx context.Context, prefix string) ([]platform.Item, int64, error) {
+// List implements infra.KV.
+func (d direct) List(ctx context.Context, prefix string) ([]infra.Item, int64, error) {
 	key, end := gateway.Prefix(prefix)
 	return d.read(ctx, gateway.RangeRequest{Key: key, RangeEnd: end})
 }
 
-// Commit implements platform.KV.
-func (d direct) Commit(ctx context.Context, t platform.Txn) (platform.TxnResult, error) {
+// Commit implements infra.KV.
+func (d direct) Commit(ctx context.Context, t infra.Txn) (infra.TxnResult, error) {
 	var a gateway.TxnResponse
 	err := d.call(ctx, "txn", func() (s *gateway.Status) { a, s = d.kv.txn(gateway.FromTxn(t)); return s })
 	if err != nil {
-		return platform.TxnResult{}, err
+		return infra.TxnResult{}, err
 	}
-	return platform.TxnResult{Succeeded: a.Succeeded, Revision: a.Header.Revision}, nil
+	return infra.TxnResult{Succeeded: a.Succeeded, Revision: a.Header.Revision}, nil
 }
 
-// Grant implements platform.KV.
-func (d direct) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements infra.KV.
+func (d direct) Grant(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	var a gateway.LeaseResponse
 	err := d.call(ctx, "grant", func() (s *gateway.Status) {
 		a, s = d.kv.grant(gateway.LeaseRequest{TTL: gateway.Seconds(ttl)})
@@ -106,11 +106,11 @@
 	if err != nil {
 		return 0, err
 	}
-	return platform.LeaseID(a.ID), nil
+	return infra.LeaseID(a.ID), nil
 }
 
-// KeepAlive implements platform.KV.
-func (d direct) KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
+// KeepAlive implements infra.KV.
+func (d direct) KeepAlive(ctx context.Context, id infra.LeaseID) (time.Duration, error) {
 	var a gateway.KeepAliveResponse
 	err := d.call(ctx, "keepalive", func() *gateway.Status {
 		a = d.kv.keepAlive(gateway.LeaseRequest{ID: int64(id)})
@@ -122,21 +122,21 @@
 	return time.Duration(a.Result.TTL) * time.Second, nil
 }
 
-// Revoke implements platform.KV.
-func (d direct) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements infra.KV.
+func (d direct) Revoke(ctx context.Context, id infra.LeaseID) error {
 	return d.call(ctx, "revoke", func() (s *gateway.Status) {
 		_, s = d.kv.revoke(gateway.LeaseRequest{ID: int64(id)})
 		return s
 	})
 }
 
-// Watch implements platform.KV.
-func (d direct) Watch(ctx context.Context, prefix string, after int64) (<-chan []platform.Event, error) {
+// Watch implements infra.KV.
+func (d direct) Watch(ctx context.Context, prefix string, after int64) (<-chan []infra.Event, error) {
 	if err := d.call(ctx, "watch", func() *gateway.Status { return nil }); err != nil {
 		return nil, err
 	}
 	key, end := gateway.Prefix(prefix)
-	out := make(chan []platform.Event)
+	out := make(chan []infra.Event)
 	confirmed := make(chan struct{})
 	go func() {
 		defer close(out)
@@ -150,8 +150,8 @@
 				events[i].Item.Value = bytes.Clone(events[i].Item.Value)
 			}
 			if m.Canceled {
-				err := errors.Wrapf(platform.ErrCompacted, "changes are kept from revision %d on", m.CompactRevision)
-				events = []platform.Event{{Err: err}}
+				err := errors.Wrapf(infra.ErrCompacted, "changes are kept from revision %d on", m.CompactRevision)
+				events = []infra.Event{{Err: err}}
 			}
 			select {
 			case out <- events:
--- a/platform/standin/instances.go
+++ b/infra/standin/instances.go
@@ -6,7 +6,7 @@
 	"slices"
 	"sync"
 
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 )
 
 // InstanceList is the stand-in of the instance list.
@@ -14,14 +14,14 @@
 	Faults
 
 	mu   sync.Mutex
-	rows []platform.Instance
+	rows []infra.Instance
 }
 
 // NewInstanceList returns an empty list.
 func NewInstanceList() *InstanceList { return &InstanceList{} }
 
 // Set replaces the list. A test shows a lag by calling it late.
-func (l *InstanceList) Set(rows ...platform.Instance) {
+func (l *InstanceList) Set(rows ...infra.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rows = slices.Clone(rows)
@@ -36,7 +36,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	l.mu.Lock()
-	rows := append([]platform.Instance{}, l.rows...)
+	rows := append([]infra.Instance{}, l.rows...)
 	l.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(rows)
--- a/platform/standin/kv.go
+++ b/infra/standin/kv.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/skylarkstep/skylarkstep/platform"
-	"github.com/skylarkstep/skylarkstep/platform/internal/gateway"
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/internal/gateway"
 )
 
 // maxHistory bounds the changes kept for watches and Rollback, so that a long
@@ -77,7 +77,7 @@
 }
 
 // Lapse ends a lease before its time.
-func (k *KV) Lapse(id platform.LeaseID) {
+func (k *KV) Lapse(id infra.LeaseID) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.endLease(int64(id))
@@ -223,7 +223,7 @@
 			key = op.Delete.Key
 		default:
 			key = op.Put.Key
-			if len(op.Put.Value) > platform.MaxValueBytes {
+			if len(op.Put.Value) > infra.MaxValueBytes {
 				return &gateway.Status{Code: gateway.CodeInvalidArgument, Message: gateway.TextTooLarge}
 			}
 			if id := op.Put.Lease; id != 0 && k.leases[id] == nil {
--- a/platform/standin/kvhttp.go
+++ b/infra/standin/kvhttp.go
@@ -5,7 +5,7 @@
 	"io"
 	"net/http"
 
-	"github.com/skylarkstep/skylarkstep/platform/internal/gateway"
+	"github.com/skylarkstep/skylarkstep/infra/internal/gateway"
 )
 
 // maxRequest is etcd's default limit of a request, in base64, with room for
--- a/platform/standin/kvwatch.go
+++ b/infra/standin/kvwatch.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/skylarkstep/skylarkstep/platform/internal/gateway"
+	"github.com/skylarkstep/skylarkstep/infra/internal/gateway"
 )
 
 // collect returns the changes since the revision next, or a message that ends
--- a/platform/weighthttp/client.go
+++ b/infra/weighthttp/client.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 )
 
 const (
@@ -25,13 +25,13 @@
 	maxRetryAfter = time.Hour
 )
 
-// Client implements platform.WeightStore.
+// Client implements infra.WeightStore.
 type Client struct {
 	base string
 	http *http.Client
 }
 
-var _ platform.WeightStore = (*Client)(nil)
+var _ infra.WeightStore = (*Client)(nil)
 
 // Option changes a default of the client.
 type Option func(*http.Transport)
@@ -50,7 +50,7 @@
 	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: &http.Client{Transport: t}}
 }
 
-// Fetch implements platform.WeightStore. The object is read and discarded.
+// Fetch implements infra.WeightStore. The object is read and discarded.
 func (c *Client) Fetch(ctx context.Context, object string) (int64, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/objects/"+url.PathEscape(object), nil)
 	if err != nil {
@@ -67,7 +67,7 @@
 		return 0, errkind.New(errkind.Overloaded, "weights %q: rate limit", object).
 			WithRetryAfter(retryAfter(resp.Header.Get("Retry-After"), time.Now()))
 	case http.StatusNotFound:
-		return 0, errors.Wrapf(platform.ErrNotFound, "weights %q", object)
+		return 0, errors.Wrapf(infra.ErrNotFound, "weights %q", object)
 	default:
 		return 0, errkind.New(errkind.StoreUnavailable, "weights %q: status %d", object, resp.StatusCode)
 	}
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/infra"
 )
 
 const (
@@ -22,7 +22,7 @@
 
 // Options describe a lease.
 type Options struct {
-	KV  platform.KV
+	KV  infra.KV
 	Key string
 	// Holder is unique to this process incarnation. It tells whose a key is
 	// after a lost reply.
@@ -39,7 +39,7 @@
 	o  Options
 	mu sync.Mutex
 	t  term
-	id platform.LeaseID
+	id infra.LeaseID
 }
 
 var _ Token = (*Holder)(nil)
@@ -73,7 +73,7 @@
 
 // acquire returns true when this process holds the key.
 func (h *Holder) acquire(ctx context.Context) bool {
-	if _, _, err := h.o.KV.Get(ctx, h.o.Key); !errors.Is(err, platform.ErrNotFound) {
+	if _, _, err := h.o.KV.Get(ctx, h.o.Key); !errors.Is(err, infra.ErrNotFound) {
 		return false
 	}
 	granted := time.Now()
@@ -103,15 +103,15 @@
 
 // take writes the key if it does not exist. The fencing number is the revision
 // of that write. A lost reply is resolved by reading.
-func (h *Holder) take(ctx context.Context, id platform.LeaseID) (uint64, bool) {
-	res, err := h.o.KV.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: h.o.Key}},
-		Puts:       []platform.Put{{Key: h.o.Key, Value: []byte(h.o.Holder), Lease: id}},
+func (h *Holder) take(ctx context.Context, id infra.LeaseID) (uint64, bool) {
+	res, err := h.o.KV.Commit(ctx, infra.Txn{
+		Conditions: []infra.Condition{{Key: h.o.Key}},
+		Puts:       []infra.Put{{Key: h.o.Key, Value: []byte(h.o.Holder), Lease: id}},
 	})
 	if err == nil {
 		return uint64(res.Revision), res.Succeeded
 	}
-	if !errors.Is(err, platform.ErrUnknownOutcome) {
+	if !errors.Is(err, infra.ErrUnknownOutcome) {
 		return 0, false
 	}
 	item, _, err := h.o.KV.Get(ctx, h.o.Key)
@@ -140,7 +140,7 @@
 		}
 		remaining, err := h.o.KV.KeepAlive(ctx, h.id)
 		switch {
-		case errors.Is(err, platform.ErrLeaseNotFound) || err == nil && remaining <= 0:
+		case errors.Is(err, infra.ErrLeaseNotFound) || err == nil && remaining <= 0:
 			return "lapsed at the key-value service"
 		case err != nil:
 			pause = retryInterval
@@ -173,12 +173,12 @@
 
 // release revokes the lease. A revocation whose reply was lost is sent again;
 // then the service no longer knows the lease.
-func (h *Holder) release(id platform.LeaseID) {
+func (h *Holder) release(id infra.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
 		err := h.o.KV.Revoke(ctx, id)
-		if err == nil || errors.Is(err, platform.ErrLeaseNotFound) {
+		if err == nil || errors.Is(err, infra.ErrLeaseNotFound) {
 			return
 		}
 		sleep(ctx, retryInterval)
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/skylarkstep/skylarkstep/platform/standin"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
 )
 
 // TestMain fixes the seed of the property tests, so that the verdict is the
