--- a/daemon/cmd/skylarkd/main.go
+++ b/daemon/cmd/skylarkd/main.go
@@ -31,7 +31,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), checkCommand())
+	root.AddCommand(runCommand(), checkCommand(), gatewayCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "skylarkd:", err)
 		os.Exit(1)
--- a/daemon/httpapi/ops.go
+++ b/daemon/httpapi/ops.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/telemetry"
 )
 
 // Mux is the part of a multiplexer that MountOps needs.
@@ -32,7 +33,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(n.Metrics, w)
 	})
-	mux.Handle(http.MethodGet, "/metrics/prometheus", servePrometheus(n.Metrics))
+	mux.Handle(http.MethodGet, "/metrics/prometheus", telemetry.ServePrometheus(n.Metrics))
 }
 
 type health struct {
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,308 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/gateway/upstream"
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+const (
+	// maxBuffered is the size in bytes up to which an answer is read as a whole
+	// before it is passed on, so that one that was cut can be repeated.
+	maxBuffered = 1 << 20
+	// hedgeAfter is how long an idempotent call may stay without an answer
+	// before it is sent to a second target.
+	hedgeAfter = 700 * time.Millisecond
+	// refusedPause keeps new work from a target that has refused a request.
+	refusedPause = 100 * time.Millisecond
+	// unreachablePause keeps new work from a target that can't be reached, or
+	// whose address belongs to another one.
+	unreachablePause = 500 * time.Millisecond
+)
+
+// verdict is what became of one attempt.
+type verdict uint8
+
+const (
+	// notSent attempts never reached the target.
+	notSent verdict = iota
+	// refused attempts were turned away; the target promises that they did not run.
+	refused
+	// failed attempts ran and have an answer that reports a failure.
+	failed
+	// lost attempts may have run and have no usable answer.
+	lost
+	// succeeded attempts have an answer for the caller.
+	succeeded
+)
+
+// result is one attempt of a call.
+type result struct {
+	verdict verdict
+	target  *target
+	resp    *upstream.Response
+	body    []byte
+	more    bool // the body goes on after body
+	err     error
+}
+
+// send makes one attempt. The answer's body has not been read.
+func (x *exchange) send(ctx context.Context, t *target, lastEvent string) result {
+	req := &upstream.Request{
+		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: x.forwardHeader(t, lastEvent),
+		Body: x.body, HasBody: x.hasBody,
+		Matches: func(status int, h http.Header) bool {
+			m := x.g.headers.Response(status, h)
+			return m.ID == x.meta.ID || m.ID == "" && m.NotRun
+		},
+	}
+	resp, err := t.pool.Do(ctx, req)
+	if err != nil {
+		var u *upstream.Error
+		if errors.As(err, &u) && !u.Sent {
+			t.quiet(time.Now().Add(unreachablePause))
+			return result{verdict: notSent, target: t, err: err}
+		}
+		if ctx.Err() == nil {
+			t.outcome(true)
+		}
+		return result{verdict: lost, target: t, err: err}
+	}
+	t.heard(time.Now())
+	return x.judge(t, resp)
+}
+
+// judge tells from the head of an answer what became of the attempt.
+func (x *exchange) judge(t *target, resp *upstream.Response) result {
+	m := x.g.headers.Response(resp.StatusCode, resp.Header)
+	res := result{target: t, resp: resp}
+	switch {
+	case m.NotRun:
+		pause := refusedPause
+		if resp.StatusCode == http.StatusMisdirectedRequest {
+			pause = unreachablePause
+		}
+		t.quiet(time.Now().Add(pause))
+		drain(resp)
+		res.verdict, res.err = refused, errors.Errorf("target %s refused with status %d", t.ID, resp.StatusCode)
+	case resp.StatusCode >= http.StatusInternalServerError:
+		t.outcome(true)
+		res.verdict, res.err = failed, errors.Errorf("target %s failed with status %d", t.ID, resp.StatusCode)
+	case resp.StatusCode < http.StatusMultipleChoices && !m.Sealed:
+		t.outcome(true)
+		resp.Close()
+		res.verdict, res.err = lost, errors.Errorf("target %s gave an answer without its seal", t.ID)
+	default:
+		res.verdict = succeeded
+	}
+	return res
+}
+
+// maxDrain bounds the bytes of a refusal that are read to keep the connection.
+const maxDrain = 16 << 10
+
+func drain(resp *upstream.Response) {
+	if _, err := io.CopyN(io.Discard, resp.Body, maxDrain); errors.Is(err, io.EOF) {
+		resp.Finish()
+		return
+	}
+	resp.Close()
+}
+
+// attempted counts an attempt and remembers what it means for the next.
+func (x *exchange) attempted(res result) {
+	x.target = res.target.ID
+	if res.err != nil {
+		x.lastErr = res.err
+	}
+	switch res.verdict {
+	case notSent:
+	case refused:
+		x.arrived++
+		if res.resp.StatusCode != http.StatusMisdirectedRequest {
+			x.counted++
+		}
+	default:
+		x.arrived++
+		x.counted++
+		x.mayHaveRun = true
+	}
+}
+
+// again reports whether the request may be sent once more after the result.
+func (x *exchange) again(res result) bool {
+	switch res.verdict {
+	case notSent:
+		return true
+	case refused:
+		return x.counted < x.route.MaxAttempts
+	case failed, lost:
+		return x.route.Repeatable() && x.counted < x.route.MaxAttempts
+	default:
+		return false
+	}
+}
+
+// call serves a request whose answer is passed on as a whole. An idempotent one
+// is sent to a second target if the first stays silent.
+func (x *exchange) call(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, 2*x.route.MaxAttempts+1)
+	running := 0
+	start := func() error {
+		t, err := x.place(ctx)
+		if err != nil {
+			return err
+		}
+		running++
+		go func() { results <- x.tryCall(ctx, t) }()
+		return nil
+	}
+	if err := start(); err != nil {
+		return err
+	}
+	hedge := time.NewTimer(hedgeAfter)
+	defer hedge.Stop()
+	var kept *result
+	for running > 0 {
+		select {
+		case res := <-results:
+			running--
+			x.attempted(res)
+			if res.verdict == succeeded {
+				return x.answer(res)
+			}
+			if res.verdict == failed {
+				kept = &res
+			}
+			if x.again(res) && running == 0 {
+				if err := start(); err != nil && kept == nil {
+					return err
+				}
+			}
+		case <-hedge.C:
+			if x.route.Kind == routing.Idempotent && running == 1 && x.counted+running < x.route.MaxAttempts && x.hedge() {
+				_ = start() // the first attempt goes on in any case
+			}
+		case <-ctx.Done():
+			x.mayHaveRun = x.mayHaveRun || running > 0
+			return x.expired()
+		}
+	}
+	if kept != nil {
+		return x.answerFailure(*kept)
+	}
+	return x.giveUp()
+}
+
+// hedge takes a retry for a second attempt beside the first, which counts as
+// arrived from now on.
+func (x *exchange) hedge() bool {
+	if !x.g.takeRetry(x.backend) {
+		return false
+	}
+	x.g.metrics.hedges.Inc(1)
+	return true
+}
+
+// tryCall makes one attempt and reads its answer.
+func (x *exchange) tryCall(ctx context.Context, t *target) result {
+	began := time.Now()
+	res := x.send(ctx, t, "")
+	if res.verdict == succeeded || res.verdict == failed {
+		res = readAnswer(res)
+	}
+	q := x.g.queues.of(x.backend)
+	held := time.Since(began)
+	if res.verdict != succeeded {
+		held = 0
+	} else {
+		t.outcome(false)
+	}
+	q.release(t, held)
+	return res
+}
+
+// readAnswer reads the body of an answer, up to maxBuffered.
+func readAnswer(res result) result {
+	body, err := io.ReadAll(io.LimitReader(res.resp.Body, maxBuffered+1))
+	switch {
+	case err != nil:
+		res.resp.Close()
+		res.target.outcome(true)
+		return result{verdict: lost, target: res.target, err: errors.Wrapf(err, "answer of target %s was cut", res.target.ID)}
+	case len(body) > maxBuffered:
+		res.more = true
+	default:
+		res.resp.Finish()
+	}
+	res.body = body
+	return res
+}
+
+// answer passes on a complete answer.
+func (x *exchange) answer(res result) error {
+	x.copyHeader(res.resp)
+	if !res.more && x.r.Method != http.MethodHead {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(res.body)))
+	}
+	x.w.WriteHeader(res.resp.StatusCode)
+	if err := x.write(res.body); err != nil {
+		res.resp.Close()
+		return errBroken
+	}
+	if !res.more {
+		return nil
+	}
+	defer res.resp.Close()
+	if _, err := io.Copy(x.w, res.resp.Body); err != nil {
+		x.lastErr = errors.Wrapf(err, "answer of target %s was cut", res.target.ID)
+		return errBroken
+	}
+	res.resp.Finish()
+	return nil
+}
+
+// answerFailure passes on a target's own failure. A status that promises that
+// the request did not run is replaced, since it did.
+func (x *exchange) answerFailure(res result) error {
+	switch res.resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
+		return errkind.New(errkind.BackendFailed, "target %s failed with status %d", res.target.ID, res.resp.StatusCode)
+	}
+	return x.answer(res)
+}
+
+// copyHeader copies the header of an answer that concerns the caller.
+func (x *exchange) copyHeader(resp *upstream.Response) {
+	h := x.w.Header()
+	for name, values := range resp.Header {
+		h[name] = values
+	}
+	for _, name := range connectionHeaders {
+		h.Del(name)
+	}
+	h.Del("Content-Length")
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
+	if x.g.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
+func (x *exchange) write(p []byte) error {
+	rc := http.NewResponseController(x.w)
+	_ = rc.SetWriteDeadline(time.Now().Add(writeWait))
+	_, err := x.w.Write(p)
+	return errors.WithStack(err)
+}
--- /dev/null
+++ b/gateway/control.go
@@ -0,0 +1,382 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/mirror"
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+const (
+	// tick is how often the control goroutine looks at what has grown old.
+	tick = 250 * time.Millisecond
+	// freshFor is the age up to which the copy of the service counts as current.
+	// It exceeds the time that a watch may wait without a change.
+	freshFor = 4 * time.Second
+	// lapseGrace is how long targets whose entries lapsed while the service was
+	// away are kept after its return; live ones are back by then.
+	lapseGrace = 2500 * time.Millisecond
+	// troubleMemory is how long after a failed call a deletion may be a lapse.
+	troubleMemory = 3 * time.Second
+	// watchRetry is the pause after a watch that failed, and watchRetryMost the
+	// longest one.
+	watchRetry     = 50 * time.Millisecond
+	watchRetryMost = time.Second
+)
+
+// control owns the state that decisions about configuration and membership
+// need. Only its goroutine touches it; others hand it functions.
+type control struct {
+	g      *Gateway
+	log    *slog.Logger
+	inbox  chan func()
+	mirror *mirror.Mirror
+
+	config  *routing.Config
+	table   *routing.Table
+	targets map[string]*target
+	lapsed  map[string]time.Time // targets without an entry, since when
+	peers   *peerTable
+
+	// confirmedAt is when the copy was last known to be up to date.
+	confirmedAt time.Time
+	reachable   bool
+	lastTrouble time.Time
+	backAt      time.Time
+	dirty       bool
+	stale       bool
+	// believeUntil is when requests must be refused unless the copy is confirmed
+	// before, on the clock of monotonic; 0 is never.
+	believeUntil atomic.Int64
+}
+
+func newControl(g *Gateway) *control {
+	return &control{
+		g: g, log: g.log, inbox: make(chan func(), 256), mirror: mirror.New(),
+		targets: map[string]*target{}, lapsed: map[string]time.Time{}, peers: newPeerTable(),
+	}
+}
+
+// do runs f in the control goroutine.
+func (c *control) do(ctx context.Context, f func()) {
+	select {
+	case c.inbox <- f:
+	case <-ctx.Done():
+	}
+}
+
+// ask runs f in the control goroutine and waits for it.
+func (c *control) ask(ctx context.Context, f func()) {
+	done := make(chan struct{})
+	c.do(ctx, func() { f(); close(done) })
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (c *control) run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case f := <-c.inbox:
+			f()
+		case now := <-ticker.C:
+			c.tick(now)
+		case <-ctx.Done():
+			return
+		}
+		c.publish(time.Now())
+	}
+}
+
+func (c *control) tick(now time.Time) {
+	c.dropLapsed(now)
+	c.peers.forget(now)
+	c.noteFreshness(now)
+	c.noteIsolation(now)
+	for _, t := range c.targets {
+		t.pool.Sweep(now)
+		t.others.Store(c.peers.load(t.ID, now))
+	}
+	c.g.queues.wake()
+}
+
+func (c *control) noteFreshness(now time.Time) {
+	stale := !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > freshFor
+	if stale != c.stale {
+		c.stale = stale
+		c.log.Info("configuration freshness changed", "stale", stale, "age_ms", now.Sub(c.confirmedAt).Milliseconds(),
+			"revision", c.mirror.Revision(), "peers_heard", c.peers.heard(now))
+	}
+}
+
+// noteIsolation sets until when this instance may believe its copy. Traffic
+// compares the time itself, since after a pause it may run first.
+func (c *control) noteIsolation(now time.Time) {
+	if c.config == nil {
+		return
+	}
+	until := int64(0)
+	if c.isolated(now) {
+		until = monotonic(c.confirmedAt.Add(c.g.limits.Load().RefuseAfter))
+	}
+	if old := c.believeUntil.Swap(until); (old == 0) != (until == 0) {
+		c.log.Info("isolation changed", "isolated", until != 0, "confirmed_ms", now.Sub(c.confirmedAt).Milliseconds())
+	}
+}
+
+// reached notes an answer of the service that shows the copy as of a moment.
+func (c *control) reached(asOf, now time.Time) {
+	if !c.reachable {
+		c.log.Info("dependency back", "dependency", "key-value service", "revision", c.mirror.Revision())
+		c.backAt = now
+	}
+	c.reachable = true
+	c.confirm(asOf)
+}
+
+func (c *control) confirm(asOf time.Time) {
+	if asOf.After(c.confirmedAt) {
+		c.confirmedAt = asOf
+	}
+}
+
+// lost notes that a call to the service failed.
+func (c *control) lost(err error, now time.Time) {
+	if c.reachable {
+		c.log.Warn("dependency lost", "dependency", "key-value service", "error", err.Error())
+	}
+	c.reachable = false
+	c.lastTrouble = now
+}
+
+// changed takes in new items of the copy.
+func (c *control) changed(keys []string, source string, now time.Time) {
+	for _, key := range keys {
+		it, exists := c.mirror.Get(key)
+		switch {
+		case c.g.records.IsConfig(key):
+			if exists {
+				c.takeConfig(it, source)
+			}
+		default:
+			if id, ok := c.g.records.TargetID(key); ok {
+				c.takeTarget(id, it, exists, source, now)
+			} else if dc, ok := c.g.records.OutDataCentre(key); ok {
+				c.dirty = true
+				c.log.Info("data centre changed", "data_centre", dc, "out", exists, "revision", it.ModRevision, "source", source)
+			} else if isInstanceKey(key) {
+				c.dirty = true
+			}
+		}
+	}
+}
+
+// takeConfig accepts a configuration unless it is older than the present one.
+func (c *control) takeConfig(it infra.Item, source string) {
+	cfg, err := c.g.records.Config(it.Value)
+	if err != nil {
+		c.log.Error("configuration not readable", "revision", it.ModRevision, "error", err.Error())
+		return
+	}
+	if c.config != nil && cfg.Version <= c.config.Version {
+		return
+	}
+	c.config, c.table = cfg, routing.NewTable(cfg)
+	c.dirty = true
+	c.log.Info("configuration in force", "version", cfg.Version, "revision", it.ModRevision, "source", source,
+		"routes", len(cfg.Routes), "customers", len(cfg.Customers))
+}
+
+func (c *control) takeTarget(id string, it infra.Item, exists bool, source string, now time.Time) {
+	c.dirty = true
+	if !exists {
+		c.targetGone(id, now)
+		return
+	}
+	rt, err := c.g.records.Target(id, it.Value)
+	if err != nil {
+		c.log.Warn("target entry not readable", "target", id, "revision", it.ModRevision, "error", err.Error())
+		c.removeTarget(id, "unreadable entry")
+		return
+	}
+	delete(c.lapsed, id)
+	old := c.targets[id]
+	if old == nil || old.Incarnation != rt.Incarnation || old.Addr != rt.Addr || old.Backend != rt.Backend {
+		c.removeTarget(id, "new incarnation")
+		old = newTarget(rt)
+		c.targets[id] = old
+		c.log.Info("target appeared", "target", id, "back_end", rt.Backend, "addr", rt.Addr, "data_centre", rt.DataCentre,
+			"cold_ms", rt.ColdFor.Milliseconds(), "leaving", rt.Leaving, "source", source)
+	} else if old.Leaving != rt.Leaving {
+		c.log.Info("target state changed", "target", id, "leaving", rt.Leaving, "revision", it.ModRevision, "source", source)
+	}
+	if rt.ColdFor > 0 {
+		old.coldUntil.Store(monotonic(now.Add(rt.ColdFor)))
+	}
+	if old.Target != rt {
+		next := old.replaced(rt)
+		c.targets[id] = next
+	}
+}
+
+// replaced returns the target with other facts about the same incarnation.
+func (t *target) replaced(rt routing.Target) *target {
+	n := &target{Target: rt, pool: t.pool}
+	n.own.Store(t.own.Load())
+	n.others.Store(t.others.Load())
+	n.coldUntil.Store(t.coldUntil.Load())
+	t.mu.Lock()
+	n.failures, n.warmUp, n.quietUntil = t.failures, t.warmUp, t.quietUntil
+	t.mu.Unlock()
+	return n
+}
+
+// targetGone handles a deleted entry. One that was deleted while the service
+// was in trouble may have lapsed although the target lives.
+func (c *control) targetGone(id string, now time.Time) {
+	t := c.targets[id]
+	if t == nil {
+		return
+	}
+	if !t.Leaving && now.Sub(c.lastTrouble) < troubleMemory {
+		c.lapsed[id] = now
+		c.log.Warn("target entry lapsed", "target", id, "trouble_age_ms", now.Sub(c.lastTrouble).Milliseconds())
+		return
+	}
+	c.removeTarget(id, "entry removed")
+}
+
+func (c *control) removeTarget(id, reason string) {
+	delete(c.lapsed, id)
+	t := c.targets[id]
+	if t == nil {
+		return
+	}
+	delete(c.targets, id)
+	t.pool.Close()
+	c.log.Info("target removed", "target", id, "back_end", t.Backend, "reason", reason)
+}
+
+// dropLapsed removes targets whose entries have not come back in time.
+func (c *control) dropLapsed(now time.Time) {
+	for id, since := range c.lapsed {
+		if c.reachable && now.Sub(c.backAt) > lapseGrace && now.Sub(since) > lapseGrace {
+			c.removeTarget(id, "entry not back")
+			c.dirty = true
+		}
+	}
+}
+
+// publish makes the state visible to traffic.
+func (c *control) publish(now time.Time) {
+	if !c.dirty || c.table == nil {
+		return
+	}
+	c.dirty = false
+	s := &snapshot{
+		table: c.table, revision: c.mirror.Revision(), targets: map[string][]*target{},
+		all: map[string]*target{}, instances: c.instances(now),
+	}
+	out := map[string]bool{}
+	c.mirror.Each(func(it infra.Item) {
+		if dc, ok := c.g.records.OutDataCentre(it.Key); ok {
+			out[dc] = true
+		}
+	})
+	for id, t := range c.targets {
+		s.all[id] = t
+		if !t.Leaving && !out[t.DataCentre] {
+			s.targets[t.Backend] = append(s.targets[t.Backend], t)
+		}
+	}
+	c.g.state.Store(s)
+	c.g.queues.wake()
+}
+
+// watch keeps the copy up to date from the service until ctx ends.
+func (c *control) watch(ctx context.Context) {
+	pause := watchRetry
+	for ctx.Err() == nil {
+		err := c.watchOnce(ctx, func() { pause = watchRetry })
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, infra.ErrCompacted) {
+			c.log.Warn("history of the service lost, listing again")
+			c.do(ctx, func() { c.lastTrouble = time.Now() })
+			c.list(ctx)
+			continue
+		}
+		c.do(ctx, func() { c.lost(err, time.Now()) })
+		sleep(ctx, pause)
+		pause = min(2*pause, watchRetryMost)
+	}
+}
+
+// list replaces the copy by what the service holds.
+func (c *control) list(ctx context.Context) {
+	asked := time.Now()
+	items, revision, err := c.g.kv.List(ctx, "")
+	if err != nil {
+		c.do(ctx, func() { c.lost(err, time.Now()) })
+		sleep(ctx, watchRetry)
+		return
+	}
+	c.ask(ctx, func() {
+		now := time.Now()
+		c.reached(asked, now)
+		c.changed(c.mirror.Load(items, revision), "list", now)
+	})
+}
+
+var errWatchEnded = errors.New("the watch ended")
+
+func (c *control) watchOnce(ctx context.Context, ok func()) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var after int64
+	c.ask(ctx, func() { after = c.mirror.Revision() })
+	if after == 0 {
+		c.list(ctx)
+		c.ask(ctx, func() { after = c.mirror.Revision() })
+		if after == 0 {
+			return errors.New("no list of the service yet")
+		}
+	}
+	began := time.Now()
+	events, err := c.g.kv.Watch(ctx, "", after)
+	if err != nil {
+		return err
+	}
+	for batch := range events {
+		if len(batch) > 0 && batch[len(batch)-1].Err != nil {
+			return batch[len(batch)-1].Err
+		}
+		ok()
+		asOf := began
+		began = time.Now()
+		c.ask(ctx, func() {
+			c.reached(asOf, time.Now())
+			c.changed(c.mirror.Apply(batch), "watch", time.Now())
+		})
+	}
+	return errWatchEnded
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,320 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+// Options describe one instance.
+type Options struct {
+	Instance   string
+	DataCentre string
+	Region     string
+	// Regions maps data centres to regions.
+	Regions map[string]string
+	// CallerAddr is where callers connect, and PeerAddr where the other
+	// instances do.
+	CallerAddr, PeerAddr string
+	// StopWithin is how long a planned stop may take.
+	StopWithin time.Duration
+	// AddressAge is how long callers may keep a list of addresses.
+	AddressAge time.Duration
+	Limits     Limits
+
+	KV       infra.KV
+	Records  Records
+	Headers  Headers
+	Log      *slog.Logger
+	Registry metrics.Registry
+}
+
+// Limits may change while the instance runs.
+type Limits struct {
+	// RefuseAfter is the age of the configuration from which an instance that
+	// reaches nobody refuses requests.
+	RefuseAfter time.Duration
+	Retries     routing.RetryLimits
+}
+
+// Gateway is one instance.
+type Gateway struct {
+	o       Options
+	id      string
+	log     *slog.Logger
+	kv      infra.KV
+	records Records
+	headers Headers
+	metrics *gatewayMetrics
+
+	control  *control
+	queues   *queues
+	dialing  *dialing
+	registry *registry
+	state    atomic.Pointer[snapshot]
+	leaving  atomic.Bool
+	refusing atomic.Bool // set late in a planned stop
+	working  atomic.Int64
+
+	limits atomic.Pointer[Limits]
+
+	mu     sync.Mutex
+	shares map[string]*routing.RetryShare
+}
+
+// New returns an instance that does not run yet.
+func New(o Options) *Gateway {
+	g := &Gateway{
+		o: o, id: o.Instance, log: o.Log, kv: o.KV, records: o.Records, headers: o.Headers,
+		metrics: newMetrics(o.Registry), dialing: &dialing{busy: map[string]bool{}},
+		shares: map[string]*routing.RetryShare{},
+	}
+	g.limits.Store(&o.Limits)
+	g.queues = &queues{g: g, by: map[string]*queue{}}
+	g.control = newControl(g)
+	g.registry = newRegistry(o.KV, g.id, record{
+		CallerAddr: o.CallerAddr, PeerAddr: o.PeerAddr, DataCentre: o.DataCentre, Region: o.Region,
+	})
+	return g
+}
+
+// dialing remembers the peers to which a session is open or being opened.
+type dialing struct {
+	mu   sync.Mutex
+	busy map[string]bool
+}
+
+func (d *dialing) begin(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.busy[id] {
+		return false
+	}
+	d.busy[id] = true
+	return true
+}
+
+func (d *dialing) end(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.busy, id)
+}
+
+// ready returns the state by which requests are served.
+func (g *Gateway) ready() (*snapshot, error) {
+	s := g.state.Load()
+	switch {
+	case s == nil:
+		return nil, errkind.New(errkind.NotReady, "no configuration yet").WithRetryAfter(jitter(comeBackSoonest))
+	case g.refusing.Load():
+		return nil, errkind.New(errkind.Leaving, "the instance stops").WithRetryAfter(comeBackSoonest / 2)
+	case g.isIsolated():
+		return nil, errkind.New(errkind.Isolated, "the configuration may have changed; use another address").WithRetryAfter(comeBackSoonest)
+	}
+	return s, nil
+}
+
+// Ready returns why the instance should get no new callers, or nil.
+func (g *Gateway) Ready() error {
+	if g.leaving.Load() {
+		return errkind.New(errkind.Leaving, "the instance stops")
+	}
+	_, err := g.ready()
+	return err
+}
+
+func (g *Gateway) isIsolated() bool {
+	until := g.control.believeUntil.Load()
+	return until != 0 && monotonic(time.Now()) > until
+}
+
+// SetLimits replaces the limits. What was counted for the old ones is kept.
+func (g *Gateway) SetLimits(l Limits) {
+	g.limits.Store(&l)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.shares {
+		s.SetLimits(l.Retries)
+	}
+}
+
+func (g *Gateway) draw() float64 { return rand.Float64() }
+
+// share returns this instance's part of the retry limits of a back end.
+func (g *Gateway) share(backend string, now time.Time) *routing.RetryShare {
+	s := g.shares[backend]
+	if s == nil {
+		s = routing.NewRetryShare(g.limits.Load().Retries)
+		g.shares[backend] = s
+	}
+	if st := g.state.Load(); st != nil {
+		s.Instances(st.instances, now)
+	}
+	return s
+}
+
+func (g *Gateway) firstAttempt(backend string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.share(backend, now).First(now)
+}
+
+// takeRetry takes one further attempt out of the share of the instance.
+func (g *Gateway) takeRetry(backend string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	ok := g.share(backend, now).Take(now)
+	if ok {
+		g.metrics.retries.Inc(1)
+	}
+	return ok
+}
+
+// Addresses returns the addresses that a caller should use and how long it may
+// keep them.
+func (g *Gateway) Addresses(from Locality) ([]string, time.Duration) {
+	var live map[string]record
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	g.control.ask(ctx, func() { live = g.control.live(time.Now()) })
+	all := make([]record, 0, len(live)+1)
+	for _, r := range live {
+		all = append(all, r)
+	}
+	if g.Ready() == nil {
+		all = append(all, record{CallerAddr: g.o.CallerAddr, DataCentre: g.o.DataCentre, Region: g.o.Region})
+	}
+	return nearest(all, from), g.o.AddressAge
+}
+
+// fewAddresses is the number of addresses below which a caller also gets those
+// of other data centres.
+const fewAddresses = 2
+
+// nearest returns the addresses in the caller's data centre, or those of its
+// region, or all, whichever is first to hold fewAddresses.
+func nearest(all []record, from Locality) []string {
+	for _, match := range []func(record) bool{
+		func(r record) bool { return r.DataCentre == from.DataCentre && r.Region == from.Region },
+		func(r record) bool { return r.Region == from.Region },
+	} {
+		if list := addresses(all, match); len(list) >= fewAddresses {
+			return list
+		}
+	}
+	return addresses(all, func(record) bool { return true })
+}
+
+func addresses(all []record, match func(record) bool) []string {
+	seen := map[string]bool{}
+	var list []string
+	for _, r := range all {
+		if match(r) && !seen[r.CallerAddr] {
+			seen[r.CallerAddr] = true
+			list = append(list, r.CallerAddr)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+// Listeners are the open listeners of an instance.
+type Listeners struct {
+	Callers, Peers net.Listener
+}
+
+// Run serves until ctx ends, and then stops without cutting requests.
+func (g *Gateway) Run(ctx context.Context, l Listeners) error {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() { g.control.run(inner) })
+	group.Go(func() { g.control.watch(inner) })
+	group.Go(func() { g.connect(inner) })
+	group.Go(func() { g.acceptPeers(inner, l.Peers) })
+	registered := make(chan struct{})
+	group.Go(func() {
+		defer close(registered)
+		g.registry.run(ctx)
+	})
+	srv := g.server()
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(l.Callers) }()
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		g.stop(srv)
+	}
+	cancel()
+	_ = l.Peers.Close()
+	group.Wait()
+	return err
+}
+
+const (
+	// serveOn is how long after the begin of a planned stop new requests are
+	// still served; callers keep addresses for that long.
+	serveOn = 4500 * time.Millisecond
+	// quietEnd ends a planned stop early when nothing has come for that long.
+	quietEnd = 2500 * time.Millisecond
+	// stopMargin is what is left of the time to stop when connections are cut.
+	stopMargin = 500 * time.Millisecond
+	stopPoll   = 50 * time.Millisecond
+)
+
+// stop ends the instance without cutting requests: callers are told to go
+// elsewhere, and what arrives meanwhile is still served.
+func (g *Gateway) stop(srv *http.Server) {
+	began := time.Now()
+	g.leaving.Store(true)
+	g.log.Info("stopping", "working", g.working.Load())
+	last := began
+	for {
+		now := time.Now()
+		if g.working.Load() > 0 {
+			last = now
+		}
+		if now.Sub(last) > quietEnd || now.Sub(began) > g.o.StopWithin-stopMargin {
+			break
+		}
+		if now.Sub(began) > serveOn {
+			g.refusing.Store(true)
+			if g.working.Load() == 0 {
+				break
+			}
+		}
+		time.Sleep(stopPoll)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), max(stopPoll, g.o.StopWithin-stopMargin-time.Since(began)))
+	defer cancel()
+	err := srv.Shutdown(ctx)
+	g.log.Info("stopped", "after_ms", time.Since(began).Milliseconds(), "cut", err != nil)
+}
+
+const (
+	// headerTimeout and idleTimeout are used until a configuration sets limits.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 90 * time.Second
+	headerBytes   = 64 << 10
+)
+
+func (g *Gateway) server() *http.Server {
+	return &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+}
--- /dev/null
+++ b/gateway/handler.go
@@ -0,0 +1,282 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+const (
+	// defaultDeadline is used for callers that do not say how long they wait.
+	defaultDeadline = 10 * time.Second
+	// answerMargin is how much sooner than the caller's deadline the gateway
+	// gives up, so that its answer still arrives.
+	answerMargin = 20 * time.Millisecond
+	// defaultBodyBytes bounds bodies while the configuration sets no limit.
+	defaultBodyBytes = 4 << 20
+	// writeWait bounds one write to a caller that does not read.
+	writeWait = 2 * time.Second
+)
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	began   time.Time
+	meta    RequestMeta
+	state   *snapshot
+	route   *routing.Route
+	cust    *routing.Customer
+	backend string
+	body    []byte
+	hasBody bool
+	expires time.Time
+
+	// arrived is the number of times that the request was sent to a target, and
+	// counted how many of these count towards the route's attempts.
+	arrived, counted int
+	// mayHaveRun is set once a target may have begun to work.
+	mayHaveRun bool
+	// ended is set when a target has answered it with success.
+	tried   map[string]bool
+	lastErr error
+	waited  time.Duration
+	target  string
+	events  int
+}
+
+// ServeHTTP implements http.Handler for callers.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{g: g, w: w, r: r, began: time.Now(), meta: g.headers.Request(r.Header), tried: map[string]bool{}}
+	g.working.Add(1)
+	defer g.working.Add(-1)
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	err := x.serve()
+	if err != nil {
+		x.fail(err)
+	}
+	x.report(err)
+	if errors.Is(err, errBroken) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// errBroken says that an answer was begun and can't be finished.
+var errBroken = errors.New("the answer was cut")
+
+func (x *exchange) serve() error {
+	if err := x.accept(); err != nil {
+		return err
+	}
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.expires)
+	defer cancel()
+	x.g.firstAttempt(x.backend)
+	if x.route.Kind == routing.Stream {
+		return x.stream(ctx)
+	}
+	return x.call(ctx)
+}
+
+// accept finds the route and customer of a request.
+func (x *exchange) accept() error {
+	s, err := x.g.ready()
+	if err != nil {
+		return err
+	}
+	x.state = s
+	if x.route, err = s.table.Route(x.r.Host, x.r.RequestURI); err != nil {
+		return err
+	}
+	if x.cust, err = s.table.Customer(x.route, x.meta.Key); err != nil {
+		return err
+	}
+	x.backend = x.route.PickBackend(x.g.draw())
+	limit := x.meta.Deadline
+	if limit == 0 {
+		limit = defaultDeadline
+	}
+	x.expires = x.began.Add(limit - answerMargin)
+	if t := x.began.Add(x.route.Timeout); x.route.Timeout > 0 && t.Before(x.expires) {
+		x.expires = t
+	}
+	return nil
+}
+
+// readBody reads the whole body before anything is sent, so that a target never
+// gets a part of a request.
+func (x *exchange) readBody() error {
+	limit := x.state.table.Config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	x.hasBody = x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != ""
+	if !x.hasBody {
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return errkind.New(errkind.TooLarge, "the body exceeds %d bytes", limit)
+	case err != nil:
+		return errkind.Wrap(err, errkind.Canceled, "read the body")
+	}
+	x.body = body
+	return nil
+}
+
+// allowed reports whether the request may go to a target.
+func (x *exchange) allowed(t *target) bool {
+	return !x.tried[t.ID] && routing.RegionAllowed(x.route, x.cust, x.g.o.Regions[t.DataCentre])
+}
+
+// place waits for a target, and checks that a further attempt is allowed.
+func (x *exchange) place(ctx context.Context) (*target, error) {
+	if x.counted >= x.route.MaxAttempts {
+		return nil, x.giveUp()
+	}
+	if x.arrived > 0 && !x.g.takeRetry(x.backend) {
+		x.g.metrics.retriesRefused.Inc(1)
+		return nil, x.giveUp()
+	}
+	began := time.Now()
+	t, err := x.g.queues.of(x.backend).acquire(ctx, need{
+		backend: x.backend, priority: routing.Priority(x.route, x.cust), allowed: x.allowed, until: x.waitUntil(began),
+	})
+	x.waited += time.Since(began)
+	if err == nil {
+		x.tried[t.ID] = true
+		return t, nil
+	}
+	if x.arrived > 0 {
+		return nil, x.giveUp()
+	}
+	if errkind.KindOf(err) == errkind.Canceled && x.r.Context().Err() == nil {
+		return nil, errkind.New(errkind.Overloaded, "no place at a target of back end %s in time", x.backend).WithRetryAfter(jitter(comeBackSoonest))
+	}
+	return nil, err
+}
+
+const (
+	// waitShare is the part of the caller's time that may pass before a request
+	// reaches a target.
+	waitShare = 0.4
+)
+
+func (x *exchange) waitUntil(now time.Time) time.Time {
+	return now.Add(time.Duration(waitShare * float64(x.expires.Sub(now))))
+}
+
+// giveUp returns the final error of a request after its attempts.
+func (x *exchange) giveUp() error {
+	if !x.mayHaveRun {
+		return errkind.New(errkind.NoTarget, "no target took the request: %v", x.lastErr).
+			WithRetryAfter(jitter(comeBackSoonest)).WithDidRun(errkind.NotRun)
+	}
+	return errkind.New(errkind.TargetLost, "the targets failed: %v", x.lastErr)
+}
+
+// expired returns the final error of a request whose time is over.
+func (x *exchange) expired() error {
+	switch {
+	case x.r.Context().Err() != nil:
+		return errkind.Wrap(x.r.Context().Err(), errkind.Canceled, "the caller has gone")
+	case x.mayHaveRun:
+		return errkind.New(errkind.DeadlineExceeded, "no complete answer in time")
+	default:
+		return errkind.New(errkind.Overloaded, "not begun in time").WithRetryAfter(jitter(comeBackSoonest))
+	}
+}
+
+// forwardHeader returns the header of the request to a target.
+func (x *exchange) forwardHeader(t *target, lastEvent string) http.Header {
+	h := x.r.Header.Clone()
+	for _, name := range x.r.Header.Values("Connection") {
+		h.Del(name)
+	}
+	for _, name := range connectionHeaders {
+		h.Del(name)
+	}
+	h.Del("Content-Length")
+	h.Del("Expect")
+	f := ForwardMeta{Target: t.ID, Remaining: time.Until(x.expires), LastEvent: lastEvent}
+	if x.cust != nil {
+		f.Customer = x.cust.Name
+	}
+	x.g.headers.Forward(h, f)
+	return h
+}
+
+// fail writes an answer of the gateway's own, unless one was begun.
+func (x *exchange) fail(err error) {
+	if errors.Is(err, errBroken) {
+		return
+	}
+	kind := errkind.KindOf(err)
+	if kind == errkind.Canceled && x.r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	answer := kind.Answer()
+	h := x.w.Header()
+	if x.meta.ID != "" {
+		x.g.headers.SetID(h, x.meta.ID)
+	}
+	if d := errkind.From(err).RetryAfter; d > 0 {
+		x.g.headers.SetRetryAfter(h, d)
+	}
+	h.Set("Content-Type", "application/json")
+	x.w.WriteHeader(answer.Status)
+	body := map[string]string{"kind": kind.String(), "message": err.Error(), "request_id": x.meta.ID}
+	if err := json.NewEncoder(x.w).Encode(body); err != nil {
+		x.g.log.Debug("answer not written", "request", x.meta.ID, "error", err.Error())
+	}
+}
+
+// report writes the line of the request to the log and counts its outcome.
+func (x *exchange) report(err error) {
+	outcome := "answered"
+	if err != nil {
+		outcome = errkind.KindOf(err).String()
+	}
+	took := time.Since(x.began)
+	x.g.metrics.finished(outcome, took)
+	attrs := []any{
+		slog.String("request", x.meta.ID), slog.String("outcome", outcome), slog.String("target", x.target),
+		slog.Int("sent", x.arrived), slog.Int64("ms", took.Milliseconds()), slog.Int64("waited_ms", x.waited.Milliseconds()),
+	}
+	if x.state != nil {
+		attrs = append(attrs, slog.Int64("version", x.state.table.Config.Version), slog.Int64("revision", x.state.revision))
+	}
+	if x.route != nil {
+		attrs = append(attrs, slog.String("route", x.route.Name), slog.String("back_end", x.backend))
+	}
+	if x.events > 0 {
+		attrs = append(attrs, slog.Int("events", x.events))
+	}
+	if x.lastErr != nil {
+		attrs = append(attrs, slog.String("last_failure", x.lastErr.Error()))
+	}
+	if err != nil {
+		attrs = append(attrs, slog.String("error", err.Error()))
+	}
+	x.g.log.Info("request", attrs...)
+}
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,322 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/mirror"
+	"github.com/skylarkstep/skylarkstep/wire"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+const (
+	// beatInterval is the pause between heartbeats to a peer.
+	beatInterval = 250 * time.Millisecond
+	// heardFor is how long a peer counts as alive after its last heartbeat.
+	heardFor = 1500 * time.Millisecond
+	// silentFor ends a session on which nothing arrives.
+	silentFor = 1200 * time.Millisecond
+	// rememberFor is how long a peer that went silent is remembered. Until then
+	// its record does not count, even if its lease still runs.
+	rememberFor = 15 * time.Second
+	// peersPerSide is how many peers an instance dials: the next ones in the
+	// order of their names.
+	peersPerSide = 4
+	// connectInterval is the pause between looks for peers to dial.
+	connectInterval = 250 * time.Millisecond
+	peerDialTimeout = 700 * time.Millisecond
+)
+
+// peer is what this instance has heard from another one.
+type peer struct {
+	record    record
+	heardAt   time.Time
+	leaving   bool
+	reachable bool
+	loads     map[string]uint32
+}
+
+// peerTable holds the peers by id.
+type peerTable struct {
+	byID map[string]*peer
+}
+
+func newPeerTable() *peerTable { return &peerTable{byID: map[string]*peer{}} }
+
+// heard returns the number of peers that are alive.
+func (p *peerTable) heard(now time.Time) int {
+	n := 0
+	for _, q := range p.byID {
+		if now.Sub(q.heardAt) < heardFor {
+			n++
+		}
+	}
+	return n
+}
+
+// load returns the requests that the peers have at a target.
+func (p *peerTable) load(target string, now time.Time) int64 {
+	n := int64(0)
+	for _, q := range p.byID {
+		if now.Sub(q.heardAt) < heardFor {
+			n += int64(q.loads[target])
+		}
+	}
+	return n
+}
+
+func (p *peerTable) forget(now time.Time) {
+	for id, q := range p.byID {
+		if now.Sub(q.heardAt) > rememberFor {
+			delete(p.byID, id)
+		}
+	}
+}
+
+// live returns the records of the other instances that callers may use. A peer
+// that has gone silent is left out unless this instance hears nobody at all.
+func (c *control) live(now time.Time) map[string]record {
+	found := c.records()
+	delete(found, c.g.id)
+	hearsAny := c.peers.heard(now) > 0
+	for id, p := range c.peers.byID {
+		alive := now.Sub(p.heardAt) < heardFor
+		switch {
+		case p.leaving:
+			delete(found, id)
+		case alive && p.record.CallerAddr != "":
+			found[id] = p.record
+		case !alive && hearsAny:
+			delete(found, id)
+		}
+	}
+	return found
+}
+
+// instances returns the number of instances with this one.
+func (c *control) instances(now time.Time) int { return len(c.live(now)) + 1 }
+
+// isolated reports whether this instance may miss changes that others know: the
+// copy is old and neither the service nor any other instance is reached.
+func (c *control) isolated(now time.Time) bool {
+	if now.Sub(c.confirmedAt) <= freshFor || c.peers.heard(now) > 0 {
+		return false
+	}
+	return len(c.records()) > 1 || len(c.peers.byID) > 0
+}
+
+// connect dials the peers that this instance should have sessions with.
+func (g *Gateway) connect(ctx context.Context) {
+	for ctx.Err() == nil {
+		var todo map[string]string
+		g.control.ask(ctx, func() { todo = g.control.toDial() })
+		for id, addr := range todo {
+			if g.dialing.begin(id) {
+				go func() {
+					defer g.dialing.end(id)
+					g.dialPeer(ctx, id, addr)
+				}()
+			}
+		}
+		sleep(ctx, connectInterval)
+	}
+}
+
+// toDial returns the addresses of the next instances in the order of names.
+func (c *control) toDial() map[string]string {
+	found := c.records()
+	for id, p := range c.peers.byID {
+		if p.record.PeerAddr != "" {
+			found[id] = p.record
+		}
+	}
+	delete(found, c.g.id)
+	ids := slices.Sorted(maps.Keys(found))
+	start, _ := slices.BinarySearch(ids, c.g.id)
+	todo := map[string]string{}
+	// With few instances, two would dial each other; the lower one does.
+	for k := range min(peersPerSide, (len(ids)+1)/2) {
+		id := ids[(start+k)%len(ids)]
+		todo[id] = found[id].PeerAddr
+	}
+	return todo
+}
+
+func (g *Gateway) dialPeer(ctx context.Context, id, addr string) {
+	dctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+	defer cancel()
+	session, err := wire.Dial(dctx, addr, nil, g.hello())
+	if err != nil {
+		g.log.Debug("peer not reached", "peer", id, "addr", addr, "error", err.Error())
+		sleep(ctx, connectInterval*time.Duration(1+rand.IntN(3)))
+		return
+	}
+	g.servePeer(ctx, session)
+}
+
+// acceptPeers serves sessions that other instances open.
+func (g *Gateway) acceptPeers(ctx context.Context, l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				g.log.Error("peer listener failed", "error", err.Error())
+			}
+			return
+		}
+		go func() {
+			session, err := wire.Server(conn, nil, g.hello())
+			if err != nil {
+				g.log.Warn("peer refused", "addr", conn.RemoteAddr().String(), "error", err.Error())
+				return
+			}
+			g.servePeer(ctx, session)
+		}()
+	}
+}
+
+func (g *Gateway) hello() *wirepb.Hello {
+	return &wirepb.Hello{Instance: g.id, Role: "gateway", DataCentre: g.o.DataCentre}
+}
+
+// servePeer exchanges heartbeats with a peer until the session breaks.
+func (g *Gateway) servePeer(ctx context.Context, session *wire.Session) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer func() { _ = session.Close() }()
+	id := session.Peer().GetInstance()
+	go func() {
+		defer cancel()
+		for ctx.Err() == nil {
+			if err := g.sendBeat(ctx, session); err != nil {
+				return
+			}
+			sleep(ctx, beatInterval)
+		}
+	}()
+	go func() {
+		<-ctx.Done()
+		_ = session.Close()
+	}()
+	for {
+		_ = session.Control().SetReadDeadline(time.Now().Add(silentFor))
+		var f wirepb.PeerFrame
+		if err := session.Control().Recv(&f); err != nil {
+			g.log.Debug("peer session ended", "peer", id, "error", err.Error())
+			return
+		}
+		g.control.ask(ctx, func() { g.control.fromPeer(ctx, session, id, &f) })
+	}
+}
+
+func (g *Gateway) sendBeat(ctx context.Context, session *wire.Session) error {
+	var b *wirepb.PeerBeat
+	g.control.ask(ctx, func() { b = g.control.beat(time.Now()) })
+	if b == nil {
+		return errors.WithStack(ctx.Err())
+	}
+	_ = session.Control().SetWriteDeadline(time.Now().Add(silentFor))
+	return errors.WithStack(session.Control().Send(&wirepb.PeerFrame{Body: &wirepb.PeerFrame_Beat{Beat: b}}))
+}
+
+const neverConfirmed = uint64(1) << 40 // milliseconds
+
+func (c *control) beat(now time.Time) *wirepb.PeerBeat {
+	b := &wirepb.PeerBeat{
+		Instance: c.g.id, StoreRevision: c.mirror.Revision(), StoreAgeMs: neverConfirmed,
+		Leaving: c.g.leaving.Load(), StoreReachable: c.reachable,
+	}
+	if !c.confirmedAt.IsZero() {
+		b.StoreAgeMs = uint64(now.Sub(c.confirmedAt).Milliseconds())
+	}
+	for id, t := range c.targets {
+		if n := t.own.Load(); n > 0 {
+			b.Loads = append(b.Loads, &wirepb.TargetLoad{Target: id, Requests: uint32(n)})
+		}
+	}
+	return b
+}
+
+// fromPeer handles one message of a peer.
+func (c *control) fromPeer(ctx context.Context, session *wire.Session, id string, f *wirepb.PeerFrame) {
+	now := time.Now()
+	switch body := f.GetBody().(type) {
+	case *wirepb.PeerFrame_Beat:
+		c.heardPeer(session, id, body.Beat, now)
+	case *wirepb.PeerFrame_Pull:
+		d := c.mirror.Since(body.Pull.GetFromRevision())
+		c.reply(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Delta{Delta: encodeDelta(d)}})
+	case *wirepb.PeerFrame_Delta:
+		c.changed(c.mirror.Merge(decodeDelta(body.Delta)), "instance "+id, now)
+	}
+	_ = ctx
+}
+
+func (c *control) heardPeer(session *wire.Session, id string, b *wirepb.PeerBeat, now time.Time) {
+	p := c.peers.byID[id]
+	if p == nil {
+		p = &peer{}
+		c.peers.byID[id] = p
+		c.dirty = true
+	}
+	if now.Sub(p.heardAt) > heardFor || p.leaving != b.GetLeaving() {
+		c.dirty = true
+		c.log.Info("instance heard", "instance", id, "leaving", b.GetLeaving())
+	}
+	if r, ok := c.records()[id]; ok {
+		p.record = r
+	}
+	p.heardAt, p.leaving, p.reachable = now, b.GetLeaving(), b.GetStoreReachable()
+	p.loads = make(map[string]uint32, len(b.GetLoads()))
+	for _, l := range b.GetLoads() {
+		p.loads[l.GetTarget()] = l.GetRequests()
+	}
+	if !p.reachable && !c.reachable {
+		c.lastTrouble = now
+	}
+	switch {
+	case b.GetStoreRevision() > c.mirror.Revision():
+		c.reply(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Pull{Pull: &wirepb.StorePull{FromRevision: c.mirror.Revision()}}})
+	case b.GetStoreRevision() == c.mirror.Revision() && b.GetStoreAgeMs() < neverConfirmed:
+		c.confirm(now.Add(-time.Duration(b.GetStoreAgeMs()) * time.Millisecond))
+	}
+}
+
+// reply sends without blocking the control goroutine.
+func (c *control) reply(session *wire.Session, f *wirepb.PeerFrame) {
+	go func() {
+		_ = session.Control().SetWriteDeadline(time.Now().Add(silentFor))
+		if err := session.Control().Send(f); err != nil {
+			c.log.Debug("peer not answered", "error", err.Error())
+		}
+	}()
+}
+
+func encodeDelta(d mirror.Delta) *wirepb.StoreDelta {
+	w := &wirepb.StoreDelta{Full: d.Full, Revision: d.Revision}
+	for _, it := range d.Items {
+		w.Items = append(w.Items, &wirepb.StoreItem{Key: it.Key, Value: it.Value, ModRevision: it.ModRevision, Lease: int64(it.Lease)})
+	}
+	for _, del := range d.Deleted {
+		w.Deleted = append(w.Deleted, &wirepb.StoreItem{Key: del.Key, ModRevision: del.Revision})
+	}
+	return w
+}
+
+func decodeDelta(w *wirepb.StoreDelta) mirror.Delta {
+	d := mirror.Delta{Full: w.GetFull(), Revision: w.GetRevision()}
+	for _, it := range w.GetItems() {
+		d.Items = append(d.Items, infra.Item{Key: it.GetKey(), Value: it.GetValue(), ModRevision: it.GetModRevision(), Lease: infra.LeaseID(it.GetLease())})
+	}
+	for _, del := range w.GetDeleted() {
+		d.Deleted = append(d.Deleted, mirror.Deletion{Key: del.GetKey(), Revision: del.GetModRevision()})
+	}
+	return d
+}
--- /dev/null
+++ b/gateway/queue.go
@@ -0,0 +1,248 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+const (
+	// holdWeight is the weight of the latest request in the mean time that a
+	// request keeps its place at a target.
+	holdWeight = 0.05
+	// firstHold is assumed until requests have been seen.
+	firstHold = 300 * time.Millisecond
+	// comeBackSoonest is the shortest pause that a refused caller is told.
+	comeBackSoonest = 200 * time.Millisecond
+	// noTargetPause is what callers are told when a back end has no target.
+	noTargetPause = time.Second
+)
+
+// need is what a request asks of a target.
+type need struct {
+	backend  string
+	priority int
+	// allowed reports whether the request may go to the target.
+	allowed func(*target) bool
+	// until is when waiting ends.
+	until time.Time
+}
+
+type waiter struct {
+	need
+	arrived time.Time
+	granted chan *target
+}
+
+// queue holds the requests that wait for a place at the targets of one back end.
+type queue struct {
+	g       *Gateway
+	backend string
+
+	mu      sync.Mutex
+	waiters []*waiter
+	hold    time.Duration
+	turn    int
+}
+
+// queues holds one queue for each back end.
+type queues struct {
+	g  *Gateway
+	mu sync.Mutex
+	by map[string]*queue
+}
+
+func (q *queues) of(backend string) *queue {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b := q.by[backend]
+	if b == nil {
+		b = &queue{g: q.g, backend: backend, hold: firstHold}
+		q.by[backend] = b
+	}
+	return b
+}
+
+// wake grants places that have become free.
+func (q *queues) wake() {
+	q.mu.Lock()
+	all := make([]*queue, 0, len(q.by))
+	for _, b := range q.by {
+		all = append(all, b)
+	}
+	q.mu.Unlock()
+	for _, b := range all {
+		b.mu.Lock()
+		b.grant(time.Now())
+		b.mu.Unlock()
+	}
+}
+
+// acquire returns a target with a place for the request. It waits while all
+// targets are full, but refuses at once what could not be served in time.
+func (q *queue) acquire(ctx context.Context, n need) (*target, error) {
+	now := time.Now()
+	q.mu.Lock()
+	if q.ahead(n.priority) == 0 {
+		if t := q.pick(&n, now); t != nil {
+			q.mu.Unlock()
+			return t, nil
+		}
+	}
+	if err := q.refuse(&n, now); err != nil {
+		q.mu.Unlock()
+		return nil, err
+	}
+	w := &waiter{need: n, arrived: now, granted: make(chan *target, 1)}
+	q.insert(w)
+	q.mu.Unlock()
+	timer := time.NewTimer(time.Until(n.until))
+	defer timer.Stop()
+	select {
+	case t := <-w.granted:
+		return t, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return q.leave(ctx, w)
+}
+
+// leave takes a waiter out of the queue unless it was granted a place meanwhile.
+func (q *queue) leave(ctx context.Context, w *waiter) (*target, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	select {
+	case t := <-w.granted:
+		return t, nil
+	default:
+	}
+	if i := slices.Index(q.waiters, w); i >= 0 {
+		q.waiters = slices.Delete(q.waiters, i, i+1)
+	}
+	if ctx.Err() != nil {
+		return nil, errkind.Wrap(ctx.Err(), errkind.Canceled, "left the queue")
+	}
+	return nil, q.overloaded(time.Now())
+}
+
+// ahead returns the number of waiters that come before a new one.
+func (q *queue) ahead(priority int) int {
+	n := 0
+	for _, w := range q.waiters {
+		if w.priority <= priority {
+			n++
+		}
+	}
+	return n
+}
+
+func (q *queue) insert(w *waiter) {
+	q.waiters = slices.Insert(q.waiters, q.ahead(w.priority), w)
+}
+
+// refuse returns an error if the request can't be served in time.
+func (q *queue) refuse(n *need, now time.Time) error {
+	s := q.g.state.Load()
+	places, allowed := 0, 0
+	for _, t := range s.targets[q.backend] {
+		places += t.Slots
+		if n.allowed(t) {
+			allowed++
+		}
+	}
+	if allowed == 0 {
+		return errkind.New(errkind.NoTarget, "back end %s has no target for the request", q.backend).WithRetryAfter(jitter(noTargetPause))
+	}
+	if now.Add(q.wait(q.ahead(n.priority)+1, places, s.instances)).After(n.until) {
+		return q.overloaded(now)
+	}
+	return nil
+}
+
+// wait estimates how long the n-th waiter waits. The places free up for the
+// waiters of all instances.
+func (q *queue) wait(n, places, instances int) time.Duration {
+	if places == 0 {
+		return noTargetPause
+	}
+	return time.Duration(float64(n*instances) / float64(places) * float64(q.hold))
+}
+
+func (q *queue) overloaded(time.Time) error {
+	s := q.g.state.Load()
+	places := 0
+	for _, t := range s.targets[q.backend] {
+		places += t.Slots
+	}
+	pause := max(comeBackSoonest, q.wait(len(q.waiters)+1, places, s.instances))
+	return errkind.New(errkind.Overloaded, "all targets of back end %s are full, %d requests wait", q.backend, len(q.waiters)).
+		WithRetryAfter(jitter(pause))
+}
+
+// jitter spreads those that are told to come back.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+// grant gives free places to waiters in their order.
+func (q *queue) grant(now time.Time) {
+	kept := q.waiters[:0]
+	for _, w := range q.waiters {
+		if t := q.pick(&w.need, now); t != nil {
+			w.granted <- t
+		} else {
+			kept = append(kept, w)
+		}
+	}
+	clear(q.waiters[len(kept):])
+	q.waiters = kept
+}
+
+// pick chooses a target and counts the request there.
+func (q *queue) pick(n *need, now time.Time) *target {
+	s := q.g.state.Load()
+	b := s.table.Backend(q.backend)
+	targets := s.targets[q.backend]
+	candidates := make([]routing.Candidate, len(targets))
+	for i, t := range targets {
+		t.mu.Lock()
+		usable := n.allowed(t) && now.After(t.quietUntil)
+		if usable && b != nil && t.cold(now) && b.WarmUpRate > 0 {
+			usable = t.warmUp.Ready(b.WarmUpRate, s.instances, now)
+		}
+		candidates[i] = routing.Candidate{
+			Load: float64(t.own.Load() + t.others.Load()), Slots: t.Slots, Failures: t.failures,
+			Local: t.DataCentre == q.g.o.DataCentre, Usable: usable,
+		}
+		t.mu.Unlock()
+	}
+	q.turn++
+	i := routing.Pick(candidates, q.turn)
+	if i < 0 {
+		return nil
+	}
+	t := targets[i]
+	t.mu.Lock()
+	if b != nil && t.cold(now) && b.WarmUpRate > 0 {
+		t.warmUp.Take(b.WarmUpRate, s.instances, now)
+	}
+	t.mu.Unlock()
+	t.own.Add(1)
+	return t
+}
+
+// release gives a place back. held is zero if the request did not use it.
+func (q *queue) release(t *target, held time.Duration) {
+	t.own.Add(-1)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if held > 0 {
+		q.hold += time.Duration(holdWeight * float64(held-q.hold))
+	}
+	q.grant(time.Now())
+}
--- /dev/null
+++ b/gateway/target.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/gateway/upstream"
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+// target is one incarnation of a runner with what traffic knows about it. Its
+// connections end with it.
+type target struct {
+	routing.Target
+	pool *upstream.Pool
+	// own is the number of requests of this instance at the target, and others
+	// what the other instances have told.
+	own, others atomic.Int64
+	// coldUntil is on the clock of monotonic.
+	coldUntil atomic.Int64
+
+	mu       sync.Mutex
+	failures float64
+	warmUp   routing.WarmUp
+	// quietUntil is set after the target refused a request for want of room.
+	quietUntil time.Time
+	// lastByte is when the target last sent anything.
+	lastByte time.Time
+}
+
+func newTarget(t routing.Target) *target {
+	return &target{Target: t, pool: upstream.NewPool(t.Addr)}
+}
+
+func (t *target) cold(now time.Time) bool { return monotonic(now) < t.coldUntil.Load() }
+
+// outcome notes whether the target failed a request.
+func (t *target) outcome(failed bool) {
+	t.mu.Lock()
+	t.failures = routing.NextFailures(t.failures, failed)
+	t.mu.Unlock()
+}
+
+// heard notes that the target has sent something.
+func (t *target) heard(now time.Time) {
+	t.mu.Lock()
+	t.lastByte = now
+	t.mu.Unlock()
+}
+
+// quiet keeps new work away for a while.
+func (t *target) quiet(until time.Time) {
+	t.mu.Lock()
+	t.quietUntil = until
+	t.mu.Unlock()
+}
+
+// snapshot is what traffic reads. It is never changed after it is published.
+type snapshot struct {
+	table     *routing.Table
+	revision  int64
+	targets   map[string][]*target // by back end; those that may get new work
+	all       map[string]*target
+	instances int
+}
--- a/infra/infra.go
+++ b/infra/infra.go
@@ -91,6 +91,9 @@
 	// Revoke ends a lease and deletes its keys. A lease that does not exist is
 	// ErrLeaseNotFound.
 	Revoke(ctx context.Context, id LeaseID) error
+	// An empty batch says that the watch is alive and nothing has changed; not
+	// every service sends them.
+	//
 	// Watch delivers the changes of keys that start with prefix after the given
 	// revision until ctx ends or the connection breaks; then the channel is
 	// closed. If the service no longer keeps those changes, the last event has
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,109 @@
+package routing
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
+)
+
+// Table answers which route and customer a request belongs to. It is immutable.
+type Table struct {
+	Config    *Config
+	byHost    map[string][]*Route
+	customers map[string]*Customer
+	backends  map[string]*Backend
+}
+
+// NewTable indexes a configuration.
+func NewTable(c *Config) *Table {
+	t := &Table{
+		Config: c, byHost: map[string][]*Route{},
+		customers: map[string]*Customer{}, backends: map[string]*Backend{},
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Customers {
+		for _, key := range c.Customers[i].Keys {
+			t.customers[key] = &c.Customers[i]
+		}
+	}
+	for i := range c.Backends {
+		t.backends[c.Backends[i].Name] = &c.Backends[i]
+	}
+	return t
+}
+
+// Backend returns the back end with the name, or nil.
+func (t *Table) Backend(name string) *Backend { return t.backends[name] }
+
+// Route returns the route with the longest prefix of the path. A port in the
+// host is ignored.
+func (t *Table) Route(host, path string) (*Route, error) {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
+		host = host[:i]
+	}
+	path, _, _ = strings.Cut(path, "?")
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, nil
+		}
+	}
+	return nil, errkind.New(errkind.UnknownBackend, "no route of host %q has a prefix of path %q", host, path)
+}
+
+// Customer returns the account that a key belongs to. Public routes, and
+// configurations without customers, need none and return nil.
+func (t *Table) Customer(r *Route, key string) (*Customer, error) {
+	if len(t.Config.Customers) == 0 || r.Public {
+		return nil, nil
+	}
+	c := t.customers[key]
+	if c == nil {
+		return nil, errkind.New(errkind.Unauthenticated, "the key belongs to no customer")
+	}
+	return c, nil
+}
+
+// PickBackend chooses a back end of the route by weight. draw is in [0,1).
+func (r *Route) PickBackend(draw float64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := draw * float64(total)
+	for _, s := range r.Split {
+		left -= float64(s.Weight)
+		if left < 0 {
+			return s.Backend
+		}
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	return r.Split[len(r.Split)-1].Backend
+}
+
+// Priority returns the rank of a request; the customer's takes precedence.
+func Priority(r *Route, c *Customer) int {
+	if c != nil && c.Priority != nil {
+		return *c.Priority
+	}
+	return r.Priority
+}
+
+// RegionAllowed reports whether work of the route and customer may run in a
+// region.
+func RegionAllowed(r *Route, c *Customer, region string) bool {
+	if len(r.Regions) > 0 && !slices.Contains(r.Regions, region) {
+		return false
+	}
+	return c == nil || len(c.Regions) == 0 || slices.Contains(c.Regions, region)
+}
--- a/daemon/httpapi/prometheus.go
+++ b/telemetry/prometheus.go
@@ -1,4 +1,4 @@
-package httpapi
+package telemetry
 
 import (
 	"net/http"
@@ -15,9 +15,9 @@
 // quantilesShown are the quantiles of timers and histograms.
 var quantilesShown = []float64{0.5, 0.95, 0.99}
 
-// servePrometheus writes the registry in the Prometheus text format. Timers
+// ServePrometheus writes the registry in the Prometheus text format. Timers
 // become summaries in seconds.
-func servePrometheus(r metrics.Registry) http.HandlerFunc {
+func ServePrometheus(r metrics.Registry) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		format := expfmt.NewFormat(expfmt.TypeTextPlain)
 		w.Header().Set("Content-Type", string(format))
--- a/daemon/httpapi/prometheus_test.go
+++ b/telemetry/prometheus_test.go
@@ -1,4 +1,4 @@
-package httpapi
+package telemetry
 
 import (
 	"net/http/httptest"
@@ -22,7 +22,7 @@
 	require.NoError(t, r.Register("requests.duration.lm-pool", timer))
 	timer.Update(2 * time.Second)
 	w := httptest.NewRecorder()
-	servePrometheus(r)(w, httptest.NewRequest("GET", "/metrics/prometheus", nil))
+	ServePrometheus(r)(w, httptest.NewRequest("GET", "/metrics/prometheus", nil))
 	parser := expfmt.NewTextParser(model.LegacyValidation)
 	families, err := parser.TextToMetricFamilies(w.Body)
 	require.NoError(t, err)
