ranks: coordinate expert maps beside the ranks

Cause: with map 0 the most loaded rank carries 3.3 times the mean and all ranks step at its pace, so half of the streams are late. Change: an agent beside each rank reads its counts; one of them, by lease, plans maps and switches by prepare, hold, arm and go.

--- a/daemon/cmd/skylarkd/main.go
+++ b/daemon/cmd/skylarkd/main.go
@@ -31,7 +31,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), checkCommand(), gatewayCommand())
+	root.AddCommand(runCommand(), checkCommand(), gatewayCommand(), rankCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "skylarkd:", err)
 		os.Exit(1)
--- /dev/null
+++ b/daemon/cmd/skylarkd/rank.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/ranks"
+)
+
+func rankCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "rank",
+		Short: "Run beside a rank of a group on the users' platform",
+		Long:  "Run beside a rank of a group on the users' platform. The variable " + platform.SettingsVariable + " holds the path of the settings.",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			path := os.Getenv(platform.SettingsVariable)
+			s, err := platform.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			return runRank(ctx, path, s)
+		},
+	}
+}
+
+func runRank(ctx context.Context, path string, s *platform.Settings) error {
+	log, closeLog := newLog(s, "rank")
+	defer closeLog()
+	if s.RunnerAddr == "" {
+		return errors.New("settings name no runner beside this process")
+	}
+	l, err := net.Listen("tcp", s.PeerAddr)
+	if err != nil {
+		return errors.Wrap(err, "listener for instances")
+	}
+	go watchSettings(ctx, path, s, log, func(*platform.Settings) {})
+	log.Info("started", "rank", s.RunnerAddr, "back_end", s.RunnerBackend)
+	err = ranks.Run(ctx, ranks.Options{
+		Instance: s.Instance, DataCentre: s.DataCentre, RankAddr: s.RunnerAddr, Backend: s.RunnerBackend,
+		PeerAddr: s.PeerAddr, KV: platform.NewStore(s.StoreURL), Records: platform.Records{},
+		Engine: platform.NewRanks(), Log: log,
+	}, l)
+	log.Info("ended")
+	return err
+}
--- /dev/null
+++ b/expertmap/plan/rebalance_test.go
@@ -0,0 +1,70 @@
+package plan
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// inTurn is a placement that leaves places empty.
+func inTurn(ranks, experts int) Placement {
+	p := make(Placement, ranks)
+	for e := range experts {
+		p[e%ranks] = append(p[e%ranks], e)
+	}
+	return p
+}
+
+func skewedLoad(experts int, seed uint64) []float64 {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	load := make([]float64, experts)
+	for e := range load {
+		load[e] = math.Exp(1.2 * rng.NormFloat64())
+	}
+	return load
+}
+
+// Guards against a change that loses an expert, exceeds the places or the new
+// experts of a rank, or does not lower the peak to near the mean.
+func TestRebalanceKeepsLimits(t *testing.T) {
+	l := Limits{Places: 8, Spare: 3}
+	for seed := range uint64(30) {
+		load := skewedLoad(72, seed)
+		present := inTurn(12, 72)
+		next := Rebalance(present, load, l, 0)
+		held := map[int]bool{}
+		for r := range next {
+			require.LessOrEqual(t, len(next[r]), l.Places)
+			for i, e := range next[r] {
+				held[e] = true
+				require.NotContains(t, next[r][i+1:], e)
+			}
+			fresh := 0
+			for _, e := range next[r] {
+				if !slices.Contains(present[r], e) {
+					fresh++
+				}
+			}
+			require.LessOrEqual(t, fresh, l.Spare)
+		}
+		require.Len(t, held, 72)
+		require.Less(t, next.Peak(load), 1.15, "seed %d: peak before %.2f", seed, present.Peak(load))
+	}
+}
+
+// Guards against copies that gain less than they cost.
+func TestRebalanceStopsAtPrice(t *testing.T) {
+	load := skewedLoad(72, 4)
+	present := Rebalance(inTurn(12, 72), load, Limits{Places: 8, Spare: 3}, 0)
+	next := Rebalance(present, load, Limits{Places: 8, Spare: 3}, 0.5)
+	require.Zero(t, present.Copies(next))
+}
+
+func BenchmarkRebalance(b *testing.B) {
+	for b.Loop() {
+		Rebalance(inTurn(12, 72), skewedLoad(72, 3), Limits{Places: 8, Spare: 3}, 0.001)
+	}
+}
--- /dev/null
+++ b/expertmap/switchover/switchover.go
@@ -0,0 +1,202 @@
+package switchover
+
+// Operation is what an order does.
+type Operation string
+
+// The operations.
+const (
+	Prepare Operation = "prepare"
+	Arm     Operation = "arm"
+	Disarm  Operation = "disarm"
+	Hold    Operation = "hold"
+	Go      Operation = "go"
+)
+
+// Map is the placement of experts, by set and rank.
+type Map [][][]int
+
+// State is what one rank reports.
+type State struct {
+	// Known is set if the rank has answered in this round.
+	Known bool
+	// Open is false while the group is broken.
+	Open  bool
+	Epoch uint64
+	// Step is the last step that was begun.
+	Step uint64
+	// Map is the version in use, and Prepared the one that is ready to be used.
+	Map, Prepared uint64
+	// Armed is the version that the rank switches to at ArmedStep; 0 is none.
+	Armed, ArmedStep uint64
+	// Held says that the group does not begin HeldStep.
+	Held     bool
+	HeldStep uint64
+}
+
+// Order is one order for one rank. A rank refuses it in another epoch, and with
+// a lower fencing number than it has seen.
+type Order struct {
+	Rank      int
+	Operation Operation
+	Version   uint64
+	Step      uint64
+	Map       Map
+	Epoch     uint64
+}
+
+// Plan is the map that the coordinator wants. The zero value wants none.
+type Plan struct {
+	Version uint64
+	Map     Map
+}
+
+// holdLead is the number of steps between the last one begun and the one held.
+// A step that is too close may begin before the order arrives.
+const holdLead = 4
+
+// Phase describes how far the group is.
+type Phase string
+
+// The phases.
+const (
+	// Unready groups are broken, or not all ranks have answered.
+	Unready Phase = "unready"
+	// Settled groups use one map and nothing is under way.
+	Settled Phase = "settled"
+	// Preparing groups copy the experts of the next map.
+	Preparing Phase = "preparing"
+	// Holding groups get, or have, a held step.
+	Holding Phase = "holding"
+	// Arming groups have ranks that are armed and others that are not.
+	Arming Phase = "arming"
+	// Armed groups switch when the step begins.
+	Armed Phase = "armed"
+)
+
+// Decide returns the orders that follow from the states of all ranks.
+func Decide(states []State, plan Plan) (Phase, []Order) {
+	if !agree(states) {
+		return Unready, nil
+	}
+	if version, step, ok := anyArmed(states); ok {
+		return finishArming(states, version, step)
+	}
+	held, step := anyHeld(states)
+	if held >= 0 {
+		return afterHold(states, held, step)
+	}
+	if plan.Version == 0 || allUse(states, plan.Version) {
+		return Settled, nil
+	}
+	if orders := prepare(states, plan); len(orders) > 0 {
+		return Preparing, orders
+	}
+	return Holding, []Order{order(states, 0, Hold, 0, lastStep(states)+holdLead)}
+}
+
+// agree reports whether all ranks have answered from one open epoch. Nothing
+// may be decided otherwise: a rank that is missing may be armed.
+func agree(states []State) bool {
+	for _, s := range states {
+		if !s.Known || !s.Open || s.Epoch != states[0].Epoch {
+			return false
+		}
+	}
+	return len(states) > 0
+}
+
+func anyArmed(states []State) (version, step uint64, ok bool) {
+	for _, s := range states {
+		if s.Armed != 0 {
+			return s.Armed, s.ArmedStep, true
+		}
+	}
+	return 0, 0, false
+}
+
+func anyHeld(states []State) (rank int, step uint64) {
+	for i, s := range states {
+		if s.Held {
+			return i, s.HeldStep
+		}
+	}
+	return -1, 0
+}
+
+func allUse(states []State, version uint64) bool {
+	for _, s := range states {
+		if s.Map != version {
+			return false
+		}
+	}
+	return true
+}
+
+func lastStep(states []State) uint64 {
+	step := uint64(0)
+	for _, s := range states {
+		step = max(step, s.Step)
+	}
+	return step
+}
+
+// finishArming arms the ranks that are not yet armed, and lets the step go when
+// all are. Ranks that use the version already have begun the step since the
+// others were asked; then nothing is to be done.
+func finishArming(states []State, version, step uint64) (Phase, []Order) {
+	held, _ := anyHeld(states)
+	var missing []Order
+	for i, s := range states {
+		switch {
+		case s.Map == version || s.Step >= step:
+			return Armed, nil
+		case s.Armed != version || s.ArmedStep != step:
+			missing = append(missing, order(states, i, Arm, version, step))
+		}
+	}
+	switch {
+	case len(missing) == 0 && held >= 0:
+		return Armed, []Order{order(states, held, Go, 0, states[held].HeldStep)}
+	case len(missing) == 0:
+		return Armed, nil
+	case held < 0:
+		// The hold is gone although a rank is not armed. A new hold keeps the
+		// step from beginning before all are.
+		return Arming, []Order{order(states, 0, Hold, 0, step)}
+	}
+	return Arming, missing
+}
+
+// afterHold arms all ranks if they have prepared one new version, whoever
+// prepared it. Otherwise the hold is left over and is released; no arm can be
+// on its way, since arms follow only after all ranks have prepared.
+func afterHold(states []State, held int, step uint64) (Phase, []Order) {
+	version := states[0].Prepared
+	for _, s := range states {
+		if s.Prepared != version || version == 0 || s.Map == version {
+			return Holding, []Order{order(states, held, Go, 0, step)}
+		}
+	}
+	orders := make([]Order, 0, len(states))
+	for i := range states {
+		orders = append(orders, order(states, i, Arm, version, step))
+	}
+	return Arming, orders
+}
+
+// prepare returns the orders to the ranks that have not prepared the map.
+func prepare(states []State, plan Plan) []Order {
+	var orders []Order
+	for i, s := range states {
+		if s.Prepared != plan.Version {
+			o := order(states, i, Prepare, plan.Version, 0)
+			o.Map = plan.Map
+			orders = append(orders, o)
+		}
+	}
+	return orders
+}
+
+func order(states []State, rank int, op Operation, version, step uint64) Order {
+	return Order{Rank: rank, Operation: op, Version: version, Step: step, Epoch: states[rank].Epoch}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/routing"
 )
 
@@ -61,7 +62,7 @@
 	control  *control
 	queues   *queues
 	dialing  *dialing
-	registry *registry
+	registry lease.Record
 	state    atomic.Pointer[snapshot]
 	leaving  atomic.Bool
 	refusing atomic.Bool // set late in a planned stop
@@ -83,9 +84,8 @@
 	g.limits.Store(&o.Limits)
 	g.queues = &queues{g: g, by: map[string]*queue{}}
 	g.control = newControl(g)
-	g.registry = newRegistry(o.KV, g.id, record{
-		CallerAddr: o.CallerAddr, PeerAddr: o.PeerAddr, DataCentre: o.DataCentre, Region: o.Region,
-	})
+	own := record{CallerAddr: o.CallerAddr, PeerAddr: o.PeerAddr, DataCentre: o.DataCentre, Region: o.Region}
+	g.registry = lease.Record{KV: o.KV, Key: recordKey(g.id), Value: own.encode(), TTL: registryTTL, Renew: registryRenew}
 	return g
 }
 
@@ -248,7 +248,7 @@
 	registered := make(chan struct{})
 	group.Go(func() {
 		defer close(registered)
-		g.registry.run(ctx)
+		g.registry.Run(ctx)
 	})
 	srv := g.server()
 	failed := make(chan error, 1)
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -1,14 +1,10 @@
 package gateway
 
 import (
-	"context"
 	"encoding/json"
 	"strings"
-	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/skylarkstep/skylarkstep/infra"
 )
 
@@ -19,10 +15,6 @@
 	registryTTL = 4 * time.Second
 	// registryRenew is the pause between renewals.
 	registryRenew = 1200 * time.Millisecond
-	// registryRetry is the pause after a call that failed.
-	registryRetry = 400 * time.Millisecond
-	// releaseTimeout bounds the removal of the record at the end.
-	releaseTimeout = time.Second
 )
 
 // record is what an instance tells the others about itself.
@@ -35,59 +27,14 @@
 
 func isInstanceKey(key string) bool { return strings.HasPrefix(key, instancePrefix) }
 
-// registry keeps the record of this instance under a lease.
-type registry struct {
-	kv    infra.KV
-	key   string
-	value []byte
-
-	mu    sync.Mutex
-	lease infra.LeaseID
-}
+func recordKey(id string) string { return instancePrefix + id }
 
-func newRegistry(kv infra.KV, id string, r record) *registry {
+func (r record) encode() []byte {
 	value, err := json.Marshal(r)
 	if err != nil {
 		panic(err) // a struct of strings always encodes
 	}
-	return &registry{kv: kv, key: instancePrefix + id, value: value}
-}
-
-// run keeps the record until ctx ends, and removes it then.
-func (r *registry) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := r.keep(ctx); err != nil {
-			sleep(ctx, registryRetry)
-			continue
-		}
-		sleep(ctx, registryRenew)
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-	defer cancel()
-	if r.lease != 0 {
-		_ = r.kv.Revoke(ctx, r.lease) // the lease lapses anyway
-	}
-}
-
-func (r *registry) keep(ctx context.Context) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lease != 0 {
-		_, err := r.kv.KeepAlive(ctx, r.lease)
-		if errors.Is(err, infra.ErrLeaseNotFound) {
-			r.lease = 0
-		}
-		return err
-	}
-	lease, err := r.kv.Grant(ctx, registryTTL)
-	if err != nil {
-		return err
-	}
-	if _, err := r.kv.Commit(ctx, infra.Txn{Puts: []infra.Put{{Key: r.key, Value: r.value, Lease: lease}}}); err != nil {
-		return err
-	}
-	r.lease = lease
-	return nil
+	return value
 }
 
 // records returns the instances that the copy of the service shows.
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -29,6 +29,8 @@
 	Holder string
 	// Candidate reports whether this process may take the lease; nil always.
 	Candidate func() bool
+	// Times replace DefaultTimes if TTL is set.
+	Times Times
 	// Taken and Lost are called on each change; nil is allowed.
 	Taken func(number uint64)
 	Lost  func(number uint64, reason string)
@@ -45,7 +47,12 @@
 var _ Token = (*Holder)(nil)
 
 // New returns a holder that does not compete yet.
-func New(o Options) *Holder { return &Holder{o: o} }
+func New(o Options) *Holder {
+	if o.Times.TTL == 0 {
+		o.Times = DefaultTimes
+	}
+	return &Holder{o: o}
+}
 
 // Token returns the fencing number and whether an order may be sent now. It
 // reads the clock itself, so that a process that was paused past its lease
@@ -77,7 +84,7 @@
 		return false
 	}
 	granted := time.Now()
-	id, err := h.o.KV.Grant(ctx, TTL)
+	id, err := h.o.KV.Grant(ctx, h.o.Times.TTL)
 	if err != nil {
 		return false // a lease whose reply was lost holds no key and lapses
 	}
@@ -87,7 +94,7 @@
 		return false
 	}
 	now := time.Now()
-	t := newTerm(number, granted, now)
+	t := newTerm(number, granted, now, h.o.Times)
 	if t.ended(now) {
 		h.release(id)
 		return false
@@ -125,7 +132,7 @@
 // keep renews the lease until the term ends, and returns why it ended. A
 // renewal is idempotent, so that one whose reply was lost is sent again.
 func (h *Holder) keep(ctx context.Context) string {
-	pause := Renew
+	pause := h.o.Times.Renew
 	for {
 		h.mu.Lock()
 		left := time.Until(h.t.until)
@@ -143,9 +150,9 @@
 		case errors.Is(err, infra.ErrLeaseNotFound) || err == nil && remaining <= 0:
 			return "lapsed at the key-value service"
 		case err != nil:
-			pause = retryInterval
+			pause = min(retryInterval, h.o.Times.Renew)
 		default:
-			pause = Renew
+			pause = h.o.Times.Renew
 			h.mu.Lock()
 			h.t = h.t.renewed(sent, time.Now())
 			h.mu.Unlock()
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -179,7 +179,7 @@
 // when it wakes, before anything else runs in it.
 func TestPausedHolderStopsByItsOwnClock(t *testing.T) {
 	now := time.Now()
-	term := newTerm(7, now, now)
+	term := newTerm(7, now, now, DefaultTimes)
 	assert.False(t, term.valid(now), "a new holder waits")
 	assert.True(t, term.valid(now.Add(Wait)))
 	assert.True(t, term.valid(now.Add(TTL-Margin-1)))
--- a/lease/term.go
+++ b/lease/term.go
@@ -2,17 +2,31 @@
 
 import "time"
 
-// Times of a lease. One lease per data centre renewed every 3 s gives 8
+// Default times of a lease. One lease per data centre renewed every 3 s gives 8
 // writes/s at 24 data centres.
 const (
-	TTL   = 9 * time.Second
-	Renew = 3 * time.Second
-	// Margin is how long before the end of the TTL a holder stops.
+	TTL    = 9 * time.Second
+	Renew  = 3 * time.Second
 	Margin = 2 * time.Second
+	Wait   = 2 * time.Second
+)
+
+// Times are the times of one lease.
+type Times struct {
+	// TTL is how long the lease runs without a renewal.
+	TTL time.Duration
+	// Renew is the pause between renewals.
+	Renew time.Duration
+	// Margin is how long before the end of the TTL a holder stops.
+	Margin time.Duration
 	// Wait is how long a new holder waits before its first order, so that an
 	// order that the former holder sent at its last moment arrives before it.
-	Wait = 2 * time.Second
-)
+	// It may be zero where all receivers check fencing numbers.
+	Wait time.Duration
+}
+
+// DefaultTimes are used where the options set none.
+var DefaultTimes = Times{TTL: TTL, Renew: Renew, Margin: Margin, Wait: Wait}
 
 // Token is what code that sends orders needs. The number is valid only while
 // valid is true, and must be asked for anew before each order.
@@ -25,18 +39,21 @@
 	number uint64
 	from   time.Time
 	until  time.Time
+	// length is how long the term lasts after a renewal was sent.
+	length time.Duration
 }
 
 // newTerm starts a term. Granted is before the lease was asked for, since the
 // TTL at the service may have begun at any moment after that.
-func newTerm(number uint64, granted, taken time.Time) term {
-	return term{number: number, from: taken.Add(Wait), until: granted.Add(TTL - Margin)}
+func newTerm(number uint64, granted, taken time.Time, t Times) term {
+	length := t.TTL - t.Margin
+	return term{number: number, from: taken.Add(t.Wait), until: granted.Add(length), length: length}
 }
 
 // renewed extends the term; sent is before the renewal was sent. A term that
 // has ended stays ended: another holder may have begun.
 func (t term) renewed(sent, now time.Time) term {
-	if until := sent.Add(TTL - Margin); now.Before(t.until) && until.After(t.until) {
+	if until := sent.Add(t.length); now.Before(t.until) && until.After(t.until) {
 		t.until = until
 	}
 	return t
--- /dev/null
+++ b/ranks/agent.go
@@ -0,0 +1,155 @@
+package ranks
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/expertmap/switchover"
+	"github.com/skylarkstep/skylarkstep/wire"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+// agent answers a coordinator for the rank beside it.
+type agent struct {
+	engine Engine
+	addr   string // of the rank
+	log    *slog.Logger
+	hello  *wirepb.Hello
+	// askedAt is when a coordinator last asked, as time since the start.
+	askedAt atomic.Int64
+	began   time.Time
+}
+
+// idleSession ends a session whose coordinator has gone.
+const idleSession = 10 * time.Second
+
+// serve accepts sessions of coordinators until the listener is closed.
+func (a *agent) serve(ctx context.Context, l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				a.log.Error("peer listener failed", "error", err.Error())
+			}
+			return
+		}
+		go func() {
+			session, err := wire.Server(conn, nil, a.hello)
+			if err != nil {
+				a.log.Warn("coordinator refused", "addr", conn.RemoteAddr().String(), "error", err.Error())
+				return
+			}
+			defer func() { _ = session.Close() }()
+			a.answer(ctx, session)
+		}()
+	}
+}
+
+func (a *agent) answer(ctx context.Context, session *wire.Session) {
+	for ctx.Err() == nil {
+		_ = session.Control().SetReadDeadline(time.Now().Add(idleSession))
+		var f wirepb.RankFrame
+		if err := session.Control().Recv(&f); err != nil {
+			a.log.Debug("coordinator session ended", "coordinator", session.Peer().GetInstance(), "error", err.Error())
+			return
+		}
+		a.askedAt.Store(int64(time.Since(a.began)))
+		var out wirepb.RankFrame
+		switch body := f.GetBody().(type) {
+		case *wirepb.RankFrame_Question:
+			out.Body = &wirepb.RankFrame_State{State: a.state(ctx, body.Question)}
+		case *wirepb.RankFrame_Order:
+			out.Body = &wirepb.RankFrame_Result{Result: a.order(ctx, body.Order)}
+		default:
+			return
+		}
+		if err := session.Control().Send(&out); err != nil {
+			return
+		}
+	}
+}
+
+// quiet returns how long no coordinator has asked.
+func (a *agent) quiet() time.Duration {
+	return time.Since(a.began) - time.Duration(a.askedAt.Load())
+}
+
+func (a *agent) state(ctx context.Context, q *wirepb.RankQuestion) *wirepb.RankState {
+	r, err := ask(ctx, a.engine, a.addr, Question{Counts: q.GetCounts(), Placement: q.GetPlacement()})
+	if err != nil {
+		return &wirepb.RankState{Error: err.Error()}
+	}
+	return encodeReport(r)
+}
+
+func (a *agent) order(ctx context.Context, w *wirepb.RankOrder) *wirepb.RankOrderResult {
+	outcome, err := a.engine.Order(ctx, a.addr, decodeOrder(w), w.GetFencing())
+	res := &wirepb.RankOrderResult{Outcome: uint32(outcome)}
+	if err != nil {
+		res.Error = err.Error()
+	}
+	return res
+}
+
+func encodeReport(r Report) *wirepb.RankState {
+	s := r.State
+	w := &wirepb.RankState{
+		Group: r.Group, Rank: uint32(r.Rank), Size: uint32(r.Size), Born: r.Born,
+		Open: s.Open, Epoch: s.Epoch, Step: s.Step, MapVersion: s.Map, PreparedVersion: s.Prepared,
+		ArmedVersion: s.Armed, ArmedStep: s.ArmedStep, Held: s.Held, HeldStep: s.HeldStep, Counts: r.Counts,
+	}
+	for _, experts := range r.Placement {
+		w.Placement = append(w.Placement, &wirepb.ExpertList{Experts: numbers[uint32](experts)})
+	}
+	return w
+}
+
+func decodeReport(w *wirepb.RankState) Report {
+	r := Report{
+		Group: w.GetGroup(), Rank: int(w.GetRank()), Size: int(w.GetSize()), Born: w.GetBorn(), Counts: w.GetCounts(),
+		State: switchover.State{
+			Known: true, Open: w.GetOpen(), Epoch: w.GetEpoch(), Step: w.GetStep(), Map: w.GetMapVersion(),
+			Prepared: w.GetPreparedVersion(), Armed: w.GetArmedVersion(), ArmedStep: w.GetArmedStep(),
+			Held: w.GetHeld(), HeldStep: w.GetHeldStep(),
+		},
+	}
+	for _, l := range w.GetPlacement() {
+		r.Placement = append(r.Placement, numbers[int](l.GetExperts()))
+	}
+	return r
+}
+
+func encodeOrder(o switchover.Order, fencing uint64) *wirepb.RankOrder {
+	w := &wirepb.RankOrder{Operation: string(o.Operation), Version: o.Version, Step: o.Step, Epoch: o.Epoch, Fencing: fencing}
+	for _, set := range o.Map {
+		s := &wirepb.ExpertSet{}
+		for _, experts := range set {
+			s.Ranks = append(s.Ranks, &wirepb.ExpertList{Experts: numbers[uint32](experts)})
+		}
+		w.Sets = append(w.Sets, s)
+	}
+	return w
+}
+
+func decodeOrder(w *wirepb.RankOrder) switchover.Order {
+	o := switchover.Order{Operation: switchover.Operation(w.GetOperation()), Version: w.GetVersion(), Step: w.GetStep(), Epoch: w.GetEpoch()}
+	for _, s := range w.GetSets() {
+		var set [][]int
+		for _, l := range s.GetRanks() {
+			set = append(set, numbers[int](l.GetExperts()))
+		}
+		o.Map = append(o.Map, set)
+	}
+	return o
+}
+
+func numbers[T, F int | uint32](from []F) []T {
+	to := make([]T, len(from))
+	for i, n := range from {
+		to[i] = T(n)
+	}
+	return to
+}
--- /dev/null
+++ b/ranks/coordinator.go
@@ -0,0 +1,228 @@
+package ranks
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/expertmap/plan"
+	"github.com/skylarkstep/skylarkstep/expertmap/switchover"
+	"github.com/skylarkstep/skylarkstep/lease"
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+const (
+	// roundPause is the pause between rounds of an idle group, and switchPause
+	// that during a switch.
+	roundPause  = 300 * time.Millisecond
+	switchPause = 10 * time.Millisecond
+	// switchInterval is the shortest time between two switches.
+	switchInterval = 900 * time.Millisecond
+	// prepareWait is how long a rank may copy experts before it is asked again.
+	prepareWait = 1500 * time.Millisecond
+	// demandMemory is how far the demand looks back.
+	demandMemory = 1500 * time.Millisecond
+	// minChoices is the evidence of demand that a plan needs, in choices of a set.
+	minChoices = 3000
+	// minGain is the share by which a switch must lower the time of a pass.
+	minGain = 0.04
+	// copyPrice is the share of the mean load by which a set's peak must fall for
+	// each expert that is copied.
+	copyPrice = 0.003
+	// refusedPause is the pause after a rank refused an order.
+	refusedPause = 500 * time.Millisecond
+	// versionsPerTerm separates the versions of terms: the fencing number of a
+	// term is a revision of the service and higher than all before.
+	versionsPerTerm = 1_000_000
+)
+
+// coordinator plans and switches the maps of one group for one term.
+type coordinator struct {
+	log    *slog.Logger
+	token  lease.Token
+	links  *links
+	shape  *routing.ExpertShape
+	demand *demand
+
+	fencing  uint64
+	counter  uint64
+	plan     switchover.Plan
+	present  switchover.Map
+	version  uint64 // of present
+	known    bool
+	switched time.Time
+	quietTo  time.Time
+	sent     map[int]sentOrder
+	phase    switchover.Phase
+}
+
+// sentOrder is the last prepare that a rank has accepted.
+type sentOrder struct {
+	version uint64
+	at      time.Time
+}
+
+func newCoordinator(log *slog.Logger, token lease.Token, l *links, shape *routing.ExpertShape) *coordinator {
+	return &coordinator{
+		log: log, token: token, links: l, shape: shape, sent: map[int]sentOrder{},
+		demand: newDemand(shape.Sets, shape.Experts, demandMemory),
+	}
+}
+
+// round reads all ranks, sends the orders that follow and returns the pause
+// until the next round.
+func (c *coordinator) round(ctx context.Context) time.Duration {
+	fencing, valid := c.token.Token()
+	if !valid {
+		return roundPause
+	}
+	if fencing != c.fencing {
+		c.fencing, c.counter, c.plan, c.known = fencing, 0, switchover.Plan{}, false
+		c.log.Info("coordinating", "fencing", fencing)
+	}
+	reports := c.links.askAll(ctx, Question{Counts: c.settled(), Placement: !c.known})
+	now := time.Now()
+	states := make([]switchover.State, len(reports))
+	for i, r := range reports {
+		states[i] = r.State
+	}
+	c.demand.observe(reports, now)
+	c.learn(reports, states)
+	c.replan(states, now)
+	phase, orders := switchover.Decide(states, c.plan)
+	c.enter(phase, states)
+	c.send(ctx, c.due(orders, now))
+	switch phase {
+	case switchover.Settled, switchover.Unready, switchover.Armed:
+		return roundPause
+	case switchover.Preparing:
+		return 5 * switchPause
+	default:
+		return switchPause
+	}
+}
+
+// settled reports whether no switch is under way, so that counts may be read.
+func (c *coordinator) settled() bool {
+	return c.phase == switchover.Settled || c.phase == switchover.Unready || c.phase == switchover.Armed || c.phase == ""
+}
+
+func (c *coordinator) enter(phase switchover.Phase, states []switchover.State) {
+	if phase == c.phase {
+		return
+	}
+	attrs := []any{"phase", string(phase), "was", string(c.phase), "version", c.plan.Version, "ranks", len(states)}
+	if len(states) > 0 {
+		attrs = append(attrs, "epoch", states[0].Epoch, "step", states[0].Step, "map", states[0].Map)
+	}
+	c.log.Info("switch phase", attrs...)
+	c.phase = phase
+}
+
+// learn keeps track of the map that the ranks use.
+func (c *coordinator) learn(reports []Report, states []switchover.State) {
+	if len(states) == 0 || !sameMap(states) {
+		return
+	}
+	version := states[0].Map
+	switch {
+	case c.known && version == c.version:
+	case c.plan.Version != 0 && version == c.plan.Version:
+		c.present, c.version, c.known = c.plan.Map, version, true
+		c.switched = time.Now()
+	default:
+		c.known = false
+		if m, ok := collect(reports, c.shape.Sets); ok {
+			c.present, c.version, c.known = m, version, true
+			c.plan = switchover.Plan{}
+		}
+	}
+}
+
+func sameMap(states []switchover.State) bool {
+	for _, s := range states {
+		if !s.Known || s.Map != states[0].Map || s.Epoch != states[0].Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// collect puts together the map that the ranks report.
+func collect(reports []Report, sets int) (switchover.Map, bool) {
+	m := make(switchover.Map, sets)
+	for _, r := range reports {
+		if len(r.Placement) != sets {
+			return nil, false
+		}
+		for s, experts := range r.Placement {
+			m[s] = append(m[s], experts)
+		}
+	}
+	return m, true
+}
+
+// replan chooses a better map for a settled group.
+func (c *coordinator) replan(states []switchover.State, now time.Time) {
+	if !c.known || len(states) == 0 || now.Before(c.quietTo) {
+		return
+	}
+	if c.plan.Version != 0 && c.plan.Version != c.version {
+		return // under way
+	}
+	if now.Sub(c.switched) < switchInterval || c.demand.total() < minChoices {
+		return
+	}
+	next := make(switchover.Map, len(c.present))
+	before, after, copies := 0.0, 0.0, 0
+	limits := plan.Limits{Places: c.shape.Places, Spare: c.shape.Spare}
+	for s, set := range c.present {
+		p := plan.Placement(set)
+		n := plan.Rebalance(p, c.demand.level[s], limits, copyPrice)
+		before += p.Peak(c.demand.level[s])
+		after += n.Peak(c.demand.level[s])
+		copies += p.Copies(n)
+		next[s] = n
+	}
+	sets := float64(len(c.present))
+	if before-after < minGain*sets {
+		return
+	}
+	c.counter++
+	c.plan = switchover.Plan{Version: c.fencing*versionsPerTerm + c.counter, Map: next}
+	c.log.Info("map planned", "version", c.plan.Version, "peak", before/sets, "planned_peak", after/sets, "copies", copies,
+		"choices", c.demand.total())
+}
+
+// due leaves out prepares that a rank is still busy with.
+func (c *coordinator) due(orders []switchover.Order, now time.Time) []switchover.Order {
+	var out []switchover.Order
+	for _, o := range orders {
+		s := c.sent[o.Rank]
+		if o.Operation == switchover.Prepare && s.version == o.Version && now.Sub(s.at) < prepareWait {
+			continue
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+func (c *coordinator) send(ctx context.Context, orders []switchover.Order) {
+	for _, res := range c.links.orderAll(ctx, orders, c.fencing, c.token) {
+		o := res.order
+		switch {
+		case res.outcome == Done && o.Operation == switchover.Prepare:
+			c.sent[o.Rank] = sentOrder{o.Version, time.Now()}
+		case res.outcome == Refused && o.Operation == switchover.Prepare:
+			c.log.Warn("map refused", "rank", o.Rank, "version", o.Version, "error", res.err)
+			c.plan, c.known = switchover.Plan{}, false
+			c.quietTo = time.Now().Add(refusedPause)
+		case res.outcome == Fenced:
+			c.log.Warn("order fenced", "rank", o.Rank, "operation", string(o.Operation), "fencing", c.fencing)
+		}
+		c.log.Info("order", "operation", string(o.Operation), "rank", o.Rank, "version", o.Version, "step", o.Step,
+			"epoch", o.Epoch, "fencing", c.fencing, "outcome", outcomeNames[res.outcome])
+	}
+}
+
+var outcomeNames = [...]string{NoAnswer: "no answer", Done: "done", Refused: "refused", Fenced: "fenced"}
--- a/routing/types.go
+++ b/routing/types.go
@@ -72,8 +72,16 @@
 	// requests per second that it bears until then.
 	WarmUp     time.Duration
 	WarmUpRate float64
-	// Model says that the targets batch requests.
-	Model bool
+	// Experts is the shape of the rank groups, or nil.
+	Experts *ExpertShape
+}
+
+// ExpertShape describes the experts of a model's rank groups.
+type ExpertShape struct {
+	Sets, Experts int
+	// Places is the most experts of a set that a rank may hold, and Spare the
+	// most that may be new to it in one change of the map.
+	Places, Spare int
 }
 
 // Customer is an account with the keys of its callers.
