ranks: copy fewer experts for a change of the map

Change: a copy must lower the peak by 0.04 of the mean (0.003 before), and a switch the time of a pass by 0.10 (0.04 before).

--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -25,10 +25,10 @@
 	// minChoices is the evidence of demand that a plan needs, in choices of a set.
 	minChoices = 3000
 	// minGain is the share by which a switch must lower the time of a pass.
-	minGain = 0.04
+	minGain = 0.10
 	// copyPrice is the share of the mean load by which a set's peak must fall for
 	// each expert that is copied.
-	copyPrice = 0.003
+	copyPrice = 0.04
 	// refusedPause is the pause after a rank refused an order.
 	refusedPause = 500 * time.Millisecond
 	// versionsPerTerm separates the versions of terms: the fencing number of a
