gateway, ranks: coordinate from the gateways, rescue held groups, count places once

Counters are shared now. - A target that was only silent for one instance, or during a stall of the whole group, lost its waiting streams. A stream is given up only if others go on. - An entry that was removed while only this instance was refused by the service was taken for a lapse (DRAIN). Only an outage for all counts now. - Two entries with one address: the older incarnation is left out.

--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +19,7 @@
 
 	"github.com/skylarkstep/skylarkstep/gateway"
 	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/ranks"
 	"github.com/skylarkstep/skylarkstep/routing"
 	"github.com/skylarkstep/skylarkstep/telemetry"
 )
@@ -64,10 +67,11 @@
 		return errors.Wrap(err, "listener for instances")
 	}
 	registry := metrics.NewRegistry()
+	store := platform.NewStore(s.StoreURL)
 	g := gateway.New(gateway.Options{
 		Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions,
 		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, StopWithin: s.StopWithin, AddressAge: addressAge,
-		Limits: limits(s), KV: platform.NewStore(s.StoreURL),
+		Limits: limits(s), KV: store,
 		Records: platform.Records{}, Headers: platform.Headers{}, Log: log, Registry: registry,
 	})
 	closers, err := serveAll(log, map[string]http.Handler{
@@ -80,8 +84,17 @@
 	}
 	defer closers()
 	go watchSettings(ctx, path, s, log, func(n *platform.Settings) { g.SetLimits(limits(n)) })
+	coordinated := make(chan struct{})
+	go func() {
+		defer close(coordinated)
+		ranks.RunCoordinators(ctx, ranks.CoordinatorOptions{
+			Instance: s.Instance, Holder: fmt.Sprintf("%s/%d", s.Instance, rand.Uint64()), KV: store, Items: g.Items,
+			Records: platform.Records{}, Engine: platform.NewRanks(), Log: log,
+		})
+	}()
 	log.Info("started", "callers", s.CallerAddr, "store", s.StoreURL)
 	err = g.Run(ctx, gateway.Listeners{Callers: callers, Peers: peers})
+	<-coordinated
 	log.Info("ended", "error", err)
 	return err
 }
--- a/daemon/cmd/skylarkd/rank.go
+++ b/daemon/cmd/skylarkd/rank.go
@@ -45,7 +45,7 @@
 	}
 	go watchSettings(ctx, path, s, log, func(*platform.Settings) {})
 	log.Info("started", "rank", s.RunnerAddr, "back_end", s.RunnerBackend)
-	err = ranks.Run(ctx, ranks.Options{
+	err = ranks.RunAgent(ctx, ranks.AgentOptions{
 		Instance: s.Instance, DataCentre: s.DataCentre, RankAddr: s.RunnerAddr, Backend: s.RunnerBackend,
 		PeerAddr: s.PeerAddr, KV: platform.NewStore(s.StoreURL), Records: platform.Records{},
 		Engine: platform.NewRanks(), Log: log,
--- a/expertmap/plan/rebalance.go
+++ b/expertmap/plan/rebalance.go
@@ -11,22 +11,29 @@
 	Places int
 	// Spare is the most experts in one set that may be new to a rank.
 	Spare int
+	// Slowness is how many times longer than usual each rank works; nil means
+	// that all work as usual.
+	Slowness []float64
+}
+
+func (l Limits) slowness(rank int) float64 {
+	if rank >= len(l.Slowness) {
+		return 1
+	}
+	return l.Slowness[rank]
 }
 
 // Placement is the experts of every rank in one set.
 type Placement [][]int
 
-// Peak returns the load of the most loaded rank over the mean.
-func (p Placement) Peak(load []float64) float64 {
-	s := newSetState(p, load, Limits{})
-	total := 0.0
-	for _, w := range s.sums {
-		total += w
-	}
-	if total == 0 {
+// Peak returns the time of the slowest rank over the mean load.
+func (p Placement) Peak(load []float64, l Limits) float64 {
+	s := newSetState(p, load, l)
+	mean := s.mean()
+	if mean == 0 {
 		return 1
 	}
-	return slices.Max(s.sums) * float64(len(s.sums)) / total
+	return slices.Max(s.sums) / mean
 }
 
 // Copies returns the number of experts that are new to their ranks.
@@ -48,11 +55,7 @@
 func Rebalance(present Placement, load []float64, l Limits, price float64) Placement {
 	s := newSetState(present, load, l)
 	s.present = present
-	mean := 0.0
-	for _, w := range s.sums {
-		mean += w
-	}
-	mean /= float64(len(s.sums))
+	mean := s.mean()
 	if mean == 0 {
 		return present
 	}
@@ -73,8 +76,8 @@
 	load    []float64
 	present Placement
 	ranks   Placement
-	sums    []float64
-	holders [][]int // ranks by expert
+	sums    []float64 // time of each rank
+	holders [][]int   // ranks by expert
 }
 
 func newSetState(p Placement, load []float64, l Limits) *setState {
@@ -85,12 +88,29 @@
 			s.holders[e] = append(s.holders[e], r)
 		}
 	}
+	s.add()
+	return s
+}
+
+// add computes the time of every rank from the loads of its experts.
+func (s *setState) add() {
+	clear(s.sums)
 	for e, ranks := range s.holders {
 		for _, r := range ranks {
-			s.sums[r] += load[e] / float64(len(ranks))
+			s.sums[r] += s.load[e] / float64(len(ranks)) * s.limits.slowness(r)
 		}
 	}
-	return s
+}
+
+// mean returns the mean load of the ranks.
+func (s *setState) mean() float64 {
+	total := 0.0
+	for e, ranks := range s.holders {
+		if len(ranks) > 0 {
+			total += s.load[e]
+		}
+	}
+	return total / float64(len(s.sums))
 }
 
 // change gives an expert to a rank, and may take another from it. With swap,
@@ -195,6 +215,7 @@
 		if !touched {
 			continue
 		}
+		d *= s.limits.slowness(r)
 		before = max(before, w)
 		after = max(after, w+d)
 	}
@@ -232,12 +253,7 @@
 	if c.from >= 0 {
 		s.replace(c.from, c.expert, c.drop)
 	}
-	clear(s.sums)
-	for e, ranks := range s.holders {
-		for _, r := range ranks {
-			s.sums[r] += s.load[e] / float64(len(ranks))
-		}
-	}
+	s.add()
 }
 
 // replace takes an expert from a rank and gives it another; -1 is none.
--- a/expertmap/plan/rebalance_test.go
+++ b/expertmap/plan/rebalance_test.go
@@ -51,10 +51,23 @@
 			require.LessOrEqual(t, fresh, l.Spare)
 		}
 		require.Len(t, held, 72)
-		require.Less(t, next.Peak(load), 1.15, "seed %d: peak before %.2f", seed, present.Peak(load))
+		require.Less(t, next.Peak(load, l), 1.15, "seed %d: peak before %.2f", seed, present.Peak(load, l))
 	}
 }
 
+// Guards against a slow rank that keeps its share of the load, so that all ranks
+// step at its pace.
+func TestRebalanceRelievesSlowRank(t *testing.T) {
+	l := Limits{Places: 8, Spare: 3, Slowness: []float64{1, 8, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1}}
+	load := skewedLoad(72, 9)
+	p := inTurn(12, 72)
+	before := p.Peak(load, l)
+	for range 3 {
+		p = Rebalance(p, load, l, 0)
+	}
+	require.Less(t, p.Peak(load, l), before/4)
+}
+
 // Guards against copies that gain less than they cost.
 func TestRebalanceStopsAtPrice(t *testing.T) {
 	load := skewedLoad(72, 4)
--- a/expertmap/switchover/switchover.go
+++ b/expertmap/switchover/switchover.go
@@ -48,6 +48,10 @@
 type Plan struct {
 	Version uint64
 	Map     Map
+	// Holder is the rank that is asked to hold the step of the switch. Its agent
+	// finishes the switch if the coordinator falls silent, so it should not be
+	// the coordinator's own.
+	Holder int
 }
 
 // holdLead is the number of steps between the last one begun and the one held.
@@ -79,7 +83,7 @@
 		return Unready, nil
 	}
 	if version, step, ok := anyArmed(states); ok {
-		return finishArming(states, version, step)
+		return finishArming(states, plan, version, step)
 	}
 	held, step := anyHeld(states)
 	if held >= 0 {
@@ -91,7 +95,7 @@
 	if orders := prepare(states, plan); len(orders) > 0 {
 		return Preparing, orders
 	}
-	return Holding, []Order{order(states, 0, Hold, 0, lastStep(states)+holdLead)}
+	return Holding, []Order{order(states, plan.Holder%len(states), Hold, 0, lastStep(states)+holdLead)}
 }
 
 // agree reports whether all ranks have answered from one open epoch. Nothing
@@ -143,15 +147,17 @@
 // finishArming arms the ranks that are not yet armed, and lets the step go when
 // all are. Ranks that use the version already have begun the step since the
 // others were asked; then nothing is to be done.
-func finishArming(states []State, version, step uint64) (Phase, []Order) {
+func finishArming(states []State, plan Plan, version, step uint64) (Phase, []Order) {
 	held, _ := anyHeld(states)
 	var missing []Order
+	possible := true
 	for i, s := range states {
 		switch {
 		case s.Map == version || s.Step >= step:
 			return Armed, nil
 		case s.Armed != version || s.ArmedStep != step:
 			missing = append(missing, order(states, i, Arm, version, step))
+			possible = possible && s.Prepared == version
 		}
 	}
 	switch {
@@ -163,10 +169,37 @@
 		// The hold is gone although a rank is not armed. A new hold keeps the
 		// step from beginning before all are.
 		return Arming, []Order{order(states, 0, Hold, 0, step)}
+	case !possible:
+		return Arming, undo(states, plan)
 	}
 	return Arming, missing
 }
 
+// undo disarms a group in which two coordinators have prepared different maps,
+// so that some ranks can't be armed. First the other ranks get the present
+// plan, and with it its fencing number: an arm of the former coordinator that is
+// still on its way is refused from then on.
+func undo(states []State, plan Plan) []Order {
+	if plan.Version == 0 {
+		return nil
+	}
+	var prepares, disarms []Order
+	for i, s := range states {
+		switch {
+		case s.Armed != 0:
+			disarms = append(disarms, order(states, i, Disarm, s.Armed, 0))
+		case s.Prepared != plan.Version:
+			o := order(states, i, Prepare, plan.Version, 0)
+			o.Map = plan.Map
+			prepares = append(prepares, o)
+		}
+	}
+	if len(prepares) > 0 {
+		return prepares
+	}
+	return disarms
+}
+
 // afterHold arms all ranks if they have prepared one new version, whoever
 // prepared it. Otherwise the hold is left over and is released; no arm can be
 // on its way, since arms follow only after all ranks have prepared.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -76,7 +76,6 @@
 		}
 		return result{verdict: lost, target: t, err: err}
 	}
-	t.heard(time.Now())
 	return x.judge(t, resp)
 }
 
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -22,7 +22,7 @@
 	// lapseGrace is how long targets whose entries lapsed while the service was
 	// away are kept after its return; live ones are back by then.
 	lapseGrace = 2500 * time.Millisecond
-	// troubleMemory is how long after a failed call a deletion may be a lapse.
+	// troubleMemory is how long after an outage a deletion may be a lapse.
 	troubleMemory = 3 * time.Second
 	// watchRetry is the pause after a watch that failed, and watchRetryMost the
 	// longest one.
@@ -100,6 +100,7 @@
 func (c *control) tick(now time.Time) {
 	c.dropLapsed(now)
 	c.peers.forget(now)
+	c.noteOutage(now)
 	c.noteFreshness(now)
 	c.noteIsolation(now)
 	for _, t := range c.targets {
@@ -155,7 +156,15 @@
 		c.log.Warn("dependency lost", "dependency", "key-value service", "error", err.Error())
 	}
 	c.reachable = false
-	c.lastTrouble = now
+	c.noteOutage(now)
+}
+
+// noteOutage notes that nobody reaches the service. If another instance reaches
+// it, this one is refused or cut off, and the service's entries are sound.
+func (c *control) noteOutage(now time.Time) {
+	if !c.reachable && !c.peers.reach(now) {
+		c.lastTrouble = now
+	}
 }
 
 // changed takes in new items of the copy.
@@ -222,22 +231,7 @@
 	if rt.ColdFor > 0 {
 		old.coldUntil.Store(monotonic(now.Add(rt.ColdFor)))
 	}
-	if old.Target != rt {
-		next := old.replaced(rt)
-		c.targets[id] = next
-	}
-}
-
-// replaced returns the target with other facts about the same incarnation.
-func (t *target) replaced(rt routing.Target) *target {
-	n := &target{Target: rt, pool: t.pool}
-	n.own.Store(t.own.Load())
-	n.others.Store(t.others.Load())
-	n.coldUntil.Store(t.coldUntil.Load())
-	t.mu.Lock()
-	n.failures, n.warmUp, n.quietUntil = t.failures, t.warmUp, t.quietUntil
-	t.mu.Unlock()
-	return n
+	c.targets[id] = &target{Target: rt, traffic: old.traffic}
 }
 
 // targetGone handles a deleted entry. One that was deleted while the service
@@ -292,9 +286,10 @@
 			out[dc] = true
 		}
 	})
+	newest := c.newestByAddr()
 	for id, t := range c.targets {
 		s.all[id] = t
-		if !t.Leaving && !out[t.DataCentre] {
+		if !t.Leaving && !out[t.DataCentre] && newest[t.Addr] == t {
 			s.targets[t.Backend] = append(s.targets[t.Backend], t)
 		}
 	}
@@ -302,6 +297,18 @@
 	c.g.queues.wake()
 }
 
+// newestByAddr returns the target that started last at each address. The entry
+// of one that has crashed stays for a while beside that of its successor.
+func (c *control) newestByAddr() map[string]*target {
+	newest := map[string]*target{}
+	for _, t := range c.targets {
+		if o := newest[t.Addr]; o == nil || t.Incarnation > o.Incarnation || t.Incarnation == o.Incarnation && t.ID > o.ID {
+			newest[t.Addr] = t
+		}
+	}
+	return newest
+}
+
 // watch keeps the copy up to date from the service until ctx ends.
 func (c *control) watch(ctx context.Context) {
 	pause := watchRetry
@@ -312,7 +319,6 @@
 		}
 		if errors.Is(err, infra.ErrCompacted) {
 			c.log.Warn("history of the service lost, listing again")
-			c.do(ctx, func() { c.lastTrouble = time.Now() })
 			c.list(ctx)
 			continue
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -183,6 +184,25 @@
 	return ok
 }
 
+// Items returns the items of the key-value service whose keys begin with the
+// prefix, from this instance's copy.
+func (g *Gateway) Items(ctx context.Context, prefix string) ([]infra.Item, error) {
+	var found []infra.Item
+	known := false
+	g.control.ask(ctx, func() {
+		known = g.control.mirror.Revision() > 0
+		g.control.mirror.Each(func(it infra.Item) {
+			if strings.HasPrefix(it.Key, prefix) {
+				found = append(found, it)
+			}
+		})
+	})
+	if !known {
+		return nil, errkind.New(errkind.NotReady, "the copy of the key-value service is not there yet")
+	}
+	return found, nil
+}
+
 // Addresses returns the addresses that a caller should use and how long it may
 // keep them.
 func (g *Gateway) Addresses(from Locality) ([]string, time.Duration) {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -61,6 +61,16 @@
 	return n
 }
 
+// reach reports whether a peer that is alive reaches the service.
+func (p *peerTable) reach(now time.Time) bool {
+	for _, q := range p.byID {
+		if q.reachable && now.Sub(q.heardAt) < heardFor {
+			return true
+		}
+	}
+	return false
+}
+
 // load returns the requests that the peers have at a target.
 func (p *peerTable) load(target string, now time.Time) int64 {
 	n := int64(0)
@@ -278,9 +288,6 @@
 	for _, l := range b.GetLoads() {
 		p.loads[l.GetTarget()] = l.GetRequests()
 	}
-	if !p.reachable && !c.reachable {
-		c.lastTrouble = now
-	}
 	switch {
 	case b.GetStoreRevision() > c.mirror.Revision():
 		c.reply(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Pull{Pull: &wirepb.StorePull{FromRevision: c.mirror.Revision()}}})
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -48,6 +48,33 @@
 	waiters []*waiter
 	hold    time.Duration
 	turn    int
+	// lastByte is when any target last sent something, and activeSince when the
+	// last pause of all of them ended.
+	lastByte, activeSince time.Time
+}
+
+// activityGap is the silence of all targets that counts as a pause.
+const activityGap = 300 * time.Millisecond
+
+// heard notes that a target of the back end has sent something.
+func (q *queue) heard(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if now.Sub(q.lastByte) > activityGap {
+		q.activeSince = now
+	}
+	q.lastByte = now
+}
+
+// active returns since when the targets have sent without a pause; the zero
+// time if they are silent.
+func (q *queue) active(now time.Time) time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if now.Sub(q.lastByte) > activityGap {
+		return time.Time{}
+	}
+	return q.activeSince
 }
 
 // queues holds one queue for each back end.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,8 +17,11 @@
 	// stallCheck is how often a silent stream is looked at.
 	stallCheck = 100 * time.Millisecond
 	// stallAfter is the silence after which a stream goes on at another target,
-	// if other targets of the back end have been heard meanwhile.
+	// if others of its target go on.
 	stallAfter = 900 * time.Millisecond
+	// cutAfter is the silence of a whole target that counts as a lost path to it
+	// while the other targets of the back end go on.
+	cutAfter = 1300 * time.Millisecond
 )
 
 // stream serves a request whose answer is a series of events. If its target
@@ -35,7 +38,7 @@
 		attempt, cancel := context.WithCancel(ctx)
 		res := x.sendStream(attempt, cancel, t, events.LastID())
 		if res.verdict == succeeded {
-			res = x.relay(attempt, res, &events, &begun)
+			res = x.relay(attempt, res, began, &events, &begun)
 		}
 		cancel()
 		x.attempted(res)
@@ -89,7 +92,7 @@
 		case res := <-done:
 			return res
 		case now := <-ticker.C:
-			if x.stalled(t, began, now) {
+			if x.stalled(t, silence{sent: began}, now) {
 				cancel()
 				res := <-done
 				res.err = errors.Errorf("target %s was silent for %d ms", t.ID, now.Sub(began).Milliseconds())
@@ -100,43 +103,57 @@
 	}
 }
 
-// stalled reports whether a target has been silent for too long although others
-// of its back end send. If all are silent, another target would not help.
-func (x *exchange) stalled(t *target, since, now time.Time) bool {
-	if now.Sub(since) < stallAfter || !x.route.Repeatable() || x.counted+1 >= x.route.MaxAttempts {
+// silence is how long a stream has been without an event, and what for.
+type silence struct {
+	sent time.Time
+	// last is when the last event came, or the zero time.
+	last time.Time
+}
+
+func (s silence) since() time.Time {
+	if s.last.IsZero() {
+		return s.sent
+	}
+	return s.last
+}
+
+// stalled reports whether a stream has been silent for too long although others
+// go on. If all are silent, another target would not help, and the work that
+// waits at this one would be lost.
+func (x *exchange) stalled(t *target, s silence, now time.Time) bool {
+	if now.Sub(s.since()) < stallAfter || !x.route.Repeatable() || x.counted+1 >= x.route.MaxAttempts {
 		return false
 	}
-	s := x.g.state.Load()
-	alive := 0
-	for _, o := range s.targets[x.backend] {
-		if o.ID == t.ID {
-			continue
-		}
-		o.mu.Lock()
-		if o.lastByte.After(since) && now.Sub(o.lastByte) < stallAfter/2 {
-			alive++
-		}
-		o.mu.Unlock()
+	t.mu.Lock()
+	lastByte, begunSent := t.lastByte, t.begunSent
+	t.mu.Unlock()
+	if s.last.IsZero() && begunSent.After(s.sent) {
+		return true // a request that was sent later has begun
+	}
+	if !s.last.IsZero() && lastByte.Sub(s.last) > stallAfter {
+		return true // other streams of the target go on
 	}
-	return alive > 0
+	active := x.g.queues.of(x.backend).active(now)
+	return !active.IsZero() && now.Sub(active) > cutAfter && now.Sub(lastByte) > cutAfter
 }
 
 var errCallerGone = errors.New("the caller does not read")
 
 // relay passes on whole events until the answer ends.
-func (x *exchange) relay(ctx context.Context, res result, events *sse.Splitter, begun *bool) result {
+func (x *exchange) relay(ctx context.Context, res result, sent time.Time, events *sse.Splitter, begun *bool) result {
 	defer res.resp.Close()
 	chunks := make(chan []byte)
 	ended := make(chan error, 1)
 	go readChunks(ctx, res.resp.Body, chunks, ended)
-	last := time.Now()
+	quiet := silence{sent: sent}
 	ticker := time.NewTicker(stallCheck)
 	defer ticker.Stop()
 	for {
 		select {
 		case p := <-chunks:
-			last = time.Now()
-			res.target.heard(last)
+			quiet.last = time.Now()
+			res.target.heard(quiet.last, sent)
+			x.g.queues.of(x.backend).heard(quiet.last)
 			if out := events.Push(p); out != nil {
 				if err := x.passOn(res, out, begun); err != nil {
 					return result{verdict: lost, target: res.target, err: err}
@@ -145,9 +162,9 @@
 		case err := <-ended:
 			return x.finish(res, err, events, begun)
 		case now := <-ticker.C:
-			if x.stalled(res.target, last, now) {
+			if x.stalled(res.target, quiet, now) {
 				res.target.outcome(true)
-				return result{verdict: lost, target: res.target, err: errors.Errorf("target %s was silent for %d ms in a stream", res.target.ID, now.Sub(last).Milliseconds())}
+				return result{verdict: lost, target: res.target, err: errors.Errorf("target %s was silent for %d ms in a stream", res.target.ID, now.Sub(quiet.since()).Milliseconds())}
 			}
 		case <-ctx.Done():
 			return result{verdict: lost, target: res.target, err: errors.WithStack(ctx.Err())}
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -9,10 +9,16 @@
 	"github.com/skylarkstep/skylarkstep/routing"
 )
 
-// target is one incarnation of a runner with what traffic knows about it. Its
-// connections end with it.
+// target is one incarnation of a runner as the instance list shows it. The list
+// may change what it says of it; what traffic knows stays the same.
 type target struct {
 	routing.Target
+	*traffic
+}
+
+// traffic is what this instance knows about one incarnation from its requests.
+// Its connections end with it.
+type traffic struct {
 	pool *upstream.Pool
 	// own is the number of requests of this instance at the target, and others
 	// what the other instances have told.
@@ -27,30 +33,36 @@
 	quietUntil time.Time
 	// lastByte is when the target last sent anything.
 	lastByte time.Time
+	// begunSent is when the newest request was sent that has begun to answer.
+	begunSent time.Time
 }
 
 func newTarget(t routing.Target) *target {
-	return &target{Target: t, pool: upstream.NewPool(t.Addr)}
+	return &target{Target: t, traffic: &traffic{pool: upstream.NewPool(t.Addr)}}
 }
 
-func (t *target) cold(now time.Time) bool { return monotonic(now) < t.coldUntil.Load() }
+func (t *traffic) cold(now time.Time) bool { return monotonic(now) < t.coldUntil.Load() }
 
 // outcome notes whether the target failed a request.
-func (t *target) outcome(failed bool) {
+func (t *traffic) outcome(failed bool) {
 	t.mu.Lock()
 	t.failures = routing.NextFailures(t.failures, failed)
 	t.mu.Unlock()
 }
 
-// heard notes that the target has sent something.
-func (t *target) heard(now time.Time) {
+// heard notes that the target has sent a part of the answer to a request that
+// was sent at the given time.
+func (t *traffic) heard(now, sent time.Time) {
 	t.mu.Lock()
 	t.lastByte = now
+	if sent.After(t.begunSent) {
+		t.begunSent = sent
+	}
 	t.mu.Unlock()
 }
 
 // quiet keeps new work away for a while.
-func (t *target) quiet(until time.Time) {
+func (t *traffic) quiet(until time.Time) {
 	t.mu.Lock()
 	t.quietUntil = until
 	t.mu.Unlock()
--- a/ranks/agent.go
+++ b/ranks/agent.go
@@ -21,6 +21,8 @@
 	// askedAt is when a coordinator last asked, as time since the start.
 	askedAt atomic.Int64
 	began   time.Time
+	// fencing is the number of the last order that was passed on.
+	fencing atomic.Uint64
 }
 
 // idleSession ends a session whose coordinator has gone.
@@ -86,7 +88,9 @@
 }
 
 func (a *agent) order(ctx context.Context, w *wirepb.RankOrder) *wirepb.RankOrderResult {
-	outcome, err := a.engine.Order(ctx, a.addr, decodeOrder(w), w.GetFencing())
+	o := decodeOrder(w)
+	outcome, err := a.engine.Order(ctx, a.addr, o, w.GetFencing())
+	a.fencing.Store(w.GetFencing())
 	res := &wirepb.RankOrderResult{Outcome: uint32(outcome)}
 	if err != nil {
 		res.Error = err.Error()
@@ -97,7 +101,7 @@
 func encodeReport(r Report) *wirepb.RankState {
 	s := r.State
 	w := &wirepb.RankState{
-		Group: r.Group, Rank: uint32(r.Rank), Size: uint32(r.Size), Born: r.Born,
+		Group: r.Group, Rank: uint32(r.Rank), Size: uint32(r.Size), Born: r.Born, Slowness: r.Slowness,
 		Open: s.Open, Epoch: s.Epoch, Step: s.Step, MapVersion: s.Map, PreparedVersion: s.Prepared,
 		ArmedVersion: s.Armed, ArmedStep: s.ArmedStep, Held: s.Held, HeldStep: s.HeldStep, Counts: r.Counts,
 	}
@@ -109,7 +113,7 @@
 
 func decodeReport(w *wirepb.RankState) Report {
 	r := Report{
-		Group: w.GetGroup(), Rank: int(w.GetRank()), Size: int(w.GetSize()), Born: w.GetBorn(), Counts: w.GetCounts(),
+		Group: w.GetGroup(), Rank: int(w.GetRank()), Size: int(w.GetSize()), Born: w.GetBorn(), Slowness: w.GetSlowness(), Counts: w.GetCounts(),
 		State: switchover.State{
 			Known: true, Open: w.GetOpen(), Epoch: w.GetEpoch(), Step: w.GetStep(), Map: w.GetMapVersion(),
 			Prepared: w.GetPreparedVersion(), Armed: w.GetArmedVersion(), ArmedStep: w.GetArmedStep(),
--- /dev/null
+++ b/ranks/coordinate.go
@@ -0,0 +1,133 @@
+package ranks
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/lease"
+	"github.com/skylarkstep/skylarkstep/routing"
+	"github.com/skylarkstep/skylarkstep/wire/wirepb"
+)
+
+const (
+	// groupsPause is the pause between looks for groups.
+	groupsPause      = 500 * time.Millisecond
+	coordinatePrefix = "skylarkstep/coordinators/"
+)
+
+// coordinatorTimes are short, since a group whose coordinator has gone keeps
+// its map until the next one comes. Ranks check fencing numbers, so no wait is
+// needed.
+var coordinatorTimes = lease.Times{TTL: 2500 * time.Millisecond, Renew: 800 * time.Millisecond, Margin: 400 * time.Millisecond}
+
+// CoordinatorOptions describe a process that may coordinate groups.
+type CoordinatorOptions struct {
+	Instance string
+	// Holder is unique to this process.
+	Holder  string
+	KV      infra.KV
+	Items   Directory
+	Records Records
+	Engine  Engine
+	Log     *slog.Logger
+}
+
+// RunCoordinators competes for the leases of all groups, and coordinates those
+// that it holds until ctx ends.
+func RunCoordinators(ctx context.Context, o CoordinatorOptions) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	known := map[string]bool{}
+	for ctx.Err() == nil {
+		for _, group := range groups(ctx, o) {
+			if !known[group] {
+				known[group] = true
+				wait.Go(func() { coordinateGroup(ctx, o, group) })
+			}
+		}
+		sleep(ctx, groupsPause)
+	}
+}
+
+// groups returns the names of the groups whose agents have records.
+func groups(ctx context.Context, o CoordinatorOptions) []string {
+	items, err := o.Items(ctx, agentsPrefix)
+	if err != nil {
+		return nil // the copy is not there yet
+	}
+	var names []string
+	for _, it := range items {
+		var r agentRecord
+		if json.Unmarshal(it.Value, &r) == nil && r.Rank == 0 {
+			names = append(names, r.Group)
+		}
+	}
+	return names
+}
+
+func coordinateGroup(ctx context.Context, o CoordinatorOptions, group string) {
+	key := coordinatePrefix + group
+	holder := lease.New(lease.Options{
+		KV: o.KV, Key: key, Holder: o.Holder, Times: coordinatorTimes,
+		Candidate: func() bool { return vacant(ctx, o, key) },
+		Taken:     func(n uint64) { o.Log.Info("lease taken", "group", group, "fencing", n) },
+		Lost: func(n uint64, reason string) {
+			o.Log.Info("lease lost", "group", group, "fencing", n, "reason", reason)
+		},
+	})
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	wait.Go(func() { holder.Run(ctx) })
+	l := &links{
+		engine: o.Engine, records: o.Records, items: o.Items, log: o.Log, group: group,
+		hello: &wirepb.Hello{Instance: o.Instance, Role: "coordinator"},
+	}
+	var c *coordinator
+	for ctx.Err() == nil {
+		if _, valid := holder.Token(); !valid {
+			c = nil
+			sleep(ctx, roundPause)
+			continue
+		}
+		if c == nil {
+			l.load(ctx, time.Now())
+			shape := readShape(ctx, o, l.backend)
+			if shape == nil {
+				sleep(ctx, groupsPause)
+				continue
+			}
+			c = newCoordinator(o.Log, holder, l, shape)
+		}
+		sleep(ctx, c.round(ctx))
+	}
+}
+
+// vacant reports whether nobody seems to hold the lease. The copy of the service
+// is looked at, so that waiting costs no calls.
+func vacant(ctx context.Context, o CoordinatorOptions, key string) bool {
+	items, err := o.Items(ctx, key)
+	return err == nil && len(items) == 0
+}
+
+// readShape returns the shape of the back end's groups in the configuration.
+func readShape(ctx context.Context, o CoordinatorOptions, backend string) *routing.ExpertShape {
+	items, err := o.Items(ctx, o.Records.ConfigKey())
+	if err != nil || len(items) == 0 {
+		return nil
+	}
+	cfg, err := o.Records.Config(items[0].Value)
+	if err != nil {
+		o.Log.Warn("configuration not readable", "error", err.Error())
+		return nil
+	}
+	for _, b := range cfg.Backends {
+		if b.Name == backend {
+			return b.Experts
+		}
+	}
+	return nil
+}
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -54,6 +54,7 @@
 	quietTo  time.Time
 	sent     map[int]sentOrder
 	phase    switchover.Phase
+	slowness []float64
 }
 
 // sentOrder is the last prepare that a rank has accepted.
@@ -87,6 +88,10 @@
 		states[i] = r.State
 	}
 	c.demand.observe(reports, now)
+	c.slowness = c.slowness[:0]
+	for _, r := range reports {
+		c.slowness = append(c.slowness, max(1, r.Slowness))
+	}
 	c.learn(reports, states)
 	c.replan(states, now)
 	phase, orders := switchover.Decide(states, c.plan)
@@ -175,12 +180,12 @@
 	}
 	next := make(switchover.Map, len(c.present))
 	before, after, copies := 0.0, 0.0, 0
-	limits := plan.Limits{Places: c.shape.Places, Spare: c.shape.Spare}
+	limits := plan.Limits{Places: c.shape.Places, Spare: c.shape.Spare, Slowness: c.slowness}
 	for s, set := range c.present {
 		p := plan.Placement(set)
 		n := plan.Rebalance(p, c.demand.level[s], limits, copyPrice)
-		before += p.Peak(c.demand.level[s])
-		after += n.Peak(c.demand.level[s])
+		before += p.Peak(c.demand.level[s], limits)
+		after += n.Peak(c.demand.level[s], limits)
 		copies += p.Copies(n)
 		next[s] = n
 	}
@@ -189,7 +194,7 @@
 		return
 	}
 	c.counter++
-	c.plan = switchover.Plan{Version: c.fencing*versionsPerTerm + c.counter, Map: next}
+	c.plan = switchover.Plan{Version: c.fencing*versionsPerTerm + c.counter, Map: next, Holder: int(c.counter)}
 	c.log.Info("map planned", "version", c.plan.Version, "peak", before/sets, "planned_peak", after/sets, "copies", copies,
 		"choices", c.demand.total())
 }
--- a/ranks/engine.go
+++ b/ranks/engine.go
@@ -23,8 +23,10 @@
 	Rank  int
 	Size  int
 	// Born is when the rank started, in milliseconds of the time of day.
-	Born  int64
-	State switchover.State
+	Born int64
+	// Slowness is how many times longer than usual the rank works; 1 is usual.
+	Slowness float64
+	State    switchover.State
 	// Counts are the choices of each expert since the start, set after set, and
 	// Placement the experts that the rank holds, by set, if they were asked for.
 	Counts    []uint64
--- a/ranks/links.go
+++ b/ranks/links.go
@@ -19,17 +19,18 @@
 
 const (
 	// askTimeout bounds the question to one rank, and orderTimeout an order.
-	askTimeout   = 300 * time.Millisecond
+	askTimeout   = 200 * time.Millisecond
 	orderTimeout = 120 * time.Millisecond
-	// dialTimeout bounds the opening of a session with an agent.
-	dialTimeout = 300 * time.Millisecond
+	// dialTimeout bounds the opening of a session with an agent, and redialAfter
+	// is the pause after one that failed.
+	dialTimeout = 200 * time.Millisecond
+	redialAfter = time.Second
 	// refresh is the pause between reads of the agents' records, and
 	// refreshMissing the one while a rank has no agent.
 	refresh        = 5 * time.Second
 	refreshMissing = time.Second
-	// directAfter is how long a rank may lack an agent before it is called
-	// directly, which costs more.
-	directAfter = 1500 * time.Millisecond
+	// findInterval is the pause between searches for the addresses of ranks.
+	findInterval = time.Second
 )
 
 // link is the way to one rank: the session with its agent, or its own address.
@@ -37,30 +38,42 @@
 	mu      sync.Mutex
 	addr    string // of the agent
 	session *wire.Session
-	direct  string // of the rank, used without an agent
+	direct  string // of the rank, used while its agent does not answer
 	lost    time.Time
 }
 
+// Directory reads the items of the key-value service, from a copy or from the
+// service itself.
+type Directory func(ctx context.Context, prefix string) ([]infra.Item, error)
+
 // links are the ways to all ranks of a group.
 type links struct {
-	o     Options
-	log   *slog.Logger
-	own   *agent
-	group string
-	rank  int
+	engine  Engine
+	records Records
+	items   Directory
+	log     *slog.Logger
+	hello   *wirepb.Hello
+	group   string
 
+	backend  string
 	byRank   []*link
 	read     time.Time
 	complete bool
+	searched time.Time
 }
 
 // agentRecord is what an agent tells coordinators about itself.
 type agentRecord struct {
+	Group    string `json:"group"`
+	Backend  string `json:"back_end"`
 	Rank     int    `json:"rank"`
+	Size     int    `json:"size"`
 	PeerAddr string `json:"peer_addr"`
 }
 
-func groupPrefix(group string) string { return "skylarkstep/ranks/" + group + "/" }
+const agentsPrefix = "skylarkstep/ranks/"
+
+func groupPrefix(group string) string { return agentsPrefix + group + "/" }
 
 // load reads the agents' records if they are old.
 func (l *links) load(ctx context.Context, now time.Time) {
@@ -69,17 +82,22 @@
 		return
 	}
 	l.read = now
-	items, _, err := l.o.KV.List(ctx, groupPrefix(l.group))
+	items, err := l.items(ctx, groupPrefix(l.group))
 	if err != nil {
 		l.log.Warn("agents not read", "error", err.Error())
 		return
 	}
 	for _, it := range items {
 		var r agentRecord
-		if err := json.Unmarshal(it.Value, &r); err != nil || r.Rank < 0 || r.Rank >= len(l.byRank) {
-			continue // left from another shape of the group
+		if err := json.Unmarshal(it.Value, &r); err != nil {
+			l.log.Warn("agent record not readable", "key", it.Key, "error", err.Error())
+			continue
+		}
+		l.resize(r.Size)
+		if r.Rank < len(l.byRank) {
+			l.backend = r.Backend
+			l.byRank[r.Rank].set(r.PeerAddr)
 		}
-		l.byRank[r.Rank].set(r.PeerAddr)
 	}
 }
 
@@ -105,33 +123,21 @@
 	for i := range l.byRank {
 		l.byRank[i] = &link{}
 	}
-	l.read = time.Time{}
 }
 
 // askAll reads all ranks at the same time. A rank that did not answer has a
 // state that is not known.
 func (l *links) askAll(ctx context.Context, q Question) []Report {
-	own, err := ask(ctx, l.o.Engine, l.o.RankAddr, q)
-	if err != nil {
-		l.log.Warn("own rank not read", "error", err.Error())
-		return nil
-	}
-	l.own.askedAt.Store(int64(time.Since(l.own.began)))
-	l.resize(own.Size)
 	l.load(ctx, time.Now())
 	reports := make([]Report, len(l.byRank))
 	var group sync.WaitGroup
 	for i, k := range l.byRank {
-		if i == own.Rank {
-			reports[i] = own
-			continue
-		}
 		group.Go(func() {
 			r, err := l.askOne(ctx, k, q)
 			if err == nil && r.Rank == i && r.Group == l.group {
 				reports[i] = r
 			} else if err != nil {
-				l.log.Debug("rank not read", "rank", i, "error", err.Error())
+				l.log.Info("rank not read", "rank", i, "direct", k.directAddr(), "error", err.Error())
 			}
 		})
 	}
@@ -142,16 +148,14 @@
 			reports[i].Rank, l.complete = i, false
 		}
 	}
-	if !l.complete {
-		l.findDirect(ctx, reports)
-	}
+	l.findDirect(ctx, time.Now())
 	return reports
 }
 
 func (l *links) askOne(ctx context.Context, k *link, q Question) (Report, error) {
 	var f wirepb.RankFrame
 	f.Body = &wirepb.RankFrame_Question{Question: &wirepb.RankQuestion{Counts: q.Counts, Placement: q.Placement}}
-	answer, err := k.call(ctx, l.own.hello, &f, askTimeout)
+	answer, err := k.call(ctx, l.hello, &f, askTimeout)
 	if err == nil {
 		s := answer.GetState()
 		if s == nil || s.GetError() != "" {
@@ -160,7 +164,11 @@
 		return decodeReport(s), nil
 	}
 	if direct := k.directAddr(); direct != "" {
-		return ask(ctx, l.o.Engine, direct, q)
+		r, err := ask(ctx, l.engine, direct, Question{Placement: q.Placement})
+		if err != nil {
+			k.forgetDirect()
+		}
+		return r, err
 	}
 	return Report{}, err
 }
@@ -172,15 +180,17 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.addr == "" {
-		k.noteLost()
 		return nil, errors.New("no agent is known")
 	}
+	if k.session == nil && time.Since(k.lost) < redialAfter {
+		return nil, errors.New("the agent was not reached a moment ago")
+	}
 	if k.session == nil {
 		dctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
 		s, err := wire.Dial(dctx, k.addr, nil, hello)
 		if err != nil {
-			k.noteLost()
+			k.lost = time.Now()
 			return nil, err
 		}
 		k.session = s
@@ -195,18 +205,17 @@
 	}
 	if err != nil {
 		_ = k.session.Close()
-		k.session = nil
-		k.noteLost()
+		k.session, k.lost = nil, time.Now()
 		return nil, errors.WithStack(err)
 	}
-	k.lost, k.direct = time.Time{}, ""
 	return &answer, nil
 }
 
-func (k *link) noteLost() {
-	if k.lost.IsZero() {
-		k.lost = time.Now()
-	}
+// forgetDirect drops an address at which the rank does not answer any more.
+func (k *link) forgetDirect() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.direct = ""
 }
 
 func (k *link) directAddr() string {
@@ -215,22 +224,18 @@
 	return k.direct
 }
 
-// findDirect looks for the addresses of ranks whose agents are gone.
-func (l *links) findDirect(ctx context.Context, reports []Report) {
-	now := time.Now()
+// findDirect looks for the addresses of the ranks, so that one whose agent
+// falls silent during a switch is reached at once.
+func (l *links) findDirect(ctx context.Context, now time.Time) {
 	missing := false
-	for i, k := range l.byRank {
-		k.mu.Lock()
-		if !reports[i].State.Known && k.direct == "" && !k.lost.IsZero() && now.Sub(k.lost) > directAfter {
-			missing = true
-			k.lost = now // not again for a while
-		}
-		k.mu.Unlock()
+	for _, k := range l.byRank {
+		missing = missing || k.directAddr() == ""
 	}
-	if !missing {
+	if !missing || now.Sub(l.searched) < findInterval {
 		return
 	}
-	items, _, err := l.o.KV.List(ctx, l.o.Records.TargetPrefix())
+	l.searched = now
+	items, err := l.items(ctx, l.records.TargetPrefix())
 	if err != nil {
 		l.log.Warn("targets not read", "error", err.Error())
 		return
@@ -238,15 +243,13 @@
 	var group sync.WaitGroup
 	for _, t := range l.targets(items) {
 		group.Go(func() {
-			r, err := l.o.Engine.Report(ctx, t.Addr)
+			r, err := l.engine.Report(ctx, t.Addr)
 			if err != nil || r.Group != l.group || r.Rank >= len(l.byRank) {
 				return
 			}
 			k := l.byRank[r.Rank]
 			k.mu.Lock()
-			if k.session == nil {
-				k.direct = t.Addr
-			}
+			k.direct = t.Addr
 			k.mu.Unlock()
 		})
 	}
@@ -256,8 +259,8 @@
 func (l *links) targets(items []infra.Item) []routing.Target {
 	var out []routing.Target
 	for _, it := range items {
-		id, _ := l.o.Records.TargetID(it.Key)
-		if t, err := l.o.Records.Target(id, it.Value); err == nil && t.Backend == l.o.Backend {
+		id, _ := l.records.TargetID(it.Key)
+		if t, err := l.records.Target(id, it.Value); err == nil && t.Backend == l.backend {
 			out = append(out, t)
 		}
 	}
@@ -293,14 +296,12 @@
 }
 
 func (l *links) orderOne(ctx context.Context, o switchover.Order, fencing uint64) (Outcome, error) {
-	if o.Rank == l.rank {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		return l.o.Engine.Order(ctx, l.o.RankAddr, o, fencing)
+	if o.Operation == switchover.Hold || o.Operation == switchover.Go {
+		return l.orderDirect(ctx, o, fencing)
 	}
 	k := l.byRank[o.Rank]
 	f := &wirepb.RankFrame{Body: &wirepb.RankFrame_Order{Order: encodeOrder(o, fencing)}}
-	answer, err := k.call(ctx, l.own.hello, f, orderTimeout)
+	answer, err := k.call(ctx, l.hello, f, orderTimeout)
 	if err == nil {
 		r := answer.GetResult()
 		if r.GetError() != "" {
@@ -309,7 +310,20 @@
 		return Outcome(r.GetOutcome()), err
 	}
 	if direct := k.directAddr(); direct != "" {
-		return l.o.Engine.Order(ctx, direct, o, fencing)
+		return l.engine.Order(ctx, direct, o, fencing)
 	}
 	return NoAnswer, err
 }
+
+// orderDirect gives an order without the rank's agent. Holds and their release
+// go this way, so that no machine that runs a rank is needed to end a hold but
+// that of the rank itself.
+func (l *links) orderDirect(ctx context.Context, o switchover.Order, fencing uint64) (Outcome, error) {
+	direct := l.byRank[o.Rank].directAddr()
+	if direct == "" {
+		return Refused, errors.Errorf("address of rank %d is not known", o.Rank)
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return l.engine.Order(ctx, direct, o, fencing)
+}
--- a/wire/session.go
+++ b/wire/session.go
@@ -61,28 +61,37 @@
 	wmu sync.Mutex
 }
 
-// Dial connects to a peer and shakes hands.
+// Dial connects to a peer and shakes hands before ctx ends.
 func Dial(ctx context.Context, addr string, key []byte, hello *wirepb.Hello) (*Session, error) {
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.TargetUnreachable, "dial %s", addr)
 	}
-	return Client(conn, key, hello)
+	return newSession(conn, key, hello, true, earlier(ctx, handshakeTimeout))
+}
+
+// earlier returns the end of ctx, or of the timeout if that is sooner.
+func earlier(ctx context.Context, timeout time.Duration) time.Time {
+	end := time.Now().Add(timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(end) {
+		return d
+	}
+	return end
 }
 
 // Client shakes hands as the side that opened the connection.
 func Client(conn net.Conn, key []byte, hello *wirepb.Hello) (*Session, error) {
-	return newSession(conn, key, hello, true)
+	return newSession(conn, key, hello, true, time.Now().Add(handshakeTimeout))
 }
 
 // Server shakes hands as the side that accepted the connection.
 func Server(conn net.Conn, key []byte, hello *wirepb.Hello) (*Session, error) {
-	return newSession(conn, key, hello, false)
+	return newSession(conn, key, hello, false, time.Now().Add(handshakeTimeout))
 }
 
-func newSession(conn net.Conn, key []byte, hello *wirepb.Hello, client bool) (*Session, error) {
-	peer, err := handshake(conn, key, hello, client)
+func newSession(conn net.Conn, key []byte, hello *wirepb.Hello, client bool, deadline time.Time) (*Session, error) {
+	peer, err := handshake(conn, key, hello, client, deadline)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -132,8 +141,8 @@
 
 // handshake exchanges Hello messages and proofs of the cluster key before any
 // multiplexing, so that an unauthenticated peer can't open streams.
-func handshake(conn net.Conn, key []byte, hello *wirepb.Hello, client bool) (*wirepb.Hello, error) {
-	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+func handshake(conn net.Conn, key []byte, hello *wirepb.Hello, client bool, deadline time.Time) (*wirepb.Hello, error) {
+	_ = conn.SetDeadline(deadline)
 	defer func() { _ = conn.SetDeadline(time.Time{}) }()
 	mine := proto.CloneOf(hello)
 	mine.ProtocolVersion = ProtocolVersion
--- a/wire/session_test.go
+++ b/wire/session_test.go
@@ -107,12 +107,12 @@
 func TestPeerWithoutControlStream(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		near, far := net.Pipe()
+		start := time.Now()
 		go func() {
-			_, err := handshake(near, testKey, &wirepb.Hello{}, true)
+			_, err := handshake(near, testKey, &wirepb.Hello{}, true, start.Add(handshakeTimeout))
 			assert.NoError(t, err)
 			drain(near)
 		}()
-		start := time.Now()
 		_, err := Server(far, testKey, &wirepb.Hello{})
 		require.Error(t, err)
 		assert.Equal(t, handshakeTimeout, time.Since(start))
