--- a/expertmap/switchover/switchover.go
+++ b/expertmap/switchover/switchover.go
@@ -52,12 +52,10 @@
 	// finishes the switch if the coordinator falls silent, so it should not be
 	// the coordinator's own.
 	Holder int
+	// Lead is the number of steps between the last one begun and the one held.
+	Lead uint64
 }
 
-// holdLead is the number of steps between the last one begun and the one held.
-// A step that is too close may begin before the order arrives.
-const holdLead = 4
-
 // Phase describes how far the group is.
 type Phase string
 
@@ -95,7 +93,7 @@
 	if orders := prepare(states, plan); len(orders) > 0 {
 		return Preparing, orders
 	}
-	return Holding, []Order{order(states, plan.Holder%len(states), Hold, 0, lastStep(states)+holdLead)}
+	return Holding, []Order{order(states, plan.Holder%len(states), Hold, 0, lastStep(states)+max(1, plan.Lead))}
 }
 
 // agree reports whether all ranks have answered from one open epoch. Nothing
--- a/ranks/agent.go
+++ b/ranks/agent.go
@@ -89,7 +89,7 @@
 
 func (a *agent) order(ctx context.Context, w *wirepb.RankOrder) *wirepb.RankOrderResult {
 	o := decodeOrder(w)
-	outcome, err := a.engine.Order(ctx, a.addr, o, w.GetFencing())
+	outcome, err := give(ctx, a.engine, a.addr, o, w.GetFencing(), int(w.GetCopies()))
 	a.fencing.Store(w.GetFencing())
 	res := &wirepb.RankOrderResult{Outcome: uint32(outcome)}
 	if err != nil {
@@ -126,8 +126,8 @@
 	return r
 }
 
-func encodeOrder(o switchover.Order, fencing uint64) *wirepb.RankOrder {
-	w := &wirepb.RankOrder{Operation: string(o.Operation), Version: o.Version, Step: o.Step, Epoch: o.Epoch, Fencing: fencing}
+func encodeOrder(o switchover.Order, fencing uint64, copies int) *wirepb.RankOrder {
+	w := &wirepb.RankOrder{Operation: string(o.Operation), Version: o.Version, Step: o.Step, Epoch: o.Epoch, Fencing: fencing, Copies: uint32(copies)}
 	for _, set := range o.Map {
 		s := &wirepb.ExpertSet{}
 		for _, experts := range set {
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -18,6 +18,11 @@
 	switchPause = 10 * time.Millisecond
 	// switchInterval is the shortest time between two switches.
 	switchInterval = 900 * time.Millisecond
+	// holdLead is the number of steps between the last one begun and the one that
+	// is held: a step that is too close may begin before the order arrives.
+	// lossyLead leaves more time for orders that must be given again.
+	holdLead  = 4
+	lossyLead = 10
 	// prepareWait is how long a rank may copy experts before it is asked again.
 	prepareWait = 1500 * time.Millisecond
 	// demandMemory is how far the demand looks back.
@@ -52,6 +57,7 @@
 	known    bool
 	switched time.Time
 	quietTo  time.Time
+	lossyTo  time.Time
 	sent     map[int]sentOrder
 	phase    switchover.Phase
 	slowness []float64
@@ -94,6 +100,10 @@
 	}
 	c.learn(reports, states)
 	c.replan(states, now)
+	c.plan.Lead = holdLead
+	if now.Before(c.lossyTo) {
+		c.plan.Lead = lossyLead
+	}
 	phase, orders := switchover.Decide(states, c.plan)
 	c.enter(phase, states)
 	c.send(ctx, c.due(orders, now))
@@ -213,8 +223,15 @@
 }
 
 func (c *coordinator) send(ctx context.Context, orders []switchover.Order) {
-	for _, res := range c.links.orderAll(ctx, orders, c.fencing, c.token) {
+	copies := 1
+	if time.Now().Before(c.lossyTo) {
+		copies = lossyCopies
+	}
+	for _, res := range c.links.orderAll(ctx, orders, c.fencing, copies, c.token) {
 		o := res.order
+		if res.outcome == NoAnswer {
+			c.lossyTo = time.Now().Add(lossyMemory)
+		}
 		switch {
 		case res.outcome == Done && o.Operation == switchover.Prepare:
 			c.sent[o.Rank] = sentOrder{o.Version, time.Now()}
--- a/ranks/links.go
+++ b/ranks/links.go
@@ -20,7 +20,7 @@
 const (
 	// askTimeout bounds the question to one rank, and orderTimeout an order.
 	askTimeout   = 200 * time.Millisecond
-	orderTimeout = 120 * time.Millisecond
+	orderTimeout = giveTimeout + 60*time.Millisecond
 	// dialTimeout bounds the opening of a session with an agent, and redialAfter
 	// is the pause after one that failed.
 	dialTimeout = 200 * time.Millisecond
@@ -275,7 +275,7 @@
 
 // orderAll sends orders to several ranks at the same time. The token is looked
 // at before each, since the process may have been paused.
-func (l *links) orderAll(ctx context.Context, orders []switchover.Order, fencing uint64, token lease.Token) []orderResult {
+func (l *links) orderAll(ctx context.Context, orders []switchover.Order, fencing uint64, copies int, token lease.Token) []orderResult {
 	results := make([]orderResult, len(orders))
 	var group sync.WaitGroup
 	for i, o := range orders {
@@ -284,7 +284,7 @@
 			if now, valid := token.Token(); !valid || now != fencing {
 				return
 			}
-			outcome, err := l.orderOne(ctx, o, fencing)
+			outcome, err := l.orderOne(ctx, o, fencing, copies)
 			results[i].outcome = outcome
 			if err != nil {
 				results[i].err = err.Error()
@@ -295,12 +295,12 @@
 	return results
 }
 
-func (l *links) orderOne(ctx context.Context, o switchover.Order, fencing uint64) (Outcome, error) {
+func (l *links) orderOne(ctx context.Context, o switchover.Order, fencing uint64, copies int) (Outcome, error) {
 	if o.Operation == switchover.Hold || o.Operation == switchover.Go {
-		return l.orderDirect(ctx, o, fencing)
+		return l.orderDirect(ctx, o, fencing, copies)
 	}
 	k := l.byRank[o.Rank]
-	f := &wirepb.RankFrame{Body: &wirepb.RankFrame_Order{Order: encodeOrder(o, fencing)}}
+	f := &wirepb.RankFrame{Body: &wirepb.RankFrame_Order{Order: encodeOrder(o, fencing, copies)}}
 	answer, err := k.call(ctx, l.hello, f, orderTimeout)
 	if err == nil {
 		r := answer.GetResult()
@@ -310,7 +310,7 @@
 		return Outcome(r.GetOutcome()), err
 	}
 	if direct := k.directAddr(); direct != "" {
-		return l.engine.Order(ctx, direct, o, fencing)
+		return give(ctx, l.engine, direct, o, fencing, copies)
 	}
 	return NoAnswer, err
 }
@@ -318,12 +318,10 @@
 // orderDirect gives an order without the rank's agent. Holds and their release
 // go this way, so that no machine that runs a rank is needed to end a hold but
 // that of the rank itself.
-func (l *links) orderDirect(ctx context.Context, o switchover.Order, fencing uint64) (Outcome, error) {
+func (l *links) orderDirect(ctx context.Context, o switchover.Order, fencing uint64, copies int) (Outcome, error) {
 	direct := l.byRank[o.Rank].directAddr()
 	if direct == "" {
 		return Refused, errors.Errorf("address of rank %d is not known", o.Rank)
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	return l.engine.Order(ctx, direct, o, fencing)
+	return give(ctx, l.engine, direct, o, fencing, copies)
 }
--- a/ranks/rescue.go
+++ b/ranks/rescue.go
@@ -61,7 +61,7 @@
 		states[i] = r.State
 	}
 	phase, orders := switchover.Decide(states, switchover.Plan{})
-	for _, res := range l.orderAll(ctx, orders, fencing, fixedToken(fencing)) {
+	for _, res := range l.orderAll(ctx, orders, fencing, lossyCopies, fixedToken(fencing)) {
 		l.log.Info("order for a silent coordinator", "operation", string(res.order.Operation), "rank", res.order.Rank,
 			"version", res.order.Version, "step", res.order.Step, "fencing", fencing, "phase", string(phase),
 			"outcome", outcomeNames[res.outcome], "error", res.err)
