expertmap/plan: follow shifts of demand

Change: a Tracker compares the choices of the last 200 ms with those before and forgets the older ones if they differ by a fifth; changes follow each other after 200 ms; a copy must save 0.10 of the mean (0.04), which also makes the switch faster.

--- /dev/null
+++ b/expertmap/plan/replay_test.go
@@ -0,0 +1,164 @@
+package plan
+
+import (
+	"bufio"
+	"compress/gzip"
+	"encoding/json"
+	"math"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// recorded is the counts of all ranks together at one moment of a played day.
+type recorded struct {
+	Seconds float64  `json:"t"`
+	Counts  []uint64 `json:"counts"`
+}
+
+const (
+	replaySets, replayExperts, replayRanks = 4, 72, 12
+	// replayOrders is the time that the orders of a switch take, and replayCopy
+	// that of copying one expert.
+	replayOrders = 200 * time.Millisecond
+	replayCopy   = 35 * time.Millisecond
+	replayPoll   = 300 * time.Millisecond
+)
+
+func readRecording(t testing.TB, file string) []recorded {
+	f, err := os.Open(file)
+	require.NoError(t, err)
+	defer func() { _ = f.Close() }()
+	z, err := gzip.NewReader(f)
+	require.NoError(t, err)
+	var all []recorded
+	lines := bufio.NewScanner(z)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		var r recorded
+		require.NoError(t, json.Unmarshal(lines.Bytes(), &r))
+		all = append(all, r)
+	}
+	require.NoError(t, lines.Err())
+	return all
+}
+
+type replayResult struct {
+	skew             float64
+	copies, switches int
+}
+
+// replay lets a tracker steer a group through recorded demand. The skew is that
+// of the passes that the group would have made, not the planned one.
+func replay(records []recorded, rules TrackerRules, poll time.Duration) replayResult {
+	at := func(r recorded) time.Time { return time.Unix(0, int64(r.Seconds*1e9)) }
+	t := NewTracker(replaySets, replayExperts, rules)
+	l := Limits{Places: 8, Spare: 3}
+	present := make([][][]int, replaySets)
+	for s := range present {
+		present[s] = inTurn(replayRanks, replayExperts)
+	}
+	var pending [][][]int
+	var due, read time.Time
+	var res replayResult
+	weight := 0.0
+	for i, r := range records {
+		now := at(r)
+		if i > 0 {
+			skew, n := skewBetween(present, records[i-1].Counts, r.Counts)
+			res.skew += skew * n
+			weight += n
+		}
+		if pending != nil && !now.Before(due) {
+			present, pending = pending, nil
+			t.Changed(now)
+		}
+		if now.Sub(read) < poll {
+			continue
+		}
+		read = now
+		t.Observe([]Sample{{Counts: r.Counts}}, now)
+		if pending != nil {
+			continue
+		}
+		if p, ok := t.Propose(present, l, now); ok {
+			pending = p.Map
+			due = now.Add(replayOrders + time.Duration(mostCopies(present, p.Map))*replayCopy)
+			res.copies += p.Copies
+			res.switches++
+		}
+	}
+	res.skew /= weight
+	return res
+}
+
+// mostCopies returns how many experts the rank copies that copies most.
+func mostCopies(present, next [][][]int) int {
+	most := 0
+	for r := range present[0] {
+		n := 0
+		for s := range present {
+			n += Placement{present[s][r]}.Copies(Placement{next[s][r]})
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+func skewBetween(m [][][]int, before, after []uint64) (skew, choices float64) {
+	for s := range m {
+		load := make([]float64, replayExperts)
+		for e := range load {
+			load[e] = float64(after[s*replayExperts+e]) - float64(before[s*replayExperts+e])
+			choices += load[e]
+		}
+		skew += Placement(m[s]).Peak(load, Limits{}) / float64(len(m))
+	}
+	return skew, choices
+}
+
+func replayAll(t testing.TB, rules TrackerRules, poll time.Duration) replayResult {
+	files, err := filepath.Glob("testdata/*.jsonl.gz")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	var sum replayResult
+	for _, f := range files {
+		r := replay(readRecording(t, f), rules, poll)
+		sum.skew += r.skew / float64(len(files))
+		sum.copies += r.copies
+		sum.switches += r.switches
+	}
+	return sum
+}
+
+// Guards against a tracker that averages over a shift of demand: on the recorded
+// days the passes of the former rules took 1.97 times as long as those of an even
+// load, since the map was planned for demand of which half had gone.
+func TestTrackerFollowsShifts(t *testing.T) {
+	former := TrackerRules{
+		Memory: 1500 * time.Millisecond, ShiftWindow: 400 * time.Millisecond, ShiftDistance: math.Inf(1),
+		MinChoices: 3000, MinGain: 0.10, CopyPrice: 0.04, Interval: 900 * time.Millisecond,
+	}
+	before := replayAll(t, former, 300*time.Millisecond)
+	after := replayAll(t, DefaultTrackerRules, 150*time.Millisecond)
+	t.Logf("skew %.3f -> %.3f, copies %d -> %d, switches %d -> %d",
+		before.skew, after.skew, before.copies, after.copies, before.switches, after.switches)
+	require.Less(t, after.skew, before.skew-0.2)
+	require.Less(t, after.copies, before.copies)
+}
+
+// Guards against counts of a rank that has started anew being taken for
+// negative or doubled demand.
+func TestTrackerRestartedRank(t *testing.T) {
+	tr := NewTracker(1, 2, DefaultTrackerRules)
+	now := time.Unix(0, 0)
+	tr.Observe([]Sample{{Rank: 0, Born: 1, Counts: []uint64{100, 50}}}, now)
+	tr.Observe([]Sample{{Rank: 0, Born: 1, Counts: []uint64{160, 60}}}, now)
+	require.Equal(t, 70.0, tr.Choices())
+	tr.Observe([]Sample{{Rank: 0, Born: 2, Counts: []uint64{30, 10}}}, now)
+	tr.Observe([]Sample{{Rank: 0, Born: 2, Counts: []uint64{5, 5}}}, now)
+	require.Equal(t, 70.0, tr.Choices())
+}
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -14,10 +14,8 @@
 const (
 	// roundPause is the pause between rounds of an idle group, and switchPause
 	// that during a switch.
-	roundPause  = 300 * time.Millisecond
+	roundPause  = 150 * time.Millisecond
 	switchPause = 10 * time.Millisecond
-	// switchInterval is the shortest time between two switches.
-	switchInterval = 900 * time.Millisecond
 	// holdLead is the number of steps between the last one begun and the one that
 	// is held: a step that is too close may begin before the order arrives.
 	// lossyLead leaves more time for orders that must be given again.
@@ -25,15 +23,6 @@
 	lossyLead = 10
 	// prepareWait is how long a rank may copy experts before it is asked again.
 	prepareWait = 1500 * time.Millisecond
-	// demandMemory is how far the demand looks back.
-	demandMemory = 1500 * time.Millisecond
-	// minChoices is the evidence of demand that a plan needs, in choices of a set.
-	minChoices = 3000
-	// minGain is the share by which a switch must lower the time of a pass.
-	minGain = 0.10
-	// copyPrice is the share of the mean load by which a set's peak must fall for
-	// each expert that is copied.
-	copyPrice = 0.04
 	// refusedPause is the pause after a rank refused an order.
 	refusedPause = 500 * time.Millisecond
 	// versionsPerTerm separates the versions of terms: the fencing number of a
@@ -47,7 +36,7 @@
 	token  lease.Token
 	links  *links
 	shape  *routing.ExpertShape
-	demand *demand
+	demand *plan.Tracker
 
 	fencing  uint64
 	counter  uint64
@@ -55,7 +44,6 @@
 	present  switchover.Map
 	version  uint64 // of present
 	known    bool
-	switched time.Time
 	quietTo  time.Time
 	lossyTo  time.Time
 	sent     map[int]sentOrder
@@ -72,7 +60,7 @@
 func newCoordinator(log *slog.Logger, token lease.Token, l *links, shape *routing.ExpertShape) *coordinator {
 	return &coordinator{
 		log: log, token: token, links: l, shape: shape, sent: map[int]sentOrder{},
-		demand: newDemand(shape.Sets, shape.Experts, demandMemory),
+		demand: plan.NewTracker(shape.Sets, shape.Experts, plan.DefaultTrackerRules),
 	}
 }
 
@@ -93,7 +81,7 @@
 	for i, r := range reports {
 		states[i] = r.State
 	}
-	c.demand.observe(reports, now)
+	c.observe(reports, now)
 	c.slowness = c.slowness[:0]
 	for _, r := range reports {
 		c.slowness = append(c.slowness, max(1, r.Slowness))
@@ -108,9 +96,9 @@
 	c.enter(phase, states)
 	c.send(ctx, c.due(orders, now))
 	switch phase {
-	case switchover.Settled, switchover.Unready, switchover.Armed:
+	case switchover.Settled, switchover.Unready:
 		return roundPause
-	case switchover.Preparing:
+	case switchover.Preparing, switchover.Armed:
 		return 5 * switchPause
 	default:
 		return switchPause
@@ -144,7 +132,7 @@
 	case c.known && version == c.version:
 	case c.plan.Version != 0 && version == c.plan.Version:
 		c.present, c.version, c.known = c.plan.Map, version, true
-		c.switched = time.Now()
+		c.demand.Changed(time.Now())
 	default:
 		c.known = false
 		if m, ok := collect(reports, c.shape.Sets); ok {
@@ -185,28 +173,28 @@
 	if c.plan.Version != 0 && c.plan.Version != c.version {
 		return // under way
 	}
-	if now.Sub(c.switched) < switchInterval || c.demand.total() < minChoices {
-		return
-	}
-	next := make(switchover.Map, len(c.present))
-	before, after, copies := 0.0, 0.0, 0
 	limits := plan.Limits{Places: c.shape.Places, Spare: c.shape.Spare, Slowness: c.slowness}
-	for s, set := range c.present {
-		p := plan.Placement(set)
-		n := plan.Rebalance(p, c.demand.level[s], limits, copyPrice)
-		before += p.Peak(c.demand.level[s], limits)
-		after += n.Peak(c.demand.level[s], limits)
-		copies += p.Copies(n)
-		next[s] = n
-	}
-	sets := float64(len(c.present))
-	if before-after < minGain*sets {
+	p, ok := c.demand.Propose(c.present, limits, now)
+	if !ok {
 		return
 	}
 	c.counter++
-	c.plan = switchover.Plan{Version: c.fencing*versionsPerTerm + c.counter, Map: next, Holder: int(c.counter)}
-	c.log.Info("map planned", "version", c.plan.Version, "peak", before/sets, "planned_peak", after/sets, "copies", copies,
-		"choices", c.demand.total())
+	c.plan = switchover.Plan{Version: c.fencing*versionsPerTerm + c.counter, Map: p.Map, Holder: int(c.counter)}
+	c.log.Info("map planned", "version", c.plan.Version, "peak", p.Peak, "planned_peak", p.Planned, "copies", p.Copies,
+		"choices", c.demand.Choices())
+}
+
+// observe takes in the counts of the ranks that were read.
+func (c *coordinator) observe(reports []Report, now time.Time) {
+	var samples []plan.Sample
+	for _, r := range reports {
+		if len(r.Counts) > 0 {
+			samples = append(samples, plan.Sample{Rank: r.Rank, Born: r.Born, Counts: r.Counts})
+		}
+	}
+	if len(samples) > 0 {
+		c.demand.Observe(samples, now)
+	}
 }
 
 // due leaves out prepares that a rank is still busy with.
