--- /dev/null
+++ b/gateway/control_test.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+// Guards against an instance that the service refuses and that misses changes
+// which the others know.
+func TestRefusedInstanceLearnsFromAnother(t *testing.T) {
+	r := startRunner(t, "r", func(w net.Conn, req *http.Request) { reply(w, req, "ok") })
+	d := newDeployment(t, config(), r)
+	a, b := d.start("a"), d.start("b")
+	require.Eventually(t, func() bool { return a.state.Load().instances == 2 && b.state.Load().instances == 2 }, 3*time.Second, 10*time.Millisecond)
+	b.kv.refuse.Store(true)
+	time.Sleep(200 * time.Millisecond)
+	next := config()
+	next.Version, next.Customers[0].Keys = 2, []string{"k1"}
+	d.put("config", next)
+	require.Eventually(t, func() bool {
+		return b.request(t.Context(), http.MethodPost, "/keyed/1", "k2").status == http.StatusUnauthorized
+	}, 1500*time.Millisecond, 20*time.Millisecond)
+	require.Equal(t, http.StatusOK, b.request(t.Context(), http.MethodPost, "/keyed/1", "k1").status)
+	list, _ := a.Addresses(Locality{Region: "r1", DataCentre: "dc1"})
+	require.Len(t, list, 2)
+}
+
+// Guards against a removed entry being taken for a lapse although only this
+// instance is refused, and against a live target being dropped in an outage.
+func TestLapseOnlyInOutageOfAll(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		peerReaches bool
+		kept        bool
+	}{
+		{"another instance reaches the service", true, false},
+		{"nobody reaches the service", false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newDeployment(t, config()).start("g1").Gateway
+			g.control.ask(t.Context(), func() {
+				k, now := g.control, time.Now()
+				k.targets["a"] = newTarget(routing.Target{ID: "a", Backend: "b"})
+				k.peers.byID["p"] = &peer{heardAt: now, reachable: c.peerReaches}
+				k.lost(errWatchEnded, now)
+				k.targetGone("a", now.Add(time.Second))
+				require.Equal(t, c.kept, k.targets["a"] != nil)
+				k.reached(now, now.Add(2*time.Second))
+				k.dropLapsed(now.Add(5 * time.Second))
+				require.Nil(t, k.targets["a"], "an entry that stays away is gone")
+			})
+		})
+	}
+}
+
+// Guards against an instance that reaches nobody and serves by a configuration
+// that others may have replaced.
+func TestIsolatedInstanceRefuses(t *testing.T) {
+	g := newDeployment(t, config()).start("g1").Gateway
+	g.control.ask(t.Context(), func() {
+		k, now := g.control, time.Now()
+		k.peers.byID["p"] = &peer{heardAt: now.Add(-10 * time.Second)}
+		k.confirmedAt = now.Add(-5 * time.Second)
+		k.noteIsolation(now)
+		require.False(t, g.isIsolated(), "not yet")
+		k.confirmedAt = now.Add(-7 * time.Second)
+		k.noteIsolation(now)
+		require.True(t, g.isIsolated())
+		k.peers.byID["p"].heardAt = now
+		k.noteIsolation(now)
+		require.False(t, g.isIsolated(), "another instance is heard: the service is away for all")
+	})
+}
+
+// Guards against waiters that are overtaken by less urgent ones, and against
+// requests that wait although they can't be served in time.
+func TestQueue(t *testing.T) {
+	d := newDeployment(t, config())
+	g := d.start("g1")
+	d.put("target/r", routing.Target{ID: "r", Backend: "b", Addr: "127.0.0.1:1", DataCentre: "dc1", Slots: 1})
+	require.Eventually(t, func() bool { return len(g.state.Load().targets["b"]) == 1 }, time.Second, time.Millisecond)
+	q := g.queues.of("b")
+	any := func(*target) bool { return true }
+	until := func() time.Time { return time.Now().Add(2 * time.Second) }
+	first, err := q.acquire(t.Context(), need{backend: "b", allowed: any, until: until()})
+	require.NoError(t, err)
+	second, err := q.acquire(t.Context(), need{backend: "b", allowed: any, until: until()})
+	require.NoError(t, err, "a quarter of the slots, rounded up, may wait at the target")
+	order := make(chan int, 2)
+	for _, priority := range []int{2, 1} {
+		go func() {
+			t2, err := q.acquire(t.Context(), need{backend: "b", priority: priority, allowed: any, until: until()})
+			if err == nil {
+				order <- priority
+				time.Sleep(10 * time.Millisecond)
+				q.release(t2, time.Millisecond)
+			}
+		}()
+		time.Sleep(20 * time.Millisecond)
+	}
+	q.release(first, time.Millisecond)
+	require.Equal(t, 1, <-order)
+	q.release(second, time.Millisecond)
+	require.Equal(t, 2, <-order)
+	require.Eventually(t, func() bool { return g.state.Load().all["r"].own.Load() == 0 }, time.Second, time.Millisecond)
+	q.mu.Lock()
+	q.hold = time.Minute
+	q.mu.Unlock()
+	for range 2 {
+		_, err = q.acquire(t.Context(), need{backend: "b", allowed: any, until: until()})
+		require.NoError(t, err)
+	}
+	began := time.Now()
+	_, err = q.acquire(t.Context(), need{backend: "b", allowed: any, until: until()})
+	require.ErrorContains(t, err, "overloaded")
+	require.Less(t, time.Since(began), 100*time.Millisecond)
+}
+
+// Guards against records that a newer list lacks being kept for callers.
+func TestNearestAddresses(t *testing.T) {
+	all := []record{
+		{CallerAddr: "1", DataCentre: "a", Region: "r"}, {CallerAddr: "2", DataCentre: "a", Region: "r"},
+		{CallerAddr: "3", DataCentre: "b", Region: "r"}, {CallerAddr: "4", DataCentre: "c", Region: "s"},
+	}
+	require.ElementsMatch(t, []string{"1", "2"}, nearest(all, Locality{"r", "a"}))
+	require.ElementsMatch(t, []string{"1", "2", "3"}, nearest(all, Locality{"r", "b"}))
+	require.ElementsMatch(t, []string{"1", "2", "3", "4"}, nearest(all, Locality{"s", "c"}))
+}
+
+var _ infra.KV = (*refusingKV)(nil)
--- /dev/null
+++ b/gateway/forward_test.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+// Guards against a booking that runs twice, a refusal that is not true, and an
+// answer that looks complete or belongs to another request, for each way in
+// which a target fails.
+func TestTargetFailures(t *testing.T) {
+	lost := func(w net.Conn, _ *http.Request) { reset(w) }
+	refuse := func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+	}
+	cut := func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 10\r\n\r\nabc", r.Header.Get("X-Id"))
+		reset(w)
+	}
+	stray := func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprint(w, "HTTP/1.1 200 OK\r\nX-Id: another\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nwrong")
+		reply(w, r, "right")
+	}
+	fails := func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 500 Failed\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\nsorry", r.Header.Get("X-Id"))
+	}
+	busyButRan := func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 503 Broken\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+	}
+	unsealed := func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nno", r.Header.Get("X-Id"))
+	}
+	for _, c := range []struct {
+		name     string
+		path     string
+		first    func(net.Conn, *http.Request)
+		status   int
+		body     string
+		arrivals int64
+	}{
+		{"booking, answer lost", "/book/1", lost, http.StatusBadGateway, "", 1},
+		{"booking, refused", "/book/1", refuse, http.StatusServiceUnavailable, "", 1},
+		{"booking, answer cut", "/book/1", cut, http.StatusBadGateway, "", 1},
+		{"booking, answer of another request first", "/book/1", stray, http.StatusOK, "right", 1},
+		{"booking, target fails", "/book/1", fails, http.StatusInternalServerError, "sorr", 1},
+		{"booking, target ran it and says 503", "/book/1", busyButRan, http.StatusBadGateway, "", 1},
+		{"booking, answer without a seal", "/book/1", unsealed, http.StatusBadGateway, "", 1},
+		{"read, answer lost", "/read/1", lost, http.StatusOK, "good", 2},
+		{"read, refused", "/read/1", refuse, http.StatusOK, "good", 2},
+		{"read, answer cut", "/read/1", cut, http.StatusOK, "good", 2},
+		{"read, target fails", "/read/1", fails, http.StatusOK, "good", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			good := startRunner(t, "good", func(w net.Conn, r *http.Request) { reply(w, r, "good") })
+			bad := startRunner(t, "bad", c.first)
+			d := newDeployment(t, config(), bad)
+			g := d.start("g1")
+			require.Eventually(t, func() bool { return len(g.state.Load().all) == 1 }, time.Second, time.Millisecond)
+			d.put("target/good", good.target("b"))
+			require.Eventually(t, func() bool { return len(g.state.Load().all) == 2 }, time.Second, time.Millisecond)
+			// The good target looks busier, so that the bad one is first.
+			g.state.Load().all["good"].others.Store(2)
+			a := g.request(t.Context(), http.MethodPost, c.path, "")
+			require.NoError(t, a.err)
+			require.Equal(t, c.status, a.status, a.body)
+			if c.body != "" {
+				require.Equal(t, c.body, a.body)
+			}
+			require.Equal(t, c.arrivals, good.arrivals.Load()+bad.arrivals.Load())
+			if c.status == http.StatusServiceUnavailable {
+				require.NotEmpty(t, a.header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+// Guards against a stream that repeats, loses or joins parts of events when its
+// target breaks off in the middle of one.
+func TestStreamGoesOnAtAnotherTarget(t *testing.T) {
+	first := startRunner(t, "first", func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: one\r\n\r\nid: 1\ndata: a\n\nid: 2\nda", r.Header.Get("X-Id"))
+		time.Sleep(20 * time.Millisecond)
+		reset(w)
+	})
+	second := startRunner(t, "second", func(w net.Conn, r *http.Request) {
+		require.Equal(t, "1", r.Header.Get("Last-Event-Id"))
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: two\r\nTransfer-Encoding: chunked\r\n\r\n19\r\nid: 2\ndata: b\n\nid: 3\ndata\r\n4\r\n: c\n\r\n1\r\n\n\r\n0\r\n\r\n", r.Header.Get("X-Id"))
+	})
+	d := newDeployment(t, config(), first, second)
+	g := d.start("g1")
+	g.state.Load().all["second"].others.Store(2)
+	a := g.request(t.Context(), http.MethodPost, "/chat/1", "")
+	require.NoError(t, a.err)
+	require.Equal(t, "one", a.header.Get("X-Seal"))
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", a.body)
+}
+
+// Guards against a target that works on for a caller that has gone.
+func TestCallerGone(t *testing.T) {
+	r := startRunner(t, "r", func(net.Conn, *http.Request) {})
+	d := newDeployment(t, config(), r)
+	g := d.start("g1")
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan answer)
+	go func() { done <- g.request(ctx, http.MethodPost, "/chat/1", "") }()
+	require.Eventually(t, func() bool { return r.arrivals.Load() == 1 }, time.Second, time.Millisecond)
+	cancel()
+	select {
+	case <-r.gone:
+	case <-time.After(500 * time.Millisecond):
+		require.Fail(t, "the target's connection is still open")
+	}
+	require.Error(t, (<-done).err)
+}
+
+// Guards against places that leak when the entry of a target changes while it
+// works: after a few changes all targets looked full.
+func TestChangedEntryKeepsCount(t *testing.T) {
+	release := make(chan struct{})
+	r := startRunner(t, "r", func(w net.Conn, req *http.Request) { <-release; reply(w, req, "ok") })
+	d := newDeployment(t, config(), r)
+	g := d.start("g1")
+	done := make(chan answer)
+	go func() { done <- g.request(t.Context(), http.MethodPost, "/read/1", "") }()
+	require.Eventually(t, func() bool { return r.arrivals.Load() == 1 }, time.Second, time.Millisecond)
+	changed := r.target("b")
+	changed.ColdFor = 100 * time.Millisecond
+	d.put("target/r", changed)
+	require.Eventually(t, func() bool { return g.state.Load().all["r"].ColdFor > 0 }, time.Second, time.Millisecond)
+	close(release)
+	require.Equal(t, http.StatusOK, (<-done).status)
+	require.Eventually(t, func() bool { return g.state.Load().all["r"].own.Load() == 0 }, time.Second, time.Millisecond)
+}
+
+// Guards against a planned stop that cuts a request or refuses one that a caller
+// sends before it has learned of the stop.
+func TestPlannedStop(t *testing.T) {
+	release := make(chan struct{})
+	r := startRunner(t, "r", func(w net.Conn, req *http.Request) {
+		if req.URL.Path == "/read/slow" {
+			<-release
+		}
+		reply(w, req, "ok")
+	})
+	d := newDeployment(t, config(), r)
+	d.stopWithin = 8 * time.Second
+	g := d.start("g1")
+	slow := make(chan answer)
+	go func() { slow <- g.request(t.Context(), http.MethodPost, "/read/slow", "") }()
+	require.Eventually(t, func() bool { return r.arrivals.Load() == 1 }, time.Second, time.Millisecond)
+	stopped := make(chan struct{})
+	go func() { g.stop(); close(stopped) }()
+	require.Eventually(t, g.leaving.Load, time.Second, time.Millisecond)
+	require.Error(t, g.Ready())
+	late := g.request(t.Context(), http.MethodPost, "/read/late", "")
+	require.Equal(t, http.StatusOK, late.status)
+	list, _ := g.Addresses(Locality{})
+	require.Empty(t, list)
+	close(release)
+	require.Equal(t, http.StatusOK, (<-slow).status)
+	<-stopped
+}
+
+// Guards against requests with a withdrawn key, a dropped route or a target
+// that leaves, and against a configuration that goes back.
+func TestConfigurationTakesEffect(t *testing.T) {
+	r := startRunner(t, "r", func(w net.Conn, req *http.Request) { reply(w, req, "ok") })
+	d := newDeployment(t, config(), r)
+	g := d.start("g1")
+	require.Equal(t, http.StatusOK, g.request(t.Context(), http.MethodPost, "/keyed/1", "k2").status)
+	next := config()
+	next.Version, next.Customers[0].Keys, next.Routes = 5, []string{"k1"}, next.Routes[1:]
+	d.put("config", next)
+	require.Eventually(t, func() bool { return g.state.Load().table.Config.Version == 5 }, time.Second, time.Millisecond)
+	require.Equal(t, http.StatusUnauthorized, g.request(t.Context(), http.MethodPost, "/keyed/1", "k2").status)
+	require.Equal(t, http.StatusNotFound, g.request(t.Context(), http.MethodPost, "/book/1", "").status)
+	d.put("config", config())
+	d.put("out/dc1", struct{}{})
+	require.Eventually(t, func() bool { return len(g.state.Load().targets["b"]) == 0 }, time.Second, time.Millisecond)
+	require.EqualValues(t, 5, g.state.Load().table.Config.Version)
+	require.Equal(t, http.StatusServiceUnavailable, g.request(t.Context(), http.MethodPost, "/read/1", "").status)
+}
+
+// Guards against a target at an address that a dead incarnation also has.
+func TestNewestIncarnationOfAddress(t *testing.T) {
+	r := startRunner(t, "new", func(w net.Conn, req *http.Request) { reply(w, req, "ok") })
+	fresh, dead := r.target("b"), r.target("b")
+	fresh.Incarnation, dead.Incarnation = 20, 10
+	d := newDeployment(t, config())
+	g := d.start("g1")
+	d.put("target/new", fresh)
+	d.put("target/old", dead)
+	require.Eventually(t, func() bool { return len(g.state.Load().all) == 2 }, time.Second, time.Millisecond)
+	got := g.state.Load().targets["b"]
+	require.Len(t, got, 1)
+	require.Equal(t, "new", got[0].ID)
+}
+
+// Guards against streams of a group that stalls as a whole being given up: the
+// work that waits would be lost, and another target would not help.
+func TestStalledOnlyIfOthersGoOn(t *testing.T) {
+	d := newDeployment(t, config())
+	g := d.start("g1")
+	now := time.Now()
+	x := &exchange{g: g.Gateway, backend: "b", route: &routing.Route{Kind: routing.Stream, Resumable: true, MaxAttempts: 2}}
+	target := newTarget(routing.Target{ID: "a"})
+	sent := silence{sent: now.Add(-3 * time.Second)}
+	require.False(t, x.stalled(target, sent, now), "all are silent")
+	target.heard(now, now.Add(-4*time.Second))
+	require.False(t, x.stalled(target, sent, now), "only requests sent before have begun")
+	target.heard(now, now.Add(-time.Second))
+	require.True(t, x.stalled(target, sent, now), "a request sent later has begun")
+	begun := silence{sent: sent.sent, last: now.Add(-2 * time.Second)}
+	require.True(t, x.stalled(target, begun, now), "other streams of the target go on")
+}
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+// testRecords stores the product's types as JSON.
+type testRecords struct{}
+
+func (testRecords) IsConfig(key string) bool                { return key == "config" }
+func (testRecords) OutDataCentre(key string) (string, bool) { return strings.CutPrefix(key, "out/") }
+func (testRecords) TargetID(key string) (string, bool)      { return strings.CutPrefix(key, "target/") }
+
+func (testRecords) Config(value []byte) (*routing.Config, error) {
+	var c routing.Config
+	return &c, json.Unmarshal(value, &c)
+}
+
+func (testRecords) Target(id string, value []byte) (routing.Target, error) {
+	t := routing.Target{ID: id}
+	return t, json.Unmarshal(value, &t)
+}
+
+// testHeaders uses short names.
+type testHeaders struct{}
+
+func (testHeaders) Request(h http.Header) RequestMeta {
+	d, _ := time.ParseDuration(h.Get("X-Deadline"))
+	return RequestMeta{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Deadline: d, LastEvent: h.Get("Last-Event-Id")}
+}
+
+func (testHeaders) Forward(h http.Header, f ForwardMeta) {
+	h.Del("X-Key")
+	h.Set("X-Target", f.Target)
+	if f.LastEvent != "" {
+		h.Set("Last-Event-Id", f.LastEvent)
+	}
+}
+
+func (testHeaders) Response(status int, h http.Header) ResponseMeta {
+	return ResponseMeta{ID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest, Sealed: h.Get("X-Seal") != ""}
+}
+
+func (testHeaders) SetRetryAfter(h http.Header, d time.Duration) {
+	h.Set("Retry-After", fmt.Sprint(d.Seconds()))
+}
+func (testHeaders) SetID(h http.Header, id string) { h.Set("X-Id", id) }
+
+// runner is a stand-in of a target that writes what a test wants.
+type runner struct {
+	id       string
+	l        net.Listener
+	arrivals atomic.Int64
+	gone     chan struct{} // gets a value when a connection is closed by the gateway
+	handle   func(w net.Conn, r *http.Request)
+}
+
+func startRunner(t *testing.T, id string, handle func(w net.Conn, r *http.Request)) *runner {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r := &runner{id: id, l: l, handle: handle, gone: make(chan struct{}, 100)}
+	go r.serve()
+	t.Cleanup(func() { _ = l.Close() })
+	return r
+}
+
+func (r *runner) serve() {
+	for {
+		c, err := r.l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			br := bufio.NewReader(c)
+			for {
+				req, err := http.ReadRequest(br)
+				if err != nil {
+					r.gone <- struct{}{}
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				r.arrivals.Add(1)
+				r.handle(c, req)
+			}
+		}()
+	}
+}
+
+func (r *runner) target(backend string) routing.Target {
+	return routing.Target{ID: r.id, Backend: backend, Addr: r.l.Addr().String(), DataCentre: "dc1", Slots: 4}
+}
+
+// reply writes a complete sealed answer.
+func reply(w io.Writer, r *http.Request, body string) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), len(body), body)
+}
+
+// reset closes a connection without a regular end.
+func reset(w net.Conn) {
+	_ = w.(*net.TCPConn).SetLinger(0)
+	_ = w.Close()
+}
+
+// refusingKV refuses all calls of one instance.
+type refusingKV struct {
+	infra.KV
+	refuse atomic.Bool
+}
+
+var errRefused = errors.New("refused")
+
+func (k *refusingKV) List(ctx context.Context, prefix string) ([]infra.Item, int64, error) {
+	if k.refuse.Load() {
+		return nil, 0, errRefused
+	}
+	return k.KV.List(ctx, prefix)
+}
+
+func (k *refusingKV) Watch(ctx context.Context, prefix string, after int64) (<-chan []infra.Event, error) {
+	if k.refuse.Load() {
+		return nil, errRefused
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	in, err := k.KV.Watch(ctx, prefix, after)
+	out := make(chan []infra.Event)
+	go func() {
+		defer close(out)
+		defer cancel()
+		for {
+			select {
+			case b, ok := <-in:
+				if !ok || k.refuse.Load() {
+					return
+				}
+				out <- b
+			case <-time.After(50 * time.Millisecond):
+				if k.refuse.Load() {
+					return
+				}
+			}
+		}
+	}()
+	return out, err
+}
+
+// deployment is a service with gateways.
+type deployment struct {
+	t  *testing.T
+	kv *standin.KV
+	// stopWithin is short, so that tests end soon, unless they are about stops.
+	stopWithin time.Duration
+}
+
+func newDeployment(t *testing.T, cfg routing.Config, runners ...*runner) *deployment {
+	d := &deployment{t: t, kv: standin.NewKV(), stopWithin: stopMargin + 100*time.Millisecond}
+	d.put("config", cfg)
+	for _, r := range runners {
+		d.put("target/"+r.id, r.target("b"))
+	}
+	return d
+}
+
+func (d *deployment) put(key string, value any) {
+	data, err := json.Marshal(value)
+	require.NoError(d.t, err)
+	_, err = d.kv.Direct().Commit(d.t.Context(), infra.Txn{Puts: []infra.Put{{Key: key, Value: data}}})
+	require.NoError(d.t, err)
+}
+
+type instance struct {
+	*Gateway
+	url  string
+	kv   *refusingKV
+	stop func()
+}
+
+func (d *deployment) start(id string) *instance {
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(d.t, err)
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(d.t, err)
+	kv := &refusingKV{KV: d.kv.Direct()}
+	g := New(Options{
+		Instance: id, DataCentre: "dc1", Region: "r1", Regions: map[string]string{"dc1": "r1"},
+		CallerAddr: callers.Addr().String(), PeerAddr: peers.Addr().String(), StopWithin: d.stopWithin, AddressAge: time.Second,
+		Limits: Limits{RefuseAfter: 6 * time.Second, Retries: routing.RetryLimits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}},
+		KV:     kv, Records: testRecords{}, Headers: testHeaders{}, Log: slog.New(slog.DiscardHandler), Registry: metrics.NewRegistry(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = g.Run(ctx, Listeners{Callers: callers, Peers: peers}) })
+	stop := sync.OnceFunc(func() { cancel(); wait.Wait() })
+	d.t.Cleanup(func() { g.refusing.Store(true); stop() })
+	require.Eventually(d.t, func() bool { return g.Ready() == nil }, 3*time.Second, 5*time.Millisecond)
+	return &instance{Gateway: g, url: "http://" + callers.Addr().String(), kv: kv, stop: stop}
+}
+
+// config returns a configuration with one route of each kind.
+func config() routing.Config {
+	split := []routing.Share{{Backend: "b", Weight: 1}}
+	return routing.Config{
+		Version: 1,
+		Routes: []routing.Route{
+			{Name: "book", Host: "h", Prefix: "/book/", Kind: routing.NonIdempotent, Timeout: 3 * time.Second, Split: split, MaxAttempts: 1, Public: true},
+			{Name: "read", Host: "h", Prefix: "/read/", Kind: routing.Idempotent, Timeout: 3 * time.Second, Split: split, MaxAttempts: 2, Public: true},
+			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: routing.Stream, Timeout: 5 * time.Second, Split: split, MaxAttempts: 2, Public: true, Resumable: true},
+			{Name: "keyed", Host: "h", Prefix: "/keyed/", Kind: routing.Idempotent, Timeout: time.Second, Split: split, MaxAttempts: 1},
+		},
+		Backends:  []routing.Backend{{Name: "b", MaxConns: 100, WarmUp: 3 * time.Second, WarmUpRate: 100}},
+		Customers: []routing.Customer{{Name: "c", Keys: []string{"k1", "k2"}}},
+	}
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (i *instance) request(ctx context.Context, method, path, key string) answer {
+	req, err := http.NewRequestWithContext(ctx, method, i.url+path, strings.NewReader("x"))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = "h"
+	req.Header.Set("X-Id", "id-"+path)
+	req.Header.Set("X-Key", key)
+	req.Header.Set("X-Deadline", "4s")
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(body), err}
+}
--- a/lease/record.go
+++ b/lease/record.go
@@ -40,11 +40,14 @@
 // keep renews the lease, or writes the key under a new one.
 func (r Record) keep(ctx context.Context, id *infra.LeaseID) error {
 	if *id != 0 {
-		_, err := r.KV.KeepAlive(ctx, *id)
-		if errors.Is(err, infra.ErrLeaseNotFound) {
-			*id = 0
+		left, err := r.KV.KeepAlive(ctx, *id)
+		switch {
+		case err != nil && !errors.Is(err, infra.ErrLeaseNotFound):
+			return err
+		case err == nil && left > 0:
+			return nil
 		}
-		return err
+		*id = 0 // the lease has lapsed
 	}
 	granted, err := r.KV.Grant(ctx, r.TTL)
 	if err != nil {
