--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -17,8 +17,8 @@
 	"github.com/skylarkstep/skylarkstep/daemon/groups"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
-	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/timeline"
 )
 
--- a/daemon/target/order_test.go
+++ b/daemon/target/order_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/engine/standin"
-	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/infra"
 	kvstandin "github.com/skylarkstep/skylarkstep/infra/standin"
+	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -157,7 +157,7 @@
 		return nil, &Error{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	resp, written, err := c.roundTrip(r)
+	resp, written, err := c.roundTrip(r) //nolint:bodyclose // Finish and Close end the connection
 	if err != nil {
 		stop()
 		_ = c.Close()
