ranks: go on from confirmations while a step is held

Change: after a hold, the coordinator arms and releases from the ranks' own confirmations instead of reading all ranks between the orders. The model of two coordinators has this step, too. A kill in the hold remains possible.

--- a/expertmap/switchover/model_test.go
+++ b/expertmap/switchover/model_test.go
@@ -40,6 +40,8 @@
 	plan    Plan
 	states  []State
 	orders  []Order
+	// doubtful is set while an order of the round was not confirmed.
+	doubtful bool
 }
 
 func newWorld(seed uint64, ranks int, g guards) *world {
@@ -75,35 +77,46 @@
 	}
 }
 
-// receive carries out an order as a rank does.
-func (w *world) receive(o sentOrder) {
+// confirm takes in the answer to an order. When all orders of a round were
+// confirmed, the coordinator goes on without reading the ranks again.
+func (c *modelCoordinator) confirm(o Order, confirmed bool, g guards) {
+	if !confirmed || o.Operation == Prepare {
+		c.doubtful = true
+		return
+	}
+	c.states[o.Rank] = c.states[o.Rank].After(o)
+	if len(c.orders) == 0 && !c.doubtful {
+		_, c.orders = g.decide(c.states, c.plan)
+	}
+}
+
+// receive carries out an order as a rank does, and reports whether the rank
+// confirms it.
+func (w *world) receive(o sentOrder) bool {
 	r := &w.ranks[o.Rank]
 	if o.Epoch != r.Epoch || w.guards.fence && o.fencing < w.fences[o.Rank] {
-		return
+		return false
 	}
 	w.fences[o.Rank] = max(w.fences[o.Rank], o.fencing)
-	switch o.Operation {
-	case Prepare:
-		if o.Version > w.highest[o.Rank] && r.Armed == 0 {
-			r.Prepared, w.highest[o.Rank] = o.Version, o.Version
-		}
-	case Arm:
-		if r.Prepared == o.Version && r.Step < o.Step && (r.Armed == 0 || r.Armed == o.Version) {
-			r.Armed, r.ArmedStep = o.Version, o.Step
-		}
-	case Disarm:
+	switch {
+	case o.Operation == Prepare && o.Version > w.highest[o.Rank] && r.Armed == 0:
+		r.Prepared, w.highest[o.Rank] = o.Version, o.Version
+	case o.Operation == Arm && r.Prepared == o.Version && r.Step < o.Step && (r.Armed == 0 || r.Armed == o.Version):
+		r.Armed, r.ArmedStep = o.Version, o.Step
+	case o.Operation == Disarm && r.Map != o.Version:
 		if r.Armed == o.Version {
 			r.Armed, r.ArmedStep = 0, 0
 		}
-	case Hold:
-		if r.Step < o.Step && !r.Held {
-			r.Held, r.HeldStep = true, o.Step
-		}
-	case Go:
+	case o.Operation == Hold && r.Step < o.Step && (!r.Held || r.HeldStep == o.Step):
+		r.Held, r.HeldStep = true, o.Step
+	case o.Operation == Go:
 		if r.Held && r.HeldStep == o.Step {
 			r.Held = false
 		}
+	default:
+		return false
 	}
+	return true
 }
 
 // act lets one thing happen.
@@ -122,14 +135,17 @@
 			c.plan = Plan{Version: c.fencing*1000 + c.counter, Holder: w.rng.IntN(len(w.ranks)), Lead: uint64(1 + w.rng.IntN(3))}
 		}
 		_, c.orders = w.guards.decide(c.states, c.plan)
+		c.doubtful = false
 	case n < 10 && len(c.orders) > 0: // send one of the orders decided on
 		o := sentOrder{c.orders[0], c.fencing}
 		c.orders = c.orders[1:]
+		confirmed := false
 		if w.rng.IntN(4) == 0 {
 			w.late = append(w.late, o)
 		} else {
-			w.receive(o)
+			confirmed = w.receive(o)
 		}
+		c.confirm(o.Order, confirmed, w.guards)
 		if w.rng.IntN(4) == 0 {
 			w.late = append(w.late, o)
 		}
--- a/expertmap/switchover/switchover.go
+++ b/expertmap/switchover/switchover.go
@@ -33,6 +33,23 @@
 	HeldStep uint64
 }
 
+// After returns the state of a rank that has confirmed an order.
+func (s State) After(o Order) State {
+	switch o.Operation {
+	case Arm:
+		s.Armed, s.ArmedStep = o.Version, o.Step
+	case Disarm:
+		s.Armed, s.ArmedStep = 0, 0
+	case Hold:
+		s.Held, s.HeldStep = true, o.Step
+	case Go:
+		s.Held = false
+	case Prepare:
+		// The rank reports the map as prepared once it has copied the experts.
+	}
+	return s
+}
+
 // Order is one order for one rank. A rank refuses it in another epoch, and with
 // a lower fencing number than it has seen.
 type Order struct {
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -92,9 +92,7 @@
 	if now.Before(c.lossyTo) {
 		c.plan.Lead = lossyLead
 	}
-	phase, orders := switchover.Decide(states, c.plan)
-	c.enter(phase, states)
-	c.send(ctx, c.due(orders, now))
+	phase := c.step(ctx, states, now)
 	switch phase {
 	case switchover.Settled, switchover.Unready:
 		return roundPause
@@ -105,6 +103,24 @@
 	}
 }
 
+// step sends the orders that follow from the states. While a step is held, it
+// goes on from the ranks' own confirmations without reading them again, since
+// nobody is served once the held step is reached.
+func (c *coordinator) step(ctx context.Context, states []switchover.State, now time.Time) switchover.Phase {
+	for {
+		phase, orders := switchover.Decide(states, c.plan)
+		c.enter(phase, states)
+		orders = c.due(orders, now)
+		confirmed := c.send(ctx, orders)
+		if len(orders) == 0 || !confirmed || phase != switchover.Holding && phase != switchover.Arming {
+			return phase
+		}
+		for _, o := range orders {
+			states[o.Rank] = states[o.Rank].After(o)
+		}
+	}
+}
+
 // settled reports whether no switch is under way, so that counts may be read.
 func (c *coordinator) settled() bool {
 	return c.phase == switchover.Settled || c.phase == switchover.Unready || c.phase == switchover.Armed || c.phase == ""
@@ -210,13 +226,16 @@
 	return out
 }
 
-func (c *coordinator) send(ctx context.Context, orders []switchover.Order) {
+// send gives orders and reports whether all ranks have confirmed them.
+func (c *coordinator) send(ctx context.Context, orders []switchover.Order) (confirmed bool) {
+	confirmed = true
 	copies := 1
 	if time.Now().Before(c.lossyTo) {
 		copies = lossyCopies
 	}
 	for _, res := range c.links.orderAll(ctx, orders, c.fencing, copies, c.token) {
 		o := res.order
+		confirmed = confirmed && res.outcome == Done
 		if res.outcome == NoAnswer {
 			c.lossyTo = time.Now().Add(lossyMemory)
 		}
@@ -233,6 +252,7 @@
 		c.log.Info("order", "operation", string(o.Operation), "rank", o.Rank, "version", o.Version, "step", o.Step,
 			"epoch", o.Epoch, "fencing", c.fencing, "outcome", outcomeNames[res.outcome])
 	}
+	return confirmed
 }
 
 var outcomeNames = [...]string{NoAnswer: "no answer", Done: "done", Refused: "refused", Fenced: "fenced"}
