--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -88,6 +88,8 @@
 		pause := refusedPause
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			pause = unreachablePause
+		} else {
+			x.g.queues.of(x.backend).refused(t.ID, time.Now())
 		}
 		t.quiet(time.Now().Add(pause))
 		drain(resp)
@@ -101,6 +103,9 @@
 		res.verdict, res.err = lost, errors.Errorf("target %s gave an answer without its seal", t.ID)
 	default:
 		res.verdict = succeeded
+		if x.route.Kind != routing.Stream {
+			x.g.queues.of(x.backend).heard(time.Now())
+		}
 	}
 	return res
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -160,7 +160,8 @@
 	}
 	began := time.Now()
 	t, err := x.g.queues.of(x.backend).acquire(ctx, need{
-		backend: x.backend, priority: routing.Priority(x.route, x.cust), allowed: x.allowed, until: x.waitUntil(began),
+		backend: x.backend, priority: routing.Priority(x.route, x.cust), allowed: x.allowed, goalAt: x.began.Add(x.route.LatencyGoal),
+		until: x.share(began, waitShare), downUntil: x.share(began, downShare), comeBack: time.Duration(comeBackShare * float64(x.expires.Sub(began))),
 	})
 	x.waited += time.Since(began)
 	if err == nil {
@@ -178,19 +179,28 @@
 
 const (
 	// waitShare is the part of the caller's time that may pass before a request
-	// reaches a target.
+	// reaches a target, and downShare the part while the whole back end refuses
+	// requests.
 	waitShare = 0.4
+	downShare = 0.15
+	// comeBackShare is the part of the caller's time after which it is told to
+	// come back to a back end that is down.
+	comeBackShare = 0.28
 )
 
-func (x *exchange) waitUntil(now time.Time) time.Time {
-	return now.Add(time.Duration(waitShare * float64(x.expires.Sub(now))))
+func (x *exchange) share(now time.Time, share float64) time.Time {
+	return now.Add(time.Duration(share * float64(x.expires.Sub(now))))
 }
 
 // giveUp returns the final error of a request after its attempts.
 func (x *exchange) giveUp() error {
 	if !x.mayHaveRun {
+		comeBack := comeBackSoonest
+		if x.g.queues.of(x.backend).isDown() {
+			comeBack = time.Duration(comeBackShare * float64(time.Until(x.expires)))
+		}
 		return errkind.New(errkind.NoTarget, "no target took the request: %v", x.lastErr).
-			WithRetryAfter(jitter(comeBackSoonest)).WithDidRun(errkind.NotRun)
+			WithRetryAfter(jitter(comeBack)).WithDidRun(errkind.NotRun)
 	}
 	return errkind.New(errkind.TargetLost, "the targets failed: %v", x.lastErr)
 }
--- /dev/null
+++ b/gateway/outage_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a back end that serves nobody getting every request: each
+// refusal uses up an attempt and the retry limits.
+func TestOutageTriesSingleRequests(t *testing.T) {
+	var o outage
+	now := time.Unix(0, 0)
+	for i, id := range []string{"a", "a", "a", "a", "a"} {
+		require.False(t, o.refused(id, now.Add(time.Duration(i)*time.Millisecond)), "one target alone is no outage")
+	}
+	require.True(t, o.refused("b", now.Add(5*time.Millisecond)))
+	now = now.Add(10 * time.Millisecond)
+	require.True(t, o.mayTry(now))
+	o.tried(now)
+	require.False(t, o.mayTry(now.Add(probeInterval/2)))
+	require.True(t, o.mayTry(now.Add(probeInterval)))
+	require.True(t, o.end())
+	require.True(t, o.mayTry(now))
+	o.refused("a", now)
+	require.False(t, o.ongoing(now.Add(2*outageMemory)), "an outage of which nothing is heard ends")
+}
+
+// Guards against callers that are refused at once during a short outage of a
+// rank group, or told to come back before it can be over: in a played day two
+// thirds of them came back in vain.
+func TestShortOutageIsWaitedFor(t *testing.T) {
+	var broken atomic.Bool
+	broken.Store(true)
+	var runners []*runner
+	for i := range 3 {
+		runners = append(runners, startRunner(t, fmt.Sprint("r", i), func(w net.Conn, r *http.Request) {
+			if broken.Load() {
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 503 Broken\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+				return
+			}
+			reply(w, r, "ok")
+		}))
+	}
+	d := newDeployment(t, config(), runners...)
+	g := d.start("g1")
+	require.Eventually(t, func() bool { return len(g.state.Load().all) == 3 }, time.Second, time.Millisecond)
+	time.AfterFunc(350*time.Millisecond, func() { broken.Store(false) })
+	var wait sync.WaitGroup
+	var served atomic.Int64
+	for i := range 30 {
+		wait.Go(func() {
+			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+			if g.request(t.Context(), http.MethodPost, fmt.Sprintf("/read/%d", i), "").status == http.StatusOK {
+				served.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	require.GreaterOrEqual(t, served.Load(), int64(24), "but for those that found out, all are served")
+}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -29,14 +29,29 @@
 	priority int
 	// allowed reports whether the request may go to the target.
 	allowed func(*target) bool
-	// until is when waiting ends.
-	until time.Time
+	// goalAt is when the answer should have come. Requests that have missed it
+	// come after others of their priority that have not.
+	goalAt time.Time
+	// until is when waiting ends, and downUntil when it ends while the whole
+	// back end refuses requests.
+	until, downUntil time.Time
+	// comeBack is what the caller is told if the back end stays down.
+	comeBack time.Duration
 }
 
 type waiter struct {
 	need
-	arrived time.Time
 	granted chan *target
+	// refused is closed when the request is given up before its time.
+	refused chan struct{}
+}
+
+// missed returns 1 if the goal of the request has passed.
+func (n *need) missed(now time.Time) int {
+	if now.After(n.goalAt) {
+		return 1
+	}
+	return 0
 }
 
 // queue holds the requests that wait for a place at the targets of one back end.
@@ -51,6 +66,7 @@
 	// lastByte is when any target last sent something, and activeSince when the
 	// last pause of all of them ended.
 	lastByte, activeSince time.Time
+	outage                outage
 }
 
 // activityGap is the silence of all targets that counts as a pause.
@@ -64,6 +80,24 @@
 		q.activeSince = now
 	}
 	q.lastByte = now
+	q.served(now)
+}
+
+// served notes that a target has taken a request.
+func (q *queue) served(now time.Time) {
+	if q.outage.end() {
+		q.g.log.Info("back end serves again", "back_end", q.backend, "waiting", len(q.waiters))
+		q.grant(now)
+	}
+}
+
+// refused notes that a target has refused a request that it has not run.
+func (q *queue) refused(id string, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.outage.refused(id, now) {
+		q.g.log.Warn("back end refuses all requests", "back_end", q.backend, "waiting", len(q.waiters))
+	}
 }
 
 // active returns since when the targets have sent without a pause; the zero
@@ -125,7 +159,7 @@
 		q.mu.Unlock()
 		return nil, err
 	}
-	w := &waiter{need: n, arrived: now, granted: make(chan *target, 1)}
+	w := &waiter{need: n, granted: make(chan *target, 1), refused: make(chan struct{})}
 	q.insert(w)
 	q.mu.Unlock()
 	timer := time.NewTimer(time.Until(n.until))
@@ -133,6 +167,8 @@
 	select {
 	case t := <-w.granted:
 		return t, nil
+	case <-w.refused:
+		return nil, q.down(w.comeBack)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -185,6 +221,9 @@
 	if allowed == 0 {
 		return errkind.New(errkind.NoTarget, "back end %s has no target for the request", q.backend).WithRetryAfter(jitter(noTargetPause))
 	}
+	if q.outage.ongoing(now) {
+		return nil // waits a little; others try whether the back end is back
+	}
 	if now.Add(q.wait(q.ahead(n.priority)+1, places, s.instances)).After(n.until) {
 		return q.overloaded(now)
 	}
@@ -200,6 +239,18 @@
 	return time.Duration(float64(n*instances) / float64(places) * float64(q.hold))
 }
 
+// isDown reports whether the back end refuses all requests.
+func (q *queue) isDown() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.outage.ongoing(time.Now())
+}
+
+// down is the answer to a request for a back end that refuses all.
+func (q *queue) down(comeBack time.Duration) error {
+	return errkind.New(errkind.NoTarget, "all targets of back end %s refuse requests", q.backend).WithRetryAfter(jitter(comeBack))
+}
+
 func (q *queue) overloaded(time.Time) error {
 	s := q.g.state.Load()
 	places := 0
@@ -216,12 +267,21 @@
 	return d/2 + rand.N(d)
 }
 
-// grant gives free places to waiters in their order.
+// grant gives free places to waiters: by priority, then those that can still
+// meet their goal, then in the order of arrival.
 func (q *queue) grant(now time.Time) {
+	slices.SortStableFunc(q.waiters, func(a, b *waiter) int {
+		if a.priority != b.priority {
+			return a.priority - b.priority
+		}
+		return a.missed(now) - b.missed(now)
+	})
 	kept := q.waiters[:0]
 	for _, w := range q.waiters {
 		if t := q.pick(&w.need, now); t != nil {
 			w.granted <- t
+		} else if q.outage.ongoing(now) && now.After(w.downUntil) {
+			close(w.refused)
 		} else {
 			kept = append(kept, w)
 		}
@@ -232,6 +292,9 @@
 
 // pick chooses a target and counts the request there.
 func (q *queue) pick(n *need, now time.Time) *target {
+	if !q.outage.mayTry(now) {
+		return nil
+	}
 	s := q.g.state.Load()
 	b := s.table.Backend(q.backend)
 	targets := s.targets[q.backend]
@@ -260,6 +323,7 @@
 	}
 	t.mu.Unlock()
 	t.own.Add(1)
+	q.outage.tried(now)
 	return t
 }
 
