ranks: coordinate through an outage of the key-value service

Change: the holder persists while the service does not answer. Ranks fence it and it stops at the first refusal with a higher number.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -31,6 +31,10 @@
 	Candidate func() bool
 	// Times replace DefaultTimes if TTL is set.
 	Times Times
+	// Persist keeps the term while the service does not answer. It is only for
+	// holders whose orders carry the number and whose receivers refuse lower
+	// ones, since another may have taken the lease meanwhile.
+	Persist bool
 	// Taken and Lost are called on each change; nil is allowed.
 	Taken func(number uint64)
 	Lost  func(number uint64, reason string)
@@ -42,6 +46,8 @@
 	mu sync.Mutex
 	t  term
 	id infra.LeaseID
+	// unanswered is set while renewals get no answer.
+	unanswered bool
 }
 
 var _ Token = (*Holder)(nil)
@@ -60,6 +66,9 @@
 func (h *Holder) Token() (number uint64, valid bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.o.Persist && h.unanswered && h.t.number != 0 {
+		return h.t.number, true
+	}
 	return h.t.number, h.t.valid(time.Now())
 }
 
@@ -137,12 +146,15 @@
 		h.mu.Lock()
 		left := time.Until(h.t.until)
 		h.mu.Unlock()
-		sleep(ctx, min(pause, max(left, 0)))
+		if !h.o.Persist {
+			pause = min(pause, max(left, 0))
+		}
+		sleep(ctx, pause)
 		if ctx.Err() != nil {
 			return "released"
 		}
 		sent := time.Now()
-		if h.ended(sent) {
+		if h.ended(sent) && !h.o.Persist {
 			return "not renewed in time"
 		}
 		remaining, err := h.o.KV.KeepAlive(ctx, h.id)
@@ -151,15 +163,33 @@
 			return "lapsed at the key-value service"
 		case err != nil:
 			pause = min(retryInterval, h.o.Times.Renew)
+			h.noteUnanswered()
 		default:
 			pause = h.o.Times.Renew
-			h.mu.Lock()
-			h.t = h.t.renewed(sent, time.Now())
-			h.mu.Unlock()
+			h.renewed(sent)
 		}
 	}
 }
 
+func (h *Holder) noteUnanswered() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unanswered = true
+}
+
+// renewed extends the term. A renewal that succeeds late shows that the lease
+// was kept all the while; a holder that persists goes on with it.
+func (h *Holder) renewed(sent time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unanswered = false
+	if now := time.Now(); h.o.Persist && h.t.ended(now) {
+		h.t.until = sent.Add(h.t.length)
+		return
+	}
+	h.t = h.t.renewed(sent, time.Now())
+}
+
 func (h *Holder) ended(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -170,7 +200,7 @@
 func (h *Holder) lose(reason string) {
 	h.mu.Lock()
 	number, id := h.t.number, h.id
-	h.t, h.id = term{}, 0
+	h.t, h.id, h.unanswered = term{}, 0, false
 	h.mu.Unlock()
 	if h.o.Lost != nil {
 		h.o.Lost(number, reason)
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -187,3 +187,30 @@
 	late := now.Add(TTL)
 	assert.False(t, term.renewed(late, late).valid(late), "a term that ended must not be revived by a renewal")
 }
+
+// Guards against a holder that gives up in an outage of the service although its
+// receivers fence it, and against one that goes on when its lease has lapsed.
+func TestPersistentHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := standin.NewKV()
+		ctx, cancel := context.WithCancel(t.Context())
+		h := New(Options{KV: kv.Direct(), Key: "k", Holder: "a", Persist: true, Times: Times{TTL: 3 * time.Second, Renew: time.Second, Margin: time.Second}})
+		done := make(chan struct{})
+		go func() { h.Run(ctx); close(done) }()
+		time.Sleep(2 * time.Second)
+		number, valid := h.Token()
+		require.True(t, valid)
+		kv.SetRefuse(true)
+		time.Sleep(10 * time.Second)
+		still, valid := h.Token()
+		require.True(t, valid)
+		require.Equal(t, number, still)
+		kv.SetRefuse(false)
+		time.Sleep(4 * time.Second)
+		next, valid := h.Token()
+		require.True(t, valid)
+		require.Greater(t, next, number, "the lease has lapsed in the outage, so the number is a new one")
+		cancel()
+		<-done
+	})
+}
--- a/ranks/coordinate.go
+++ b/ranks/coordinate.go
@@ -72,7 +72,7 @@
 func coordinateGroup(ctx context.Context, o CoordinatorOptions, group string) {
 	key := coordinatePrefix + group
 	holder := lease.New(lease.Options{
-		KV: o.KV, Key: key, Holder: o.Holder, Times: coordinatorTimes,
+		KV: o.KV, Key: key, Holder: o.Holder, Times: coordinatorTimes, Persist: true,
 		Candidate: func() bool { return vacant(ctx, o, key) },
 		Taken:     func(n uint64) { o.Log.Info("lease taken", "group", group, "fencing", n) },
 		Lost: func(n uint64, reason string) {
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -38,14 +38,17 @@
 	shape  *routing.ExpertShape
 	demand *plan.Tracker
 
-	fencing  uint64
-	counter  uint64
-	plan     switchover.Plan
-	present  switchover.Map
-	version  uint64 // of present
-	known    bool
-	quietTo  time.Time
-	lossyTo  time.Time
+	fencing uint64
+	counter uint64
+	plan    switchover.Plan
+	present switchover.Map
+	version uint64 // of present
+	known   bool
+	quietTo time.Time
+	lossyTo time.Time
+	// deposed is the fencing number with which a rank has refused an order,
+	// since another coordinator has used a higher one.
+	deposed  uint64
 	sent     map[int]sentOrder
 	phase    switchover.Phase
 	slowness []float64
@@ -68,7 +71,7 @@
 // until the next round.
 func (c *coordinator) round(ctx context.Context) time.Duration {
 	fencing, valid := c.token.Token()
-	if !valid {
+	if !valid || fencing == c.deposed {
 		return roundPause
 	}
 	if fencing != c.fencing {
@@ -247,6 +250,7 @@
 			c.plan, c.known = switchover.Plan{}, false
 			c.quietTo = time.Now().Add(refusedPause)
 		case res.outcome == Fenced:
+			c.deposed = c.fencing
 			c.log.Warn("order fenced", "rank", o.Rank, "operation", string(o.Operation), "fencing", c.fencing)
 		}
 		c.log.Info("order", "operation", string(o.Operation), "rank", o.Rank, "version", o.Version, "step", o.Step,
