--- a/ctl/command/timeline.go
+++ b/ctl/command/timeline.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/skylarkstep/skylarkstep/ctl/client"
+	"github.com/skylarkstep/skylarkstep/ctl/logs"
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/timeline"
 )
@@ -143,12 +145,19 @@
 
 func explainCommand() *cobra.Command {
 	conn := &operatorFlags{}
+	var files []string
 	cmd := &cobra.Command{
-		Use:     "explain REQUEST-ID",
-		Short:   "Tell what happened to one request and whether it ran",
-		Example: "  skylarkctl explain UUPJXTSAKA2VBB4MXBHYEJYDAF --entry http://10.0.0.1:8080",
-		Args:    cobra.ExactArgs(1),
+		Use:   "explain REQUEST-ID",
+		Short: "Tell what happened to one request and whether it ran",
+		Long: "Tell what happened to one request, from the events of running entries or, with --logs, from the log lines\n" +
+			"of gateways.",
+		Example: "  skylarkctl explain UUPJXTSAKA2VBB4MXBHYEJYDAF --entry http://10.0.0.1:8080\n" +
+			"  skylarkctl explain 2055dc742d0d8fd2 --logs front-1.log --logs front-2.log",
+		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(files) > 0 {
+				return explainLogs(cmd.OutOrStdout(), args[0], files, conn)
+			}
 			c, err := conn.client()
 			if err != nil {
 				return err
@@ -166,5 +175,27 @@
 		},
 	}
 	conn.register(cmd)
+	cmd.Flags().StringSliceVar(&files, "logs", nil, "log file of a gateway, may be repeated")
 	return cmd
 }
+
+func explainLogs(out io.Writer, id string, files []string, f *operatorFlags) error {
+	var all []logs.Line
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return errors.Wrap(err, "open log")
+		}
+		lines, err := logs.Read(file)
+		_ = file.Close()
+		if err != nil {
+			return errors.Wrap(err, name)
+		}
+		all = append(all, lines...)
+	}
+	x, err := logs.Explain(id, all)
+	if err != nil {
+		return err
+	}
+	return f.print(out, x, x.Write)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -121,11 +121,16 @@
 	resp.Close()
 }
 
+var verdictNames = [...]string{notSent: "not sent", refused: "refused", failed: "failed", lost: "lost", succeeded: "succeeded"}
+
 // attempted counts an attempt and remembers what it means for the next.
 func (x *exchange) attempted(res result) {
 	x.target = res.target.ID
 	if res.err != nil {
 		x.lastErr = res.err
+		x.g.log.Info("attempt failed", "request", x.meta.ID, "target", res.target.ID, "back_end", x.backend,
+			"verdict", verdictNames[res.verdict], "sent", x.arrived, "of", x.route.MaxAttempts, "repeatable", x.route.Repeatable(),
+			"target_load", res.target.own.Load()+res.target.others.Load(), "revision", x.state.revision, "error", res.err.Error())
 	}
 	switch res.verdict {
 	case notSent:
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -54,6 +54,13 @@
 	// believeUntil is when requests must be refused unless the copy is confirmed
 	// before, on the clock of monotonic; 0 is never.
 	believeUntil atomic.Int64
+	// confirmed is confirmedAt on the clock of monotonic, for traffic.
+	confirmed atomic.Int64
+}
+
+// age returns the time since the copy was last known to be up to date.
+func (c *control) age() time.Duration {
+	return time.Duration(monotonic(time.Now()) - c.confirmed.Load())
 }
 
 func newControl(g *Gateway) *control {
@@ -147,6 +154,7 @@
 func (c *control) confirm(asOf time.Time) {
 	if asOf.After(c.confirmedAt) {
 		c.confirmedAt = asOf
+		c.confirmed.Store(monotonic(asOf))
 	}
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -274,7 +274,8 @@
 		slog.Int("sent", x.arrived), slog.Int64("ms", took.Milliseconds()), slog.Int64("waited_ms", x.waited.Milliseconds()),
 	}
 	if x.state != nil {
-		attrs = append(attrs, slog.Int64("version", x.state.table.Config.Version), slog.Int64("revision", x.state.revision))
+		attrs = append(attrs, slog.Int64("version", x.state.table.Config.Version), slog.Int64("revision", x.state.revision),
+			slog.Int64("state_age_ms", x.g.control.age().Milliseconds()))
 	}
 	if x.route != nil {
 		attrs = append(attrs, slog.String("route", x.route.Name), slog.String("back_end", x.backend))
