gateway: pause after a refusal by a target that has room

Cause: a request met a rank group that was not complete, was refused by two targets within 8 ms and given up, before the outage was noticed. Change: after such a refusal the next attempt waits 100 to 300 ms. Answers that were cut keep the kind of their cause in the log.

--- a/ctl/logs/logs.go
+++ b/ctl/logs/logs.go
@@ -48,7 +48,7 @@
 		}
 		var l Line
 		text := s.Bytes()[i:]
-		if json.Unmarshal(text, &l) != nil || json.Unmarshal(text, &l.Fields) != nil || l.Message == "" {
+		if json.Unmarshal(text, &l) != nil || l.decodeFields(text) != nil || l.Message == "" {
 			continue // not a line of ours
 		}
 		lines = append(lines, l)
@@ -56,6 +56,17 @@
 	return lines, errors.Wrap(s.Err(), "read log")
 }
 
+// decodeFields keeps numbers as they were written.
+func (l *Line) decodeFields(text []byte) error {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	return errors.WithStack(d.Decode(&l.Fields))
+}
+
+// aboutGroups reports whether the line is about the maps of a rank group, which
+// no single request depends on.
+func (l *Line) aboutGroups() bool { return l.Fields["fencing"] != nil || l.Fields["epoch"] != nil }
+
 // Explanation is what the logs say about one request.
 type Explanation struct {
 	RequestID string `json:"request_id"`
@@ -83,7 +94,7 @@
 	slices.SortStableFunc(x.Own, byTime)
 	from, to := x.Own[0].Time.Add(-before), x.Own[len(x.Own)-1].Time.Add(after)
 	for _, l := range lines {
-		if l.Request != "" || l.Time.Before(from) || l.Time.After(to) {
+		if l.Request != "" || l.aboutGroups() || l.Time.Before(from) || l.Time.After(to) {
 			continue
 		}
 		about := l.Target == "" && l.Backend == "" || l.Target != "" && targets[l.Target] || l.Target == "" && backends[l.Backend]
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -146,6 +147,22 @@
 	}
 }
 
+const (
+	// refusedBackoff is the pause before a request goes on after a target has
+	// refused it although it had room: the whole back end may be about to be down.
+	refusedBackoff = 200 * time.Millisecond
+	// roomyLoad is the share of the slots under which a target has room.
+	roomyLoad = 0.5
+)
+
+// backOff waits after a refusal that was not for want of room.
+func (x *exchange) backOff(ctx context.Context, res result) {
+	load := float64(res.target.own.Load() + res.target.others.Load())
+	if res.verdict == refused && load < roomyLoad*float64(res.target.Slots) {
+		sleep(ctx, refusedBackoff/2+rand.N(refusedBackoff))
+	}
+}
+
 // again reports whether the request may be sent once more after the result.
 func (x *exchange) again(res result) bool {
 	switch res.verdict {
@@ -194,6 +211,7 @@
 				kept = &res
 			}
 			if x.again(res) && running == 0 {
+				x.backOff(ctx, res)
 				if err := start(); err != nil && kept == nil {
 					return err
 				}
@@ -267,7 +285,7 @@
 	x.w.WriteHeader(res.resp.StatusCode)
 	if err := x.write(res.body); err != nil {
 		res.resp.Close()
-		return errBroken
+		return errkind.Wrap(errBroken, errkind.Canceled, "the caller has gone")
 	}
 	if !res.more {
 		return nil
@@ -275,7 +293,7 @@
 	defer res.resp.Close()
 	if _, err := io.Copy(x.w, res.resp.Body); err != nil {
 		x.lastErr = errors.Wrapf(err, "answer of target %s was cut", res.target.ID)
-		return errBroken
+		return errkind.Wrap(errBroken, errkind.TargetLost, "long answer")
 	}
 	res.resp.Finish()
 	return nil
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -243,7 +243,7 @@
 	}
 	kind := errkind.KindOf(err)
 	if kind == errkind.Canceled && x.r.Context().Err() != nil {
-		panic(http.ErrAbortHandler)
+		return // nobody reads the answer
 	}
 	answer := kind.Answer()
 	h := x.w.Header()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/gateway/sse"
 )
 
@@ -55,9 +56,10 @@
 		case ctx.Err() != nil:
 			return x.streamFailed(begun, x.expired())
 		case errors.Is(res.err, errCallerGone):
-			return errBroken
+			return errkind.Wrap(errBroken, errkind.Canceled, "the caller has gone")
 		case x.again(res):
 			events.Reset()
+			x.backOff(ctx, res)
 		case res.verdict == failed && !begun:
 			if res = readAnswer(res); res.verdict == failed {
 				return x.answerFailure(res)
@@ -76,7 +78,7 @@
 		return err
 	}
 	x.lastErr = err
-	return errBroken
+	return errkind.Wrap(errBroken, errkind.KindOf(err), "after %d events", x.events)
 }
 
 // sendStream makes one attempt and cancels it if the target stays silent while
