lease: replace a holder that is known to have ended

Change: a coordinator takes over from an earlier process of its own instance, or from an instance that is not heard while others are. Ranks fence the former.

--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -90,6 +90,7 @@
 		ranks.RunCoordinators(ctx, ranks.CoordinatorOptions{
 			Instance: s.Instance, Holder: fmt.Sprintf("%s/%d", s.Instance, rand.Uint64()), KV: store, Items: g.Items,
 			Records: platform.Records{}, Engine: platform.NewRanks(), Log: log,
+			Silent: func(instance string) bool { return g.Silent(ctx, instance) },
 		})
 	}()
 	log.Info("started", "callers", s.CallerAddr, "store", s.StoreURL)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -113,6 +113,18 @@
 // instances returns the number of instances with this one.
 func (c *control) instances(now time.Time) int { return len(c.live(now)) + 1 }
 
+// Silent reports whether another instance was heard before and is no more,
+// although others are.
+func (g *Gateway) Silent(ctx context.Context, instance string) bool {
+	silent := false
+	g.control.ask(ctx, func() {
+		now := time.Now()
+		p := g.control.peers.byID[instance]
+		silent = p != nil && now.Sub(p.heardAt) > heardFor && g.control.peers.heard(now) > 0
+	})
+	return silent
+}
+
 // isolated reports whether this instance may miss changes that others know: the
 // copy is old and neither the service nor any other instance is reached.
 func (c *control) isolated(now time.Time) bool {
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -31,6 +31,10 @@
 	Candidate func() bool
 	// Times replace DefaultTimes if TTL is set.
 	Times Times
+	// Dead reports whether the holder is known to have ended, so that its lease
+	// need not lapse first; nil never. Like Persist it is only for holders whose
+	// orders are fenced, since it may err.
+	Dead func(holder string) bool
 	// Persist keeps the term while the service does not answer. It is only for
 	// holders whose orders carry the number and whose receivers refuse lower
 	// ones, since another may have taken the lease meanwhile.
@@ -89,7 +93,10 @@
 
 // acquire returns true when this process holds the key.
 func (h *Holder) acquire(ctx context.Context) bool {
-	if _, _, err := h.o.KV.Get(ctx, h.o.Key); !errors.Is(err, infra.ErrNotFound) {
+	former, _, err := h.o.KV.Get(ctx, h.o.Key)
+	switch {
+	case errors.Is(err, infra.ErrNotFound):
+	case err != nil || h.o.Dead == nil || !h.o.Dead(string(former.Value)):
 		return false
 	}
 	granted := time.Now()
@@ -97,7 +104,7 @@
 	if err != nil {
 		return false // a lease whose reply was lost holds no key and lapses
 	}
-	number, ok := h.take(ctx, id)
+	number, ok := h.take(ctx, id, former.ModRevision)
 	if !ok {
 		h.release(id)
 		return false
@@ -117,11 +124,12 @@
 	return true
 }
 
-// take writes the key if it does not exist. The fencing number is the revision
-// of that write. A lost reply is resolved by reading.
-func (h *Holder) take(ctx context.Context, id infra.LeaseID) (uint64, bool) {
+// take writes the key if it does not exist, or is still that of the dead holder.
+// The fencing number is the revision of that write. A lost reply is resolved by
+// reading.
+func (h *Holder) take(ctx context.Context, id infra.LeaseID, former int64) (uint64, bool) {
 	res, err := h.o.KV.Commit(ctx, infra.Txn{
-		Conditions: []infra.Condition{{Key: h.o.Key}},
+		Conditions: []infra.Condition{{Key: h.o.Key, ModRevision: former}},
 		Puts:       []infra.Put{{Key: h.o.Key, Value: []byte(h.o.Holder), Lease: id}},
 	})
 	if err == nil {
@@ -135,7 +143,7 @@
 		// The caller revokes the lease, so that a write still on its way fails.
 		return 0, false
 	}
-	return uint64(item.CreateRevision), true
+	return uint64(item.ModRevision), true
 }
 
 // keep renews the lease until the term ends, and returns why it ended. A
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/infra/standin"
 )
 
@@ -214,3 +215,25 @@
 		<-done
 	})
 }
+
+// Guards against a wait for the lease of a holder that is known to have ended,
+// and against a number that does not rise.
+func TestDeadHolderIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := standin.NewKV()
+		_, err := kv.Direct().Commit(t.Context(), infra.Txn{Puts: []infra.Put{{Key: "k", Value: []byte("former")}}})
+		require.NoError(t, err)
+		former, _, err := kv.Direct().Get(t.Context(), "k")
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		h := New(Options{KV: kv.Direct(), Key: "k", Holder: "b", Dead: func(holder string) bool { return holder == "former" }, Times: Times{TTL: 3 * time.Second, Renew: time.Second, Margin: time.Second}})
+		done := make(chan struct{})
+		go func() { h.Run(ctx); close(done) }()
+		time.Sleep(10 * time.Millisecond)
+		number, valid := h.Token()
+		require.True(t, valid)
+		require.Greater(t, number, uint64(former.ModRevision))
+		cancel()
+		<-done
+	})
+}
--- a/ranks/coordinate.go
+++ b/ranks/coordinate.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,13 +28,15 @@
 // CoordinatorOptions describe a process that may coordinate groups.
 type CoordinatorOptions struct {
 	Instance string
-	// Holder is unique to this process.
+	// Holder is unique to this process: the instance, a slash and a number.
 	Holder  string
 	KV      infra.KV
 	Items   Directory
 	Records Records
 	Engine  Engine
-	Log     *slog.Logger
+	// Silent reports whether another instance has not been heard for a while.
+	Silent func(instance string) bool
+	Log    *slog.Logger
 }
 
 // RunCoordinators competes for the leases of all groups, and coordinates those
@@ -74,6 +77,7 @@
 	holder := lease.New(lease.Options{
 		KV: o.KV, Key: key, Holder: o.Holder, Times: coordinatorTimes, Persist: true,
 		Candidate: func() bool { return vacant(ctx, o, key) },
+		Dead:      o.dead,
 		Taken:     func(n uint64) { o.Log.Info("lease taken", "group", group, "fencing", n) },
 		Lost: func(n uint64, reason string) {
 			o.Log.Info("lease lost", "group", group, "fencing", n, "reason", reason)
@@ -110,7 +114,17 @@
 // is looked at, so that waiting costs no calls.
 func vacant(ctx context.Context, o CoordinatorOptions, key string) bool {
 	items, err := o.Items(ctx, key)
-	return err == nil && len(items) == 0
+	return err == nil && (len(items) == 0 || o.dead(string(items[0].Value)))
+}
+
+// dead reports whether a holder has ended: an earlier process of this instance,
+// or one of an instance that is not heard. Holders are named INSTANCE/NUMBER.
+func (o CoordinatorOptions) dead(holder string) bool {
+	instance, _, _ := strings.Cut(holder, "/")
+	if instance == o.Instance {
+		return holder != o.Holder
+	}
+	return o.Silent != nil && o.Silent(instance)
 }
 
 // readShape returns the shape of the back end's groups in the configuration.
