ranks, gateway: hand a term over at a planned stop in an outage

In those the coordinator was stopped while the store was silent; no lease could be given, and the group kept its map from second 21 to 28 (measured in the logs). Change: a coordinator that stops passes its term, with the number of maps planned, to another instance, which goes on with the same number until it gets the lease or a rank refuses it. A kill in an outage still leaves the group without one.

--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -68,7 +68,9 @@
 	}
 	registry := metrics.NewRegistry()
 	store := platform.NewStore(s.StoreURL)
+	var coordinators *ranks.Coordinators
 	g := gateway.New(gateway.Options{
+		TakeOver: func(t gateway.Term) { coordinators.Adopt(ranks.Term(t)) },
 		Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions,
 		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, StopWithin: s.StopWithin, AddressAge: addressAge,
 		Limits: limits(s), KV: store,
@@ -84,14 +86,16 @@
 	}
 	defer closers()
 	go watchSettings(ctx, path, s, log, func(n *platform.Settings) { g.SetLimits(limits(n)) })
+	coordinators = ranks.NewCoordinators(ranks.CoordinatorOptions{
+		Instance: s.Instance, Holder: fmt.Sprintf("%s/%d", s.Instance, rand.Uint64()), KV: store, Items: g.Items,
+		Records: platform.Records{}, Engine: platform.NewRanks(), Log: log,
+		Silent:   func(instance string) bool { return g.Silent(context.WithoutCancel(ctx), instance) },
+		HandOver: func(t ranks.Term) { g.HandOver(context.WithoutCancel(ctx), gateway.Term(t)) },
+	})
 	coordinated := make(chan struct{})
 	go func() {
 		defer close(coordinated)
-		ranks.RunCoordinators(ctx, ranks.CoordinatorOptions{
-			Instance: s.Instance, Holder: fmt.Sprintf("%s/%d", s.Instance, rand.Uint64()), KV: store, Items: g.Items,
-			Records: platform.Records{}, Engine: platform.NewRanks(), Log: log,
-			Silent: func(instance string) bool { return g.Silent(ctx, instance) },
-		})
+		coordinators.Run(ctx)
 	}()
 	log.Info("started", "callers", s.CallerAddr, "store", s.StoreURL)
 	err = g.Run(ctx, gateway.Listeners{Callers: callers, Peers: peers})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,9 @@
 	AddressAge time.Duration
 	Limits     Limits
 
+	// TakeOver is called when another instance passes on a term; nil is allowed.
+	TakeOver func(Term)
+
 	KV       infra.KV
 	Records  Records
 	Headers  Headers
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -41,6 +41,7 @@
 	leaving   bool
 	reachable bool
 	loads     map[string]uint32
+	session   *wire.Session
 }
 
 // peerTable holds the peers by id.
@@ -234,7 +235,7 @@
 			g.log.Debug("peer session ended", "peer", id, "error", err.Error())
 			return
 		}
-		g.control.ask(ctx, func() { g.control.fromPeer(ctx, session, id, &f) })
+		g.control.ask(ctx, func() { g.control.fromPeer(session, id, &f) })
 	}
 }
 
@@ -267,7 +268,7 @@
 }
 
 // fromPeer handles one message of a peer.
-func (c *control) fromPeer(ctx context.Context, session *wire.Session, id string, f *wirepb.PeerFrame) {
+func (c *control) fromPeer(session *wire.Session, id string, f *wirepb.PeerFrame) {
 	now := time.Now()
 	switch body := f.GetBody().(type) {
 	case *wirepb.PeerFrame_Beat:
@@ -277,8 +278,37 @@
 		c.reply(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Delta{Delta: encodeDelta(d)}})
 	case *wirepb.PeerFrame_Delta:
 		c.changed(c.mirror.Merge(decodeDelta(body.Delta)), "instance "+id, now)
+	case *wirepb.PeerFrame_Handover:
+		if c.g.o.TakeOver != nil {
+			c.g.o.TakeOver(Term{Group: body.Handover.GetGroup(), Fencing: body.Handover.GetFencing(), Maps: body.Handover.GetMaps()})
+		}
 	}
-	_ = ctx
+}
+
+// Term is one coordinator's time with a rank group.
+type Term struct {
+	Group   string
+	Fencing uint64
+	// Maps is the number of maps planned so far.
+	Maps uint64
+}
+
+// HandOver passes a term on to another instance that is alive. The caller must
+// have stopped to give orders.
+func (g *Gateway) HandOver(ctx context.Context, t Term) {
+	g.control.ask(ctx, func() {
+		now := time.Now()
+		for id, p := range g.control.peers.byID {
+			if p.leaving || p.session == nil || now.Sub(p.heardAt) > heardFor {
+				continue
+			}
+			g.log.Info("term handed over", "instance", id, "group", t.Group, "fencing", t.Fencing, "maps", t.Maps)
+			g.control.reply(p.session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Handover{
+				Handover: &wirepb.TermHandover{Group: t.Group, Fencing: t.Fencing, Maps: t.Maps},
+			}})
+			return
+		}
+	})
 }
 
 func (c *control) heardPeer(session *wire.Session, id string, b *wirepb.PeerBeat, now time.Time) {
@@ -295,6 +325,7 @@
 	if r, ok := c.records()[id]; ok {
 		p.record = r
 	}
+	p.session = session
 	p.heardAt, p.leaving, p.reachable = now, b.GetLeaving(), b.GetStoreReachable()
 	p.loads = make(map[string]uint32, len(b.GetLoads()))
 	for _, l := range b.GetLoads() {
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -76,6 +76,14 @@
 	return h.t.number, h.t.valid(time.Now())
 }
 
+// Unanswered reports whether this process holds the lease and the service does
+// not answer its renewals.
+func (h *Holder) Unanswered() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.unanswered && h.t.number != 0
+}
+
 // Run competes for the lease until ctx ends, and releases it then.
 func (h *Holder) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/ranks/coordinate.go
+++ b/ranks/coordinate.go
@@ -36,20 +36,67 @@
 	Engine  Engine
 	// Silent reports whether another instance has not been heard for a while.
 	Silent func(instance string) bool
-	Log    *slog.Logger
+	// HandOver passes a term on to another instance; nil is allowed.
+	HandOver func(Term)
+	Log      *slog.Logger
 }
 
-// RunCoordinators competes for the leases of all groups, and coordinates those
-// that it holds until ctx ends.
-func RunCoordinators(ctx context.Context, o CoordinatorOptions) {
+// Term is one coordinator's time with a group.
+type Term struct {
+	Group   string
+	Fencing uint64
+	// Maps is the number of maps planned so far. Their versions must not be used
+	// for others.
+	Maps uint64
+}
+
+// Coordinators compete for the leases of all groups, and coordinate those that
+// they hold.
+type Coordinators struct {
+	o CoordinatorOptions
+
+	mu      sync.Mutex
+	adopted map[string]Term
+}
+
+// NewCoordinators returns coordinators that do not run yet.
+func NewCoordinators(o CoordinatorOptions) *Coordinators {
+	return &Coordinators{o: o, adopted: map[string]Term{}}
+}
+
+// Adopt goes on with the term of a coordinator that has stopped while the
+// service gives no new leases.
+func (c *Coordinators) Adopt(t Term) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.adopted[t.Group] = t
+	c.o.Log.Info("term adopted", "group", t.Group, "fencing", t.Fencing, "maps", t.Maps)
+}
+
+// term returns the adopted term of a group.
+func (c *Coordinators) term(group string) (Term, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t, ok := c.adopted[group]
+	return t, ok
+}
+
+func (c *Coordinators) drop(group string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.adopted, group)
+}
+
+// Run coordinates until ctx ends.
+func (c *Coordinators) Run(ctx context.Context) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	known := map[string]bool{}
 	for ctx.Err() == nil {
-		for _, group := range groups(ctx, o) {
+		for _, group := range groups(ctx, c.o) {
 			if !known[group] {
 				known[group] = true
-				wait.Go(func() { coordinateGroup(ctx, o, group) })
+				wait.Go(func() { c.coordinateGroup(ctx, group) })
 			}
 		}
 		sleep(ctx, groupsPause)
@@ -72,8 +119,8 @@
 	return names
 }
 
-func coordinateGroup(ctx context.Context, o CoordinatorOptions, group string) {
-	key := coordinatePrefix + group
+func (c *Coordinators) coordinateGroup(ctx context.Context, group string) {
+	o, key := c.o, coordinatePrefix+group
 	holder := lease.New(lease.Options{
 		KV: o.KV, Key: key, Holder: o.Holder, Times: coordinatorTimes, Persist: true,
 		Candidate: func() bool { return vacant(ctx, o, key) },
@@ -83,33 +130,63 @@
 			o.Log.Info("lease lost", "group", group, "fencing", n, "reason", reason)
 		},
 	})
+	held, release := context.WithCancel(context.WithoutCancel(ctx))
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	wait.Go(func() { holder.Run(ctx) })
+	defer release()
+	wait.Go(func() { holder.Run(held) })
 	l := &links{
 		engine: o.Engine, records: o.Records, items: o.Items, log: o.Log, group: group,
 		hello: &wirepb.Hello{Instance: o.Instance, Role: "coordinator"},
 	}
-	var c *coordinator
+	var k *coordinator
 	for ctx.Err() == nil {
-		if _, valid := holder.Token(); !valid {
-			c = nil
+		token := c.token(group, holder)
+		if token == nil {
+			k = nil
 			sleep(ctx, roundPause)
 			continue
 		}
-		if c == nil {
+		if k == nil {
 			l.load(ctx, time.Now())
 			shape := readShape(ctx, o, l.backend)
 			if shape == nil {
 				sleep(ctx, groupsPause)
 				continue
 			}
-			c = newCoordinator(o.Log, holder, l, shape)
+			k = newCoordinator(o.Log, l, shape)
+		}
+		k.token = token
+		sleep(ctx, k.round(ctx))
+		if k.deposed != 0 && k.deposed == k.fencing {
+			c.drop(group)
 		}
-		sleep(ctx, c.round(ctx))
+	}
+	_, adopted := c.term(group)
+	if k != nil && (adopted || holder.Unanswered()) && o.HandOver != nil {
+		o.HandOver(Term{Group: group, Fencing: k.fencing, Maps: k.counter})
 	}
 }
 
+// token returns what allows this process to coordinate a group: its own lease,
+// or an adopted term.
+func (c *Coordinators) token(group string, holder *lease.Holder) lease.Token {
+	if _, valid := holder.Token(); valid {
+		c.drop(group)
+		return holder
+	}
+	if t, ok := c.term(group); ok {
+		return adoptedToken(t)
+	}
+	return nil
+}
+
+// adoptedToken is the token of an adopted term.
+type adoptedToken Term
+
+// Token implements lease.Token.
+func (t adoptedToken) Token() (uint64, bool) { return t.Fencing, true }
+
 // vacant reports whether nobody seems to hold the lease. The copy of the service
 // is looked at, so that waiting costs no calls.
 func vacant(ctx context.Context, o CoordinatorOptions, key string) bool {
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -60,9 +60,9 @@
 	at      time.Time
 }
 
-func newCoordinator(log *slog.Logger, token lease.Token, l *links, shape *routing.ExpertShape) *coordinator {
+func newCoordinator(log *slog.Logger, l *links, shape *routing.ExpertShape) *coordinator {
 	return &coordinator{
-		log: log, token: token, links: l, shape: shape, sent: map[int]sentOrder{},
+		log: log, links: l, shape: shape, sent: map[int]sentOrder{},
 		demand: plan.NewTracker(shape.Sets, shape.Experts, plan.DefaultTrackerRules),
 	}
 }
@@ -76,6 +76,9 @@
 	}
 	if fencing != c.fencing {
 		c.fencing, c.counter, c.plan, c.known = fencing, 0, switchover.Plan{}, false
+		if t, ok := c.token.(adoptedToken); ok {
+			c.counter = t.Maps
+		}
 		c.log.Info("coordinating", "fencing", fencing)
 	}
 	reports := c.links.askAll(ctx, Question{Counts: c.settled(), Placement: !c.known})
--- a/ranks/ranks_test.go
+++ b/ranks/ranks_test.go
@@ -18,6 +18,7 @@
 	"github.com/skylarkstep/skylarkstep/expertmap/switchover"
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/infra/standin"
+	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/routing"
 )
 
@@ -205,13 +206,13 @@
 	}
 	return func(ctx context.Context, name string) {
 		wait.Go(func() {
-			RunCoordinators(ctx, CoordinatorOptions{
+			NewCoordinators(CoordinatorOptions{
 				Instance: name, Holder: name, KV: kv, Records: testRecords{}, Engine: g, Log: log,
 				Items: func(ctx context.Context, prefix string) ([]infra.Item, error) {
 					items, _, err := kv.List(ctx, prefix)
 					return items, err
 				},
-			})
+			}).Run(ctx)
 		})
 	}
 }
@@ -300,3 +301,29 @@
 	require.Equal(t, switchover.Unready, phase)
 	require.Empty(t, orders)
 }
+
+// Guards against a group without a coordinator when one stops while the service
+// gives no leases, and against a version that is used for two maps.
+func TestAdoptedTermGoesOn(t *testing.T) {
+	g := newGroup(0)
+	kv := standin.NewKV()
+	c := NewCoordinators(CoordinatorOptions{Log: slog.New(slog.DiscardHandler), KV: kv.Direct()})
+	holder := lease.New(lease.Options{KV: kv.Direct(), Key: "k", Holder: "a/1"})
+	require.Nil(t, c.token("g", holder))
+	c.Adopt(Term{Group: "g", Fencing: 7, Maps: 3})
+	l := directLinks(g)
+	k := newCoordinator(slog.New(slog.DiscardHandler), l, &routing.ExpertShape{Sets: groupSets, Experts: groupSize, Places: 4, Spare: 3})
+	k.token = c.token("g", holder)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go g.run(ctx)
+	require.Eventually(t, func() bool {
+		k.round(t.Context())
+		// Counts are read through agents, which this group does not have.
+		counts, err := g.Counts(t.Context(), "rank-0")
+		require.NoError(t, err)
+		k.observe([]Report{{Rank: 0, Born: 1, Counts: counts}}, time.Now())
+		return g.version() != 0
+	}, 5*time.Second, 10*time.Millisecond)
+	require.EqualValues(t, 7*versionsPerTerm+4, g.version())
+}
