gateway: wait a little for the first configuration

Change: a process without a configuration holds a request for 0.15 of its time, and then tells the caller to come back after 0.28 of it.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -301,7 +301,9 @@
 			s.targets[t.Backend] = append(s.targets[t.Backend], t)
 		}
 	}
-	c.g.state.Store(s)
+	if c.g.state.Swap(s) == nil {
+		close(c.g.configured)
+	}
 	c.g.queues.wake()
 }
 
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -1,14 +1,19 @@
 package gateway
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
 	"github.com/skylarkstep/skylarkstep/routing"
 )
 
@@ -79,6 +84,33 @@
 	})
 }
 
+// Guards against callers that are refused by a process that gets its first
+// configuration a moment later, and against ones that are told to come back to
+// one without any at once.
+func TestFirstConfigurationIsWaitedFor(t *testing.T) {
+	g := New(Options{Instance: "g", Limits: Limits{RefuseAfter: time.Second}, KV: standin.NewKV().Direct(), Records: testRecords{},
+		Headers: testHeaders{}, Log: slog.New(slog.DiscardHandler), Registry: metrics.NewRegistry()})
+	request := func() *httptest.ResponseRecorder {
+		r := httptest.NewRequest(http.MethodGet, "/nowhere", nil)
+		r.Header.Set("X-Deadline", "2s")
+		w := httptest.NewRecorder()
+		g.ServeHTTP(w, r)
+		return w
+	}
+	w := request()
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, seconds, 0.25)
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		g.control.table = routing.NewTable(&routing.Config{Version: 1})
+		g.control.dirty = true
+		g.control.publish(time.Now())
+	}()
+	require.Equal(t, http.StatusNotFound, request().Code, "the configuration has no routes")
+}
+
 // Guards against waiters that are overtaken by less urgent ones, and against
 // requests that wait although they can't be served in time.
 func TestQueue(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,9 +68,11 @@
 	dialing  *dialing
 	registry lease.Record
 	state    atomic.Pointer[snapshot]
-	leaving  atomic.Bool
-	refusing atomic.Bool // set late in a planned stop
-	working  atomic.Int64
+	// configured is closed when the first configuration is in force.
+	configured chan struct{}
+	leaving    atomic.Bool
+	refusing   atomic.Bool // set late in a planned stop
+	working    atomic.Int64
 
 	limits atomic.Pointer[Limits]
 
@@ -83,7 +85,8 @@
 	g := &Gateway{
 		o: o, id: o.Instance, log: o.Log, kv: o.KV, records: o.Records, headers: o.Headers,
 		metrics: newMetrics(o.Registry), dialing: &dialing{busy: map[string]bool{}},
-		shares: map[string]*routing.RetryShare{},
+		configured: make(chan struct{}),
+		shares:     map[string]*routing.RetryShare{},
 	}
 	g.limits.Store(&o.Limits)
 	g.queues = &queues{g: g, by: map[string]*queue{}}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -98,7 +98,7 @@
 
 // accept finds the route and customer of a request.
 func (x *exchange) accept() error {
-	s, err := x.g.ready()
+	s, err := x.awaitReady()
 	if err != nil {
 		return err
 	}
@@ -121,6 +121,27 @@
 	return nil
 }
 
+// awaitReady returns the state by which the request is served. A process that has
+// just started waits a little for its first configuration; if there is none,
+// callers are told to come back late, since those that come back at once use up
+// their repeats.
+func (x *exchange) awaitReady() (*snapshot, error) {
+	s, err := x.g.ready()
+	if errkind.KindOf(err) != errkind.NotReady {
+		return s, err
+	}
+	timer := time.NewTimer(time.Duration(downShare * float64(x.meta.Deadline)))
+	defer timer.Stop()
+	select {
+	case <-x.g.configured:
+		return x.g.ready()
+	case <-x.r.Context().Done():
+	case <-timer.C:
+	}
+	comeBack := max(comeBackSoonest, time.Duration(comeBackShare*float64(x.meta.Deadline)))
+	return nil, errkind.From(err).WithRetryAfter(jitter(comeBack))
+}
+
 // readBody reads the whole body before anything is sent, so that a target never
 // gets a part of a request.
 func (x *exchange) readBody() error {
