--- a/daemon/cmd/skylarkd/rank.go
+++ b/daemon/cmd/skylarkd/rank.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -15,22 +12,7 @@
 )
 
 func rankCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "rank",
-		Short: "Run beside a rank of a group on the users' platform",
-		Long:  "Run beside a rank of a group on the users' platform. The variable " + platform.SettingsVariable + " holds the path of the settings.",
-		Args:  cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			path := os.Getenv(platform.SettingsVariable)
-			s, err := platform.LoadSettings(path)
-			if err != nil {
-				return err
-			}
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-			defer stop()
-			return runRank(ctx, path, s)
-		},
-	}
+	return platformCommand("rank", "Run beside a rank of a group on the users' platform", runRank)
 }
 
 func runRank(ctx context.Context, path string, s *platform.Settings) error {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/gateway/upstream"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/routing"
 )
 
@@ -159,7 +160,7 @@
 func (x *exchange) backOff(ctx context.Context, res result) {
 	load := float64(res.target.own.Load() + res.target.others.Load())
 	if res.verdict == refused && load < roomyLoad*float64(res.target.Slots) {
-		sleep(ctx, refusedBackoff/2+rand.N(refusedBackoff))
+		ctxtime.Sleep(ctx, refusedBackoff/2+rand.N(refusedBackoff))
 	}
 }
 
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/mirror"
 	"github.com/skylarkstep/skylarkstep/routing"
 )
@@ -286,7 +287,7 @@
 	c.dirty = false
 	s := &snapshot{
 		table: c.table, revision: c.mirror.Revision(), targets: map[string][]*target{},
-		all: map[string]*target{}, instances: c.instances(now),
+		instances: c.instances(now),
 	}
 	out := map[string]bool{}
 	c.mirror.Each(func(it infra.Item) {
@@ -295,8 +296,7 @@
 		}
 	})
 	newest := c.newestByAddr()
-	for id, t := range c.targets {
-		s.all[id] = t
+	for _, t := range c.targets {
 		if !t.Leaving && !out[t.DataCentre] && newest[t.Addr] == t {
 			s.targets[t.Backend] = append(s.targets[t.Backend], t)
 		}
@@ -333,7 +333,7 @@
 			continue
 		}
 		c.do(ctx, func() { c.lost(err, time.Now()) })
-		sleep(ctx, pause)
+		ctxtime.Sleep(ctx, pause)
 		pause = min(2*pause, watchRetryMost)
 	}
 }
@@ -344,7 +344,7 @@
 	items, revision, err := c.g.kv.List(ctx, "")
 	if err != nil {
 		c.do(ctx, func() { c.lost(err, time.Now()) })
-		sleep(ctx, watchRetry)
+		ctxtime.Sleep(ctx, watchRetry)
 		return
 	}
 	c.ask(ctx, func() {
@@ -387,12 +387,3 @@
 	}
 	return errWatchEnded
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -141,7 +141,7 @@
 	require.Equal(t, 1, <-order)
 	q.release(second, time.Millisecond)
 	require.Equal(t, 2, <-order)
-	require.Eventually(t, func() bool { return g.state.Load().all["r"].own.Load() == 0 }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return g.target("r").own.Load() == 0 }, time.Second, time.Millisecond)
 	q.mu.Lock()
 	q.hold = time.Minute
 	q.mu.Unlock()
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -64,11 +64,11 @@
 			bad := startRunner(t, "bad", c.first)
 			d := newDeployment(t, config(), bad)
 			g := d.start("g1")
-			require.Eventually(t, func() bool { return len(g.state.Load().all) == 1 }, time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return g.targetCount() == 1 }, time.Second, time.Millisecond)
 			d.put("target/good", good.target("b"))
-			require.Eventually(t, func() bool { return len(g.state.Load().all) == 2 }, time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return g.targetCount() == 2 }, time.Second, time.Millisecond)
 			// The good target looks busier, so that the bad one is first.
-			g.state.Load().all["good"].others.Store(2)
+			g.target("good").others.Store(2)
 			a := g.request(t.Context(), http.MethodPost, c.path, "")
 			require.NoError(t, a.err)
 			require.Equal(t, c.status, a.status, a.body)
@@ -97,7 +97,7 @@
 	})
 	d := newDeployment(t, config(), first, second)
 	g := d.start("g1")
-	g.state.Load().all["second"].others.Store(2)
+	g.target("second").others.Store(2)
 	a := g.request(t.Context(), http.MethodPost, "/chat/1", "")
 	require.NoError(t, a.err)
 	require.Equal(t, "one", a.header.Get("X-Seal"))
@@ -135,10 +135,10 @@
 	changed := r.target("b")
 	changed.ColdFor = 100 * time.Millisecond
 	d.put("target/r", changed)
-	require.Eventually(t, func() bool { return g.state.Load().all["r"].ColdFor > 0 }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return g.target("r").ColdFor > 0 }, time.Second, time.Millisecond)
 	close(release)
 	require.Equal(t, http.StatusOK, (<-done).status)
-	require.Eventually(t, func() bool { return g.state.Load().all["r"].own.Load() == 0 }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return g.target("r").own.Load() == 0 }, time.Second, time.Millisecond)
 }
 
 // Guards against a planned stop that cuts a request or refuses one that a caller
@@ -199,7 +199,7 @@
 	g := d.start("g1")
 	d.put("target/new", fresh)
 	d.put("target/old", dead)
-	require.Eventually(t, func() bool { return len(g.state.Load().all) == 2 }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return g.targetCount() == 2 }, time.Second, time.Millisecond)
 	got := g.state.Load().targets["b"]
 	require.Len(t, got, 1)
 	require.Equal(t, "new", got[0].ID)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -256,3 +256,14 @@
 	body, err := io.ReadAll(resp.Body)
 	return answer{resp.StatusCode, resp.Header, string(body), err}
 }
+
+// target returns what the instance knows of a target.
+func (i *instance) target(id string) (t *target) {
+	i.control.ask(context.Background(), func() { t = i.control.targets[id] })
+	return t
+}
+
+func (i *instance) targetCount() (n int) {
+	i.control.ask(context.Background(), func() { n = len(i.control.targets) })
+	return n
+}
--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -50,7 +50,7 @@
 	}
 	d := newDeployment(t, config(), runners...)
 	g := d.start("g1")
-	require.Eventually(t, func() bool { return len(g.state.Load().all) == 3 }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return g.targetCount() == 3 }, time.Second, time.Millisecond)
 	time.AfterFunc(350*time.Millisecond, func() { broken.Store(false) })
 	var wait sync.WaitGroup
 	var served atomic.Int64
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/mirror"
 	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
@@ -148,7 +149,7 @@
 				}()
 			}
 		}
-		sleep(ctx, connectInterval)
+		ctxtime.Sleep(ctx, connectInterval)
 	}
 }
 
@@ -178,7 +179,7 @@
 	session, err := wire.Dial(dctx, addr, nil, g.hello())
 	if err != nil {
 		g.log.Debug("peer not reached", "peer", id, "addr", addr, "error", err.Error())
-		sleep(ctx, connectInterval*time.Duration(1+rand.IntN(3)))
+		ctxtime.Sleep(ctx, connectInterval*time.Duration(1+rand.IntN(3)))
 		return
 	}
 	g.servePeer(ctx, session)
@@ -221,7 +222,7 @@
 			if err := g.sendBeat(ctx, session); err != nil {
 				return
 			}
-			sleep(ctx, beatInterval)
+			ctxtime.Sleep(ctx, beatInterval)
 		}
 	}()
 	go func() {
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -73,6 +73,5 @@
 	table     *routing.Table
 	revision  int64
 	targets   map[string][]*target // by back end; those that may get new work
-	all       map[string]*target
 	instances int
 }
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 )
 
 const (
@@ -88,11 +89,11 @@
 func (h *Holder) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if h.o.Candidate != nil && !h.o.Candidate() {
-			sleep(ctx, pollInterval)
+			ctxtime.Sleep(ctx, pollInterval)
 			continue
 		}
 		if !h.acquire(ctx) {
-			sleep(ctx, pollInterval/2+rand.N(pollInterval))
+			ctxtime.Sleep(ctx, pollInterval/2+rand.N(pollInterval))
 			continue
 		}
 		h.lose(h.keep(ctx))
@@ -165,7 +166,7 @@
 		if !h.o.Persist {
 			pause = min(pause, max(left, 0))
 		}
-		sleep(ctx, pause)
+		ctxtime.Sleep(ctx, pause)
 		if ctx.Err() != nil {
 			return "released"
 		}
@@ -234,15 +235,6 @@
 		if err == nil || errors.Is(err, infra.ErrLeaseNotFound) {
 			return
 		}
-		sleep(ctx, retryInterval)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		ctxtime.Sleep(ctx, retryInterval)
 	}
 }
--- a/lease/record.go
+++ b/lease/record.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 )
 
 // Record is a key that exists while its process lives.
@@ -27,7 +28,7 @@
 		if err := r.keep(ctx, &id); err != nil {
 			pause = min(retryInterval, r.Renew)
 		}
-		sleep(ctx, pause)
+		ctxtime.Sleep(ctx, pause)
 	}
 	if id == 0 {
 		return
--- a/ranks/coordinate.go
+++ b/ranks/coordinate.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/routing"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
@@ -99,7 +100,7 @@
 				wait.Go(func() { c.coordinateGroup(ctx, group) })
 			}
 		}
-		sleep(ctx, groupsPause)
+		ctxtime.Sleep(ctx, groupsPause)
 	}
 }
 
@@ -144,20 +145,20 @@
 		token := c.token(group, holder)
 		if token == nil {
 			k = nil
-			sleep(ctx, roundPause)
+			ctxtime.Sleep(ctx, roundPause)
 			continue
 		}
 		if k == nil {
 			l.load(ctx, time.Now())
 			shape := readShape(ctx, o, l.backend)
 			if shape == nil {
-				sleep(ctx, groupsPause)
+				ctxtime.Sleep(ctx, groupsPause)
 				continue
 			}
 			k = newCoordinator(o.Log, l, shape)
 		}
 		k.token = token
-		sleep(ctx, k.round(ctx))
+		ctxtime.Sleep(ctx, k.round(ctx))
 		if k.deposed != 0 && k.deposed == k.fencing {
 			c.drop(group)
 		}
--- a/ranks/ranks.go
+++ b/ranks/ranks.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/routing"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
@@ -58,7 +59,7 @@
 	for ctx.Err() == nil {
 		r, err := o.Engine.Report(ctx, o.RankAddr)
 		if err != nil || r.Group == "" {
-			sleep(ctx, learnPause)
+			ctxtime.Sleep(ctx, learnPause)
 			continue
 		}
 		runMember(ctx, o, a, r)
@@ -84,18 +85,9 @@
 	group.Go(func() { record.Run(ctx) })
 	group.Go(func() { rescue(ctx, o, a, r) })
 	for ctx.Err() == nil {
-		sleep(ctx, memberCheck)
+		ctxtime.Sleep(ctx, memberCheck)
 		if now, err := o.Engine.Report(ctx, o.RankAddr); err == nil && (now.Group != r.Group || now.Rank != r.Rank || now.Size != r.Size) {
 			return
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/ranks/ranks_test.go
+++ b/ranks/ranks_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/skylarkstep/skylarkstep/expertmap/switchover"
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/infra/standin"
 	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/routing"
@@ -68,7 +69,7 @@
 // run makes passes until ctx ends.
 func (g *group) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, 5*time.Millisecond)
+		ctxtime.Sleep(ctx, 5*time.Millisecond)
 		g.mu.Lock()
 		g.pass()
 		g.mu.Unlock()
--- a/ranks/rescue.go
+++ b/ranks/rescue.go
@@ -6,6 +6,7 @@
 
 	"github.com/skylarkstep/skylarkstep/expertmap/switchover"
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 )
 
 const (
@@ -41,7 +42,7 @@
 		},
 	}
 	for ctx.Err() == nil {
-		sleep(ctx, rescuePoll)
+		ctxtime.Sleep(ctx, rescuePoll)
 		fencing := a.fencing.Load()
 		if fencing == 0 || a.quiet() < rescueAfter+stagger {
 			continue
