gateway: an outage needs refusals from two fifths of the targets

Change: an outage is noticed from four refusals in a row by two fifths of the back end's targets. Test: TestOneGroupOfSeveralIsNoOutage.

--- a/gateway/outage.go
+++ b/gateway/outage.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	// outageRefusals is how many refusals in a row, from outageTargets different
-	// targets, mean that a back end as a whole serves nobody. A rank group whose
-	// ranks are not complete does that.
+	// outageRefusals is how many refusals in a row mean that a back end as a whole
+	// serves nobody, if they come from outageShare of its targets. A rank group
+	// whose ranks are not complete does that; one group of several does not.
 	outageRefusals = 4
-	outageTargets  = 2
+	outageShare    = 0.4
 	// outageMemory ends an outage of which nothing has been heard.
 	outageMemory = time.Second
 	// probeInterval is the pause between requests that try whether the back end
@@ -21,31 +21,38 @@
 type outage struct {
 	refusals int
 	targets  map[string]bool
-	last     time.Time
-	probed   time.Time
+	// of is the number of targets of the back end.
+	of     int
+	last   time.Time
+	probed time.Time
 }
 
 // refused notes a refusal and reports whether it begins an outage.
-func (o *outage) refused(target string, now time.Time) bool {
+func (o *outage) refused(target string, of int, now time.Time) bool {
 	if o.targets == nil || now.Sub(o.last) > outageMemory {
 		*o = outage{targets: map[string]bool{}}
 	}
 	before := o.ongoing(now)
 	o.refusals++
 	o.targets[target] = true
-	o.last = now
+	o.of, o.last = of, now
 	return !before && o.ongoing(now)
 }
 
 // end notes that a request was taken, and reports whether this ends an outage.
 func (o *outage) end() bool {
-	was := o.refusals >= outageRefusals && len(o.targets) >= outageTargets
+	was := o.complete()
 	*o = outage{}
 	return was
 }
 
 func (o *outage) ongoing(now time.Time) bool {
-	return o.refusals >= outageRefusals && len(o.targets) >= outageTargets && now.Sub(o.last) <= outageMemory
+	return o.complete() && now.Sub(o.last) <= outageMemory
+}
+
+// complete reports whether enough targets have refused in a row.
+func (o *outage) complete() bool {
+	return o.refusals >= outageRefusals && len(o.targets) > 1 && float64(len(o.targets)) >= outageShare*float64(o.of)
 }
 
 // mayTry reports whether a request may be sent now.
--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -18,9 +18,9 @@
 	var o outage
 	now := time.Unix(0, 0)
 	for i, id := range []string{"a", "a", "a", "a", "a"} {
-		require.False(t, o.refused(id, now.Add(time.Duration(i)*time.Millisecond)), "one target alone is no outage")
+		require.False(t, o.refused(id, 5, now.Add(time.Duration(i)*time.Millisecond)), "one target alone is no outage")
 	}
-	require.True(t, o.refused("b", now.Add(5*time.Millisecond)))
+	require.True(t, o.refused("b", 5, now.Add(5*time.Millisecond)))
 	now = now.Add(10 * time.Millisecond)
 	require.True(t, o.mayTry(now))
 	o.tried(now)
@@ -28,10 +28,21 @@
 	require.True(t, o.mayTry(now.Add(probeInterval)))
 	require.True(t, o.end())
 	require.True(t, o.mayTry(now))
-	o.refused("a", now)
+	o.refused("a", 5, now)
 	require.False(t, o.ongoing(now.Add(2*outageMemory)), "an outage of which nothing is heard ends")
 }
 
+// Guards against one broken group of several holding up the back end.
+func TestOneGroupOfSeveralIsNoOutage(t *testing.T) {
+	var o outage
+	now := time.Unix(0, 0)
+	for i := range 20 {
+		require.False(t, o.refused(fmt.Sprint("group one, rank ", i%4), 12, now))
+	}
+	require.True(t, o.mayTry(now))
+	require.True(t, o.refused("group two", 12, now))
+}
+
 // Guards against callers that are refused at once during a short outage of a
 // rank group, or told to come back before it can be over: in a played day two
 // thirds of them came back in vain.
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -95,7 +95,7 @@
 func (q *queue) refused(id string, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.outage.refused(id, now) {
+	if q.outage.refused(id, len(q.g.state.Load().targets[q.backend]), now) {
 		q.g.log.Warn("back end refuses all requests", "back_end", q.backend, "waiting", len(q.waiters))
 	}
 }
