--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -232,8 +232,8 @@
 	return x.giveUp()
 }
 
-// hedge takes a retry for a second attempt beside the first, which counts as
-// arrived from now on.
+// hedge takes a retry for a second attempt while the first has not ended. place
+// would not count it, since no attempt has ended yet.
 func (x *exchange) hedge() bool {
 	if !x.g.takeRetry(x.backend) {
 		return false
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -83,7 +83,7 @@
 	q.served(now)
 }
 
-// served notes that a target has taken a request.
+// served notes that a target has taken a request. The caller holds the lock.
 func (q *queue) served(now time.Time) {
 	if q.outage.end() {
 		q.g.log.Info("back end serves again", "back_end", q.backend, "waiting", len(q.waiters))
@@ -190,7 +190,7 @@
 	if ctx.Err() != nil {
 		return nil, errkind.Wrap(ctx.Err(), errkind.Canceled, "left the queue")
 	}
-	return nil, q.overloaded(time.Now())
+	return nil, q.overloaded()
 }
 
 // ahead returns the number of waiters that come before a new one.
@@ -225,7 +225,7 @@
 		return nil // waits a little; others try whether the back end is back
 	}
 	if now.Add(q.wait(q.ahead(n.priority)+1, places, s.instances)).After(n.until) {
-		return q.overloaded(now)
+		return q.overloaded()
 	}
 	return nil
 }
@@ -251,7 +251,9 @@
 	return errkind.New(errkind.NoTarget, "all targets of back end %s refuse requests", q.backend).WithRetryAfter(jitter(comeBack))
 }
 
-func (q *queue) overloaded(time.Time) error {
+// overloaded is the answer to a request for which there is no place in time. It
+// tells the caller to come back when those that wait now have been served.
+func (q *queue) overloaded() error {
 	s := q.g.state.Load()
 	places := 0
 	for _, t := range s.targets[q.backend] {
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -9,8 +9,8 @@
 	"github.com/skylarkstep/skylarkstep/routing"
 )
 
-// target is one incarnation of a runner as the instance list shows it. The list
-// may change what it says of it; what traffic knows stays the same.
+// target is one incarnation of a target as its entry shows it. The entry may
+// change; what traffic knows of the incarnation stays.
 type target struct {
 	routing.Target
 	*traffic
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -59,8 +58,6 @@
 	HasBody bool
 	// Matches reports whether an answer belongs to this request.
 	Matches func(status int, h http.Header) bool
-	// Fresh asks for a connection of its own.
-	Fresh bool
 }
 
 // Response is an answer whose body has not been read yet. Close must be called.
@@ -80,15 +77,11 @@
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
-	dials  atomic.Int64
 }
 
 // NewPool returns a pool without connections.
 func NewPool(addr string) *Pool { return &Pool{addr: addr} }
 
-// Dials returns the number of connections opened so far.
-func (p *Pool) Dials() int64 { return p.dials.Load() }
-
 // Close closes the idle connections and keeps no more.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -100,14 +93,14 @@
 	}
 }
 
-func (p *Pool) take(ctx context.Context, fresh bool) (*conn, error) {
+func (p *Pool) take(ctx context.Context) (*conn, error) {
 	now := time.Now()
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
-	for len(p.idle) > 0 && !fresh {
+	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		if c.usable(now) {
@@ -117,7 +110,6 @@
 		_ = c.Close()
 	}
 	p.mu.Unlock()
-	p.dials.Add(1)
 	return dial(ctx, p.addr, dialTimeout)
 }
 
@@ -152,7 +144,7 @@
 // the connection is closed, which makes the target stop its work. The error is
 // an *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.take(ctx, r.Fresh)
+	c, err := p.take(ctx)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
--- a/routing/types.go
+++ b/routing/types.go
@@ -101,7 +101,7 @@
 	IdleTimeout   time.Duration
 }
 
-// Target is one incarnation of a runner as the instance list shows it.
+// Target is one process that serves a back end, as its entry shows it.
 type Target struct {
 	ID         string
 	Backend    string
