--- a/ranks/ranks_test.go
+++ b/ranks/ranks_test.go
@@ -271,6 +271,8 @@
 		defer g.mu.Unlock()
 		return g.states[0].Map == 7 && !g.states[1].Held
 	}, 5*time.Second, 20*time.Millisecond)
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	require.False(t, g.mixed)
 }
 
