--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -155,7 +155,8 @@
 	require.Less(t, time.Since(began), 100*time.Millisecond)
 }
 
-// Guards against records that a newer list lacks being kept for callers.
+// Guards against callers that get a single address of their own data centre, or
+// addresses of another region although their own has enough.
 func TestNearestAddresses(t *testing.T) {
 	all := []record{
 		{CallerAddr: "1", DataCentre: "a", Region: "r"}, {CallerAddr: "2", DataCentre: "a", Region: "r"},
