gateway: log when a stream began and its longest pause; one field for the other instance

Cause: a late stream left no trace of whether it began late or paused, and the lines 'instance heard' and 'term handed over' named the field instance twice, so that explain took them for lines of the other instance. Both tests failed before.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -57,6 +57,23 @@
 	waited  time.Duration
 	target  string
 	events  int
+	pace    pace
+}
+
+// pace is when the parts of a stream arrived, which says why an answer was late.
+type pace struct {
+	first, last time.Time
+	longestGap  time.Duration
+}
+
+// heard notes that a part of the answer has arrived.
+func (p *pace) heard(now time.Time) {
+	if p.first.IsZero() {
+		p.first = now
+	} else {
+		p.longestGap = max(p.longestGap, now.Sub(p.last))
+	}
+	p.last = now
 }
 
 // ServeHTTP implements http.Handler for callers.
@@ -302,7 +319,8 @@
 		attrs = append(attrs, slog.String("route", x.route.Name), slog.String("back_end", x.backend))
 	}
 	if x.events > 0 {
-		attrs = append(attrs, slog.Int("events", x.events))
+		attrs = append(attrs, slog.Int("events", x.events), slog.Int64("first_event_ms", x.pace.first.Sub(x.began).Milliseconds()),
+			slog.Int64("longest_gap_ms", x.pace.longestGap.Milliseconds()))
 	}
 	if x.lastErr != nil {
 		attrs = append(attrs, slog.String("last_failure", x.lastErr.Error()))
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -170,10 +170,11 @@
 	kv *standin.KV
 	// stopWithin is short, so that tests end soon, unless they are about stops.
 	stopWithin time.Duration
+	log        *slog.Logger
 }
 
 func newDeployment(t *testing.T, cfg routing.Config, runners ...*runner) *deployment {
-	d := &deployment{t: t, kv: standin.NewKV(), stopWithin: stopMargin + 100*time.Millisecond}
+	d := &deployment{t: t, kv: standin.NewKV(), stopWithin: stopMargin + 100*time.Millisecond, log: slog.New(slog.DiscardHandler)}
 	d.put("config", cfg)
 	for _, r := range runners {
 		d.put("target/"+r.id, r.target("b"))
@@ -205,7 +206,7 @@
 		Instance: id, DataCentre: "dc1", Region: "r1", Regions: map[string]string{"dc1": "r1"},
 		CallerAddr: callers.Addr().String(), PeerAddr: peers.Addr().String(), StopWithin: d.stopWithin, AddressAge: time.Second,
 		Limits: Limits{RefuseAfter: 6 * time.Second, Retries: routing.RetryLimits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}},
-		KV:     kv, Records: testRecords{}, Headers: testHeaders{}, Log: slog.New(slog.DiscardHandler), Registry: metrics.NewRegistry(),
+		KV:     kv, Records: testRecords{}, Headers: testHeaders{}, Log: d.log, Registry: metrics.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
--- /dev/null
+++ b/gateway/log_test.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// lines collects the log of a deployment.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+// find returns the first line with a message, and fails on a line that names a
+// field twice: readers would keep only one of the values.
+func (l *lines) find(t *testing.T, msg string) map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found map[string]any
+	s := bufio.NewScanner(bytes.NewReader(l.buf.Bytes()))
+	for s.Scan() {
+		var fields map[string]any
+		require.NoError(t, json.Unmarshal(s.Bytes(), &fields))
+		for name := range fields {
+			require.Equal(t, 1, strings.Count(s.Text(), `"`+name+`":`), "field %q in %s", name, s.Text())
+		}
+		if found == nil && fields["msg"] == msg {
+			found = fields
+		}
+	}
+	return found
+}
+
+func (d *deployment) keepLog() *lines {
+	l := &lines{}
+	d.log = slog.New(slog.NewJSONHandler(l, nil)).With("instance", "self", "role", "gateway")
+	return l
+}
+
+// Guards against a late stream of which the log does not tell whether it began
+// late or paused.
+func TestLogTellsPaceOfStream(t *testing.T) {
+	const pause = 120 * time.Millisecond
+	r := startRunner(t, "r", func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("X-Id"))
+		for range 3 {
+			time.Sleep(pause)
+			_, _ = fmt.Fprint(w, "f\r\nid: 1\ndata: a\n\n\r\n")
+		}
+		_, _ = fmt.Fprint(w, "0\r\n\r\n")
+	})
+	d := newDeployment(t, config(), r)
+	log := d.keepLog()
+	g := d.start("g1")
+	require.Equal(t, http.StatusOK, g.request(t.Context(), http.MethodPost, "/chat/1", "").status)
+	var line map[string]any
+	require.Eventually(t, func() bool { line = log.find(t, "request"); return line != nil }, time.Second, time.Millisecond)
+	require.GreaterOrEqual(t, line["first_event_ms"], float64(pause.Milliseconds()))
+	require.GreaterOrEqual(t, line["longest_gap_ms"], float64(pause.Milliseconds()-20))
+}
+
+// Guards against a line that names another instance in the field of its own:
+// explain then takes it for a line of that instance.
+func TestLogNamesOwnInstanceOnce(t *testing.T) {
+	d := newDeployment(t, config())
+	log := d.keepLog()
+	d.start("g1")
+	d.start("g2")
+	var line map[string]any
+	require.Eventually(t, func() bool { line = log.find(t, "instance heard"); return line != nil }, 3*time.Second, 5*time.Millisecond)
+	require.Equal(t, "self", line["instance"])
+	require.Contains(t, []any{"g1", "g2"}, line["peer"])
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -303,7 +303,7 @@
 			if p.leaving || p.session == nil || now.Sub(p.heardAt) > heardFor {
 				continue
 			}
-			g.log.Info("term handed over", "instance", id, "group", t.Group, "fencing", t.Fencing, "maps", t.Maps)
+			g.log.Info("term handed over", "peer", id, "group", t.Group, "fencing", t.Fencing, "maps", t.Maps)
 			g.control.reply(p.session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Handover{
 				Handover: &wirepb.TermHandover{Group: t.Group, Fencing: t.Fencing, Maps: t.Maps},
 			}})
@@ -321,7 +321,7 @@
 	}
 	if now.Sub(p.heardAt) > heardFor || p.leaving != b.GetLeaving() {
 		c.dirty = true
-		c.log.Info("instance heard", "instance", id, "leaving", b.GetLeaving())
+		c.log.Info("instance heard", "peer", id, "leaving", b.GetLeaving())
 	}
 	if r, ok := c.records()[id]; ok {
 		p.record = r
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -154,6 +154,7 @@
 		select {
 		case p := <-chunks:
 			quiet.last = time.Now()
+			x.pace.heard(quiet.last)
 			res.target.heard(quiet.last, sent)
 			x.g.queues.of(x.backend).heard(quiet.last)
 			if out := events.Push(p); out != nil {
