routing: count an instance's own requests half of the load in the choice of a target

Cause: instances hear each other's load every 250 ms. By that load alone all instances chose the target that was least loaded at the last heartbeat.

Change: half of the load that the choice goes by is the instance's own requests, as if all instances had as many. Each then spreads its own work between heartbeats. Equal targets are taken from a random one on, since instances that start together rotated in step. The log line of a request has prompt_tokens.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -318,6 +318,9 @@
 	if x.route != nil {
 		attrs = append(attrs, slog.String("route", x.route.Name), slog.String("back_end", x.backend))
 	}
+	if x.meta.PromptTokens > 0 {
+		attrs = append(attrs, slog.Int("prompt_tokens", x.meta.PromptTokens))
+	}
 	if x.events > 0 {
 		attrs = append(attrs, slog.Int("events", x.events), slog.Int64("first_event_ms", x.pace.first.Sub(x.began).Milliseconds()),
 			slog.Int64("longest_gap_ms", x.pace.longestGap.Milliseconds()))
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -62,7 +62,6 @@
 	mu      sync.Mutex
 	waiters []*waiter
 	hold    time.Duration
-	turn    int
 	// lastByte is when any target last sent something, and activeSince when the
 	// last pause of all of them ended.
 	lastByte, activeSince time.Time
@@ -308,13 +307,12 @@
 			usable = t.warmUp.Ready(b.WarmUpRate, s.instances, now)
 		}
 		candidates[i] = routing.Candidate{
-			Load: float64(t.own.Load() + t.others.Load()), Slots: t.Slots, Failures: t.failures,
+			Load: float64(t.own.Load() + t.others.Load()), Own: float64(t.own.Load()), Slots: t.Slots, Failures: t.failures,
 			Local: t.DataCentre == q.g.o.DataCentre, Usable: usable,
 		}
 		t.mu.Unlock()
 	}
-	q.turn++
-	i := routing.Pick(candidates, q.turn)
+	i := routing.Pick(candidates, s.instances, rand.IntN(max(1, len(candidates))))
 	if i < 0 {
 		return nil
 	}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -2,8 +2,11 @@
 
 // Candidate is what a choice knows about one target.
 type Candidate struct {
-	// Load is the number of requests that all instances have at the target.
+	// Load is the number of requests that all instances have at the target, as
+	// far as this one knows: what it has heard of the others is a little old.
 	Load float64
+	// Own is the part of the load that comes from this instance.
+	Own float64
 	// Slots is how many requests the target works on at once.
 	Slots int
 	// Failures is the recent share of requests that the target failed.
@@ -21,6 +24,10 @@
 	// failurePenalty is how much load, as a share of the slots, a target that
 	// fails everything seems to have.
 	failurePenalty = 2.0
+	// ownShare is the weight of an instance's own requests, as if all instances had
+	// as many, against the load that was heard. By the latter alone, all
+	// instances would choose the same target until the next heartbeat.
+	ownShare = 0.5
 	// remotePenalty prefers local targets of about the same load, since bytes
 	// between data centres cost.
 	remotePenalty = 0.05
@@ -34,8 +41,9 @@
 	return c.Load >= float64(c.Slots)*(1+queueShare)
 }
 
-func (c *Candidate) score() float64 {
-	s := (c.Load + 1) / float64(max(1, c.Slots))
+func (c *Candidate) score(instances int) float64 {
+	load := (1-ownShare)*c.Load + ownShare*c.Own*float64(instances)
+	s := (load + 1) / float64(max(1, c.Slots))
 	s += failurePenalty * c.Failures
 	if !c.Local {
 		s += remotePenalty
@@ -46,9 +54,10 @@
 	return s
 }
 
-// Pick returns the index of the best usable target that is not full, or -1.
-// offset rotates the order, so that equal targets are chosen in turn.
-func Pick(candidates []Candidate, offset int) int {
+// Pick returns the index of the best usable target that is not full, or -1, for
+// one of some instances that choose at the same time. offset rotates the order,
+// so that not all choose the first of equal targets.
+func Pick(candidates []Candidate, instances, offset int) int {
 	best, bestScore := -1, 0.0
 	n := len(candidates)
 	for k := range n {
@@ -57,7 +66,7 @@
 		if !c.Usable || c.Full() {
 			continue
 		}
-		if s := c.score(); best < 0 || s < bestScore {
+		if s := c.score(instances); best < 0 || s < bestScore {
 			best, bestScore = i, s
 		}
 	}
