gateway: two instances watch the store and the others learn from them

Change: of the instances that hear one another, the first two by a hash of their names watch, in different data centres if possible. The others rest: heartbeats carry revisions and the age of the copy, and a copy older than 1.4 s makes an instance watch itself. A watch tells up to when it has seen all changes, so that this age is below 1 s while watches work. A loss of those that watch is no outage of the store until the others would have noticed.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -20,6 +20,9 @@
 	// freshFor is the age up to which the copy of the service counts as current.
 	// It exceeds the time that a watch may wait without a change.
 	freshFor = 4 * time.Second
+	// outageAfter is the age of the copy at which an instance that does not reach
+	// the service would have heard from one that does.
+	outageAfter = takeOverAfter + 2*beatInterval
 	// lapseGrace is how long targets whose entries lapsed while the service was
 	// away are kept after its return; live ones are back by then.
 	lapseGrace = 2500 * time.Millisecond
@@ -48,6 +51,8 @@
 	// confirmedAt is when the copy was last known to be up to date.
 	confirmedAt time.Time
 	reachable   bool
+	// resting is set while others watch the service for this instance.
+	resting     bool
 	lastTrouble time.Time
 	backAt      time.Time
 	dirty       bool
@@ -169,11 +174,13 @@
 }
 
 // noteOutage notes that nobody reaches the service. If another instance reaches
-// it, this one is refused or cut off, and the service's entries are sound.
+// it, this one is refused or cut off, and the service's entries are sound. Those
+// that rest need a moment to find out whether they reach it.
 func (c *control) noteOutage(now time.Time) {
-	if !c.reachable && !c.peers.reach(now) {
-		c.lastTrouble = now
+	if c.reachable || c.peers.reach(now) || c.peers.rests(now) && now.Sub(c.confirmedAt) <= outageAfter {
+		return
 	}
+	c.lastTrouble = now
 }
 
 // changed takes in new items of the copy.
@@ -323,10 +330,14 @@
 func (c *control) watch(ctx context.Context) {
 	pause := watchRetry
 	for ctx.Err() == nil {
+		c.rest(ctx)
 		err := c.watchOnce(ctx, func() { pause = watchRetry })
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil {
+			continue
+		}
 		if errors.Is(err, infra.ErrCompacted) {
 			c.log.Warn("history of the service lost, listing again")
 			c.list(ctx)
@@ -374,16 +385,25 @@
 		return err
 	}
 	for batch := range events {
-		if len(batch) > 0 && batch[len(batch)-1].Err != nil {
-			return batch[len(batch)-1].Err
+		asOf := began
+		if n := len(batch); n > 0 {
+			if last := batch[n-1]; last.Err != nil {
+				return last.Err
+			} else if !last.AsOf.IsZero() {
+				asOf = last.AsOf
+			}
 		}
 		ok()
-		asOf := began
 		began = time.Now()
+		rest := false
 		c.ask(ctx, func() {
 			c.reached(asOf, time.Now())
 			c.changed(c.mirror.Apply(batch), "watch", time.Now())
+			rest = !c.shouldWatch(time.Now())
 		})
+		if rest {
+			return nil
+		}
 	}
 	return errWatchEnded
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -41,8 +41,10 @@
 	heardAt   time.Time
 	leaving   bool
 	reachable bool
-	loads     map[string]uint32
-	session   *wire.Session
+	// resting is set while the peer does not watch the service.
+	resting bool
+	loads   map[string]uint32
+	session *wire.Session
 }
 
 // peerTable holds the peers by id.
@@ -73,6 +75,16 @@
 	return false
 }
 
+// rests reports whether a peer that is alive does not try to reach the service.
+func (p *peerTable) rests(now time.Time) bool {
+	for _, q := range p.byID {
+		if q.resting && now.Sub(q.heardAt) < heardFor {
+			return true
+		}
+	}
+	return false
+}
+
 // load returns the requests that the peers have at a target.
 func (p *peerTable) load(target string, now time.Time) int64 {
 	n := int64(0)
@@ -255,7 +267,7 @@
 func (c *control) beat(now time.Time) *wirepb.PeerBeat {
 	b := &wirepb.PeerBeat{
 		Instance: c.g.id, StoreRevision: c.mirror.Revision(), StoreAgeMs: neverConfirmed,
-		Leaving: c.g.leaving.Load(), StoreReachable: c.reachable,
+		Leaving: c.g.leaving.Load(), StoreReachable: c.reachable && !c.resting, StoreResting: c.resting,
 	}
 	if !c.confirmedAt.IsZero() {
 		b.StoreAgeMs = uint64(now.Sub(c.confirmedAt).Milliseconds())
@@ -327,7 +339,7 @@
 		p.record = r
 	}
 	p.session = session
-	p.heardAt, p.leaving, p.reachable = now, b.GetLeaving(), b.GetStoreReachable()
+	p.heardAt, p.leaving, p.reachable, p.resting = now, b.GetLeaving(), b.GetStoreReachable(), b.GetStoreResting()
 	p.loads = make(map[string]uint32, len(b.GetLoads()))
 	for _, l := range b.GetLoads() {
 		p.loads[l.GetTarget()] = l.GetRequests()
--- /dev/null
+++ b/gateway/watchers_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// learnWithin is the time in which a change must reach every instance: the bound
+// for configurations and for targets that leave.
+const learnWithin = 2 * time.Second
+
+// startMany starts instances and waits until only some of them watch.
+func startMany(t *testing.T, n int) (*deployment, []*instance) {
+	r := startRunner(t, "r", func(w net.Conn, req *http.Request) { reply(w, req, "ok") })
+	d := newDeployment(t, config(), r)
+	var all []*instance
+	for i := range n {
+		all = append(all, d.start(fmt.Sprintf("g%d", i)))
+	}
+	require.Eventually(t, func() bool { return len(watching(all)) == watchersHeard }, 5*time.Second, 10*time.Millisecond)
+	return d, all
+}
+
+func watching(all []*instance) (found []*instance) {
+	for _, i := range all {
+		if i.kv.watches.Load() > 0 {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+// learns fails unless all instances take up a new configuration in time.
+func (d *deployment) learns(all []*instance, version int64) {
+	next := config()
+	next.Version = version
+	d.put("config", next)
+	began := time.Now()
+	for _, i := range all {
+		require.Eventually(d.t, func() bool { return i.state.Load().table.Config.Version == version },
+			max(time.Millisecond, learnWithin-time.Since(began)), 5*time.Millisecond, "instance %s", i.id)
+	}
+}
+
+// Guards against calls to the service that grow with the instances, and against
+// changes that those without a watch miss.
+func TestFewInstancesWatch(t *testing.T) {
+	d, all := startMany(t, 6)
+	d.learns(all, 2)
+	time.Sleep(2 * takeOverAfter)
+	require.Len(t, watching(all), watchersHeard)
+	d.learns(all, 3)
+}
+
+// Guards against instances that rest and miss a change because those that watch
+// have lost the service, with and without noticing.
+func TestRestingInstancesTakeOver(t *testing.T) {
+	for name, fail := range map[string]func(*refusingKV){
+		"refused": func(k *refusingKV) { k.refuse.Store(true) },
+		"silent":  func(k *refusingKV) { k.silent.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, all := startMany(t, 5)
+			for _, i := range watching(all) {
+				fail(i.kv)
+			}
+			d.learns(all, 2)
+		})
+	}
+}
+
+// Guards against a loss of those that watch being taken for an outage of the
+// service: targets that leave would then be kept.
+func TestNoOutageWhileOthersMayReach(t *testing.T) {
+	g := newDeployment(t, config()).start("g1").Gateway
+	var during, after bool
+	g.control.ask(t.Context(), func() {
+		k, now := g.control, time.Now()
+		k.confirmedAt = now
+		k.peers.byID["p"] = &peer{heardAt: now, resting: true}
+		k.lost(errWatchEnded, now)
+		during = k.lastTrouble.IsZero()
+		k.peers.byID["p"].heardAt = now.Add(outageAfter)
+		k.noteOutage(now.Add(outageAfter + time.Millisecond))
+		after = !k.lastTrouble.IsZero()
+	})
+	require.True(t, during, "the peer may reach the service")
+	require.True(t, after, "the peer would have told")
+}
+
+// Guards against watches that are lost with one data centre.
+func TestWatchersAreInDifferentDataCentres(t *testing.T) {
+	var all []candidate
+	for i := range 9 {
+		all = append(all, candidate{fmt.Sprintf("g%d", i), fmt.Sprintf("dc%d", i%3)})
+	}
+	chosen := watchers(all)
+	require.Len(t, chosen, watchersHeard)
+	require.NotEqual(t, chosen[0].dataCentre, chosen[1].dataCentre)
+	require.Len(t, watchers([]candidate{{"a", "dc1"}}), 1)
+	require.Len(t, watchers([]candidate{{"a", "dc1"}, {"b", "dc1"}, {"c", "dc1"}}), watchersHeard)
+}
--- a/infra/infra.go
+++ b/infra/infra.go
@@ -66,10 +66,13 @@
 
 // Event is one change seen by a watch. Deleted events carry no value. An event
 // with Err set carries no item and is the last one before the channel closes.
+// One with AsOf set carries no item either: the watch has seen all changes up to
+// that moment. Not all services send it.
 type Event struct {
 	Item    Item
 	Deleted bool
 	Err     error
+	AsOf    time.Time
 }
 
 // KV is the key-value service. Every call is counted by the service; a waiting
