gateway: apply the configuration's limits on headers and idle connections

Cause: limits on the size of headers, the time to send them and idle connections were decoded and not used. An http.Server must not change while it serves, so a change of the limits begins another server for the connections opened from then on; those from before go on. Without the call in takeConfig TestLimitsOfConfiguration fails (200 where 431 is due).

--- /dev/null
+++ b/gateway/callers_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// dialCallers opens a connection as a caller does.
+func (i *instance) dialCallers(t *testing.T) (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(i.url, "http://"))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(3*time.Second)))
+	return conn, bufio.NewReader(conn)
+}
+
+func ask(t *testing.T, conn net.Conn, r *bufio.Reader, header string) (status int, err error) {
+	_, err = fmt.Fprintf(conn, "GET /read/1 HTTP/1.1\r\nHost: h\r\nX-Id: i\r\nX-Deadline: 1s\r\n%s\r\n", header)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
+// Guards against limits of the configuration that callers do not feel, and against
+// a change of limits that cuts the connections of callers.
+func TestLimitsOfConfiguration(t *testing.T) {
+	r := startRunner(t, "r", func(w net.Conn, req *http.Request) { reply(w, req, "") })
+	d := newDeployment(t, config(), r)
+	g := d.start("g1")
+	before, beforeReader := g.dialCallers(t)
+	status, err := ask(t, before, beforeReader, "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+
+	next := config()
+	next.Version = 2
+	next.Limits.HeaderBytes, next.Limits.IdleTimeout, next.Limits.HeaderTimeout = 2000, 300*time.Millisecond, 200*time.Millisecond
+	d.put("config", next)
+	require.Eventually(t, func() bool { return g.state.Load().table.Config.Version == 2 }, time.Second, time.Millisecond)
+
+	conn, reader := g.dialCallers(t)
+	status, err = ask(t, conn, reader, "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	time.Sleep(next.Limits.IdleTimeout * 4 / 5)
+	status, err = ask(t, conn, reader, "")
+	require.NoError(t, err, "the connection was not idle for too long")
+	require.Equal(t, http.StatusOK, status)
+	_, err = reader.ReadByte()
+	require.Error(t, err, "the connection was idle for too long")
+
+	conn, reader = g.dialCallers(t)
+	status, err = ask(t, conn, reader, "X-Long: "+strings.Repeat("x", 8000)+"\r\n")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status)
+
+	conn, reader = g.dialCallers(t)
+	began := time.Now()
+	_, err = fmt.Fprint(conn, "GET /read/1 HTTP/1.1\r\n")
+	require.NoError(t, err)
+	_, _ = reader.ReadByte()
+	require.Less(t, time.Since(began), time.Second, "a slow header was waited for")
+
+	status, err = ask(t, before, beforeReader, "")
+	require.NoError(t, err, "a connection from before was cut")
+	require.Equal(t, http.StatusOK, status)
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -216,6 +216,7 @@
 		return
 	}
 	c.config, c.table = cfg, routing.NewTable(cfg)
+	c.g.callers.apply(cfg.Limits)
 	c.dirty = true
 	c.log.Info("configuration in force", "version", cfg.Version, "revision", it.ModRevision, "source", source,
 		"routes", len(cfg.Routes), "customers", len(cfg.Customers))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -64,6 +63,7 @@
 	metrics *gatewayMetrics
 
 	control  *control
+	callers  *callerServer
 	queues   *queues
 	dialing  *dialing
 	registry lease.Record
@@ -89,6 +89,7 @@
 		shares:     map[string]*routing.RetryShare{},
 	}
 	g.limits.Store(&o.Limits)
+	g.callers = newCallerServer(g, g.log)
 	g.queues = &queues{g: g, by: map[string]*queue{}}
 	g.control = newControl(g)
 	own := record{CallerAddr: o.CallerAddr, PeerAddr: o.PeerAddr, DataCentre: o.DataCentre, Region: o.Region}
@@ -276,14 +277,13 @@
 		defer close(registered)
 		g.registry.Run(ctx)
 	})
-	srv := g.server()
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(l.Callers) }()
+	go func() { failed <- g.callers.serve(l.Callers) }()
 	var err error
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
-		g.stop(srv)
+		g.stop(l.Callers)
 	}
 	cancel()
 	_ = l.Peers.Close()
@@ -304,7 +304,7 @@
 
 // stop ends the instance without cutting requests: callers are told to go
 // elsewhere, and what arrives meanwhile is still served.
-func (g *Gateway) stop(srv *http.Server) {
+func (g *Gateway) stop(callers net.Listener) {
 	began := time.Now()
 	g.leaving.Store(true)
 	g.log.Info("stopping", "working", g.working.Load())
@@ -327,20 +327,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), max(stopPoll, g.o.StopWithin-stopMargin-time.Since(began)))
 	defer cancel()
-	err := srv.Shutdown(ctx)
-	g.log.Info("stopped", "after_ms", time.Since(began).Milliseconds(), "cut", err != nil)
-}
-
-const (
-	// headerTimeout and idleTimeout are used until a configuration sets limits.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 90 * time.Second
-	headerBytes   = 64 << 10
-)
-
-func (g *Gateway) server() *http.Server {
-	return &http.Server{
-		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	if err := callers.Close(); err != nil {
+		g.log.Warn("listener not closed", "error", err.Error())
 	}
+	err := g.callers.shutdown(ctx)
+	g.log.Info("stopped", "after_ms", time.Since(began).Milliseconds(), "cut", err != nil)
 }
