--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,7 +84,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{
 		o: o, id: o.Instance, log: o.Log, kv: o.KV, records: o.Records, headers: o.Headers,
-		metrics: newMetrics(o.Registry), dialing: &dialing{busy: map[string]bool{}},
+		metrics: newMetrics(o.Registry, o.Log), dialing: &dialing{busy: map[string]bool{}},
 		configured: make(chan struct{}),
 		shares:     map[string]*routing.RetryShare{},
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -306,7 +306,7 @@
 		outcome = errkind.KindOf(err).String()
 	}
 	took := time.Since(x.began)
-	x.g.metrics.finished(outcome, took)
+	x.g.metrics.finished(x, outcome, took)
 	attrs := []any{
 		slog.String("request", x.meta.ID), slog.String("outcome", outcome), slog.String("target", x.target),
 		slog.Int("sent", x.arrived), slog.Int64("ms", took.Milliseconds()), slog.Int64("waited_ms", x.waited.Milliseconds()),
--- a/telemetry/prometheus.go
+++ b/telemetry/prometheus.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
@@ -15,8 +16,8 @@
 // quantilesShown are the quantiles of timers and histograms.
 var quantilesShown = []float64{0.5, 0.95, 0.99}
 
-// ServePrometheus writes the registry in the Prometheus text format. Timers
-// become summaries in seconds.
+// ServePrometheus writes the registry in the Prometheus text format. A Latency
+// becomes a histogram in seconds, a timer a summary in seconds.
 func ServePrometheus(r metrics.Registry) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		format := expfmt.NewFormat(expfmt.TypeTextPlain)
@@ -38,6 +39,8 @@
 		return single(name, dto.MetricType_GAUGE, &dto.Metric{Gauge: &dto.Gauge{Value: ptr(float64(v.Value()))}})
 	case metrics.GaugeFloat64:
 		return single(name, dto.MetricType_GAUGE, &dto.Metric{Gauge: &dto.Gauge{Value: ptr(v.Value())}})
+	case *Latency:
+		return single(name+".seconds", dto.MetricType_HISTOGRAM, histogram(v))
 	case metrics.Timer:
 		return single(name+".seconds", dto.MetricType_SUMMARY, summary(v.Snapshot()))
 	default:
@@ -57,6 +60,19 @@
 	return &dto.Metric{Summary: s}
 }
 
+func histogram(l *Latency) *dto.Metric {
+	h := &dto.Histogram{SampleSum: ptr(time.Duration(l.sum.Load()).Seconds())}
+	total := uint64(0)
+	for i := range l.buckets {
+		total += l.buckets[i].Load()
+		if i < len(latencyBounds) {
+			h.Bucket = append(h.Bucket, &dto.Bucket{UpperBound: ptr(latencyBounds[i].Seconds()), CumulativeCount: ptr(total)})
+		}
+	}
+	h.SampleCount = ptr(total)
+	return &dto.Metric{Histogram: h}
+}
+
 func single(name string, kind dto.MetricType, m *dto.Metric) *dto.MetricFamily {
 	return &dto.MetricFamily{Name: ptr(metricPrefix + metricName(name)), Type: kind.Enum(), Metric: []*dto.Metric{m}}
 }
--- a/telemetry/prometheus_test.go
+++ b/telemetry/prometheus_test.go
@@ -31,3 +31,30 @@
 	assert.EqualValues(t, 1, s.GetSampleCount())
 	assert.Equal(t, 2.0, s.GetQuantile()[0].GetValue())
 }
+
+// Guards against buckets that do not add up, and against a duration that falls
+// into the wrong one.
+func TestLatencyBecomesHistogram(t *testing.T) {
+	r := metrics.NewRegistry()
+	l, err := NewLatency("request.duration", r)
+	require.NoError(t, err)
+	for _, d := range []time.Duration{time.Millisecond, 100 * time.Millisecond, 101 * time.Millisecond, time.Minute} {
+		l.Observe(d)
+	}
+	w := httptest.NewRecorder()
+	ServePrometheus(r)(w, httptest.NewRequest("GET", "/metrics", nil))
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(w.Body)
+	require.NoError(t, err)
+	h := families["skylark_request_duration_seconds"].GetMetric()[0].GetHistogram()
+	assert.EqualValues(t, 4, h.GetSampleCount())
+	assert.InDelta(t, 60.202, h.GetSampleSum(), 1e-9)
+	counts := map[float64]uint64{}
+	for _, b := range h.GetBucket() {
+		counts[b.GetUpperBound()] = b.GetCumulativeCount()
+	}
+	assert.EqualValues(t, 1, counts[0.005])
+	assert.EqualValues(t, 2, counts[0.1])
+	assert.EqualValues(t, 3, counts[0.2])
+	assert.EqualValues(t, 3, counts[12])
+}
