gateway: send single requests to targets that have not worked yet

Cause: after a loss of power the gateways come back and list the entries of targets whose processes have ended. All waiting requests were sent to them at once, the successors at those addresses refused each (421), which used up the retry limits, and the callers were told to come back after 0.1 to 0.3 s, before the successors had entries. Ruled out: the outage rule (421 does not count for it), the first list (0.3 s before).

Change: a target gets one request until it has worked on one, or 250 ms have passed; the others wait. If all targets of a back end have just refused, callers are told to come back as in an outage. The log line of a request has deadline_ms.

TestQueue marks its target as proven, since it is about one that works.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -106,7 +106,7 @@
 	default:
 		res.verdict = succeeded
 		if x.route.Kind != routing.Stream {
-			x.g.queues.of(x.backend).heard(time.Now())
+			x.g.queues.of(x.backend).heard(time.Now(), false)
 		}
 	}
 	return res
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -118,6 +118,7 @@
 	g := d.start("g1")
 	d.put("target/r", routing.Target{ID: "r", Backend: "b", Addr: "127.0.0.1:1", DataCentre: "dc1", Slots: 1})
 	require.Eventually(t, func() bool { return len(g.state.Load().targets["b"]) == 1 }, time.Second, time.Millisecond)
+	g.target("r").heard(time.Now(), time.Now())
 	q := g.queues.of("b")
 	any := func(*target) bool { return true }
 	until := func() time.Time { return time.Now().Add(2 * time.Second) }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -234,7 +234,7 @@
 func (x *exchange) giveUp() error {
 	if !x.mayHaveRun {
 		comeBack := comeBackSoonest
-		if x.g.queues.of(x.backend).isDown() {
+		if x.g.queues.of(x.backend).isDown(time.Now()) {
 			comeBack = time.Duration(comeBackShare * float64(time.Until(x.expires)))
 		}
 		return errkind.New(errkind.NoTarget, "no target took the request: %v", x.lastErr).
@@ -310,6 +310,7 @@
 	attrs := []any{
 		slog.String("request", x.meta.ID), slog.String("outcome", outcome), slog.String("target", x.target),
 		slog.Int("sent", x.arrived), slog.Int64("ms", took.Milliseconds()), slog.Int64("waited_ms", x.waited.Milliseconds()),
+		slog.Int64("deadline_ms", x.meta.Deadline.Milliseconds()),
 	}
 	if x.state != nil {
 		attrs = append(attrs, slog.Int64("version", x.state.table.Config.Version), slog.Int64("revision", x.state.revision),
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -71,8 +71,9 @@
 // activityGap is the silence of all targets that counts as a pause.
 const activityGap = 300 * time.Millisecond
 
-// heard notes that a target of the back end has sent something.
-func (q *queue) heard(now time.Time) {
+// heard notes that a target of the back end has sent something, and whether it may
+// get more requests because of that.
+func (q *queue) heard(now time.Time, proves bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if now.Sub(q.lastByte) > activityGap {
@@ -80,6 +81,9 @@
 	}
 	q.lastByte = now
 	q.served(now)
+	if proves {
+		q.grant(now)
+	}
 }
 
 // served notes that a target has taken a request. The caller holds the lock.
@@ -238,11 +242,13 @@
 	return time.Duration(float64(n*instances) / float64(places) * float64(q.hold))
 }
 
-// isDown reports whether the back end refuses all requests.
-func (q *queue) isDown() bool {
+// isDown reports whether the back end refuses all requests, or all its targets
+// have just refused some.
+func (q *queue) isDown(now time.Time) bool {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.outage.ongoing(time.Now())
+	ongoing := q.outage.ongoing(now)
+	q.mu.Unlock()
+	return ongoing || !slices.ContainsFunc(q.g.state.Load().targets[q.backend], func(t *target) bool { return !t.isQuiet(now) })
 }
 
 // down is the answer to a request for a back end that refuses all.
@@ -302,7 +308,7 @@
 	candidates := make([]routing.Candidate, len(targets))
 	for i, t := range targets {
 		t.mu.Lock()
-		usable := n.allowed(t) && now.After(t.quietUntil)
+		usable := n.allowed(t) && t.usable(now)
 		if usable && b != nil && t.cold(now) && b.WarmUpRate > 0 {
 			usable = t.warmUp.Ready(b.WarmUpRate, s.instances, now)
 		}
@@ -321,8 +327,8 @@
 	if b != nil && t.cold(now) && b.WarmUpRate > 0 {
 		t.warmUp.Take(b.WarmUpRate, s.instances, now)
 	}
+	t.tried(now)
 	t.mu.Unlock()
-	t.own.Add(1)
 	q.outage.tried(now)
 	return t
 }
--- /dev/null
+++ b/gateway/stale_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+// Guards against requests that an instance which has just started sends to targets
+// whose processes have ended: the successors at their addresses refuse all of them,
+// which uses up the retry limits, and callers were told to come back before the
+// successors had entries.
+func TestStaleEntriesGetSingleRequests(t *testing.T) {
+	const targets, requests = 3, 60
+	var runners []*runner
+	for i := range targets {
+		runners = append(runners, startRunner(t, fmt.Sprintf("r%d", i), func(w net.Conn, r *http.Request) {
+			if r.Header.Get("X-Target") == "old"+strconv.Itoa(i) {
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 421 Misdirected Request\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+				return
+			}
+			reply(w, r, "ok")
+		}))
+	}
+	d := newDeployment(t, config())
+	for i, r := range runners {
+		old := r.target("b")
+		old.ID, old.Slots = "old"+strconv.Itoa(i), 2*requests
+		d.put("target/"+old.ID, old)
+	}
+	g := d.start("g1")
+	answers := make(chan answer, requests)
+	for i := range requests {
+		go func() { answers <- g.request(t.Context(), http.MethodGet, fmt.Sprintf("/read/%d", i), "") }()
+	}
+	time.Sleep(150 * time.Millisecond)
+	arrived := int64(0)
+	for _, r := range runners {
+		arrived += r.arrivals.Load()
+		successor := r.target("b")
+		successor.Slots, successor.Incarnation = 2*requests, 1
+		d.put("target/"+r.id, successor)
+	}
+	require.LessOrEqual(t, arrived, int64(2*targets), "of %d requests", requests)
+	served := 0
+	for range requests {
+		a := <-answers
+		require.NoError(t, a.err)
+		if a.status == http.StatusOK {
+			served++
+		}
+	}
+	require.Equal(t, requests, served)
+}
+
+// Guards against a caller that is told to come back at once to a back end whose
+// targets have all just refused it.
+func TestCallersOfRefusingTargetsComeBackLater(t *testing.T) {
+	d := newDeployment(t, config())
+	g := d.start("g1")
+	d.put("target/r", routing.Target{ID: "r", Backend: "b", Addr: "127.0.0.1:1", DataCentre: "dc1", Slots: 1})
+	require.Eventually(t, func() bool { return len(g.state.Load().targets["b"]) == 1 }, time.Second, time.Millisecond)
+	q, now := g.queues.of("b"), time.Now()
+	require.False(t, q.isDown(now))
+	g.target("r").quiet(now.Add(time.Second))
+	require.True(t, q.isDown(now))
+	require.False(t, q.isDown(now.Add(2*time.Second)))
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -155,8 +155,8 @@
 		case p := <-chunks:
 			quiet.last = time.Now()
 			x.pace.heard(quiet.last)
-			res.target.heard(quiet.last, sent)
-			x.g.queues.of(x.backend).heard(quiet.last)
+			proves := res.target.heard(quiet.last, sent)
+			x.g.queues.of(x.backend).heard(quiet.last, proves)
 			if out := events.Push(p); out != nil {
 				if err := x.passOn(res, out, begun); err != nil {
 					return result{verdict: lost, target: res.target, err: err}
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -33,6 +33,10 @@
 	quietUntil time.Time
 	// lastByte is when the target last sent anything.
 	lastByte time.Time
+	// proven is set once the target has worked on a request, and triedAt is when
+	// the first one was sent to it.
+	proven  bool
+	triedAt time.Time
 	// begunSent is when the newest request was sent that has begun to answer.
 	begunSent time.Time
 }
@@ -41,24 +45,56 @@
 	return &target{Target: t, traffic: &traffic{pool: upstream.NewPool(t.Addr)}}
 }
 
+// provenAfter is how long a target gets no second request until it has worked on
+// the first. Its entry may be that of a process which has ended: then each request
+// is refused, and uses up a part of the retry limits.
+const provenAfter = 250 * time.Millisecond
+
+// usable reports whether the target may get a request now, apart from its load.
+// The caller holds the lock.
+func (t *traffic) usable(now time.Time) bool {
+	if now.Before(t.quietUntil) {
+		return false
+	}
+	return t.proven || t.own.Load() == 0 || now.Sub(t.triedAt) > provenAfter
+}
+
+// tried notes that a request is about to be sent. The caller holds the lock.
+func (t *traffic) tried(now time.Time) {
+	if t.own.Load() == 0 {
+		t.triedAt = now
+	}
+	t.own.Add(1)
+}
+
 func (t *traffic) cold(now time.Time) bool { return monotonic(now) < t.coldUntil.Load() }
 
 // outcome notes whether the target failed a request.
 func (t *traffic) outcome(failed bool) {
 	t.mu.Lock()
+	t.proven = t.proven || !failed
 	t.failures = routing.NextFailures(t.failures, failed)
 	t.mu.Unlock()
 }
 
 // heard notes that the target has sent a part of the answer to a request that
-// was sent at the given time.
-func (t *traffic) heard(now, sent time.Time) {
+// was sent at the given time. It reports whether this proves the target.
+func (t *traffic) heard(now, sent time.Time) bool {
 	t.mu.Lock()
-	t.lastByte = now
+	defer t.mu.Unlock()
+	before := t.proven
+	t.lastByte, t.proven = now, true
 	if sent.After(t.begunSent) {
 		t.begunSent = sent
 	}
-	t.mu.Unlock()
+	return !before
+}
+
+// isQuiet reports whether the target has just refused a request.
+func (t *traffic) isQuiet(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.quietUntil)
 }
 
 // quiet keeps new work away for a while.
