--- a/expertmap/plan/placement.go
+++ b/expertmap/plan/placement.go
@@ -25,15 +25,6 @@
 // Map is the placement of all layers.
 type Map []Layer
 
-// Clone returns a copy.
-func (m Map) Clone() Map {
-	c := make(Map, len(m))
-	for i, l := range m {
-		c[i] = slices.Clone(l)
-	}
-	return c
-}
-
 // Fetches returns the slots of next whose expert the rank does not hold in m,
 // that is the weights that must be loaded.
 func (m Map) Fetches(next Map, s Shape) int {
--- a/expertmap/plan/tracker.go
+++ b/expertmap/plan/tracker.go
@@ -137,9 +137,6 @@
 	return d / 2 / float64(len(a))
 }
 
-// Level returns the estimated demand by set and expert.
-func (t *Tracker) Level() [][]float64 { return t.level }
-
 // Choices returns how many choices of a set the estimate rests on.
 func (t *Tracker) Choices() float64 { return total(t.level[0]) }
 
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -6,10 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/skylarkstep/skylarkstep/infra"
-	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/mirror"
 	"github.com/skylarkstep/skylarkstep/routing"
 )
@@ -28,10 +25,6 @@
 	lapseGrace = 2500 * time.Millisecond
 	// troubleMemory is how long after an outage a deletion may be a lapse.
 	troubleMemory = 3 * time.Second
-	// watchRetry is the pause after a watch that failed, and watchRetryMost the
-	// longest one.
-	watchRetry     = 50 * time.Millisecond
-	watchRetryMost = time.Second
 )
 
 // control owns the state that decisions about configuration and membership
@@ -326,85 +319,3 @@
 	}
 	return newest
 }
-
-// watch keeps the copy up to date from the service until ctx ends.
-func (c *control) watch(ctx context.Context) {
-	pause := watchRetry
-	for ctx.Err() == nil {
-		c.rest(ctx)
-		err := c.watchOnce(ctx, func() { pause = watchRetry })
-		if ctx.Err() != nil {
-			return
-		}
-		if err == nil {
-			continue
-		}
-		if errors.Is(err, infra.ErrCompacted) {
-			c.log.Warn("history of the service lost, listing again")
-			c.list(ctx)
-			continue
-		}
-		c.do(ctx, func() { c.lost(err, time.Now()) })
-		ctxtime.Sleep(ctx, pause)
-		pause = min(2*pause, watchRetryMost)
-	}
-}
-
-// list replaces the copy by what the service holds.
-func (c *control) list(ctx context.Context) {
-	asked := time.Now()
-	items, revision, err := c.g.kv.List(ctx, "")
-	if err != nil {
-		c.do(ctx, func() { c.lost(err, time.Now()) })
-		ctxtime.Sleep(ctx, watchRetry)
-		return
-	}
-	c.ask(ctx, func() {
-		now := time.Now()
-		c.reached(asked, now)
-		c.changed(c.mirror.Load(items, revision), "list", now)
-	})
-}
-
-var errWatchEnded = errors.New("the watch ended")
-
-func (c *control) watchOnce(ctx context.Context, ok func()) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var after int64
-	c.ask(ctx, func() { after = c.mirror.Revision() })
-	if after == 0 {
-		c.list(ctx)
-		c.ask(ctx, func() { after = c.mirror.Revision() })
-		if after == 0 {
-			return errors.New("no list of the service yet")
-		}
-	}
-	began := time.Now()
-	events, err := c.g.kv.Watch(ctx, "", after)
-	if err != nil {
-		return err
-	}
-	for batch := range events {
-		asOf := began
-		if n := len(batch); n > 0 {
-			if last := batch[n-1]; last.Err != nil {
-				return last.Err
-			} else if !last.AsOf.IsZero() {
-				asOf = last.AsOf
-			}
-		}
-		ok()
-		began = time.Now()
-		rest := false
-		c.ask(ctx, func() {
-			c.reached(asOf, time.Now())
-			c.changed(c.mirror.Apply(batch), "watch", time.Now())
-			rest = !c.shouldWatch(time.Now())
-		})
-		if rest {
-			return nil
-		}
-	}
-	return errWatchEnded
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,54 +210,6 @@
 	return found, nil
 }
 
-// Addresses returns the addresses that a caller should use and how long it may
-// keep them.
-func (g *Gateway) Addresses(from Locality) ([]string, time.Duration) {
-	var live map[string]record
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	g.control.ask(ctx, func() { live = g.control.live(time.Now()) })
-	all := make([]record, 0, len(live)+1)
-	for _, r := range live {
-		all = append(all, r)
-	}
-	if g.Ready() == nil {
-		all = append(all, record{CallerAddr: g.o.CallerAddr, DataCentre: g.o.DataCentre, Region: g.o.Region})
-	}
-	return nearest(all, from), g.o.AddressAge
-}
-
-// fewAddresses is the number of addresses below which a caller also gets those
-// of other data centres.
-const fewAddresses = 2
-
-// nearest returns the addresses in the caller's data centre, or those of its
-// region, or all, whichever is first to hold fewAddresses.
-func nearest(all []record, from Locality) []string {
-	for _, match := range []func(record) bool{
-		func(r record) bool { return r.DataCentre == from.DataCentre && r.Region == from.Region },
-		func(r record) bool { return r.Region == from.Region },
-	} {
-		if list := addresses(all, match); len(list) >= fewAddresses {
-			return list
-		}
-	}
-	return addresses(all, func(record) bool { return true })
-}
-
-func addresses(all []record, match func(record) bool) []string {
-	seen := map[string]bool{}
-	var list []string
-	for _, r := range all {
-		if match(r) && !seen[r.CallerAddr] {
-			seen[r.CallerAddr] = true
-			list = append(list, r.CallerAddr)
-		}
-	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list
-}
-
 // Listeners are the open listeners of an instance.
 type Listeners struct {
 	Callers, Peers net.Listener
@@ -290,46 +242,3 @@
 	group.Wait()
 	return err
 }
-
-const (
-	// serveOn is how long after the begin of a planned stop new requests are
-	// still served; callers keep addresses for that long.
-	serveOn = 4500 * time.Millisecond
-	// quietEnd ends a planned stop early when nothing has come for that long.
-	quietEnd = 2500 * time.Millisecond
-	// stopMargin is what is left of the time to stop when connections are cut.
-	stopMargin = 500 * time.Millisecond
-	stopPoll   = 50 * time.Millisecond
-)
-
-// stop ends the instance without cutting requests: callers are told to go
-// elsewhere, and what arrives meanwhile is still served.
-func (g *Gateway) stop(callers net.Listener) {
-	began := time.Now()
-	g.leaving.Store(true)
-	g.log.Info("stopping", "working", g.working.Load())
-	last := began
-	for {
-		now := time.Now()
-		if g.working.Load() > 0 {
-			last = now
-		}
-		if now.Sub(last) > quietEnd || now.Sub(began) > g.o.StopWithin-stopMargin {
-			break
-		}
-		if now.Sub(began) > serveOn {
-			g.refusing.Store(true)
-			if g.working.Load() == 0 {
-				break
-			}
-		}
-		time.Sleep(stopPoll)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), max(stopPoll, g.o.StopWithin-stopMargin-time.Since(began)))
-	defer cancel()
-	if err := callers.Close(); err != nil {
-		g.log.Warn("listener not closed", "error", err.Error())
-	}
-	err := g.callers.shutdown(ctx)
-	g.log.Info("stopped", "after_ms", time.Since(began).Milliseconds(), "cut", err != nil)
-}
