ranks: a standby replaces a coordinator that is killed while the store is away

A number must not be used by two processes.

Change: another gateway holds a second lease on each group, taken after the coordinator's, so that its revision is a higher number in reserve. It is used when that lease gets no answer and the coordinator has ended. A later coordinator, or the standby itself, makes that number useless: it is given up and taken anew. A coordinator whose order is fenced gives its lease up instead of standing still. Heartbeats carry the name of the process, so that an instance that runs again shows that its coordinator ended.

--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -46,9 +46,10 @@
 	registry := metrics.NewRegistry()
 	store := platform.NewStore(s.StoreURL)
 	var coordinators *ranks.Coordinators
+	process := fmt.Sprintf("%s/%d", s.Instance, rand.Uint64())
 	g := gateway.New(gateway.Options{
 		TakeOver: func(t gateway.Term) { coordinators.Adopt(ranks.Term(t)) },
-		Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions,
+		Instance: s.Instance, Process: process, DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions,
 		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, StopWithin: s.StopWithin, AddressAge: addressAge,
 		Limits: limits(s), KV: store,
 		Records: platform.Records{}, Headers: platform.Headers{}, Log: log, Registry: registry,
@@ -64,9 +65,9 @@
 	defer closers()
 	go watchSettings(ctx, path, s, log, func(n *platform.Settings) { g.SetLimits(limits(n)) })
 	coordinators = ranks.NewCoordinators(ranks.CoordinatorOptions{
-		Instance: s.Instance, Holder: fmt.Sprintf("%s/%d", s.Instance, rand.Uint64()), KV: store, Items: g.Items,
+		Instance: s.Instance, Holder: process, KV: store, Items: g.Items,
 		Records: platform.Records{}, Engine: platform.NewRanks(), Log: log,
-		Silent:   func(instance string) bool { return g.Silent(context.WithoutCancel(ctx), instance) },
+		Ended:    func(holder string) bool { return g.Ended(context.WithoutCancel(ctx), holder) },
 		HandOver: func(t ranks.Term) { g.HandOver(context.WithoutCancel(ctx), gateway.Term(t)) },
 	})
 	coordinated := make(chan struct{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,7 +20,9 @@
 
 // Options describe one instance.
 type Options struct {
-	Instance   string
+	Instance string
+	// Process is unique to this process of the instance: INSTANCE/NUMBER.
+	Process    string
 	DataCentre string
 	Region     string
 	// Regions maps data centres to regions.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,16 +59,24 @@
 // instances returns the number of instances with this one.
 func (c *control) instances(now time.Time) int { return len(c.live(now)) + 1 }
 
-// Silent reports whether another instance was heard before and is no more,
-// although others are.
-func (g *Gateway) Silent(ctx context.Context, instance string) bool {
-	silent := false
+// Ended reports whether a process of another instance has ended: it was heard before
+// and is no more, although others are, or the instance runs another process. Names of
+// processes are INSTANCE/NUMBER.
+func (g *Gateway) Ended(ctx context.Context, process string) bool {
+	instance, _, _ := strings.Cut(process, "/")
+	ended := false
 	g.control.ask(ctx, func() {
 		now := time.Now()
 		p := g.control.peers.byID[instance]
-		silent = p != nil && now.Sub(p.heardAt) > heardFor && g.control.peers.heard(now) > 0
+		switch {
+		case p == nil:
+		case now.Sub(p.heardAt) <= heardFor:
+			ended = p.process != "" && p.process != process
+		default:
+			ended = g.control.peers.heard(now) > 0
+		}
 	})
-	return silent
+	return ended
 }
 
 // isolated reports whether this instance may miss changes that others know: the
@@ -198,7 +207,7 @@
 func (c *control) beat(now time.Time) *wirepb.PeerBeat {
 	b := &wirepb.PeerBeat{
 		Instance: c.g.id, StoreRevision: c.mirror.Revision(), StoreAgeMs: neverConfirmed,
-		Leaving: c.g.leaving.Load(), StoreReachable: c.reachable && !c.resting, StoreResting: c.resting,
+		Leaving: c.g.leaving.Load(), StoreReachable: c.reachable && !c.resting, StoreResting: c.resting, Process: c.g.o.Process,
 	}
 	if !c.confirmedAt.IsZero() {
 		b.StoreAgeMs = uint64(now.Sub(c.confirmedAt).Milliseconds())
@@ -269,7 +278,7 @@
 	if r, ok := c.records()[id]; ok {
 		p.record = r
 	}
-	p.session = session
+	p.session, p.process = session, b.GetProcess()
 	p.heardAt, p.leaving, p.reachable, p.resting = now, b.GetLeaving(), b.GetStoreReachable(), b.GetStoreResting()
 	p.loads = make(map[string]uint32, len(b.GetLoads()))
 	for _, l := range b.GetLoads() {
--- a/gateway/peertable.go
+++ b/gateway/peertable.go
@@ -9,6 +9,7 @@
 // peer is what this instance has heard from another one.
 type peer struct {
 	record    record
+	process   string
 	heardAt   time.Time
 	leaving   bool
 	reachable bool
--- a/gateway/watchers_test.go
+++ b/gateway/watchers_test.go
@@ -105,3 +105,20 @@
 	require.Len(t, watchers([]candidate{{"a", "dc1"}}), 1)
 	require.Len(t, watchers([]candidate{{"a", "dc1"}, {"b", "dc1"}, {"c", "dc1"}}), watchersHeard)
 }
+
+// Guards against a coordinator that counts as alive because its instance runs again,
+// and against one that counts as ended because this instance hears nobody.
+func TestEnded(t *testing.T) {
+	g := newDeployment(t, config()).start("g1").Gateway
+	now := time.Now()
+	set := func(peers map[string]*peer) { g.control.ask(t.Context(), func() { g.control.peers.byID = peers }) }
+	long := now.Add(-2 * heardFor)
+	set(map[string]*peer{"a": {process: "a/1", heardAt: now.Add(time.Hour)}})
+	require.False(t, g.Ended(t.Context(), "a/1"))
+	require.True(t, g.Ended(t.Context(), "a/0"), "the instance runs another process")
+	require.False(t, g.Ended(t.Context(), "b/1"), "never heard")
+	set(map[string]*peer{"a": {process: "a/1", heardAt: long}, "b": {process: "b/1", heardAt: now.Add(time.Hour)}})
+	require.True(t, g.Ended(t.Context(), "a/1"))
+	set(map[string]*peer{"a": {process: "a/1", heardAt: long}})
+	require.False(t, g.Ended(t.Context(), "a/1"), "nobody is heard")
+}
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -53,6 +53,7 @@
 	id infra.LeaseID
 	// unanswered is set while renewals get no answer.
 	unanswered bool
+	resign     chan uint64
 }
 
 var _ Token = (*Holder)(nil)
@@ -62,7 +63,7 @@
 	if o.Times.TTL == 0 {
 		o.Times = DefaultTimes
 	}
-	return &Holder{o: o}
+	return &Holder{o: o, resign: make(chan uint64, 1)}
 }
 
 // Token returns the fencing number and whether an order may be sent now. It
@@ -166,7 +167,9 @@
 		if !h.o.Persist {
 			pause = min(pause, max(left, 0))
 		}
-		ctxtime.Sleep(ctx, pause)
+		if h.pause(ctx, pause) {
+			return "resigned"
+		}
 		if ctx.Err() != nil {
 			return "released"
 		}
@@ -188,6 +191,36 @@
 	}
 }
 
+// Resign ends the term with a number, for instance since another holder has used a
+// higher one. The next term has a new number.
+func (h *Holder) Resign(number uint64) {
+	select {
+	case h.resign <- number:
+	default: // one is on its way
+	}
+}
+
+// pause waits, and reports whether the present term was resigned.
+func (h *Holder) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case number := <-h.resign:
+			h.mu.Lock()
+			present := h.t.number == number
+			h.mu.Unlock()
+			if present {
+				return true
+			}
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 func (h *Holder) noteUnanswered() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -237,3 +237,30 @@
 		<-done
 	})
 }
+
+// Guards against a holder that keeps a number which its receivers refuse, so that
+// nobody can give orders, and against a late resignation that ends the next term.
+func TestResign(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := standin.NewKV()
+		ctx, cancel := context.WithCancel(t.Context())
+		h := New(Options{KV: kv.Direct(), Key: "k", Holder: "a", Times: Times{TTL: 3 * time.Second, Renew: time.Second, Margin: time.Second}})
+		done := make(chan struct{})
+		go func() { h.Run(ctx); close(done) }()
+		time.Sleep(10 * time.Millisecond)
+		first, valid := h.Token()
+		require.True(t, valid)
+		h.Resign(first)
+		time.Sleep(5 * time.Second)
+		second, valid := h.Token()
+		require.True(t, valid)
+		require.Greater(t, second, first)
+		h.Resign(first)
+		time.Sleep(5 * time.Second)
+		third, valid := h.Token()
+		require.True(t, valid)
+		require.Equal(t, second, third)
+		cancel()
+		<-done
+	})
+}
--- a/ranks/coordinate.go
+++ b/ranks/coordinate.go
@@ -35,8 +35,9 @@
 	Items   Directory
 	Records Records
 	Engine  Engine
-	// Silent reports whether another instance has not been heard for a while.
-	Silent func(instance string) bool
+	// Ended reports whether the process with a holder's name has ended: its instance
+	// has not been heard for a while, or runs another process.
+	Ended func(holder string) bool
 	// HandOver passes a term on to another instance; nil is allowed.
 	HandOver func(Term)
 	Log      *slog.Logger
@@ -131,18 +132,20 @@
 			o.Log.Info("lease lost", "group", group, "fencing", n, "reason", reason)
 		},
 	})
+	spare := newStandby(o, group, key)
 	held, release := context.WithCancel(context.WithoutCancel(ctx))
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	defer release()
 	wait.Go(func() { holder.Run(held) })
+	wait.Go(func() { spare.holder.Run(held) })
 	l := &links{
 		engine: o.Engine, records: o.Records, items: o.Items, log: o.Log, group: group,
 		hello: &wirepb.Hello{Instance: o.Instance, Role: "coordinator"},
 	}
 	var k *coordinator
 	for ctx.Err() == nil {
-		token := c.token(group, holder)
+		token := c.token(ctx, group, holder, spare)
 		if token == nil {
 			k = nil
 			ctxtime.Sleep(ctx, roundPause)
@@ -161,17 +164,20 @@
 		ctxtime.Sleep(ctx, k.round(ctx))
 		if k.deposed != 0 && k.deposed == k.fencing {
 			c.drop(group)
+			holder.Resign(k.fencing)
+			spare.holder.Resign(k.fencing)
 		}
 	}
 	_, adopted := c.term(group)
-	if k != nil && (adopted || holder.Unanswered()) && o.HandOver != nil {
+	if k != nil && (adopted || holder.Unanswered() || spare.holder.Unanswered()) && o.HandOver != nil {
 		o.HandOver(Term{Group: group, Fencing: k.fencing, Maps: k.counter})
 	}
 }
 
-// token returns what allows this process to coordinate a group: its own lease,
-// or an adopted term.
-func (c *Coordinators) token(group string, holder *lease.Holder) lease.Token {
+// token returns what allows this process to coordinate a group: its own lease, an
+// adopted term, or the number that it holds in reserve.
+func (c *Coordinators) token(ctx context.Context, group string, holder *lease.Holder, spare *standby) lease.Token {
+	takesOver := spare.takesOver(ctx)
 	if _, valid := holder.Token(); valid {
 		c.drop(group)
 		return holder
@@ -179,6 +185,9 @@
 	if t, ok := c.term(group); ok {
 		return adoptedToken(t)
 	}
+	if takesOver {
+		return spare.holder
+	}
 	return nil
 }
 
@@ -202,7 +211,7 @@
 	if instance == o.Instance {
 		return holder != o.Holder
 	}
-	return o.Silent != nil && o.Silent(instance)
+	return o.Ended != nil && o.Ended(holder)
 }
 
 // readShape returns the shape of the back end's groups in the configuration.
