--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -66,6 +66,8 @@
 	// last pause of all of them ended.
 	lastByte, activeSince time.Time
 	outage                outage
+	// emptySince is when the back end was first seen without targets.
+	emptySince time.Time
 }
 
 // activityGap is the silence of all targets that counts as a pause.
@@ -221,6 +223,9 @@
 			allowed++
 		}
 	}
+	if q.empty(now) {
+		return nil // waits a little; entries that lapsed come back soon
+	}
 	if allowed == 0 {
 		return errkind.New(errkind.NoTarget, "back end %s has no target for the request", q.backend).WithRetryAfter(jitter(noTargetPause))
 	}
@@ -233,6 +238,19 @@
 	return nil
 }
 
+// empty reports whether the back end has had no targets for a short time only. The
+// caller holds the lock.
+func (q *queue) empty(now time.Time) bool {
+	if len(q.g.state.Load().targets[q.backend]) > 0 {
+		q.emptySince = time.Time{}
+		return false
+	}
+	if q.emptySince.IsZero() {
+		q.emptySince = now
+	}
+	return now.Sub(q.emptySince) < lapseGrace
+}
+
 // wait estimates how long the n-th waiter waits. The places free up for the
 // waiters of all instances.
 func (q *queue) wait(n, places, instances int) time.Duration {
@@ -253,7 +271,7 @@
 
 // down is the answer to a request for a back end that refuses all.
 func (q *queue) down(comeBack time.Duration) error {
-	return errkind.New(errkind.NoTarget, "all targets of back end %s refuse requests", q.backend).WithRetryAfter(jitter(comeBack))
+	return errkind.New(errkind.NoTarget, "back end %s has no target that takes requests", q.backend).WithRetryAfter(jitter(comeBack))
 }
 
 // overloaded is the answer to a request for which there is no place in time. It
@@ -283,11 +301,12 @@
 		}
 		return a.missed(now) - b.missed(now)
 	})
+	down := q.outage.ongoing(now) || len(q.g.state.Load().targets[q.backend]) == 0
 	kept := q.waiters[:0]
 	for _, w := range q.waiters {
 		if t := q.pick(&w.need, now); t != nil {
 			w.granted <- t
-		} else if q.outage.ongoing(now) && now.After(w.downUntil) {
+		} else if down && now.After(w.downUntil) {
 			close(w.refused)
 		} else {
 			kept = append(kept, w)
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/routing"
 )
 
@@ -73,3 +74,31 @@
 	require.True(t, q.isDown(now))
 	require.False(t, q.isDown(now.Add(2*time.Second)))
 }
+
+// Guards against callers that are refused at once when the entries of all targets have
+// lapsed in an outage and are back a moment later, and against a wait for a back end
+// that has no targets.
+func TestLapsedEntriesAreWaitedFor(t *testing.T) {
+	r := startRunner(t, "r", func(w net.Conn, r *http.Request) { reply(w, r, "ok") })
+	d := newDeployment(t, config())
+	g := d.start("g1")
+	answers := make(chan answer, 1)
+	ask := func() { answers <- g.request(t.Context(), http.MethodGet, "/read/1", "") }
+	go ask()
+	time.Sleep(100 * time.Millisecond)
+	d.put("target/r", r.target("b"))
+	require.Equal(t, http.StatusOK, (<-answers).status)
+
+	_, err := d.kv.Direct().Commit(t.Context(), infra.Txn{Deletes: []string{"target/r"}})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(g.state.Load().targets["b"]) == 0 }, time.Second, time.Millisecond)
+	began := time.Now()
+	ask()
+	require.Equal(t, http.StatusServiceUnavailable, (<-answers).status)
+	require.Less(t, time.Since(began), time.Second, "0.15 of the caller's 4 s are over")
+	time.Sleep(lapseGrace - time.Since(began))
+	began = time.Now()
+	ask()
+	require.Equal(t, http.StatusServiceUnavailable, (<-answers).status)
+	require.Less(t, time.Since(began), 100*time.Millisecond)
+}
