--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -102,3 +102,23 @@
 	require.Equal(t, http.StatusServiceUnavailable, (<-answers).status)
 	require.Less(t, time.Since(began), 100*time.Millisecond)
 }
+
+// Guards against a stream that waits for a place until its caller has left: the caller
+// gets no answer and is not told when to come back.
+func TestStreamWaitsNoLongerThanItsCaller(t *testing.T) {
+	cfg := config()
+	for i := range cfg.Routes {
+		if cfg.Routes[i].Kind == routing.Stream {
+			cfg.Routes[i].Patience, cfg.Routes[i].LatencyGoal = 600*time.Millisecond, 200*time.Millisecond
+		}
+	}
+	r := startRunner(t, "r", func(net.Conn, *http.Request) {})
+	d := newDeployment(t, cfg, r)
+	g := d.start("g1")
+	g.target("r").own.Store(100)
+	began := time.Now()
+	a := g.request(t.Context(), http.MethodPost, "/chat/1", "")
+	require.Equal(t, http.StatusTooManyRequests, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+	require.Less(t, time.Since(began), 550*time.Millisecond, "the caller leaves after 600 ms")
+}
--- a/routing/types.go
+++ b/routing/types.go
@@ -38,6 +38,9 @@
 	LatencyGoal time.Duration
 	// GapGoal is the longest pause between events that callers notice.
 	GapGoal time.Duration
+	// Patience is the silence after which callers leave a stream, also before its
+	// first event; zero if they do not.
+	Patience time.Duration
 	// Priority is the rank of the route; 0 is the highest.
 	Priority int
 	Split    []Share
