gateway: spare slow ranks, which hold up the passes of their group

Cause: a pass lasts as long as the slowest rank's own part. Ruled out: the first event (none later than 400 ms), the map (it counts the slowness already, peak 1.16).

Change: the coordinator reads from reports how slow ranks are and tells all gateways by the heartbeats; in the choice of a target the load counts with the square of it.

--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -68,6 +68,7 @@
 		Instance: s.Instance, Holder: process, KV: store, Items: g.Items,
 		Records: platform.Records{}, Engine: platform.NewRanks(), Log: log,
 		Ended:    func(holder string) bool { return g.Ended(context.WithoutCancel(ctx), holder) },
+		Slow:     func(group string, byAddr map[string]float64) { g.SetSlow(ctx, group, byAddr) },
 		HandOver: func(t ranks.Term) { g.HandOver(context.WithoutCancel(ctx), gateway.Term(t)) },
 	})
 	coordinated := make(chan struct{})
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -40,6 +40,7 @@
 	targets map[string]*target
 	lapsed  map[string]time.Time // targets without an entry, since when
 	peers   *peerTable
+	slow    map[string]map[string]float64 // by group and address of a target
 
 	// confirmedAt is when the copy was last known to be up to date.
 	confirmedAt time.Time
@@ -66,6 +67,7 @@
 	return &control{
 		g: g, log: g.log, inbox: make(chan func(), 256), mirror: mirror.New(),
 		targets: map[string]*target{}, lapsed: map[string]time.Time{}, peers: newPeerTable(),
+		slow: map[string]map[string]float64{},
 	}
 }
 
@@ -112,6 +114,7 @@
 	for _, t := range c.targets {
 		t.pool.Sweep(now)
 		t.others.Store(c.peers.load(t.ID, now))
+		t.setSlowness(c.slowness(t.Addr, now))
 	}
 	c.g.queues.wake()
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -79,6 +79,21 @@
 	return ended
 }
 
+// SetSlow notes the slow targets of a rank group that this process coordinates, by
+// address. It tells the other instances.
+func (g *Gateway) SetSlow(ctx context.Context, group string, byAddr map[string]float64) {
+	g.control.do(ctx, func() { g.control.slow[group] = byAddr })
+}
+
+// slowness returns how slow a target is; 1 is sound.
+func (c *control) slowness(addr string, now time.Time) float64 {
+	slowness := c.peers.slowness(addr, now)
+	for _, byAddr := range c.slow {
+		slowness = max(slowness, byAddr[addr])
+	}
+	return slowness
+}
+
 // isolated reports whether this instance may miss changes that others know: the
 // copy is old and neither the service nor any other instance is reached.
 func (c *control) isolated(now time.Time) bool {
@@ -212,6 +227,11 @@
 	if !c.confirmedAt.IsZero() {
 		b.StoreAgeMs = uint64(now.Sub(c.confirmedAt).Milliseconds())
 	}
+	for _, byAddr := range c.slow {
+		for addr, slowness := range byAddr {
+			b.Slow = append(b.Slow, &wirepb.SlowTarget{Addr: addr, Percent: uint32(100 * slowness)})
+		}
+	}
 	for id, t := range c.targets {
 		if n := t.own.Load(); n > 0 {
 			b.Loads = append(b.Loads, &wirepb.TargetLoad{Target: id, Requests: uint32(n)})
@@ -280,6 +300,10 @@
 	}
 	p.session, p.process = session, b.GetProcess()
 	p.heardAt, p.leaving, p.reachable, p.resting = now, b.GetLeaving(), b.GetStoreReachable(), b.GetStoreResting()
+	p.slow = make(map[string]float64, len(b.GetSlow()))
+	for _, t := range b.GetSlow() {
+		p.slow[t.GetAddr()] = float64(t.GetPercent()) / 100
+	}
 	p.loads = make(map[string]uint32, len(b.GetLoads()))
 	for _, l := range b.GetLoads() {
 		p.loads[l.GetTarget()] = l.GetRequests()
--- a/gateway/peertable.go
+++ b/gateway/peertable.go
@@ -16,6 +16,8 @@
 	// resting is set while the peer does not watch the service.
 	resting bool
 	loads   map[string]uint32
+	// slow is the slowness of targets that are slow, by address.
+	slow    map[string]float64
 	session *wire.Session
 }
 
@@ -68,6 +70,17 @@
 	return n
 }
 
+// slowness returns how slow a target is, by what the peers tell; 1 is sound.
+func (p *peerTable) slowness(addr string, now time.Time) float64 {
+	slowness := 1.0
+	for _, q := range p.byID {
+		if now.Sub(q.heardAt) < heardFor {
+			slowness = max(slowness, q.slow[addr])
+		}
+	}
+	return slowness
+}
+
 func (p *peerTable) forget(now time.Time) {
 	for id, q := range p.byID {
 		if now.Sub(q.heardAt) > rememberFor {
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -333,7 +333,7 @@
 		}
 		candidates[i] = routing.Candidate{
 			Load: float64(t.own.Load() + t.others.Load()), Own: float64(t.own.Load()), Slots: t.Slots, Failures: t.failures,
-			Local: t.DataCentre == q.g.o.DataCentre, Usable: usable,
+			Local: t.DataCentre == q.g.o.DataCentre, Usable: usable, Slowness: t.slowness,
 		}
 		t.mu.Unlock()
 	}
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -26,7 +26,10 @@
 	// coldUntil is on the clock of monotonic.
 	coldUntil atomic.Int64
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// slowness is the target's time for a piece of work over that of a sound one;
+	// zero if nothing is known.
+	slowness float64
 	failures float64
 	warmUp   routing.WarmUp
 	// quietUntil is set after the target refused a request for want of room.
@@ -77,6 +80,12 @@
 	t.mu.Unlock()
 }
 
+func (t *traffic) setSlowness(s float64) {
+	t.mu.Lock()
+	t.slowness = s
+	t.mu.Unlock()
+}
+
 // heard notes that the target has sent a part of the answer to a request that
 // was sent at the given time. It reports whether this proves the target.
 func (t *traffic) heard(now, sent time.Time) bool {
--- a/gateway/watchers_test.go
+++ b/gateway/watchers_test.go
@@ -122,3 +122,24 @@
 	set(map[string]*peer{"a": {process: "a/1", heardAt: long}})
 	require.False(t, g.Ended(t.Context(), "a/1"), "nobody is heard")
 }
+
+// Guards against slow targets that only the instance which coordinates their group
+// spares, and against ones that are spared after that instance has ended.
+func TestSlowTargetsAreKnownToAll(t *testing.T) {
+	r := startRunner(t, "r", func(w net.Conn, req *http.Request) { reply(w, req, "ok") })
+	d := newDeployment(t, config(), r)
+	a, b := d.start("a"), d.start("b")
+	slowness := func(i *instance) float64 {
+		target := i.target("r")
+		target.mu.Lock()
+		defer target.mu.Unlock()
+		return target.slowness
+	}
+	a.SetSlow(t.Context(), "g", map[string]float64{r.target("b").Addr: 1.6})
+	for _, i := range []*instance{a, b} {
+		require.Eventually(t, func() bool { return slowness(i) == 1.6 }, 2*time.Second, 10*time.Millisecond)
+	}
+	a.refusing.Store(true)
+	a.stop()
+	require.Eventually(t, func() bool { return slowness(b) == 1 }, 3*time.Second, 10*time.Millisecond)
+}
--- a/ranks/coordinate.go
+++ b/ranks/coordinate.go
@@ -38,6 +38,9 @@
 	// Ended reports whether the process with a holder's name has ended: its instance
 	// has not been heard for a while, or runs another process.
 	Ended func(holder string) bool
+	// Slow is told the slow ranks of a group that this process coordinates, by the
+	// addresses at which they take requests; nil is allowed.
+	Slow func(group string, byAddr map[string]float64)
 	// HandOver passes a term on to another instance; nil is allowed.
 	HandOver func(Term)
 	Log      *slog.Logger
@@ -147,6 +150,9 @@
 	for ctx.Err() == nil {
 		token := c.token(ctx, group, holder, spare)
 		if token == nil {
+			if k != nil && o.Slow != nil {
+				o.Slow(group, nil)
+			}
 			k = nil
 			ctxtime.Sleep(ctx, roundPause)
 			continue
@@ -159,6 +165,9 @@
 				continue
 			}
 			k = newCoordinator(o.Log, l, shape)
+			if o.Slow != nil {
+				k.slow = func(byAddr map[string]float64) { o.Slow(group, byAddr) }
+			}
 		}
 		k.token = token
 		ctxtime.Sleep(ctx, k.round(ctx))
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"math"
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/expertmap/plan"
@@ -52,8 +54,16 @@
 	sent     map[int]sentOrder
 	phase    switchover.Phase
 	slowness []float64
+	// slow is told the addresses of slow ranks and how slow they are; nil is
+	// allowed. told is what it was told last.
+	slow func(byAddr map[string]float64)
+	told map[string]float64
 }
 
+// slowFrom is the slowness, against 1 for a sound rank, from which a rank counts as
+// slow.
+const slowFrom = 1.2
+
 // sentOrder is the last prepare that a rank has accepted.
 type sentOrder struct {
 	version uint64
@@ -92,6 +102,7 @@
 	for _, r := range reports {
 		c.slowness = append(c.slowness, max(1, r.Slowness))
 	}
+	c.tellSlow()
 	c.learn(reports, states)
 	c.replan(states, now)
 	c.plan.Lead = holdLead
@@ -109,6 +120,25 @@
 	}
 }
 
+// tellSlow tells which ranks are slow, if that has changed. They should get fewer
+// requests, since the slowest one holds up the passes of all.
+func (c *coordinator) tellSlow() {
+	if c.slow == nil {
+		return
+	}
+	now := map[string]float64{}
+	for i, k := range c.links.byRank {
+		if i < len(c.slowness) && c.slowness[i] >= slowFrom && k.rank != "" {
+			now[k.rank] = math.Round(c.slowness[i]*10) / 10
+		}
+	}
+	if !maps.Equal(now, c.told) {
+		c.told = now
+		c.log.Info("slow ranks changed", "slow", len(now))
+		c.slow(now)
+	}
+}
+
 // step sends the orders that follow from the states. While a step is held, it
 // goes on from the ranks' own confirmations without reading them again, since
 // nobody is served once the held step is reached.
--- a/ranks/links.go
+++ b/ranks/links.go
@@ -39,6 +39,7 @@
 	addr    string // of the agent
 	session *wire.Session
 	direct  string // of the rank, used while its agent does not answer
+	rank    string // of the rank, from the record of its agent
 	lost    time.Time
 }
 
@@ -69,6 +70,8 @@
 	Rank     int    `json:"rank"`
 	Size     int    `json:"size"`
 	PeerAddr string `json:"peer_addr"`
+	// RankAddr is where the rank takes requests.
+	RankAddr string `json:"rank_addr"`
 }
 
 const agentsPrefix = "skylarkstep/ranks/"
@@ -97,6 +100,7 @@
 		if r.Rank < len(l.byRank) {
 			l.backend = r.Backend
 			l.byRank[r.Rank].set(r.PeerAddr)
+			l.byRank[r.Rank].rank = r.RankAddr
 		}
 	}
 }
--- a/ranks/ranks.go
+++ b/ranks/ranks.go
@@ -77,7 +77,7 @@
 	defer group.Wait()
 	defer cancel()
 	o.Log.Info("rank joined", "group", r.Group, "rank", r.Rank, "size", r.Size, "addr", o.RankAddr)
-	value, err := json.Marshal(agentRecord{Group: r.Group, Backend: o.Backend, Rank: r.Rank, Size: r.Size, PeerAddr: o.PeerAddr})
+	value, err := json.Marshal(agentRecord{Group: r.Group, Backend: o.Backend, Rank: r.Rank, Size: r.Size, PeerAddr: o.PeerAddr, RankAddr: o.RankAddr})
 	if err != nil {
 		panic(err) // numbers and strings always encode
 	}
--- a/ranks/ranks_test.go
+++ b/ranks/ranks_test.go
@@ -332,3 +332,21 @@
 	}, 5*time.Second, 10*time.Millisecond)
 	require.EqualValues(t, 7*versionsPerTerm+4, g.version())
 }
+
+// Guards against a slow rank that holds up the passes of its group because it gets as
+// many requests as the others, and against one that counts as slow for ever.
+func TestSlowRanksAreTold(t *testing.T) {
+	g := newGroup(0)
+	l := directLinks(g)
+	for i, k := range l.byRank {
+		k.rank = fmt.Sprintf("addr-%d", i)
+	}
+	var told []map[string]float64
+	k := newCoordinator(slog.New(slog.DiscardHandler), l, &routing.ExpertShape{Sets: groupSets, Experts: groupSize, Places: 4, Spare: 3})
+	k.slow = func(byAddr map[string]float64) { told = append(told, byAddr) }
+	for _, slowness := range [][]float64{{1, 1, 1.1, 1}, {1, 1.62, 1, 1}, {1, 1.58, 1, 1}, {1, 1, 1, 1}} {
+		k.slowness = slowness
+		k.tellSlow()
+	}
+	require.Equal(t, []map[string]float64{{"addr-1": 1.6}, {}}, told)
+}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -11,6 +11,9 @@
 	Slots int
 	// Failures is the recent share of requests that the target failed.
 	Failures float64
+	// Slowness is the target's time for a piece of work over that of a sound one;
+	// zero if nothing is known.
+	Slowness float64
 	// Local targets are in the data centre of this instance.
 	Local bool
 	// Usable targets may get the request now.
@@ -43,7 +46,8 @@
 
 func (c *Candidate) score(instances int) float64 {
 	load := (1-ownShare)*c.Load + ownShare*c.Own*float64(instances)
-	s := (load + 1) / float64(max(1, c.Slots))
+	slow := max(1, c.Slowness)
+	s := slow * slow * (load + 1) / float64(max(1, c.Slots))
 	s += failurePenalty * c.Failures
 	if !c.Local {
 		s += remotePenalty
--- a/routing/pick_test.go
+++ b/routing/pick_test.go
@@ -140,6 +140,8 @@
 		"none":                  {nil, -1},
 		"local of equals":       {[]Candidate{with(func(c *Candidate) { c.Local = false }), idle}, 1},
 		"remote with more room": {[]Candidate{with(func(c *Candidate) { c.Local = false }), busy}, 0},
+		"slow but idle":         {[]Candidate{with(func(c *Candidate) { c.Load = 4; c.Slowness = 1.6 }), busy}, 1},
+		"only slow has room":    {[]Candidate{with(func(c *Candidate) { c.Slowness = 5 }), with(func(c *Candidate) { c.Load = 15 })}, 0},
 		"more slots":            {[]Candidate{with(func(c *Candidate) { c.Load = 3; c.Slots = 4 }), busy, with(func(c *Candidate) { c.Load = 9; c.Slots = 24 })}, 2},
 	} {
 		for offset := range max(1, len(tc.candidates)) {
