routing, gateway: tests that a guard which is taken out fails

Ten guards were taken out one by one (trials on a scratch copy). Two were not noticed by any test: a booking with two attempts that is sent again after its answer was lost, and a stream that ends in the middle of an event with a regular close. Both have cases now. Two tests asserted in the control goroutine, so that a failure hung; they assert outside of it, on the same values.

--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -50,17 +50,20 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := newDeployment(t, config()).start("g1").Gateway
+			var afterRemoval, later bool
 			g.control.ask(t.Context(), func() {
 				k, now := g.control, time.Now()
 				k.targets["a"] = newTarget(routing.Target{ID: "a", Backend: "b"})
 				k.peers.byID["p"] = &peer{heardAt: now, reachable: c.peerReaches}
 				k.lost(errWatchEnded, now)
 				k.targetGone("a", now.Add(time.Second))
-				require.Equal(t, c.kept, k.targets["a"] != nil)
+				afterRemoval = k.targets["a"] != nil
 				k.reached(now, now.Add(2*time.Second))
 				k.dropLapsed(now.Add(5 * time.Second))
-				require.Nil(t, k.targets["a"], "an entry that stays away is gone")
+				later = k.targets["a"] != nil
 			})
+			require.Equal(t, c.kept, afterRemoval)
+			require.False(t, later, "an entry that stays away is gone")
 		})
 	}
 }
@@ -69,19 +72,23 @@
 // that others may have replaced.
 func TestIsolatedInstanceRefuses(t *testing.T) {
 	g := newDeployment(t, config()).start("g1").Gateway
+	var early, late, heard bool
 	g.control.ask(t.Context(), func() {
 		k, now := g.control, time.Now()
 		k.peers.byID["p"] = &peer{heardAt: now.Add(-10 * time.Second)}
 		k.confirmedAt = now.Add(-5 * time.Second)
 		k.noteIsolation(now)
-		require.False(t, g.isIsolated(), "not yet")
+		early = g.isIsolated()
 		k.confirmedAt = now.Add(-7 * time.Second)
 		k.noteIsolation(now)
-		require.True(t, g.isIsolated())
+		late = g.isIsolated()
 		k.peers.byID["p"].heardAt = now
 		k.noteIsolation(now)
-		require.False(t, g.isIsolated(), "another instance is heard: the service is away for all")
+		heard = g.isIsolated()
 	})
+	require.False(t, early, "not yet")
+	require.True(t, late)
+	require.False(t, heard, "another instance is heard: the service is away for all")
 }
 
 // Guards against callers that are refused by a process that gets its first
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -53,6 +53,10 @@
 		{"booking, target fails", "/book/1", fails, http.StatusInternalServerError, "sorr", 1},
 		{"booking, target ran it and says 503", "/book/1", busyButRan, http.StatusBadGateway, "", 1},
 		{"booking, answer without a seal", "/book/1", unsealed, http.StatusBadGateway, "", 1},
+		{"booking with two attempts, answer lost", "/swap/1", lost, http.StatusBadGateway, "", 1},
+		{"booking with two attempts, answer cut", "/swap/1", cut, http.StatusBadGateway, "", 1},
+		{"booking with two attempts, target fails", "/swap/1", fails, http.StatusInternalServerError, "sorr", 1},
+		{"booking with two attempts, refused", "/swap/1", refuse, http.StatusOK, "good", 2},
 		{"read, answer lost", "/read/1", lost, http.StatusOK, "good", 2},
 		{"read, refused", "/read/1", refuse, http.StatusOK, "good", 2},
 		{"read, answer cut", "/read/1", cut, http.StatusOK, "good", 2},
@@ -86,10 +90,16 @@
 // Guards against a stream that repeats, loses or joins parts of events when its
 // target breaks off in the middle of one.
 func TestStreamGoesOnAtAnotherTarget(t *testing.T) {
+	for name, breakOff := range map[string]func(net.Conn){"reset": reset, "closed": func(w net.Conn) { _ = w.Close() }} {
+		t.Run(name, func(t *testing.T) { streamGoesOn(t, breakOff) })
+	}
+}
+
+func streamGoesOn(t *testing.T, breakOff func(net.Conn)) {
 	first := startRunner(t, "first", func(w net.Conn, r *http.Request) {
 		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: one\r\n\r\nid: 1\ndata: a\n\nid: 2\nda", r.Header.Get("X-Id"))
 		time.Sleep(20 * time.Millisecond)
-		reset(w)
+		breakOff(w)
 	})
 	second := startRunner(t, "second", func(w net.Conn, r *http.Request) {
 		require.Equal(t, "1", r.Header.Get("Last-Event-Id"))
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -240,6 +240,7 @@
 		Version: 1,
 		Routes: []routing.Route{
 			{Name: "book", Host: "h", Prefix: "/book/", Kind: routing.NonIdempotent, Timeout: 3 * time.Second, Split: split, MaxAttempts: 1, Public: true},
+			{Name: "swap", Host: "h", Prefix: "/swap/", Kind: routing.NonIdempotent, Timeout: 3 * time.Second, Split: split, MaxAttempts: 2, Public: true},
 			{Name: "read", Host: "h", Prefix: "/read/", Kind: routing.Idempotent, Timeout: 3 * time.Second, Split: split, MaxAttempts: 2, Public: true},
 			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: routing.Stream, Timeout: 5 * time.Second, Split: split, MaxAttempts: 2, Public: true, Resumable: true},
 			{Name: "keyed", Host: "h", Prefix: "/keyed/", Kind: routing.Idempotent, Timeout: time.Second, Split: split, MaxAttempts: 1},
--- a/routing/retryshare.go
+++ b/routing/retryshare.go
@@ -47,7 +47,10 @@
 func (s *RetryShare) SetLimits(l RetryLimits) { s.limits = l }
 
 // First counts the first attempt of a request.
-func (s *RetryShare) First(now time.Time) { s.firsts = append(s.firsts, now) }
+func (s *RetryShare) First(now time.Time) {
+	s.forget(now)
+	s.firsts = append(s.firsts, now)
+}
 
 // Instances tells how many instances share the limits. The highest number of
 // the last two windows counts, since an instance that left may have used its
