--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -181,7 +181,7 @@
 	began := time.Now()
 	t, err := x.g.queues.of(x.backend).acquire(ctx, need{
 		backend: x.backend, priority: routing.Priority(x.route, x.cust), allowed: x.allowed, goalAt: x.began.Add(x.route.LatencyGoal),
-		until: x.bear(x.share(began, waitShare)), downUntil: x.share(began, downShare), comeBack: time.Duration(comeBackShare * float64(x.expires.Sub(began))),
+		until: x.withinPatience(x.share(began, waitShare)), downUntil: x.share(began, downShare), comeBack: time.Duration(comeBackShare * float64(x.expires.Sub(began))),
 	})
 	x.waited += time.Since(began)
 	if err == nil {
@@ -208,9 +208,9 @@
 	comeBackShare = 0.28
 )
 
-// bear returns the given time, or an earlier one at which the caller of a stream
+// withinPatience returns the given time, or an earlier one at which the caller of a stream
 // would leave before a target could send the first event.
-func (x *exchange) bear(until time.Time) time.Time {
+func (x *exchange) withinPatience(until time.Time) time.Time {
 	if x.route.Patience == 0 {
 		return until
 	}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -223,7 +223,7 @@
 			allowed++
 		}
 	}
-	if q.empty(now) {
+	if q.recentlyEmpty(now) {
 		return nil // waits a little; entries that lapsed come back soon
 	}
 	if allowed == 0 {
@@ -238,9 +238,9 @@
 	return nil
 }
 
-// empty reports whether the back end has had no targets for a short time only. The
-// caller holds the lock.
-func (q *queue) empty(now time.Time) bool {
+// recentlyEmpty reports whether the back end has had no targets for a short time
+// only, so that they may come back. The caller holds the lock.
+func (q *queue) recentlyEmpty(now time.Time) bool {
 	if len(q.g.state.Load().targets[q.backend]) > 0 {
 		q.emptySince = time.Time{}
 		return false
@@ -346,7 +346,7 @@
 	if b != nil && t.cold(now) && b.WarmUpRate > 0 {
 		t.warmUp.Take(b.WarmUpRate, s.instances, now)
 	}
-	t.tried(now)
+	t.takePlace(now)
 	t.mu.Unlock()
 	q.outage.tried(now)
 	return t
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -62,8 +62,8 @@
 	return t.proven || t.own.Load() == 0 || now.Sub(t.triedAt) > provenAfter
 }
 
-// tried notes that a request is about to be sent. The caller holds the lock.
-func (t *traffic) tried(now time.Time) {
+// takePlace counts a request that is about to be sent. The caller holds the lock.
+func (t *traffic) takePlace(now time.Time) {
 	if t.own.Load() == 0 {
 		t.triedAt = now
 	}
--- a/telemetry/latency.go
+++ b/telemetry/latency.go
@@ -23,7 +23,7 @@
 	sum     atomic.Int64
 }
 
-// NewLatency returns a histogram in a registry.
+// NewLatency returns a histogram that is in a registry.
 func NewLatency(name string, r metrics.Registry) (*Latency, error) {
 	l := &Latency{Histogram: metrics.NilHistogram{}, buckets: make([]atomic.Uint64, len(latencyBounds)+1)}
 	return l, r.Register(name, l)
