--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -9,10 +9,9 @@
 // Addresses returns the addresses that a caller should use and how long it may
 // keep them.
 func (g *Gateway) Addresses(from Locality) ([]string, time.Duration) {
-	var live map[string]record
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	g.control.ask(ctx, func() { live = g.control.live(time.Now()) })
+	live, _ := query(ctx, g.control, func() map[string]record { return g.control.live(time.Now()) })
 	all := make([]record, 0, len(live)+1)
 	for _, r := range live {
 		all = append(all, r)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -89,6 +89,20 @@
 	}
 }
 
+// query returns what f returns in the control goroutine, or false if ctx has ended.
+// Its value is handed over, since f may still run when the caller no longer waits.
+func query[T any](ctx context.Context, c *control, f func() T) (T, bool) {
+	value := make(chan T, 1)
+	c.do(ctx, func() { value <- f() })
+	select {
+	case v := <-value:
+		return v, true
+	case <-ctx.Done():
+		var zero T
+		return zero, false
+	}
+}
+
 func (c *control) run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,17 +196,19 @@
 // Items returns the items of the key-value service whose keys begin with the
 // prefix, from this instance's copy.
 func (g *Gateway) Items(ctx context.Context, prefix string) ([]infra.Item, error) {
-	var found []infra.Item
-	known := false
-	g.control.ask(ctx, func() {
-		known = g.control.mirror.Revision() > 0
+	found, ok := query(ctx, g.control, func() []infra.Item {
+		if g.control.mirror.Revision() == 0 {
+			return nil
+		}
+		found := []infra.Item{}
 		g.control.mirror.Each(func(it infra.Item) {
 			if strings.HasPrefix(it.Key, prefix) {
 				found = append(found, it)
 			}
 		})
+		return found
 	})
-	if !known {
+	if !ok || found == nil {
 		return nil, errkind.New(errkind.NotReady, "the copy of the key-value service is not there yet")
 	}
 	return found, nil
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -64,16 +64,16 @@
 // processes are INSTANCE/NUMBER.
 func (g *Gateway) Ended(ctx context.Context, process string) bool {
 	instance, _, _ := strings.Cut(process, "/")
-	ended := false
-	g.control.ask(ctx, func() {
+	ended, _ := query(ctx, g.control, func() bool {
 		now := time.Now()
 		p := g.control.peers.byID[instance]
 		switch {
 		case p == nil:
+			return false
 		case now.Sub(p.heardAt) <= heardFor:
-			ended = p.process != "" && p.process != process
+			return p.process != "" && p.process != process
 		default:
-			ended = g.control.peers.heard(now) > 0
+			return g.control.peers.heard(now) > 0
 		}
 	})
 	return ended
@@ -106,8 +106,7 @@
 // connect dials the peers that this instance should have sessions with.
 func (g *Gateway) connect(ctx context.Context) {
 	for ctx.Err() == nil {
-		var todo map[string]string
-		g.control.ask(ctx, func() { todo = g.control.toDial() })
+		todo, _ := query(ctx, g.control, g.control.toDial)
 		for id, addr := range todo {
 			if g.dialing.begin(id) {
 				go func() {
@@ -208,9 +207,8 @@
 }
 
 func (g *Gateway) sendBeat(ctx context.Context, session *wire.Session) error {
-	var b *wirepb.PeerBeat
-	g.control.ask(ctx, func() { b = g.control.beat(time.Now()) })
-	if b == nil {
+	b, ok := query(ctx, g.control, func() *wirepb.PeerBeat { return g.control.beat(time.Now()) })
+	if !ok {
 		return errors.WithStack(ctx.Err())
 	}
 	_ = session.Control().SetWriteDeadline(time.Now().Add(silentFor))
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -61,12 +61,10 @@
 func (c *control) watchOnce(ctx context.Context, ok func()) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var after int64
-	c.ask(ctx, func() { after = c.mirror.Revision() })
+	after, _ := query(ctx, c, c.mirror.Revision)
 	if after == 0 {
 		c.list(ctx)
-		c.ask(ctx, func() { after = c.mirror.Revision() })
-		if after == 0 {
+		if after, _ = query(ctx, c, c.mirror.Revision); after == 0 {
 			return errors.New("no list of the service yet")
 		}
 	}
@@ -86,13 +84,12 @@
 		}
 		ok()
 		began = time.Now()
-		rest := false
-		c.ask(ctx, func() {
+		goOn, _ := query(ctx, c, func() bool {
 			c.reached(asOf, time.Now())
 			c.changed(c.mirror.Apply(batch), "watch", time.Now())
-			rest = !c.shouldWatch(time.Now())
+			return c.shouldWatch(time.Now())
 		})
-		if rest {
+		if !goOn {
 			return nil
 		}
 	}
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -71,19 +71,21 @@
 // rest returns when this instance should watch the service itself.
 func (c *control) rest(ctx context.Context) {
 	for ctx.Err() == nil {
-		watch := false
-		c.ask(ctx, func() {
-			now := time.Now()
-			watch = c.shouldWatch(now)
-			if c.resting == watch {
-				c.resting = !watch
-				c.log.Info("watch of the service changed", "resting", c.resting, "age_ms", now.Sub(c.confirmedAt).Milliseconds(),
-					"revision", c.mirror.Revision(), "peers_heard", c.peers.heard(now))
-			}
-		})
-		if watch {
+		if watch, _ := query(ctx, c, c.noteResting); watch {
 			return
 		}
 		ctxtime.Sleep(ctx, restCheck)
 	}
 }
+
+// noteResting decides whether this instance rests, and reports whether it watches.
+func (c *control) noteResting() bool {
+	now := time.Now()
+	watch := c.shouldWatch(now)
+	if c.resting == watch {
+		c.resting = !watch
+		c.log.Info("watch of the service changed", "resting", c.resting, "age_ms", now.Sub(c.confirmedAt).Milliseconds(),
+			"revision", c.mirror.Revision(), "peers_heard", c.peers.heard(now))
+	}
+	return watch
+}
