--- a/daemon/entry/freshness.go
+++ b/daemon/entry/freshness.go
@@ -1,10 +1,10 @@
 package entry
 
 import (
-	"hash/fnv"
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/configsync"
+	"github.com/skylarkstep/skylarkstep/membership"
 	"github.com/skylarkstep/skylarkstep/timeline"
 )
 
@@ -103,15 +103,9 @@
 		if p == nil || p.leaving() || now.Sub(p.heardBothWays()) > suspectAfter {
 			continue
 		}
-		if watchRank(self.DataCentre, en.Name) > watchRank(self.DataCentre, self.Name) {
+		if membership.WatchRank(self.DataCentre, en.Name) > membership.WatchRank(self.DataCentre, self.Name) {
 			above++
 		}
 	}
 	c.entry.watcher.Store(above < watchersPerDataCentre)
 }
-
-func watchRank(dataCentre, name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(dataCentre + "/" + name))
-	return h.Sum64()
-}
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -5,7 +5,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,13 +35,21 @@
 
 	mu      sync.Mutex
 	limits  routing.Limits
-	current *handOff
-	servers []*http.Server
+	current *limitedServer
+	// earlier are the servers of former limits that may still have connections.
+	earlier []*limitedServer
+}
+
+// limitedServer serves the connections that are handed to it.
+type limitedServer struct {
+	http.Server
+	from *handOff
+	open atomic.Int64
 }
 
 func newCallerServer(h http.Handler, log *slog.Logger) *callerServer {
 	s := &callerServer{handler: h, log: log}
-	s.begin(routing.Limits{})
+	s.current = s.begin(routing.Limits{})
 	return s
 }
 
@@ -47,34 +57,57 @@
 func (s *callerServer) apply(l routing.Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l != s.limits {
-		s.begin(l)
+	if l == s.limits {
+		return
 	}
+	former := s.current
+	s.limits, s.current = l, s.begin(l)
+	_ = former.from.Close()
+	s.earlier = slices.DeleteFunc(append(s.earlier, former), func(v *limitedServer) bool { return v.open.Load() == 0 })
 }
 
-// begin starts a server with the limits. The caller holds the lock, or nobody else
-// has the value.
-func (s *callerServer) begin(l routing.Limits) {
-	srv := &http.Server{
-		Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
-	}
+// begin starts a server with the limits.
+func (s *callerServer) begin(l routing.Limits) *limitedServer {
+	v := &limitedServer{from: newHandOff()}
+	v.Handler, v.ErrorLog = s.handler, slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)
+	v.ReadHeaderTimeout, v.IdleTimeout, v.MaxHeaderBytes = headerTimeout, idleTimeout, headerBytes
 	if l.HeaderTimeout > 0 {
-		srv.ReadHeaderTimeout = l.HeaderTimeout
+		v.ReadHeaderTimeout = l.HeaderTimeout
 	}
 	if l.IdleTimeout > 0 {
-		srv.IdleTimeout = l.IdleTimeout
+		v.IdleTimeout = l.IdleTimeout
 	}
 	if l.HeaderBytes > 0 {
-		srv.MaxHeaderBytes = l.HeaderBytes
+		v.MaxHeaderBytes = l.HeaderBytes
+	}
+	v.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			v.open.Add(-1)
+		}
 	}
-	s.limits, s.current = l, newHandOff()
-	s.servers = append(s.servers, srv)
-	go func(from *handOff) {
-		if err := srv.Serve(from); !errors.Is(err, http.ErrServerClosed) {
+	go func() {
+		if err := v.Serve(v.from); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			s.log.Error("server of callers ended", "error", err.Error())
 		}
-	}(s.current)
+	}()
+	return v
+}
+
+// take hands a connection to the server, and reports whether it still takes any.
+func (v *limitedServer) take(c net.Conn) bool {
+	v.open.Add(1)
+	if v.from.give(c) {
+		return true
+	}
+	v.open.Add(-1)
+	return false
+}
+
+// present returns the server for new connections.
+func (s *callerServer) present() *limitedServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
 }
 
 // serve accepts connections until the listener is closed.
@@ -89,10 +122,22 @@
 			time.Sleep(acceptRetry)
 			continue
 		}
-		s.mu.Lock()
-		to := s.current
-		s.mu.Unlock()
-		to.give(conn)
+		s.hand(conn)
+	}
+}
+
+// hand gives a connection to the present server, or to its successor if that has
+// just been replaced.
+func (s *callerServer) hand(conn net.Conn) {
+	for {
+		v := s.present()
+		if v.take(conn) {
+			return
+		}
+		if v == s.present() { // the process ends
+			_ = conn.Close()
+			return
+		}
 	}
 }
 
@@ -100,7 +145,7 @@
 // listener must be closed.
 func (s *callerServer) shutdown(ctx context.Context) error {
 	s.mu.Lock()
-	servers := s.servers
+	servers := append(slices.Clone(s.earlier), s.current)
 	s.mu.Unlock()
 	ended := make(chan error, len(servers))
 	for _, srv := range servers {
@@ -126,11 +171,13 @@
 	return &handOff{conns: make(chan net.Conn), closed: make(chan struct{})}
 }
 
-func (h *handOff) give(c net.Conn) {
+// give hands over a connection, and reports whether the listener was still open.
+func (h *handOff) give(c net.Conn) bool {
 	select {
 	case h.conns <- c:
+		return true
 	case <-h.closed:
-		_ = c.Close()
+		return false
 	}
 }
 
--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/routing"
 )
 
 // dialCallers opens a connection as a caller does.
@@ -75,3 +77,40 @@
 	require.NoError(t, err, "a connection from before was cut")
 	require.Equal(t, http.StatusOK, status)
 }
+
+// Guards against connections that are lost while limits change, and against servers of
+// former limits that are kept for ever.
+func TestLimitsChangeOften(t *testing.T) {
+	r := startRunner(t, "r", func(w net.Conn, req *http.Request) { reply(w, req, "") })
+	d := newDeployment(t, config(), r)
+	g := d.start("g1")
+	g.target("r").heard(time.Now(), time.Now())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for i := range 200 {
+			g.callers.apply(routing.Limits{IdleTimeout: time.Second + time.Duration(i)})
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	requests := 0
+	for open := true; open; requests++ {
+		a := g.request(t.Context(), http.MethodGet, "/read/1", "")
+		require.NoError(t, a.err)
+		require.Equal(t, http.StatusOK, a.status)
+		select {
+		case <-ended:
+			open = false
+		default:
+		}
+	}
+	require.Greater(t, requests, 20)
+	limits := routing.Limits{IdleTimeout: time.Minute}
+	require.Eventually(t, func() bool {
+		limits.IdleTimeout++
+		g.callers.apply(limits)
+		g.callers.mu.Lock()
+		defer g.callers.mu.Unlock()
+		return len(g.callers.earlier) == 0
+	}, 2*time.Second, 10*time.Millisecond)
+}
--- a/gateway/watchers_test.go
+++ b/gateway/watchers_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/membership"
 )
 
 // learnWithin is the time in which a change must reach every instance: the bound
@@ -93,17 +96,41 @@
 	require.True(t, after, "the peer would have told")
 }
 
-// Guards against watches that are lost with one data centre.
-func TestWatchersAreInDifferentDataCentres(t *testing.T) {
-	var all []candidate
-	for i := range 9 {
-		all = append(all, candidate{fmt.Sprintf("g%d", i), fmt.Sprintf("dc%d", i%3)})
+// Guards against an instance that leaves the watch to one which leaves, is not heard,
+// or does not reach the service.
+func TestWhoMayWatchForOthers(t *testing.T) {
+	g := newDeployment(t, config()).start("g1").Gateway
+	now := time.Now()
+	heard := now.Add(time.Hour)
+	// Both have a higher rank than g1 and are in other data centres.
+	var names []string
+	for i := 0; len(names) < watchersHeard; i++ {
+		dc, name := fmt.Sprintf("dc%d", 10+i), fmt.Sprintf("p%d", i)
+		if membership.WatchRank(dc, name) > membership.WatchRank("dc1", "g1") {
+			names = append(names, dc+"/"+name)
+		}
+	}
+	for state, change := range map[string]func(*peer){
+		"sound":                      func(*peer) {},
+		"resting":                    func(p *peer) { p.reachable, p.resting = false, true },
+		"leaving":                    func(p *peer) { p.leaving = true },
+		"silent":                     func(p *peer) { p.heardAt = now.Add(-2 * heardFor) },
+		"does not reach the service": func(p *peer) { p.reachable = false },
+	} {
+		peers := map[string]*peer{}
+		for _, full := range names {
+			dc, name, _ := strings.Cut(full, "/")
+			peers[name] = &peer{heardAt: heard, reachable: true, record: record{DataCentre: dc}}
+			change(peers[name])
+		}
+		watch, ok := query(t.Context(), g.control, func() bool {
+			k := g.control
+			k.peers.byID, k.reachable, k.confirmedAt = peers, true, now
+			return k.shouldWatch(now)
+		})
+		require.True(t, ok)
+		require.Equal(t, state != "sound" && state != "resting", watch, state)
 	}
-	chosen := watchers(all)
-	require.Len(t, chosen, watchersHeard)
-	require.NotEqual(t, chosen[0].dataCentre, chosen[1].dataCentre)
-	require.Len(t, watchers([]candidate{{"a", "dc1"}}), 1)
-	require.Len(t, watchers([]candidate{{"a", "dc1"}, {"b", "dc1"}, {"c", "dc1"}}), watchersHeard)
 }
 
 // Guards against a coordinator that counts as alive because its instance runs again,
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -189,15 +189,22 @@
 	assert.False(t, term.renewed(late, late).valid(late), "a term that ended must not be revived by a renewal")
 }
 
+// startHolder runs a holder until stop.
+func startHolder(o Options) (h *Holder, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h = New(o)
+	done := make(chan struct{})
+	go func() { h.Run(ctx); close(done) }()
+	return h, func() { cancel(); <-done }
+}
+
 // Guards against a holder that gives up in an outage of the service although its
 // receivers fence it, and against one that goes on when its lease has lapsed.
 func TestPersistentHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := standin.NewKV()
-		ctx, cancel := context.WithCancel(t.Context())
-		h := New(Options{KV: kv.Direct(), Key: "k", Holder: "a", Persist: true, Times: Times{TTL: 3 * time.Second, Renew: time.Second, Margin: time.Second}})
-		done := make(chan struct{})
-		go func() { h.Run(ctx); close(done) }()
+		h, stop := startHolder(Options{KV: kv.Direct(), Key: "k", Holder: "a", Persist: true, Times: Times{TTL: 3 * time.Second, Renew: time.Second, Margin: time.Second}})
+		defer stop()
 		time.Sleep(2 * time.Second)
 		number, valid := h.Token()
 		require.True(t, valid)
@@ -211,8 +218,6 @@
 		next, valid := h.Token()
 		require.True(t, valid)
 		require.Greater(t, next, number, "the lease has lapsed in the outage, so the number is a new one")
-		cancel()
-		<-done
 	})
 }
 
@@ -225,16 +230,12 @@
 		require.NoError(t, err)
 		former, _, err := kv.Direct().Get(t.Context(), "k")
 		require.NoError(t, err)
-		ctx, cancel := context.WithCancel(t.Context())
-		h := New(Options{KV: kv.Direct(), Key: "k", Holder: "b", Dead: func(holder string) bool { return holder == "former" }, Times: Times{TTL: 3 * time.Second, Renew: time.Second, Margin: time.Second}})
-		done := make(chan struct{})
-		go func() { h.Run(ctx); close(done) }()
+		h, stop := startHolder(Options{KV: kv.Direct(), Key: "k", Holder: "b", Dead: func(holder string) bool { return holder == "former" }, Times: Times{TTL: 3 * time.Second, Renew: time.Second, Margin: time.Second}})
+		defer stop()
 		time.Sleep(10 * time.Millisecond)
 		number, valid := h.Token()
 		require.True(t, valid)
 		require.Greater(t, number, uint64(former.ModRevision))
-		cancel()
-		<-done
 	})
 }
 
@@ -243,10 +244,8 @@
 func TestResign(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := standin.NewKV()
-		ctx, cancel := context.WithCancel(t.Context())
-		h := New(Options{KV: kv.Direct(), Key: "k", Holder: "a", Times: Times{TTL: 3 * time.Second, Renew: time.Second, Margin: time.Second}})
-		done := make(chan struct{})
-		go func() { h.Run(ctx); close(done) }()
+		h, stop := startHolder(Options{KV: kv.Direct(), Key: "k", Holder: "a", Times: Times{TTL: 3 * time.Second, Renew: time.Second, Margin: time.Second}})
+		defer stop()
 		time.Sleep(10 * time.Millisecond)
 		first, valid := h.Token()
 		require.True(t, valid)
@@ -260,7 +259,5 @@
 		third, valid := h.Token()
 		require.True(t, valid)
 		require.Equal(t, second, third)
-		cancel()
-		<-done
 	})
 }
--- a/ranks/coordinate.go
+++ b/ranks/coordinate.go
@@ -135,20 +135,20 @@
 			o.Log.Info("lease lost", "group", group, "fencing", n, "reason", reason)
 		},
 	})
-	spare := newStandby(o, group, key)
+	reserve := newStandby(o, group, key)
 	held, release := context.WithCancel(context.WithoutCancel(ctx))
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	defer release()
 	wait.Go(func() { holder.Run(held) })
-	wait.Go(func() { spare.holder.Run(held) })
+	wait.Go(func() { reserve.holder.Run(held) })
 	l := &links{
 		engine: o.Engine, records: o.Records, items: o.Items, log: o.Log, group: group,
 		hello: &wirepb.Hello{Instance: o.Instance, Role: "coordinator"},
 	}
 	var k *coordinator
 	for ctx.Err() == nil {
-		token := c.token(ctx, group, holder, spare)
+		token := c.token(ctx, group, holder, reserve)
 		if token == nil {
 			if k != nil && o.Slow != nil {
 				o.Slow(group, nil)
@@ -174,19 +174,19 @@
 		if k.deposed != 0 && k.deposed == k.fencing {
 			c.drop(group)
 			holder.Resign(k.fencing)
-			spare.holder.Resign(k.fencing)
+			reserve.holder.Resign(k.fencing)
 		}
 	}
 	_, adopted := c.term(group)
-	if k != nil && (adopted || holder.Unanswered() || spare.holder.Unanswered()) && o.HandOver != nil {
+	if k != nil && (adopted || holder.Unanswered() || reserve.holder.Unanswered()) && o.HandOver != nil {
 		o.HandOver(Term{Group: group, Fencing: k.fencing, Maps: k.counter})
 	}
 }
 
 // token returns what allows this process to coordinate a group: its own lease, an
 // adopted term, or the number that it holds in reserve.
-func (c *Coordinators) token(ctx context.Context, group string, holder *lease.Holder, spare *standby) lease.Token {
-	takesOver := spare.takesOver(ctx)
+func (c *Coordinators) token(ctx context.Context, group string, holder *lease.Holder, reserve *standby) lease.Token {
+	takesOver := reserve.takesOver(ctx)
 	if _, valid := holder.Token(); valid {
 		c.drop(group)
 		return holder
@@ -195,7 +195,7 @@
 		return adoptedToken(t)
 	}
 	if takesOver {
-		return spare.holder
+		return reserve.holder
 	}
 	return nil
 }
