gateway: hand connections over under the lock

A connection that arrived while the limits changed was tried again at the successor; with the lock held for the hand-over the server can't be replaced meanwhile, and the second try is not needed.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -93,23 +93,6 @@
 	return v
 }
 
-// take hands a connection to the server, and reports whether it still takes any.
-func (v *limitedServer) take(c net.Conn) bool {
-	v.open.Add(1)
-	if v.from.give(c) {
-		return true
-	}
-	v.open.Add(-1)
-	return false
-}
-
-// present returns the server for new connections.
-func (s *callerServer) present() *limitedServer {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.current
-}
-
 // serve accepts connections until the listener is closed.
 func (s *callerServer) serve(l net.Listener) error {
 	for {
@@ -126,18 +109,15 @@
 	}
 }
 
-// hand gives a connection to the present server, or to its successor if that has
-// just been replaced.
+// hand gives a connection to the present server. The lock keeps that server from
+// being replaced meanwhile, so that no connection is lost.
 func (s *callerServer) hand(conn net.Conn) {
-	for {
-		v := s.present()
-		if v.take(conn) {
-			return
-		}
-		if v == s.present() { // the process ends
-			_ = conn.Close()
-			return
-		}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current.open.Add(1)
+	if !s.current.from.give(conn) { // the process ends
+		s.current.open.Add(-1)
+		_ = conn.Close()
 	}
 }
 
--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -85,6 +85,7 @@
 	d := newDeployment(t, config(), r)
 	g := d.start("g1")
 	g.target("r").heard(time.Now(), time.Now())
+	first := g.callers.current
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -105,6 +106,8 @@
 		}
 	}
 	require.Greater(t, requests, 20)
+	_, err := first.from.Accept()
+	require.ErrorIs(t, err, net.ErrClosed, "the server of the first limits still waits for connections")
 	limits := routing.Limits{IdleTimeout: time.Minute}
 	require.Eventually(t, func() bool {
 		limits.IdleTimeout++
