gateway: log why a stop began and how it goes on

The first line now has the reason and the time limit, a line each second shows the requests in progress, and the last one how many were cut.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -248,7 +248,7 @@
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
-		g.stop(l.Callers)
+		g.stop(context.Cause(ctx), l.Callers)
 	}
 	cancel()
 	_ = l.Peers.Close()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -17,18 +17,24 @@
 	// closed.
 	stopMargin       = 500 * time.Millisecond
 	stopPollInterval = 50 * time.Millisecond
+	// stopReportInterval is the pause between log lines about a stop in progress.
+	stopReportInterval = time.Second
 )
 
 // stop ends the instance without interrupting requests. Readiness and the list
 // of addresses direct callers to other instances, and requests that still
 // arrive are served.
-func (g *Gateway) stop(callers net.Listener) {
+func (g *Gateway) stop(reason error, callers net.Listener) {
 	startedAt := time.Now()
 	g.leaving.Store(true)
-	g.log.Info("stopping", "working", g.inFlight.Load())
-	lastActive := startedAt
+	g.log.Info("stopping", "reason", reason.Error(), "working", g.inFlight.Load(), "timeout_ms", g.opts.StopTimeout.Milliseconds())
+	lastActive, lastReport := startedAt, startedAt
 	for {
 		now := time.Now()
+		if now.Sub(lastReport) >= stopReportInterval {
+			lastReport = now
+			g.log.Info("stop in progress", "after_ms", now.Sub(startedAt).Milliseconds(), "working", g.inFlight.Load(), "refusing", g.refusing.Load())
+		}
 		if g.inFlight.Load() > 0 {
 			lastActive = now
 		}
@@ -49,5 +55,5 @@
 		g.log.Warn("listener not closed", "error", err.Error())
 	}
 	err := g.callers.shutdown(ctx)
-	g.log.Info("stopped", "after_ms", time.Since(startedAt).Milliseconds(), "cut", err != nil)
+	g.log.Info("stopped", "after_ms", time.Since(startedAt).Milliseconds(), "cut", err != nil, "working", g.inFlight.Load())
 }
