--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -34,9 +34,8 @@
 	return platformCommand("gateway", "Serve callers on the users' platform", runGateway)
 }
 
-func runGateway(ctx context.Context, path string, s *platform.Settings) error {
-	log, closeLog := newLog(s, "gateway")
-	defer closeLog()
+func runGateway(p *platformProcess) error {
+	ctx, s, log := p.signals.StopContext(), p.settings, p.log
 	callerListener, err := net.Listen("tcp", s.CallerAddr)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -65,7 +64,7 @@
 		return err
 	}
 	defer closeServers()
-	go watchSettings(ctx, path, s, log, func(n *platform.Settings) { g.SetLimits(gatewayLimits(n)) })
+	defer p.startReloads(func(n *platform.Settings) { g.SetLimits(gatewayLimits(n)) })()
 	coordinators = ranks.NewCoordinators(ranks.CoordinatorOptions{
 		Instance: s.Instance, HolderID: process, KV: store, Items: g.Items,
 		Records: platform.Records{}, Engine: platform.NewRanks(), Log: log,
--- a/daemon/cmd/skylarkd/main.go
+++ b/daemon/cmd/skylarkd/main.go
@@ -5,18 +5,16 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/role"
+	"github.com/skylarkstep/skylarkstep/daemon/signals"
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/engine/openai"
 	"github.com/skylarkstep/skylarkstep/engine/rankgroup"
@@ -47,13 +45,12 @@
 		Example: "  skylarkd run entry-burgos-1.json",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
+			registered := signals.Register()
 			s, err := loadSettings(args[0])
 			if err != nil {
 				return err
 			}
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-			defer stop()
-			return runRole(ctx, s)
+			return runRole(registered, s)
 		},
 	}
 }
@@ -84,7 +81,7 @@
 	return s, errors.Wrap(err, file)
 }
 
-func runRole(ctx context.Context, s *config.Settings) error {
+func runRole(registered *signals.Signals, s *config.Settings) error {
 	peerListener, err := net.Listen("tcp", s.PeerAddr)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
@@ -93,8 +90,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for HTTP")
 	}
-	return role.Run(ctx, role.Options{
+	return role.Run(registered.StopContext(), role.Options{
 		Settings:     s,
+		Signals:      registered,
 		LogOutput:    os.Stderr,
 		PeerListener: peerListener,
 		HTTPListener: httpListener,
--- a/daemon/cmd/skylarkd/rank.go
+++ b/daemon/cmd/skylarkd/rank.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"net"
 
 	"github.com/pkg/errors"
@@ -15,9 +14,8 @@
 	return platformCommand("rank", "Run beside a rank of a group on the users' platform", runRank)
 }
 
-func runRank(ctx context.Context, path string, s *platform.Settings) error {
-	log, closeLog := newLog(s, "rank")
-	defer closeLog()
+func runRank(p *platformProcess) error {
+	s, log := p.settings, p.log
 	if s.RunnerAddr == "" {
 		return errors.New("settings do not name the runner of a rank")
 	}
@@ -25,9 +23,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
-	go watchSettings(ctx, path, s, log, func(*platform.Settings) {})
+	defer p.startReloads(func(*platform.Settings) {})()
 	log.Info("started", "rank", s.RunnerAddr, "back_end", s.RunnerBackend)
-	err = ranks.RunAgent(ctx, ranks.AgentOptions{
+	err = ranks.RunAgent(p.signals.StopContext(), ranks.AgentOptions{
 		Instance: s.Instance, DataCentre: s.DataCentre, RankAddr: s.RunnerAddr, Backend: s.RunnerBackend,
 		PeerAddr: s.PeerAddr, KV: platform.NewStore(s.StoreURL), Records: platform.Records{},
 		Engine: platform.NewRanks(), Log: log,
--- /dev/null
+++ b/daemon/cmd/skylarkd/servers.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// serveAll starts an HTTP server per address and returns a function that closes
+// all of them. Handlers with an empty address are not served.
+func serveAll(log *slog.Logger, handlers map[string]http.Handler) (closeAll func(), err error) {
+	var servers []*http.Server
+	closeAll = func() {
+		for _, s := range servers {
+			_ = s.Close()
+		}
+	}
+	for addr, h := range handlers {
+		if addr == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			closeAll()
+			return nil, errors.Wrapf(err, "listen on %s", addr)
+		}
+		s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+		servers = append(servers, s)
+		go func() {
+			if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				log.Error("listener failed", "addr", addr, "error", err.Error())
+			}
+		}()
+	}
+	return closeAll, nil
+}
--- a/daemon/role/role.go
+++ b/daemon/role/role.go
@@ -13,6 +13,7 @@
 	"github.com/skylarkstep/skylarkstep/daemon/entry"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/daemon/signals"
 	"github.com/skylarkstep/skylarkstep/daemon/target"
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/infra"
@@ -21,7 +22,10 @@
 // Options are the settings and dependencies of a process. KV and Instances are
 // used by entries only, and Model, Service and Group by target processes only.
 type Options struct {
-	Settings     *config.Settings
+	Settings *config.Settings
+	// Signals are those of the process; nil if the role runs inside of another
+	// program.
+	Signals      *signals.Signals
 	LogOutput    io.Writer
 	PeerListener net.Listener
 	HTTPListener net.Listener
@@ -37,6 +41,11 @@
 	n := node.New(o.Settings, o.LogOutput)
 	n.Log.Info("started", "http_addr", o.HTTPListener.Addr().String(), "peer_addr", o.PeerListener.Addr().String())
 	defer n.Log.Info("stopped")
+	if o.Signals != nil {
+		signalCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		defer cancel()
+		go o.Signals.LogIgnored(signalCtx, n.Log)
+	}
 	if o.Settings.Role == config.RoleEntry {
 		e := entry.New(entry.Options{Settings: o.Settings, Node: n, KV: o.KV, Instances: o.Instances, PeerListener: limitConnections(o.PeerListener)})
 		return e.Run(ctx, limitConnections(o.HTTPListener))
