daemon/signals: a closed log pipe no longer ends the process

Callers saw their streams cut when the reader of a gateway's log went away: the next log line ended the process with "signal: broken pipe".

The Go runtime raises SIGPIPE for a write to a closed standard output or standard error unless the signal is registered. Registered, the write fails with EPIPE, which the log writer drops.

--- a/daemon/signals/signals.go
+++ b/daemon/signals/signals.go
@@ -23,7 +23,11 @@
 
 // Register registers the signals of the process. It must be called before any
 // other work.
+//
+// SIGPIPE is registered although nothing handles it: by default, a log line
+// written to a closed pipe would end the process.
 func Register() *Signals {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	stops := make(chan os.Signal, 1)
