--- a/telemetry/logwriter_test.go
+++ b/telemetry/logwriter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"sync"
 	"testing"
 	"time"
@@ -39,3 +40,43 @@
 	w.Close()
 	require.LessOrEqual(t, bytes.Count(out.buf.Bytes(), []byte("line")), 3*maxLinesPerSecond)
 }
+
+// Guards against a panic at the end of a process, when a goroutine logs after the
+// log was closed.
+func TestLogWriterAfterClose(t *testing.T) {
+	w := NewLogWriter(io.Discard)
+	w.Close()
+	_, err := w.Write([]byte("late\n"))
+	require.NoError(t, err)
+	w.Close()
+}
+
+// Guards against a process that cannot exit because nobody reads its log.
+func TestLogWriterCloseDoesNotWaitForReader(t *testing.T) {
+	out := &blockedWriter{unblocked: make(chan struct{})}
+	defer close(out.unblocked)
+	w := NewLogWriter(out)
+	_, err := w.Write([]byte("line\n"))
+	require.NoError(t, err)
+	closed := make(chan struct{})
+	go func() { w.Close(); close(closed) }()
+	select {
+	case <-closed:
+	case <-time.After(2 * closeTimeout):
+		require.Fail(t, "Close waits for the reader")
+	}
+}
+
+// Guards against dropped lines that are never reported, because no later line is
+// written.
+func TestLogWriterReportsDroppedLinesAtClose(t *testing.T) {
+	out := &blockedWriter{unblocked: make(chan struct{})}
+	w := NewLogWriter(out)
+	for range 2 * maxLinesPerSecond {
+		_, err := w.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	close(out.unblocked)
+	w.Close()
+	require.Contains(t, out.buf.String(), "log lines dropped")
+}
