daemon: requests for addresses and readiness are completed at the exit

A caller that asked for addresses in the last moment of a planned stop saw its connection closed without a response, since the servers for addresses, readiness and metrics were closed at once. They are shut down now, for 200 ms at most. TestClosedServersFinishRequests failed before (EOF).

--- a/daemon/cmd/skylarkd/servers.go
+++ b/daemon/cmd/skylarkd/servers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -9,12 +10,19 @@
 	"github.com/pkg/errors"
 )
 
+// serverCloseTimeout limits the wait for requests in progress when the servers for
+// readiness, addresses and metrics are closed.
+const serverCloseTimeout = 200 * time.Millisecond
+
 // serveAll starts an HTTP server per address and returns a function that closes
-// all of them. Handlers with an empty address are not served.
+// all of them once they have responded to the requests in progress. Handlers with an empty address are not served.
 func serveAll(log *slog.Logger, handlers map[string]http.Handler) (closeAll func(), err error) {
 	var servers []*http.Server
 	closeAll = func() {
+		ctx, cancel := context.WithTimeout(context.Background(), serverCloseTimeout)
+		defer cancel()
 		for _, s := range servers {
+			_ = s.Shutdown(ctx)
 			_ = s.Close()
 		}
 	}
