--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -206,6 +206,33 @@
 	require.NoError(d.t, err)
 }
 
+// processListener closes all of its connections when the process of a gateway
+// would exit, as the operating system does.
+type processListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *processListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, c)
+	return c, nil
+}
+
+func (l *processListener) exit() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		_ = c.Close()
+	}
+}
+
 // instance is a running gateway with its own access to the store.
 type instance struct {
 	*Gateway
@@ -215,6 +242,13 @@
 }
 
 func (d *deployment) start(id string) *instance {
+	i := d.launch(id)
+	require.Eventually(d.t, func() bool { return i.Ready() == nil }, 3*time.Second, 5*time.Millisecond)
+	return i
+}
+
+// launch starts a gateway and does not wait until it is ready.
+func (d *deployment) launch(id string) *instance {
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(d.t, err)
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
@@ -228,10 +262,13 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { _ = g.Run(ctx, Listeners{Callers: callers, Peers: peers}) })
+	process := &processListener{Listener: callers}
+	running.Go(func() {
+		defer process.exit()
+		_ = g.Run(ctx, Listeners{Callers: process, Peers: peers})
+	})
 	stop := sync.OnceFunc(func() { cancel(); running.Wait() })
 	d.t.Cleanup(func() { g.refusing.Store(true); stop() })
-	require.Eventually(d.t, func() bool { return g.Ready() == nil }, 3*time.Second, 5*time.Millisecond)
 	return &instance{Gateway: g, url: "http://" + callers.Addr().String(), kv: kv, stop: stop}
 }
 
