gateway: a waiter rejected for an outage keeps that error

A caller whose request was rejected for an outage of the back end just as its time in the queue ended was told that all targets are full, with the short Retry-After of a full queue, and came back while the outage lasted.

Cause: abandon looked for a granted slot only, not for a rejection. TestAbandonAfterRejection failed before (overloaded for no_target). The row of docs/FAULTS.md goes.

--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -189,14 +189,16 @@
 	return q.abandon(ctx, w)
 }
 
-// abandon removes a waiter from the queue, unless it was granted a slot in the
-// meantime.
+// abandon removes a waiter from the queue, unless it was granted a slot or
+// rejected in the meantime.
 func (q *queue) abandon(ctx context.Context, w *waiter) (*target, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	select {
 	case t := <-w.granted:
 		return t, nil
+	case <-w.rejected:
+		return nil, q.outageError(w.outageRetryAfter)
 	default:
 	}
 	if i := slices.Index(q.waiters, w); i >= 0 {
