gateway: queries end with the control goroutine

A caller that asked a gateway for addresses just after its planned stop waited for the control goroutine, which had ended, and was cut when the process exited. A coordinator that handed its term over at that time, or asked whether a holder has exited, waited without a limit, since its context never ends: the process stayed until SIGKILL.

Cause: post, call and query watch the context of their caller only. They now also watch the end of the goroutine. TestQueriesAfterStop failed before.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -38,6 +38,7 @@
 	g      *Gateway
 	log    *slog.Logger
 	inbox  chan func()
+	ended  chan struct{} // closed when the goroutine has ended
 	mirror *mirror.Mirror
 
 	config           *routing.Config
@@ -77,33 +78,36 @@
 
 func newControl(g *Gateway) *control {
 	return &control{
-		g: g, log: g.log, inbox: make(chan func(), 256), mirror: mirror.New(),
+		g: g, log: g.log, inbox: make(chan func(), 256), ended: make(chan struct{}), mirror: mirror.New(),
 		targets: map[string]*target{}, expired: map[string]time.Time{}, peers: newPeerTable(),
 		slowdownsByGroup: map[string]map[string]float64{},
 	}
 }
 
 // post queues f for the control goroutine and does not wait until it has run.
-// It drops f if ctx ends first.
+// It drops f if ctx or the control goroutine ends first.
 func (c *control) post(ctx context.Context, f func()) {
 	select {
 	case c.inbox <- f:
 	case <-ctx.Done():
+	case <-c.ended:
 	}
 }
 
-// call runs f on the control goroutine and waits until it has run or ctx ends.
+// call runs f on the control goroutine and waits until it has run, or until ctx
+// or the control goroutine ends.
 func (c *control) call(ctx context.Context, f func()) {
 	done := make(chan struct{})
 	c.post(ctx, func() { f(); close(done) })
 	select {
 	case <-done:
 	case <-ctx.Done():
+	case <-c.ended:
 	}
 }
 
 // query runs f on the control goroutine and returns its result, or false if ctx
-// has ended. The result is passed through a channel, because f may still run
+// or the control goroutine has ended. The result is passed through a channel, because f may still run
 // after the caller has stopped waiting.
 func query[T any](ctx context.Context, c *control, f func() T) (T, bool) {
 	value := make(chan T, 1)
@@ -112,12 +116,14 @@
 	case v := <-value:
 		return v, true
 	case <-ctx.Done():
-		var zero T
-		return zero, false
+	case <-c.ended:
 	}
+	var zero T
+	return zero, false
 }
 
 func (c *control) run(ctx context.Context) {
+	defer close(c.ended)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -237,11 +237,7 @@
 	group.Go(func() { g.control.watch(runCtx) })
 	group.Go(func() { g.dialPeers(runCtx) })
 	group.Go(func() { g.acceptPeers(runCtx, l.Peers) })
-	registered := make(chan struct{})
-	group.Go(func() {
-		defer close(registered)
-		g.ownRecord.Run(ctx)
-	})
+	group.Go(func() { g.ownRecord.Run(ctx) })
 	failed := make(chan error, 1)
 	go func() { failed <- g.callers.serve(l.Callers) }()
 	var err error
