gateway: a planned stop takes a request only if it fits into the remaining time

Cause: requests were taken for 4.5 s after SIGTERM whatever they take, and their work was given 7.5 s. A stream of 3.5 s that came after 4 s could not end.

stopWindow decides on each request, from the time that the stop has left and the time that such requests take (workTimes: the latest 256 completed requests of the route, those nearest in size). It is asked when the request arrives, after its body was read, in the queue, before the first send and before a retry; an upload ends when the time for the work would be missing. What does not fit gets a final 503 "leaving" with did_run, Retry-After and addresses of other instances. Requests of unknown times fit only if their deadline does. What is still in progress at the end gets a complete 504 where no byte was sent.

Also found in what outlives the begin of a stop, each with its test: - http.Server.Shutdown closes a kept connection while its caller is sending the header of a request. Connections are now closed only between requests. - Error responses during a stop left the connection open if the request had begun before it. - A request that waited for the first configuration was held although the process was stopping. - Calls that were not finished got a closed connection instead of a response.

--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -22,6 +24,24 @@
 	return nearest(all, from), g.opts.AddressTTL
 }
 
+const (
+	// maxOtherAddresses bounds the addresses in an error response.
+	maxOtherAddresses = 8
+	// otherAddressesTimeout bounds the time for which an error response waits
+	// for them.
+	otherAddressesTimeout = 100 * time.Millisecond
+)
+
+// otherAddresses returns addresses of instances that are reachable and not
+// leaving, for a caller that this instance rejects.
+func (g *Gateway) otherAddresses() []string {
+	ctx, cancel := context.WithTimeout(context.Background(), otherAddressesTimeout)
+	defer cancel()
+	live, _ := query(ctx, g.control, func() map[string]instanceRecord { return g.control.liveInstances(time.Now()) })
+	list := nearest(slices.Collect(maps.Values(live)), Locality{Region: g.opts.Region, DataCentre: g.opts.DataCentre})
+	return list[:min(len(list), maxOtherAddresses)]
+}
+
 // minAddresses is the number of addresses below which a caller also receives
 // those of a larger area.
 const minAddresses = 2
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -335,9 +335,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps net/http from detecting one
 	}
-	if x.g.leaving.Load() {
-		h.Set("Connection", "close")
-	}
+	x.closeConnectionIfLeaving()
 }
 
 func (x *exchange) write(p []byte) error {
--- /dev/null
+++ b/gateway/callerconns.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// newConnGrace is how long after its opening a connection counts as busy before
+// its caller has sent anything.
+const newConnGrace = 500 * time.Millisecond
+
+// callerConn is a connection of a caller. It records whether a request is on the
+// way: net/http counts a connection as idle until it has read the whole header,
+// and closing it would lose the request.
+type callerConn struct {
+	net.Conn
+	openedAt time.Time
+	// used is set once the caller has sent something, and busy from the first
+	// byte of a request to the end of its response.
+	used, busy atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.used.Store(true)
+		c.busy.Store(true)
+	}
+	return n, err
+}
+
+// CloseWrite closes the writing side. Without it, net/http would reset the
+// connection of a caller that is still uploading, and the caller would lose the
+// response.
+func (c *callerConn) CloseWrite() error {
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
+// mayCarryRequest reports whether the caller may be sending a request or
+// receiving a response.
+func (c *callerConn) mayCarryRequest(now time.Time) bool {
+	if !c.used.Load() {
+		return now.Sub(c.openedAt) < newConnGrace
+	}
+	return c.busy.Load()
+}
+
+// callerConns holds the open connections of callers.
+type callerConns struct {
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
+}
+
+func (s *callerConns) add(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = struct{}{}
+}
+
+// recordState updates a connection when its state at the server changes.
+func (s *callerConns) recordState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.busy.Store(true)
+	case http.StateIdle:
+		c.busy.Store(false)
+	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		delete(s.open, c)
+		s.mu.Unlock()
+	}
+}
+
+// busyCount returns how many connections may carry a request.
+func (s *callerConns) busyCount(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.open {
+		if c.mayCarryRequest(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// closeIdle closes the connections that carry no request and returns how many
+// remain.
+func (s *callerConns) closeIdle(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.open {
+		if c.mayCarryRequest(now) {
+			n++
+			continue
+		}
+		_ = c.Close()
+	}
+	return n
+}
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -32,6 +31,7 @@
 type callerServer struct {
 	handler http.Handler
 	log     *slog.Logger
+	conns   callerConns
 
 	mu      sync.Mutex
 	limits  routing.Limits
@@ -49,7 +49,7 @@
 }
 
 func newCallerServer(h http.Handler, log *slog.Logger) *callerServer {
-	s := &callerServer{handler: h, log: log}
+	s := &callerServer{handler: h, log: log, conns: callerConns{open: map[*callerConn]struct{}{}}}
 	s.current = s.startServer(routing.Limits{})
 	return s
 }
@@ -81,7 +81,8 @@
 	if l.MaxHeaderBytes > 0 {
 		srv.MaxHeaderBytes = l.MaxHeaderBytes
 	}
-	srv.ConnState = func(_ net.Conn, state http.ConnState) {
+	srv.ConnState = func(conn net.Conn, state http.ConnState) {
+		s.conns.recordState(conn, state)
 		if state == http.StateClosed {
 			srv.openConns.Add(-1)
 		}
@@ -112,33 +113,27 @@
 
 // dispatch passes a connection to the current server. The lock prevents the
 // server from being replaced in the meantime, so that no connection is lost.
-func (s *callerServer) dispatch(conn net.Conn) {
+func (s *callerServer) dispatch(accepted net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	conn := &callerConn{Conn: accepted, openedAt: time.Now()}
+	s.conns.add(conn)
 	s.current.openConns.Add(1)
-	if !s.current.listener.offer(conn) { // the process is stopping
+	if !s.current.listener.offer(conn) { // the process exits
+		s.conns.recordState(conn, http.StateClosed)
 		s.current.openConns.Add(-1)
 		_ = conn.Close()
 	}
 }
 
-// shutdown waits until the requests of all servers have completed. When ctx
-// ends, it stops waiting and returns an error. The listener must be closed.
-func (s *callerServer) shutdown(ctx context.Context) error {
+// close closes all connections of all servers.
+func (s *callerServer) close() {
 	s.mu.Lock()
 	servers := append(slices.Clone(s.draining), s.current)
 	s.mu.Unlock()
-	results := make(chan error, len(servers))
 	for _, srv := range servers {
-		go func() { results <- srv.Shutdown(ctx) }()
+		_ = srv.Close()
 	}
-	var firstErr error
-	for range servers {
-		if err := <-results; err != nil && firstErr == nil {
-			firstErr = errors.WithStack(err)
-		}
-	}
-	return firstErr
 }
 
 // handOffListener is a listener for connections that another listener has
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,9 +75,9 @@
 	snapshot     atomic.Pointer[snapshot]
 	// configured is closed when the first configuration is active.
 	configured chan struct{}
-	leaving    atomic.Bool
-	refusing   atomic.Bool // set late in a planned stop, when new requests are rejected
 	inFlight   atomic.Int64
+	workTimes  workTimes
+	stops      *stopState
 
 	limits atomic.Pointer[Limits]
 
@@ -90,7 +90,7 @@
 	g := &Gateway{
 		opts: o, id: o.Instance, log: o.Log, kv: o.KV, decoder: o.ItemDecoder, headers: o.Headers,
 		metrics: newMetrics(o.Registry, o.Log), peerSessions: &sessionTable{claimed: map[string]bool{}},
-		configured:   make(chan struct{}),
+		configured: make(chan struct{}), workTimes: workTimes{groups: map[workGroup]*workSamples{}}, stops: newStopState(),
 		retryBudgets: map[string]*routing.RetryBudget{},
 	}
 	g.limits.Store(&o.Limits)
@@ -132,8 +132,6 @@
 	switch {
 	case s == nil:
 		return nil, errkind.New(errkind.NotReady, "no configuration yet").WithRetryAfter(jitter(minRetryAfter))
-	case g.refusing.Load():
-		return nil, errkind.New(errkind.Leaving, "the instance is stopping").WithRetryAfter(minRetryAfter / 2)
 	case g.isIsolated():
 		return nil, errkind.New(errkind.Isolated, "the configuration may have changed; use another address").WithRetryAfter(minRetryAfter)
 	}
@@ -143,7 +141,7 @@
 // Ready returns nil if the instance should receive new callers, or the reason
 // why not.
 func (g *Gateway) Ready() error {
-	if g.leaving.Load() {
+	if g.isLeaving() {
 		return errkind.New(errkind.Leaving, "the instance is stopping")
 	}
 	_, err := g.servingSnapshot()
@@ -246,6 +244,7 @@
 	case <-ctx.Done():
 		g.stop(context.Cause(ctx), l.Callers)
 	}
+	g.callers.close()
 	cancel()
 	_ = l.Peers.Close()
 	group.Wait()
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,6 +57,9 @@
 	// to.
 	triedTargets map[string]bool
 	lastErr      error
+	firstSentAt  time.Time // when a slot for the first attempt was granted
+	// stopDecision is the last decision on the request in a planned stop, or nil.
+	stopDecision *stopDecision
 	queueTime    time.Duration
 	lastTarget   string
 	eventCount   int
@@ -67,13 +71,12 @@
 	x := &exchange{g: g, w: w, r: r, startedAt: time.Now(), meta: g.headers.Request(r.Header), triedTargets: map[string]bool{}}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	x.closeConnectionIfLeaving()
 	err := x.serve()
 	if err != nil {
 		x.writeError(err)
 	}
+	x.recordWorkTime(err)
 	x.report(err)
 	if errors.Is(err, errInterrupted) {
 		panic(http.ErrAbortHandler)
@@ -92,6 +95,7 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.g.stops.cut, cancel)()
 	x.g.countFirstAttempt(x.backend)
 	if x.route.Kind == routing.Stream {
 		return x.serveStream(ctx)
@@ -122,7 +126,7 @@
 	if t := x.startedAt.Add(x.route.Timeout); x.route.Timeout > 0 && t.Before(x.deadline) {
 		x.deadline = t
 	}
-	return nil
+	return x.checkStop(time.Now())
 }
 
 // awaitSnapshot returns the snapshot by which the request is served. A process
@@ -134,11 +138,16 @@
 	if errkind.KindOf(err) != errkind.NotReady {
 		return s, err
 	}
+	if x.g.isLeaving() {
+		return nil, x.leavingError()
+	}
 	timer := time.NewTimer(time.Duration(outageQueueTimeShare * float64(x.meta.Deadline)))
 	defer timer.Stop()
 	select {
 	case <-x.g.configured:
 		return x.g.servingSnapshot()
+	case <-x.g.stops.began.Done():
+		return nil, x.leavingError()
 	case <-x.r.Context().Done():
 	case <-timer.C:
 	}
@@ -157,16 +166,20 @@
 	if !x.hasBody {
 		return nil
 	}
+	finish := x.limitUpload()
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	finish()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return x.leavingError()
 	case errors.As(err, &tooLarge):
 		return errkind.New(errkind.TooLarge, "the body exceeds %d bytes", limit)
 	case err != nil:
 		return errkind.Wrap(err, errkind.Canceled, "read the body")
 	}
 	x.body = body
-	return nil
+	return x.checkStop(time.Now())
 }
 
 // mayUseTarget reports whether the request may be sent to a target.
@@ -180,20 +193,36 @@
 	if x.countedAttempts >= x.route.MaxAttempts {
 		return nil, x.attemptsFailedError()
 	}
+	if err := x.checkStop(time.Now()); err != nil {
+		return nil, err
+	}
 	if x.timesSent > 0 && !x.g.takeRetry(x.backend) {
 		x.g.metrics.retriesRefused.Inc(1)
 		return nil, x.attemptsFailedError()
 	}
 	queuedAt := time.Now()
 	t, err := x.g.queues.forBackend(x.backend).acquire(ctx, slotRequest{
-		backend: x.backend, priority: routing.Priority(x.route, x.customer), isAllowed: x.mayUseTarget, latencyGoalAt: x.startedAt.Add(x.route.LatencyGoal),
+		backend: x.backend, priority: routing.Priority(x.route, x.customer), isAllowed: x.mayUseTarget, latencyGoalAt: x.startedAt.Add(x.route.LatencyGoal), stopLimit: x.latestSend,
 		waitUntil: x.limitToCallerIdleTimeout(x.afterShare(queuedAt, queueTimeShare)), outageWaitUntil: x.afterShare(queuedAt, outageQueueTimeShare), outageRetryAfter: time.Duration(outageRetryAfterShare * float64(x.deadline.Sub(queuedAt))),
 	})
-	x.queueTime += time.Since(queuedAt)
+	now := time.Now()
+	x.queueTime += now.Sub(queuedAt)
+	if stopErr := x.checkStop(now); stopErr != nil {
+		if err == nil {
+			x.g.queues.forBackend(x.backend).releaseSlot(t, 0)
+		}
+		return nil, stopErr
+	}
 	if err == nil {
 		x.triedTargets[t.ID] = true
+		if x.firstSentAt.IsZero() {
+			x.firstSentAt = now
+		}
 		return t, nil
 	}
+	if errkind.KindOf(err) == errkind.Leaving && !x.mayHaveRun {
+		return nil, x.leavingError()
+	}
 	if x.timesSent > 0 {
 		return nil, x.attemptsFailedError()
 	}
@@ -257,6 +286,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		return errkind.Wrap(x.r.Context().Err(), errkind.Canceled, "the caller disconnected")
+	case x.g.stops.cut.Err() != nil:
+		return x.cutError()
 	case x.mayHaveRun:
 		return errkind.New(errkind.DeadlineExceeded, "no complete response before the deadline")
 	default:
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -231,7 +231,7 @@
 func (c *control) heartbeat(now time.Time) *wirepb.PeerBeat {
 	b := &wirepb.PeerBeat{
 		Instance: c.g.id, StoreRevision: c.mirror.Revision(), StoreAgeMs: neverConfirmedAgeMs,
-		Leaving: c.g.leaving.Load(), StoreReachable: c.storeReachable && !c.following, StoreResting: c.following, Process: c.g.opts.Process,
+		Leaving: c.g.isLeaving(), StoreReachable: c.storeReachable && !c.following, StoreResting: c.following, Process: c.g.opts.Process,
 	}
 	if !c.confirmedAt.IsZero() {
 		b.StoreAgeMs = uint64(now.Sub(c.confirmedAt).Milliseconds())
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -38,6 +38,9 @@
 	// waitUntil is when waiting ends, and outageWaitUntil when it ends while
 	// the whole back end refuses requests.
 	waitUntil, outageWaitUntil time.Time
+	// stopLimit returns when waiting ends in a planned stop, or the zero time if
+	// no stop limits it.
+	stopLimit func() time.Time
 	// outageRetryAfter is the Retry-After if the back end remains unavailable.
 	outageRetryAfter time.Duration
 }
@@ -58,6 +61,20 @@
 	return 0
 }
 
+// limitToStop ends the wait early enough for a planned stop. It reports whether
+// that was necessary.
+func (r *slotRequest) limitToStop() bool {
+	if r.stopLimit == nil {
+		return false
+	}
+	limit := r.stopLimit()
+	if limit.IsZero() || !limit.Before(r.waitUntil) {
+		return false
+	}
+	r.waitUntil = limit
+	return true
+}
+
 // queue holds the requests that wait for a free slot at the targets of one back
 // end.
 type queue struct {
@@ -162,6 +179,8 @@
 // not be served in time.
 func (q *queue) acquire(ctx context.Context, req slotRequest) (*target, error) {
 	now := time.Now()
+	began := q.g.stops.began.Done()
+	stopLimited := req.limitToStop()
 	q.mu.Lock()
 	if q.waitersAhead(req.priority) == 0 {
 		if t := q.assignTarget(&req, now); t != nil {
@@ -171,6 +190,9 @@
 	}
 	if err := q.admissionError(&req, now); err != nil {
 		q.mu.Unlock()
+		if stopLimited && errkind.KindOf(err) == errkind.Overloaded {
+			return nil, errkind.Wrap(err, errkind.Leaving, "no free slot early enough in the planned stop")
+		}
 		return nil, err
 	}
 	w := &waiter{slotRequest: req, granted: make(chan *target, 1), rejected: make(chan struct{})}
@@ -178,15 +200,22 @@
 	q.mu.Unlock()
 	timer := time.NewTimer(time.Until(req.waitUntil))
 	defer timer.Stop()
-	select {
-	case t := <-w.granted:
-		return t, nil
-	case <-w.rejected:
-		return nil, q.outageError(w.outageRetryAfter)
-	case <-timer.C:
-	case <-ctx.Done():
+	for {
+		select {
+		case t := <-w.granted:
+			return t, nil
+		case <-w.rejected:
+			return nil, q.outageError(w.outageRetryAfter)
+		case <-began:
+			began = nil
+			req.limitToStop()
+			timer.Reset(time.Until(req.waitUntil))
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		return q.abandon(ctx, w)
 	}
-	return q.abandon(ctx, w)
 }
 
 // abandon removes a waiter from the queue, unless it was granted a slot or
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -27,6 +27,17 @@
 	t.lastChunkAt = now
 }
 
+// errorBody is the JSON body of an error response of the gateway itself.
+type errorBody struct {
+	Kind         string `json:"kind"`
+	Message      string `json:"message"`
+	RequestID    string `json:"request_id"`
+	DidRun       string `json:"did_run"`
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+	// Addresses are other instances to use while this one stops.
+	Addresses []string `json:"addresses,omitempty"`
+}
+
 // writeError writes an error response of the gateway itself, unless a response
 // was already begun.
 func (x *exchange) writeError(err error) {
@@ -37,17 +48,25 @@
 	if kind == errkind.Canceled && x.r.Context().Err() != nil {
 		return // the caller has disconnected
 	}
+	x.closeConnectionIfLeaving()
 	response := kind.Response()
 	h := x.w.Header()
 	if x.meta.ID != "" {
 		x.g.headers.SetID(h, x.meta.ID)
 	}
-	if d := errkind.From(err).RetryAfter; d > 0 {
-		x.g.headers.SetRetryAfter(h, d)
+	retryAfter := errkind.From(err).RetryAfter
+	if retryAfter > 0 {
+		x.g.headers.SetRetryAfter(h, retryAfter)
 	}
 	h.Set("Content-Type", "application/json")
 	x.w.WriteHeader(response.Status)
-	body := map[string]string{"kind": kind.String(), "message": err.Error(), "request_id": x.meta.ID}
+	body := errorBody{
+		Kind: kind.String(), Message: err.Error(), RequestID: x.meta.ID,
+		DidRun: errkind.From(err).DidRun.String(), RetryAfterMs: retryAfter.Milliseconds(),
+	}
+	if retryAfter > 0 && x.g.isLeaving() {
+		body.Addresses = x.g.otherAddresses()
+	}
 	if err := json.NewEncoder(x.w).Encode(body); err != nil {
 		x.g.log.Debug("error response not written", "request", x.meta.ID, "error", err.Error())
 	}
@@ -80,6 +99,9 @@
 		attrs = append(attrs, slog.Int("events", x.eventCount), slog.Int64("first_event_ms", x.timing.firstChunkAt.Sub(x.startedAt).Milliseconds()),
 			slog.Int64("longest_gap_ms", x.timing.longestGap.Milliseconds()))
 	}
+	if d := x.stopDecision; d != nil {
+		attrs = append(attrs, slog.Int64("stop_left_ms", d.left.Milliseconds()), slog.Int64("work_ms", d.work.Milliseconds()), slog.Bool("work_known", d.known))
+	}
 	if x.lastErr != nil {
 		attrs = append(attrs, slog.String("last_failure", x.lastErr.Error()))
 	}
--- /dev/null
+++ b/gateway/worktime.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+const (
+	// maxWorkSamples is how many completed requests of a route are remembered,
+	// and minWorkSamples how many are needed for an estimate.
+	maxWorkSamples, minWorkSamples = 256, 4
+	// similarShare is the share of the samples that an estimate uses: those
+	// nearest in size, which are all of them if the sizes are unknown. minSimilar is the least number of them.
+	similarShare, minSimilar = 0.25, 8
+	// workQuantile is the quantile of the similar samples that an estimate takes.
+	// A request that is cut costs its caller far more than one that is rejected.
+	workQuantile = 0.99
+	// workMargin multiplies the quantile and workSlack is added: the remaining
+	// instances have more load while one stops, and the response must still
+	// reach the caller.
+	workMargin = 1.25
+	workSlack  = 200 * time.Millisecond
+	// promptTokenSize is the size of a prompt token relative to an output token.
+	// Engines read a prompt about two orders of magnitude faster than they write.
+	promptTokenSize = 0.01
+	// maxWorkGroups bounds the routes and back ends that are remembered, since
+	// configurations add and remove routes.
+	maxWorkGroups = 1024
+)
+
+// workGroup identifies requests that take similar times: those of a route, or of
+// all routes of a kind to a back end if the route is empty.
+type workGroup struct {
+	route, backend string
+	kind           routing.Kind
+}
+
+// workSample is the time that a completed request took, from the first send to a
+// target until the caller had the response.
+type workSample struct {
+	size float64 // as returned by requestSize
+	took time.Duration
+}
+
+// workSamples holds the latest samples of a group.
+type workSamples struct {
+	samples []workSample
+	next    int // index that the next sample replaces, once there are maxWorkSamples
+}
+
+// workTimes estimates how long requests take, from those that this process has
+// completed. It answers a load of requests whose times differ by route, and
+// within a route by the number of tokens.
+type workTimes struct {
+	mu     sync.Mutex
+	groups map[workGroup]*workSamples
+}
+
+// requestSize returns the size of a request in output tokens, or 0 if unknown.
+func requestSize(m RequestMeta) float64 {
+	return float64(m.OutputTokens) + promptTokenSize*float64(m.PromptTokens)
+}
+
+// record adds a completed request.
+func (w *workTimes) record(g workGroup, s workSample) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.add(g, s)
+	g.route = ""
+	w.add(g, s)
+}
+
+// add adds a sample to a group. The caller holds w.mu.
+func (w *workTimes) add(g workGroup, s workSample) {
+	group := w.groups[g]
+	if group == nil {
+		w.makeRoom()
+		group = &workSamples{}
+		w.groups[g] = group
+	}
+	if len(group.samples) < maxWorkSamples {
+		group.samples = append(group.samples, s)
+		return
+	}
+	group.samples[group.next] = s
+	group.next = (group.next + 1) % maxWorkSamples
+}
+
+// makeRoom forgets any one group if there are maxWorkGroups. The caller holds
+// w.mu.
+func (w *workTimes) makeRoom() {
+	if len(w.groups) < maxWorkGroups {
+		return
+	}
+	for g := range w.groups {
+		delete(w.groups, g)
+		return
+	}
+}
+
+// estimate returns how long nearly all requests of the given size take, and false
+// if too few of the route and of its back end have completed.
+func (w *workTimes) estimate(g workGroup, size float64) (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, candidate := range []workGroup{g, {backend: g.backend, kind: g.kind}} {
+		group := w.groups[candidate]
+		if group != nil && len(group.samples) >= minWorkSamples {
+			return time.Duration(workMargin*group.quantile(size)) + workSlack, true
+		}
+	}
+	return 0, false
+}
+
+// quantile returns the workQuantile of the times of the samples nearest in size,
+// in nanoseconds. Times of smaller requests are scaled up to the size.
+func (s *workSamples) quantile(size float64) float64 {
+	distances := make([]float64, len(s.samples))
+	for i, sample := range s.samples {
+		distances[i] = math.Abs(sample.size - size)
+	}
+	slices.Sort(distances)
+	similar := max(minSimilar, int(similarShare*float64(len(distances))))
+	maxDistance := distances[min(similar, len(distances))-1]
+	var times []float64
+	for _, sample := range s.samples {
+		if math.Abs(sample.size-size) <= maxDistance {
+			times = append(times, sample.scaledTo(size))
+		}
+	}
+	slices.Sort(times)
+	return times[min(len(times)-1, int(workQuantile*float64(len(times))))]
+}
+
+// scaledTo returns the time of the sample in nanoseconds, scaled up if the size
+// is larger.
+func (s workSample) scaledTo(size float64) float64 {
+	if s.size > 0 && size > s.size {
+		return float64(s.took) * size / s.size
+	}
+	return float64(s.took)
+}
--- /dev/null
+++ b/gateway/worktime_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+func newWorkTimes() *workTimes { return &workTimes{groups: map[workGroup]*workSamples{}} }
+
+var chatGroup = workGroup{route: "chat", backend: "b", kind: routing.Stream}
+
+// Guards against requests that are taken during a stop without knowing how long
+// they take, and against an estimate that ignores what other routes of the back
+// end show.
+func TestWorkTimeNeedsSamples(t *testing.T) {
+	w := newWorkTimes()
+	for range minWorkSamples - 1 {
+		w.record(chatGroup, workSample{took: time.Second})
+	}
+	_, known := w.estimate(chatGroup, 0)
+	require.False(t, known)
+	other := workGroup{route: "other", backend: "b", kind: routing.Stream}
+	w.record(other, workSample{took: time.Second})
+	work, known := w.estimate(chatGroup, 0)
+	require.True(t, known, "the requests of both routes are enough")
+	require.Equal(t, time.Duration(workMargin*float64(time.Second))+workSlack, work)
+	_, known = w.estimate(workGroup{route: "read", backend: "b", kind: routing.Idempotent}, 0)
+	require.False(t, known, "calls say nothing about streams")
+}
+
+// Guards against long requests that are estimated by the many short ones of
+// their route, whether or not their sizes are known.
+func TestWorkTimeOfRareLongRequests(t *testing.T) {
+	sized, unsized := newWorkTimes(), newWorkTimes()
+	for n := range maxWorkSamples {
+		size := 10.0
+		if n%20 == 0 {
+			size = 200
+		}
+		took := time.Duration(size) * 20 * time.Millisecond
+		sized.record(chatGroup, workSample{size: size, took: took})
+		unsized.record(chatGroup, workSample{took: took})
+	}
+	long, _ := sized.estimate(chatGroup, 200)
+	require.GreaterOrEqual(t, long, 4*time.Second)
+	longer, _ := sized.estimate(chatGroup, 400)
+	require.GreaterOrEqual(t, longer, 8*time.Second, "larger than any that has completed")
+	short, _ := sized.estimate(chatGroup, 10)
+	require.Less(t, short, time.Second, "short requests would be rejected in vain")
+	unknown, _ := unsized.estimate(chatGroup, 0)
+	require.GreaterOrEqual(t, unknown, 4*time.Second)
+}
+
+// Guards against an estimate that follows a change of the load too late or never,
+// and against memory that grows with each route that a configuration adds.
+func TestWorkTimeForgets(t *testing.T) {
+	w := newWorkTimes()
+	for range maxWorkSamples {
+		w.record(chatGroup, workSample{took: 5 * time.Second})
+	}
+	for range maxWorkSamples {
+		w.record(chatGroup, workSample{took: time.Second})
+	}
+	work, _ := w.estimate(chatGroup, 0)
+	require.Less(t, work, 2*time.Second)
+	for n := range 3 * maxWorkGroups {
+		w.record(workGroup{route: string(rune(n)), backend: "b"}, workSample{took: time.Second})
+	}
+	require.LessOrEqual(t, len(w.groups), maxWorkGroups)
+}
+
+// Guards against requests that are taken although they end after the stop, and
+// against rejected requests whose caller would have its final response in time.
+// The times are those of a stop of 8 s.
+func TestStopWindow(t *testing.T) {
+	beganAt := time.Now()
+	w := &stopWindow{beganAt: beganAt, endsAt: beganAt.Add(7600 * time.Millisecond)}
+	for name, c := range map[string]struct {
+		arrives, deadline, work time.Duration
+		known                   bool
+		fits                    bool
+	}{
+		"long stream, early":              {100 * time.Millisecond, 8 * time.Second, 4 * time.Second, true, true},
+		"long stream, late":               {4200 * time.Millisecond, 8 * time.Second, 4 * time.Second, true, false},
+		"short call, late":                {7 * time.Second, 3 * time.Second, 300 * time.Millisecond, true, true},
+		"short call, at the end":          {7400 * time.Millisecond, 3 * time.Second, 300 * time.Millisecond, true, false},
+		"nothing known, long deadline":    {0, 8 * time.Second, 0, false, false},
+		"nothing known, deadline in time": {time.Second, 3 * time.Second, 0, false, true},
+		"deadline in time":                {3 * time.Second, 4 * time.Second, 6 * time.Second, true, true},
+		"after the end":                   {7700 * time.Millisecond, time.Second, 0, true, false},
+	} {
+		now := beganAt.Add(c.arrives)
+		require.Equal(t, c.fits, w.decide(now, now.Add(c.deadline), c.work, c.known).fits(now), name)
+	}
+}
