gateway: estimates of work times hold for few samples and guessed sizes

Others were estimated at up to 22 s though no stream had taken 4 s, and were rejected in vain.

Cause: a route that has completed some 25 requests was estimated by the eight nearest in size. And a size is often a guess: the expected length exceeds even the maximum that the same request states, and the time of a short request was scaled to it without a limit.

--- a/gateway/worktime.go
+++ b/gateway/worktime.go
@@ -10,12 +10,15 @@
 )
 
 const (
-	// maxWorkSamples is how many completed requests of a route are remembered,
-	// and minWorkSamples how many are needed for an estimate.
-	maxWorkSamples, minWorkSamples = 256, 4
+	// maxWorkSamples is how many completed requests of a route are remembered.
+	// With fewer than fullWorkSamples, the other routes of the back end count
+	// too, and with fewer than minWorkSamples there is no estimate.
+	maxWorkSamples, fullWorkSamples, minWorkSamples = 256, 32, 4
 	// similarShare is the share of the samples that an estimate uses: those
-	// nearest in size, which are all of them if the sizes are unknown. minSimilar is the least number of them.
-	similarShare, minSimilar = 0.25, 8
+	// nearest in size, which are all of them if the sizes are unknown. minSimilar
+	// is the least number of them. Callers' sizes are guesses, so that the few
+	// nearest samples may all be shorter than the request.
+	similarShare, minSimilar = 0.25, 32
 	// workQuantile is the quantile of the similar samples that an estimate takes.
 	// A request that is cut costs its caller far more than one that is rejected.
 	workQuantile = 0.99
@@ -107,29 +110,40 @@
 func (w *workTimes) estimate(g workGroup, size float64) (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, candidate := range []workGroup{g, {backend: g.backend, kind: g.kind}} {
-		group := w.groups[candidate]
-		if group != nil && len(group.samples) >= minWorkSamples {
-			return time.Duration(workMargin*group.quantile(size)) + workSlack, true
+	nearly := 0.0
+	route := w.groups[g]
+	if route != nil {
+		nearly = route.quantile(size)
+	}
+	if route == nil || len(route.samples) < fullWorkSamples {
+		all := w.groups[workGroup{backend: g.backend, kind: g.kind}]
+		if all == nil || len(all.samples) < minWorkSamples {
+			return 0, false
 		}
+		nearly = max(nearly, all.quantile(size))
 	}
-	return 0, false
+	return time.Duration(workMargin*nearly) + workSlack, true
 }
 
 // quantile returns the workQuantile of the times of the samples nearest in size,
-// in nanoseconds. Times of smaller requests are scaled up to the size.
+// in nanoseconds. Times of smaller requests are scaled up to the size, but not
+// beyond what the longest of all samples shows: a large size is often a guess.
 func (s *workSamples) quantile(size float64) float64 {
 	distances := make([]float64, len(s.samples))
+	largest := workSample{}
 	for i, sample := range s.samples {
 		distances[i] = math.Abs(sample.size - size)
+		largest.size = max(largest.size, sample.size)
+		largest.took = max(largest.took, sample.took)
 	}
 	slices.Sort(distances)
 	similar := max(minSimilar, int(similarShare*float64(len(distances))))
 	maxDistance := distances[min(similar, len(distances))-1]
+	limit := largest.scaledTo(size)
 	var times []float64
 	for _, sample := range s.samples {
 		if math.Abs(sample.size-size) <= maxDistance {
-			times = append(times, sample.scaledTo(size))
+			times = append(times, min(limit, sample.scaledTo(size)))
 		}
 	}
 	slices.Sort(times)
--- a/gateway/worktime_test.go
+++ b/gateway/worktime_test.go
@@ -55,6 +55,26 @@
 	require.GreaterOrEqual(t, unknown, 4*time.Second)
 }
 
+// Guards against the few requests that a route has completed deciding alone, and
+// against an estimate far beyond all times because a caller guessed a large size.
+func TestWorkTimeOfFewSamplesAndGuesses(t *testing.T) {
+	w := newWorkTimes()
+	for range minWorkSamples {
+		w.record(chatGroup, workSample{size: 10, took: time.Second})
+	}
+	other := workGroup{route: "other", backend: "b", kind: routing.Stream}
+	for range fullWorkSamples {
+		w.record(other, workSample{size: 10, took: 3 * time.Second})
+	}
+	work, _ := w.estimate(chatGroup, 10)
+	require.GreaterOrEqual(t, work, 3*time.Second)
+	for n := range fullWorkSamples {
+		w.record(chatGroup, workSample{size: float64(n + 1), took: time.Second})
+	}
+	work, _ = w.estimate(chatGroup, fullWorkSamples)
+	require.Less(t, work, 2*time.Second)
+}
+
 // Guards against an estimate that follows a change of the load too late or never,
 // and against memory that grows with each route that a configuration adds.
 func TestWorkTimeForgets(t *testing.T) {
