gateway: a stopping instance counts as long as it sends requests

While gateways stopped, the others took their shares of the limits at once: of the requests per second that a target in warm-up tolerates, and of the retry budget. A stopping gateway serves for seconds more and keeps to its own share, so that all together exceeded the limits; when all stop, each took the whole.

Cause: instanceCount left out peers that are leaving. TestStoppingInstanceCounts failed before (1 instead of 2).

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -46,6 +46,7 @@
 	targets          map[string]*target
 	expired          map[string]time.Time // targets whose entries expired, with the time of the deletion
 	peers            *peerTable
+	reachablePeers   int                           // as of the last tick; the snapshot depends on it
 	slowdownsByGroup map[string]map[string]float64 // by rank group and address of a target
 
 	// confirmedAt is when the cached copy was last known to be up to date.
@@ -143,6 +144,9 @@
 	c.removeExpired(now)
 	c.peers.removeOld(now)
 	c.recordStoreOutage(now)
+	if n := c.peers.reachableCount(now); n != c.reachablePeers {
+		c.reachablePeers, c.needsPublish = n, true
+	}
 	c.updateFreshness(now)
 	c.updateIsolation(now)
 	for _, t := range c.targets {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -59,8 +59,11 @@
 	return live
 }
 
-// instanceCount returns the number of instances including this one.
-func (c *control) instanceCount(now time.Time) int { return len(c.liveInstances(now)) + 1 }
+// instanceCount returns the number of instances that send requests, including
+// this one. Peers that are leaving still do.
+func (c *control) instanceCount(now time.Time) int {
+	return len(c.liveInstances(now)) + c.peers.leavingCount(now) + 1
+}
 
 // ProcessExited reports whether a process of another instance is presumed to
 // have exited: its heartbeats have stopped although those of others arrive, or
--- a/gateway/peertable.go
+++ b/gateway/peertable.go
@@ -39,6 +39,17 @@
 	return n
 }
 
+// leavingCount returns the number of leaving peers whose heartbeats arrive.
+func (p *peerTable) leavingCount(now time.Time) int {
+	n := 0
+	for _, peer := range p.byID {
+		if peer.leaving && now.Sub(peer.lastHeartbeatAt) < peerTimeout {
+			n++
+		}
+	}
+	return n
+}
+
 // anyReachesStore reports whether a reachable peer reaches the store.
 func (p *peerTable) anyReachesStore(now time.Time) bool {
 	for _, peer := range p.byID {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -440,3 +440,27 @@
 	require.Equal(t, errkind.NoTarget, errkind.KindOf(err))
 	require.GreaterOrEqual(t, errkind.From(err).RetryAfter, 30*time.Second)
 }
+
+// Guards against a stopping instance that no longer counts although it still
+// sends requests: its peers would take its share of the limits of targets that
+// warm up, and of the retries.
+func TestStoppingInstanceCounts(t *testing.T) {
+	t.Parallel()
+	fake, ran := startTimedTarget(t, "r")
+	d := newDeployment(t, config(), fake)
+	d.stopTimeout = stopMargin + 1500*time.Millisecond
+	a, b := d.start("a"), d.start("b")
+	count := func() int { return a.snapshot.Load().instanceCount }
+	require.Eventually(t, func() bool { return count() == 2 }, 2*time.Second, 5*time.Millisecond)
+	go b.request(t.Context(), http.MethodPost, "/book/long", "")
+	require.Eventually(t, func() bool { return ran.has("id-/book/long") }, time.Second, time.Millisecond)
+	stopped := b.beginStop(t)
+	require.Eventually(t, func() bool {
+		list, _ := a.Addresses(Locality{})
+		return len(list) == 1
+	}, time.Second, time.Millisecond, "the stop is not known")
+	time.Sleep(2 * heartbeatInterval)
+	require.Equal(t, 2, count())
+	<-stopped
+	require.Eventually(t, func() bool { return count() == 1 }, 2*peerTimeout, 5*time.Millisecond)
+}
