gateway: callers are sent to instances with time left while all stop

Cause: leaving instances were never named. When no instance is live, the directory now names the leaving ones that serve for two more address TTLs, and a refusal names those that have time for the request. Its Retry-After is short only if at least half of the others are such: callers may pick from an older list.

--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -9,21 +9,36 @@
 )
 
 // Addresses returns the addresses that a caller at the given location should
-// use, and how long it may cache them.
+// use, and how long it may cache them. While all instances are leaving, these are
+// the ones that serve for some time yet.
 func (g *Gateway) Addresses(from Locality) ([]string, time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	live, _ := query(ctx, g.control, func() map[string]instanceRecord { return g.control.liveInstances(time.Now()) })
-	all := make([]instanceRecord, 0, len(live)+1)
-	for _, r := range live {
-		all = append(all, r)
-	}
+	all, _ := query(ctx, g.control, func() []instanceRecord {
+		return g.control.usableInstances(leavingAddressTTLs*g.opts.AddressTTL, time.Now())
+	})
 	if g.Ready() == nil {
 		all = append(all, instanceRecord{CallerAddr: g.opts.CallerAddr, DataCentre: g.opts.DataCentre, Region: g.opts.Region})
 	}
 	return nearest(all, from), g.opts.AddressTTL
 }
 
+// leavingAddressTTLs is the time that a leaving instance must have left to be
+// named to callers, in units of the time for which they cache its address: they
+// use it until then, and their last request takes time.
+const leavingAddressTTLs = 2
+
+// usableInstances returns the other instances that are live. If there are none
+// and this one is leaving as well, it returns those that are leaving and have at
+// least the given time left.
+func (c *control) usableInstances(atLeast time.Duration, now time.Time) []instanceRecord {
+	live := slices.Collect(maps.Values(c.liveInstances(now)))
+	if len(live) > 0 || !c.g.isLeaving() {
+		return live
+	}
+	return c.peers.leavingWithTime(c.g.opts.StopTimeout, atLeast, now)
+}
+
 const (
 	// maxOtherAddresses bounds the addresses in an error response.
 	maxOtherAddresses = 8
@@ -32,14 +47,28 @@
 	otherAddressesTimeout = 100 * time.Millisecond
 )
 
-// otherAddresses returns addresses of instances that are reachable and not
-// leaving, for a caller that this instance rejects.
-func (g *Gateway) otherAddresses() []string {
+// alternatives are the instances that a caller may use while this one stops.
+type alternatives struct {
+	addresses []string
+	// share is the part of the reachable instances that they are. A caller that
+	// picks an address of its own list finds one of them with this probability.
+	share float64
+}
+
+// alternatives returns the instances that have time for a request which takes
+// work.
+func (g *Gateway) alternatives(work time.Duration) alternatives {
 	ctx, cancel := context.WithTimeout(context.Background(), otherAddressesTimeout)
 	defer cancel()
-	live, _ := query(ctx, g.control, func() map[string]instanceRecord { return g.control.liveInstances(time.Now()) })
-	list := nearest(slices.Collect(maps.Values(live)), Locality{Region: g.opts.Region, DataCentre: g.opts.DataCentre})
-	return list[:min(len(list), maxOtherAddresses)]
+	found, _ := query(ctx, g.control, func() alternatives {
+		now := time.Now()
+		live := g.control.liveInstances(now)
+		usable := append(slices.Collect(maps.Values(live)), g.control.peers.leavingWithTime(g.opts.StopTimeout, work, now)...)
+		list := nearest(usable, Locality{Region: g.opts.Region, DataCentre: g.opts.DataCentre})
+		others := len(live) + g.control.peers.leavingCount(now)
+		return alternatives{list[:min(len(list), maxOtherAddresses)], float64(len(usable)) / float64(max(1, others))}
+	})
+	return found
 }
 
 // minAddresses is the number of addresses below which a caller also receives
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -60,10 +60,13 @@
 	firstSentAt  time.Time // when a slot for the first attempt was granted
 	// stopDecision is the last decision on the request in a planned stop, or nil.
 	stopDecision *stopDecision
-	queueTime    time.Duration
-	lastTarget   string
-	eventCount   int
-	timing       streamTiming
+	// otherAddresses are instances that the caller may use, if the request was
+	// rejected for the stop.
+	otherAddresses []string
+	queueTime      time.Duration
+	lastTarget     string
+	eventCount     int
+	timing         streamTiming
 }
 
 // ServeHTTP implements http.Handler. It serves the requests of callers.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -312,6 +312,9 @@
 	if r, ok := c.instanceRecords()[id]; ok {
 		p.record = r
 	}
+	if b.GetLeaving() && !p.leaving && !p.lastHeartbeatAt.IsZero() {
+		p.leavingSince = now
+	}
 	p.session, p.process = session, b.GetProcess()
 	p.lastHeartbeatAt, p.leaving, p.storeReachable, p.following = now, b.GetLeaving(), b.GetStoreReachable(), b.GetStoreResting()
 	p.slowdowns = make(map[string]float64, len(b.GetSlow()))
--- a/gateway/peertable.go
+++ b/gateway/peertable.go
@@ -12,7 +12,10 @@
 	process         string
 	lastHeartbeatAt time.Time
 	leaving         bool
-	storeReachable  bool
+	// leavingSince is when the planned stop of the peer was first heard of; zero
+	// if it may have begun long before.
+	leavingSince   time.Time
+	storeReachable bool
 	// following is set while the peer does not watch the store itself.
 	following        bool
 	requestsByTarget map[string]uint32
@@ -50,6 +53,22 @@
 	return n
 }
 
+// leavingWithTime returns the leaving peers whose planned stop leaves at least the
+// given time, if all instances have the same stop timeout.
+func (p *peerTable) leavingWithTime(timeout, atLeast time.Duration, now time.Time) []instanceRecord {
+	var found []instanceRecord
+	for _, peer := range p.byID {
+		reachable := now.Sub(peer.lastHeartbeatAt) < peerTimeout && peer.record.CallerAddr != ""
+		if !reachable || !peer.leaving || peer.leavingSince.IsZero() {
+			continue
+		}
+		if left := timeout - stopMargin - now.Sub(peer.leavingSince); left >= atLeast {
+			found = append(found, peer.record)
+		}
+	}
+	return found
+}
+
 // anyReachesStore reports whether a reachable peer reaches the store.
 func (p *peerTable) anyReachesStore(now time.Time) bool {
 	for _, peer := range p.byID {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -62,10 +62,7 @@
 	x.w.WriteHeader(response.Status)
 	body := errorBody{
 		Kind: kind.String(), Message: err.Error(), RequestID: x.meta.ID,
-		DidRun: errkind.From(err).DidRun.String(), RetryAfterMs: retryAfter.Milliseconds(),
-	}
-	if retryAfter > 0 && x.g.isLeaving() {
-		body.Addresses = x.g.otherAddresses()
+		DidRun: errkind.From(err).DidRun.String(), RetryAfterMs: retryAfter.Milliseconds(), Addresses: x.otherAddresses,
 	}
 	if err := json.NewEncoder(x.w).Encode(body); err != nil {
 		x.g.log.Debug("error response not written", "request", x.meta.ID, "error", err.Error())
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -161,13 +161,23 @@
 	}
 }
 
+// manyAlternativesShare is the share of the other instances that must have time
+// for a rejected request, so that its caller is told to retry soon.
+const manyAlternativesShare = 0.5
+
 // leavingError returns the error for a request that a planned stop leaves too
-// little time for. It has not run. If no other instance is known, the
+// little time for. It has not run. If few instances have time for it, the
 // Retry-After is long: callers that retried at once would use up their retries
 // before an instance is back.
 func (x *exchange) leavingError() error {
+	work := time.Duration(0)
+	if x.stopDecision != nil {
+		work = x.stopDecision.work
+	}
+	found := x.g.alternatives(work)
+	x.otherAddresses = found.addresses
 	retryAfter := minRetryAfter / 2
-	if len(x.g.otherAddresses()) == 0 {
+	if found.share < manyAlternativesShare {
 		retryAfter = max(minRetryAfter, time.Duration(outageRetryAfterShare*float64(x.meta.Deadline)))
 	}
 	return errkind.New(errkind.Leaving, "the instance is stopping and has too little time for the request").
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -464,3 +464,36 @@
 	<-stopped
 	require.Eventually(t, func() bool { return count() == 1 }, 2*peerTimeout, 5*time.Millisecond)
 }
+
+// Guards against callers that find no address, or are told to wait for long,
+// while all instances stop one after the other: the last ones still have time.
+func TestAddressesWhileAllStop(t *testing.T) {
+	t.Parallel()
+	fake, ran := startTimedTarget(t, "r")
+	d := newDeployment(t, config(), fake)
+	d.stopTimeout = stopMargin + 2600*time.Millisecond
+	a, b := d.start("a"), d.start("b")
+	lists := func(g *instance, n int) func() bool {
+		return func() bool { list, _ := g.Addresses(Locality{}); return len(list) == n }
+	}
+	require.Eventually(t, lists(a, 2), 2*time.Second, 5*time.Millisecond)
+	require.Eventually(t, lists(b, 2), 2*time.Second, 5*time.Millisecond)
+	a.learn(t, "/chat/")
+	conn := a.keepConn(t)
+	a.beginStop(t)
+	beganAt := time.Now()
+	require.Eventually(t, lists(b, 1), time.Second, 5*time.Millisecond)
+	time.Sleep(time.Until(beganAt.Add(time.Second)))
+	b.beginStop(t)
+	require.Eventually(t, func() bool {
+		list, _ := a.Addresses(Locality{})
+		return len(list) == 1 && list[0] == b.opts.CallerAddr
+	}, 2*heartbeatInterval, 5*time.Millisecond)
+	time.Sleep(time.Until(beganAt.Add(1700 * time.Millisecond)))
+	resp := conn.send("/chat/late", "late")
+	checkRefused(t, resp, "late", ran)
+	var body errorBody
+	require.NoError(t, json.Unmarshal([]byte(resp.body), &body))
+	require.Equal(t, []string{b.opts.CallerAddr}, body.Addresses)
+	require.Less(t, body.RetryAfterMs, minRetryAfter.Milliseconds())
+}
