gateway: leaving instances are not named by the directory

They kept these addresses for 2 s, in which most requests no longer fitted there, and learned late which instances were back. That part is reverted; a refusal still names the instances that have time for the request itself.

--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -9,36 +9,23 @@
 )
 
 // Addresses returns the addresses that a caller at the given location should
-// use, and how long it may cache them. While all instances are leaving, these are
-// the ones that serve for some time yet.
+// use, and how long it may cache them. Instances that are leaving are not named,
+// not even if all are: callers would use them until they reject most requests,
+// and would learn later which instances are back.
 func (g *Gateway) Addresses(from Locality) ([]string, time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	all, _ := query(ctx, g.control, func() []instanceRecord {
-		return g.control.usableInstances(leavingAddressTTLs*g.opts.AddressTTL, time.Now())
-	})
+	live, _ := query(ctx, g.control, func() map[string]instanceRecord { return g.control.liveInstances(time.Now()) })
+	all := make([]instanceRecord, 0, len(live)+1)
+	for _, r := range live {
+		all = append(all, r)
+	}
 	if g.Ready() == nil {
 		all = append(all, instanceRecord{CallerAddr: g.opts.CallerAddr, DataCentre: g.opts.DataCentre, Region: g.opts.Region})
 	}
 	return nearest(all, from), g.opts.AddressTTL
 }
 
-// leavingAddressTTLs is the time that a leaving instance must have left to be
-// named to callers, in units of the time for which they cache its address: they
-// use it until then, and their last request takes time.
-const leavingAddressTTLs = 2
-
-// usableInstances returns the other instances that are live. If there are none
-// and this one is leaving as well, it returns those that are leaving and have at
-// least the given time left.
-func (c *control) usableInstances(atLeast time.Duration, now time.Time) []instanceRecord {
-	live := slices.Collect(maps.Values(c.liveInstances(now)))
-	if len(live) > 0 || !c.g.isLeaving() {
-		return live
-	}
-	return c.peers.leavingWithTime(c.g.opts.StopTimeout, atLeast, now)
-}
-
 const (
 	// maxOtherAddresses bounds the addresses in an error response.
 	maxOtherAddresses = 8
