gateway: peers hear of a planned stop at once

For up to 250 ms after SIGTERM the other instances named a stopping one to callers that asked for addresses, since they heard of the stop with its next heartbeat only. A heartbeat is now sent when the stop begins.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -196,11 +196,17 @@
 	id := session.Peer().GetInstance()
 	go func() {
 		defer cancel()
+		stopBegan := g.stops.began.Done()
 		for ctx.Err() == nil {
 			if err := g.sendHeartbeat(ctx, session); err != nil {
 				return
 			}
-			ctxtime.Sleep(ctx, heartbeatInterval)
+			select {
+			case <-time.After(heartbeatInterval):
+			case <-stopBegan: // the peer must not name this instance any longer
+				stopBegan = nil
+			case <-ctx.Done():
+			}
 		}
 	}()
 	go func() {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -494,3 +494,24 @@
 	require.Equal(t, []string{b.opts.CallerAddr}, body.Addresses)
 	require.Less(t, body.RetryAfterMs, minRetryAfter.Milliseconds())
 }
+
+// Guards against callers that are sent to an instance because its peers hear of
+// its planned stop only with its next heartbeat.
+func TestStopIsAnnouncedAtOnce(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, config())
+	a, b := d.start("a"), d.start("b")
+	heard := func() (at time.Time, leaving bool) {
+		a.control.call(context.Background(), func() {
+			if p := a.control.peers.byID["b"]; p != nil {
+				at, leaving = p.lastHeartbeatAt, p.leaving
+			}
+		})
+		return at, leaving
+	}
+	require.Eventually(t, func() bool { at, _ := heard(); return !at.IsZero() }, 2*time.Second, time.Millisecond)
+	first, _ := heard()
+	require.Eventually(t, func() bool { at, _ := heard(); return at.After(first) }, time.Second, time.Millisecond)
+	b.beginStop(t) // the next heartbeat is due a whole interval later
+	require.Eventually(t, func() bool { _, leaving := heard(); return leaving }, heartbeatInterval/2, time.Millisecond)
+}
