gateway: a reload changes the stop timeout too

A gateway kept the stop timeout of its start. If the operator shortened the time until SIGKILL later, a stop went on until the process was killed, and cut everything in progress; if it was made longer, the stop ended early and rejected requests in vain. The timeout is now one of the limits that a reload replaces. TestStopTimeoutChanges guards it; it could not be written before, since there was no way to change the timeout.

--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -51,7 +51,7 @@
 	g := gateway.New(gateway.Options{
 		TakeOver: func(t gateway.Term) { coordinators.TakeOver(ranks.Term(t)) },
 		Instance: s.Instance, Process: process, DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions,
-		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, StopTimeout: s.StopTimeout, AddressTTL: addressListMaxAge,
+		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, AddressTTL: addressListMaxAge,
 		Limits: gatewayLimits(s), KV: store,
 		ItemDecoder: platform.Records{}, Headers: platform.Headers{}, Log: log, Registry: registry,
 	})
@@ -87,6 +87,7 @@
 func gatewayLimits(s *platform.Settings) gateway.Limits {
 	return gateway.Limits{
 		MaxIsolatedStaleness: s.ConfigApplyTimeout + s.DisturbedApplyExtension - refuseMargin,
+		StopTimeout:          s.StopTimeout,
 		Retries:              routing.RetryLimits{Ratio: s.RetryBudgetRatio, Slack: s.RetryBudgetSlack, Window: s.RetryBudgetWindow},
 	}
 }
--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -50,7 +50,7 @@
 	found, _ := query(ctx, g.control, func() alternatives {
 		now := time.Now()
 		live := g.control.liveInstances(now)
-		usable := append(slices.Collect(maps.Values(live)), g.control.peers.leavingWithTime(g.opts.StopTimeout, work, now)...)
+		usable := append(slices.Collect(maps.Values(live)), g.control.peers.leavingWithTime(g.limits.Load().StopTimeout, work, now)...)
 		list := nearest(usable, Locality{Region: g.opts.Region, DataCentre: g.opts.DataCentre})
 		others := len(live) + g.control.peers.leavingCount(now)
 		return alternatives{list[:min(len(list), maxOtherAddresses)], float64(len(usable)) / float64(max(1, others))}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,8 +31,6 @@
 	// CallerAddr is the address for callers, and PeerAddr the one for the other
 	// instances.
 	CallerAddr, PeerAddr string
-	// StopTimeout is the longest time that a planned stop may take.
-	StopTimeout time.Duration
 	// AddressTTL is how long callers may cache a list of addresses.
 	AddressTTL time.Duration
 	Limits     Limits
@@ -54,7 +52,10 @@
 	// instance may be: one that reaches neither the store nor another instance.
 	// Beyond it, the instance rejects requests.
 	MaxIsolatedStaleness time.Duration
-	Retries              routing.RetryLimits
+	// StopTimeout is the longest time that a planned stop may take. A change
+	// during a stop has no effect on it.
+	StopTimeout time.Duration
+	Retries     routing.RetryLimits
 }
 
 // Gateway is one instance of the load balancer.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -256,8 +256,8 @@
 	kv := &faultyKV{KV: d.kv.Direct()}
 	g := New(Options{
 		Instance: id, DataCentre: "dc1", Region: "r1", Regions: map[string]string{"dc1": "r1"},
-		CallerAddr: callers.Addr().String(), PeerAddr: peers.Addr().String(), StopTimeout: d.stopTimeout, AddressTTL: time.Second,
-		Limits: Limits{MaxIsolatedStaleness: 6 * time.Second, Retries: routing.RetryLimits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}},
+		CallerAddr: callers.Addr().String(), PeerAddr: peers.Addr().String(), AddressTTL: time.Second,
+		Limits: Limits{MaxIsolatedStaleness: 6 * time.Second, StopTimeout: d.stopTimeout, Retries: routing.RetryLimits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}},
 		KV:     kv, ItemDecoder: testDecoder{}, Headers: testHeaders{}, Log: d.logger, Registry: metrics.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -55,10 +55,11 @@
 // Connections are closed while they carry no request.
 func (g *Gateway) stop(reason error, callers net.Listener) {
 	now := time.Now()
-	w := &stopWindow{beganAt: now, endsAt: now.Add(g.opts.StopTimeout - stopMargin)}
+	timeout := g.limits.Load().StopTimeout
+	w := &stopWindow{beganAt: now, endsAt: now.Add(timeout - stopMargin)}
 	g.stops.window.Store(w)
 	g.stops.announce()
-	g.log.Info("stopping", "reason", reason.Error(), "working", g.inFlight.Load(), "timeout_ms", g.opts.StopTimeout.Milliseconds())
+	g.log.Info("stopping", "reason", reason.Error(), "working", g.inFlight.Load(), "timeout_ms", timeout.Milliseconds())
 	g.serveUntilIdle(w)
 	if err := callers.Close(); err != nil {
 		g.log.Warn("listener not closed", "error", err.Error())
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -515,3 +515,24 @@
 	b.beginStop(t) // the next heartbeat is due a whole interval later
 	require.Eventually(t, func() bool { _, leaving := heard(); return leaving }, heartbeatInterval/2, time.Millisecond)
 }
+
+// Guards against a stop that lasts longer than its timeout, or ends early, since
+// the timeout has changed while the process ran.
+func TestStopTimeoutChanges(t *testing.T) {
+	t.Parallel()
+	fake, ran := startTimedTarget(t, "r")
+	d := newDeployment(t, config(), fake)
+	d.stopTimeout = 8 * time.Second
+	g := d.start("g1")
+	go g.request(t.Context(), http.MethodPost, "/book/long", "")
+	require.Eventually(t, func() bool { return ran.has("id-/book/long") }, time.Second, time.Millisecond)
+	limits := *g.limits.Load()
+	limits.StopTimeout = stopMargin + 300*time.Millisecond
+	g.SetLimits(limits)
+	stopped := g.beginStop(t)
+	select {
+	case <-stopped:
+	case <-time.After(time.Second):
+		require.Fail(t, "the process would have been killed")
+	}
+}
