gateway: a caller's guess of the length does not decide in a stop

Cause: its caller expected 57 tokens and the response had 345, the maximum that the request states. The estimate took the samples nearest to the guess. Ruled out: load (the events came as fast as in other streams, 52 ms apart), a slow rank, too few samples (33 of the route and as many of others).

The size of a request is now the maximum that it states. The guess is kept apart in RequestMeta (ExpectedOutputTokens) and decides nothing. Estimates use half of the samples, 64 at least. TestWorkTimeDoesNotTrustGuesses fails with the guess as the size.

--- a/gateway/report.go
+++ b/gateway/report.go
@@ -90,7 +90,7 @@
 		attrs = append(attrs, slog.String("route", x.route.Name), slog.String("back_end", x.backend))
 	}
 	if x.meta.PromptTokens > 0 {
-		attrs = append(attrs, slog.Int("prompt_tokens", x.meta.PromptTokens), slog.Int("output_tokens", x.meta.OutputTokens))
+		attrs = append(attrs, slog.Int("prompt_tokens", x.meta.PromptTokens), slog.Int("max_output_tokens", x.meta.MaxOutputTokens))
 	}
 	if x.eventCount > 0 {
 		attrs = append(attrs, slog.Int("events", x.eventCount), slog.Int64("first_event_ms", x.timing.firstChunkAt.Sub(x.startedAt).Milliseconds()),
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -16,8 +16,10 @@
 	// LastEventID is the id of the last event that the caller received, if it
 	// resumes a stream.
 	LastEventID string
-	// PromptTokens and OutputTokens are sizes in tokens; zero if unknown.
-	PromptTokens, OutputTokens int
+	// PromptTokens is the size of the prompt, and MaxOutputTokens the most that
+	// the response may have; zero if unknown. ExpectedOutputTokens is the caller's
+	// guess, which is often far off.
+	PromptTokens, MaxOutputTokens, ExpectedOutputTokens int
 }
 
 // ForwardMeta holds what the gateway adds to the headers of a forwarded
--- a/gateway/worktime.go
+++ b/gateway/worktime.go
@@ -15,10 +15,10 @@
 	// too, and with fewer than minWorkSamples there is no estimate.
 	maxWorkSamples, fullWorkSamples, minWorkSamples = 256, 32, 4
 	// similarShare is the share of the samples that an estimate uses: those
-	// nearest in size, which are all of them if the sizes are unknown. minSimilar
-	// is the least number of them. Callers' sizes are guesses, so that the few
-	// nearest samples may all be shorter than the request.
-	similarShare, minSimilar = 0.25, 32
+	// nearest in size, and all others of the same sizes. minSimilar is the least
+	// number of them. With fewer, all of them may by chance have ended far below
+	// their maximum.
+	similarShare, minSimilar = 0.5, 64
 	// workQuantile is the quantile of the similar samples that an estimate takes.
 	// A request that is cut costs its caller far more than one that is rejected.
 	workQuantile = 0.99
@@ -27,9 +27,6 @@
 	// reach the caller.
 	workMargin = 1.25
 	workSlack  = 200 * time.Millisecond
-	// promptTokenSize is the size of a prompt token relative to an output token.
-	// Engines read a prompt about two orders of magnitude faster than they write.
-	promptTokenSize = 0.01
 	// maxWorkGroups bounds the routes and back ends that are remembered, since
 	// configurations add and remove routes.
 	maxWorkGroups = 1024
@@ -63,10 +60,11 @@
 	groups map[workGroup]*workSamples
 }
 
-// requestSize returns the size of a request in output tokens, or 0 if unknown.
-func requestSize(m RequestMeta) float64 {
-	return float64(m.OutputTokens) + promptTokenSize*float64(m.PromptTokens)
-}
+// requestSize returns the size of a request: the most tokens that the response may
+// have, or 0 if unknown. The caller's guess of the length says too little: one
+// that is a sixth of the length was seen. Prompts are read about two orders of
+// magnitude faster than responses are written.
+func requestSize(m RequestMeta) float64 { return float64(m.MaxOutputTokens) }
 
 // record adds a completed request.
 func (w *workTimes) record(g workGroup, s workSample) {
@@ -127,7 +125,7 @@
 
 // quantile returns the workQuantile of the times of the samples nearest in size,
 // in nanoseconds. Times of smaller requests are scaled up to the size, but not
-// beyond what the longest of all samples shows: a large size is often a guess.
+// beyond what the longest of all samples shows.
 func (s *workSamples) quantile(size float64) float64 {
 	distances := make([]float64, len(s.samples))
 	largest := workSample{}
--- a/gateway/worktime_test.go
+++ b/gateway/worktime_test.go
@@ -75,6 +75,24 @@
 	require.Less(t, work, 2*time.Second)
 }
 
+// Guards against a long request that is taken late in a stop because its caller
+// expects a short response. The guesses and lengths are those of a played day: a
+// stream of 345 tokens was announced as 57.
+func TestWorkTimeDoesNotTrustGuesses(t *testing.T) {
+	w := newWorkTimes()
+	record := func(expected int, took time.Duration) {
+		w.record(chatGroup, workSample{size: requestSize(RequestMeta{MaxOutputTokens: 345, ExpectedOutputTokens: expected}), took: took})
+	}
+	for n := range 2 * fullWorkSamples {
+		record(20+n, time.Duration(400+20*n)*time.Millisecond)
+	}
+	for _, expected := range []int{117, 201, 249, 267, 345} {
+		record(expected, 3400*time.Millisecond)
+	}
+	work, _ := w.estimate(chatGroup, requestSize(RequestMeta{MaxOutputTokens: 345, ExpectedOutputTokens: 57}))
+	require.GreaterOrEqual(t, work, 3514*time.Millisecond)
+}
+
 // Guards against an estimate that follows a change of the load too late or never,
 // and against memory that grows with each route that a configuration adds.
 func TestWorkTimeForgets(t *testing.T) {
