mirror: an older delta brings no deleted key back

A gateway that pulled changes from two peers could merge the older reply last. If a key was put at 5 and deleted at 6, the older delta stored it again: a target that has gone, or a data centre that is back in service, reappeared until the next list.

The copy compared revisions only with items that it holds. It now also keeps the revision of the last recorded deletion of each key, and ignores items up to the last complete list that the copy lacks. The deletion of a key that the copy lacks is recorded as well, since a replica of it may hold the key.

TestOldDeltaBringsNothingBack and TestOldDeltaBringsNothingBackAfterList failed with [a] as changed keys, TestDeletionOfUnknownKeyIsPassedOn since the replica kept the key.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -32,13 +32,17 @@
 type Mirror struct {
 	items     map[string]infra.Item
 	deletions []Deletion
+	// deletedAt holds the revision of the last recorded deletion of each key.
+	deletedAt map[string]int64
 	revision  int64
 	// deletionsSince is the revision after which all deletions are recorded.
 	deletionsSince int64
 }
 
 // New returns an empty copy at revision 0.
-func New() *Mirror { return &Mirror{items: map[string]infra.Item{}} }
+func New() *Mirror {
+	return &Mirror{items: map[string]infra.Item{}, deletedAt: map[string]int64{}}
+}
 
 // Revision returns the revision of the store as of which the copy is complete.
 func (m *Mirror) Revision() int64 { return m.revision }
@@ -78,33 +82,41 @@
 	return changed
 }
 
-// applyItem stores or deletes an item unless the copy holds a newer one. It
-// reports whether the copy changed.
+// applyItem stores or deletes an item unless the copy has received a newer
+// change of the key. It reports whether the copy changed. The deletion of a key
+// that the copy lacks is recorded too: another instance may hold the key.
 func (m *Mirror) applyItem(it infra.Item, deleted bool) bool {
 	old, exists := m.items[it.Key]
-	if exists && old.ModRevision >= it.ModRevision {
+	if exists && old.ModRevision >= it.ModRevision || !exists && m.deletedSince(it.Key, it.ModRevision) {
 		return false
 	}
 	if !deleted {
 		m.items[it.Key] = it
 		return true
 	}
-	if !exists {
-		return false
-	}
 	delete(m.items, it.Key)
 	m.recordDeletion(Deletion{it.Key, it.ModRevision})
-	return true
+	return exists
+}
+
+// deletedSince reports whether a key that the copy lacks was deleted at the
+// revision or later. Up to deletionsSince, the copy lacks deleted keys only.
+func (m *Mirror) deletedSince(key string, revision int64) bool {
+	return revision <= max(m.deletedAt[key], m.deletionsSince)
 }
 
 // recordDeletion records a deletion for DeltaSince. It discards the older half
 // of the records if there are too many.
 func (m *Mirror) recordDeletion(d Deletion) {
 	m.deletions = append(m.deletions, d)
+	m.deletedAt[d.Key] = max(m.deletedAt[d.Key], d.Revision)
 	if len(m.deletions) > maxRecordedDeletions {
 		half := len(m.deletions) / 2
 		for _, old := range m.deletions[:half] {
 			m.deletionsSince = max(m.deletionsSince, old.Revision)
+			if m.deletedAt[old.Key] == old.Revision {
+				delete(m.deletedAt, old.Key)
+			}
 		}
 		m.deletions = slices.Clone(m.deletions[half:])
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -28,6 +28,37 @@
 	require.EqualValues(t, 6, m.Revision())
 }
 
+// Guards against an older delta of another instance that arrives after a newer one
+// and brings a deleted key back.
+func TestOldDeltaBringsNothingBack(t *testing.T) {
+	m := New()
+	m.Merge(Delta{Revision: 6, Items: []infra.Item{{Key: "b", ModRevision: 4}}, Deleted: []Deletion{{"a", 6}}})
+	require.Empty(t, m.Merge(Delta{Revision: 5, Items: []infra.Item{{Key: "a", ModRevision: 5}}}))
+	_, ok := m.Get("a")
+	require.False(t, ok)
+	require.Equal(t, []string{"a"}, m.Merge(Delta{Revision: 7, Items: []infra.Item{{Key: "a", ModRevision: 7}}}), "written again later")
+}
+
+// Guards against an older delta that brings back a key which a list did not hold,
+// so that no deletion is recorded for it.
+func TestOldDeltaBringsNothingBackAfterList(t *testing.T) {
+	m := New()
+	m.Load([]infra.Item{{Key: "b", ModRevision: 4}}, 6)
+	require.Empty(t, m.Merge(Delta{Revision: 5, Items: []infra.Item{{Key: "a", ModRevision: 5}}}))
+}
+
+// Guards against a replica that keeps a key because its source received the
+// deletion of a key that it did not hold and recorded nothing.
+func TestDeletionOfUnknownKeyIsPassedOn(t *testing.T) {
+	source, replica := New(), New()
+	source.Load(nil, 4)
+	replica.Load([]infra.Item{{Key: "a", ModRevision: 5}}, 4) // a page that was read after the key was written
+	source.Apply([]infra.Event{deleteEvent("a", 6)})
+	replica.Merge(source.DeltaSince(replica.Revision()))
+	_, ok := replica.Get("a")
+	require.False(t, ok)
+}
+
 // Guards against missing a deletion that occurred while no watch was open.
 func TestListDropsMissingKeys(t *testing.T) {
 	m := New()
