--- a/daemon/claim/claim.go
+++ b/daemon/claim/claim.go
@@ -171,18 +171,18 @@
 	case c.grantLock <- struct{}{}:
 		defer func() { <-c.grantLock }()
 	case <-ctx.Done():
-		return 0, errors.WithStack(ctx.Err())
+		return infra.LeaseID{}, errors.WithStack(ctx.Err())
 	}
 	c.mu.Lock()
 	lease, grantedAt := c.lease, c.grantedAt
 	c.mu.Unlock()
-	if lease != 0 && time.Since(grantedAt) < leaseReusePeriod {
+	if lease != (infra.LeaseID{}) && time.Since(grantedAt) < leaseReusePeriod {
 		return lease, nil
 	}
 	requestedAt := time.Now()
 	lease, err := c.kv.Grant(ctx, claimLifetime+leaseReusePeriod)
 	if err != nil {
-		return 0, err
+		return infra.LeaseID{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -194,7 +194,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.lease == lease {
-		c.lease = 0
+		c.lease = infra.LeaseID{}
 	}
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -340,7 +340,7 @@
 func encodeDelta(d mirror.Delta) *wirepb.StoreDelta {
 	w := &wirepb.StoreDelta{Full: d.Full, Revision: d.Revision}
 	for _, it := range d.Items {
-		w.Items = append(w.Items, &wirepb.StoreItem{Key: it.Key, Value: it.Value, ModRevision: it.ModRevision, Lease: int64(it.Lease)})
+		w.Items = append(w.Items, &wirepb.StoreItem{Key: it.Key, Value: it.Value, ModRevision: it.ModRevision, Lease: it.Lease.Number})
 	}
 	for _, del := range d.Deleted {
 		w.Deleted = append(w.Deleted, &wirepb.StoreItem{Key: del.Key, ModRevision: del.Revision})
@@ -351,7 +351,7 @@
 func decodeDelta(w *wirepb.StoreDelta) mirror.Delta {
 	d := mirror.Delta{Full: w.GetFull(), Revision: w.GetRevision()}
 	for _, it := range w.GetItems() {
-		d.Items = append(d.Items, infra.Item{Key: it.GetKey(), Value: it.GetValue(), ModRevision: it.GetModRevision(), Lease: infra.LeaseID(it.GetLease())})
+		d.Items = append(d.Items, infra.Item{Key: it.GetKey(), Value: it.GetValue(), ModRevision: it.GetModRevision(), Lease: infra.LeaseID{Number: it.GetLease()}})
 	}
 	for _, del := range w.GetDeleted() {
 		d.Deleted = append(d.Deleted, mirror.Deletion{Key: del.GetKey(), Revision: del.GetModRevision()})
--- a/infra/infra.go
+++ b/infra/infra.go
@@ -17,17 +17,24 @@
 // ErrLeaseNotFound means that a lease does not exist or has expired.
 var ErrLeaseNotFound = errors.New("lease not found")
 
-// ErrCompacted means that a watch requested changes that the store no longer
-// keeps. The caller lists the keys and watches from the revision of that list.
+// ErrCompacted means that a watch requested changes that the store does not keep:
+// they were compacted, or the store was restored and is in another era. The caller
+// lists the keys and watches from the revision of that list.
 var ErrCompacted = errors.New("revision compacted")
 
 // MaxValueBytes is the size of the largest value that the store accepts.
 const MaxValueBytes = 1 << 20
 
-// LeaseID identifies a lease of the key-value store. Zero means no lease.
-type LeaseID int64
+// LeaseID identifies a lease of the key-value store. The zero value means no
+// lease.
+type LeaseID struct {
+	// Era is the era of the store in which the lease was granted. After a restore
+	// the store may give out the same number again, for another lease.
+	Era    int64
+	Number int64
+}
 
-// Item is one key with its value.
+// Item is one key with its value. Its revisions are described at NewRevision.
 type Item struct {
 	Key            string
 	Value          []byte
@@ -91,7 +98,7 @@
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease and returns its remaining time. Zero means that the
-	// lease has expired.
+	// lease has expired, or that the store was restored since it was granted.
 	KeepAlive(ctx context.Context, id LeaseID) (time.Duration, error)
 	// Revoke ends a lease and deletes its keys. It returns ErrLeaseNotFound if the
 	// lease does not exist.
--- a/infra/internal/gateway/gateway.go
+++ b/infra/internal/gateway/gateway.go
@@ -185,7 +185,7 @@
 		r.Compare = append(r.Compare, Compare{Result: "EQUAL", Target: "MOD", Key: []byte(c.Key), ModRevision: c.ModRevision})
 	}
 	for _, p := range t.Puts {
-		r.Success = append(r.Success, RequestOp{Put: &PutRequest{Key: []byte(p.Key), Value: p.Value, Lease: int64(p.Lease)}})
+		r.Success = append(r.Success, RequestOp{Put: &PutRequest{Key: []byte(p.Key), Value: p.Value, Lease: p.Lease.Number}})
 	}
 	for _, d := range t.Deletes {
 		r.Success = append(r.Success, RequestOp{Delete: &DeleteRequest{Key: []byte(d)}})
@@ -197,7 +197,7 @@
 func (k KeyValue) Item() infra.Item {
 	return infra.Item{
 		Key: string(k.Key), Value: k.Value, CreateRevision: k.CreateRevision,
-		ModRevision: k.ModRevision, Lease: infra.LeaseID(k.Lease),
+		ModRevision: k.ModRevision, Lease: infra.LeaseID{Number: k.Lease},
 	}
 }
 
--- a/infra/kv_contract_test.go
+++ b/infra/kv_contract_test.go
@@ -169,9 +169,9 @@
 		s.DropReplies(3)
 		_, err = kv.Grant(t.Context(), time.Minute)
 		requireUnknownOutcome(t, err)
-		_, err = kv.KeepAlive(t.Context(), 1)
+		_, err = kv.KeepAlive(t.Context(), infra.LeaseID{Number: 1})
 		requireUnknownOutcome(t, err)
-		requireUnknownOutcome(t, kv.Revoke(t.Context(), 1001))
+		requireUnknownOutcome(t, kv.Revoke(t.Context(), infra.LeaseID{Number: 1001}))
 	}},
 	// A stalled store must not block a caller beyond the request timeout. A write that
 	// waits there may still take effect.
--- a/infra/kvhttp/client.go
+++ b/infra/kvhttp/client.go
@@ -187,13 +187,13 @@
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	var reply gateway.LeaseResponse
 	err := c.call(ctx, gateway.PathGrant, true, gateway.LeaseRequest{TTL: gateway.Seconds(ttl)}, &reply)
-	return infra.LeaseID(reply.ID), err
+	return infra.LeaseID{Number: reply.ID}, err
 }
 
 // KeepAlive implements infra.KV.
 func (c *Client) KeepAlive(ctx context.Context, id infra.LeaseID) (time.Duration, error) {
 	var reply gateway.KeepAliveResponse
-	if err := c.call(ctx, gateway.PathKeepAlive, true, gateway.LeaseRequest{ID: int64(id)}, &reply); err != nil {
+	if err := c.call(ctx, gateway.PathKeepAlive, true, gateway.LeaseRequest{ID: id.Number}, &reply); err != nil {
 		return 0, err
 	}
 	if reply.Error != nil {
@@ -207,5 +207,5 @@
 
 // Revoke implements infra.KV.
 func (c *Client) Revoke(ctx context.Context, id infra.LeaseID) error {
-	return c.call(ctx, gateway.PathRevoke, true, gateway.LeaseRequest{ID: int64(id)}, &gateway.LeaseResponse{})
+	return c.call(ctx, gateway.PathRevoke, true, gateway.LeaseRequest{ID: id.Number}, &gateway.LeaseResponse{})
 }
--- a/infra/kvhttp/watch_test.go
+++ b/infra/kvhttp/watch_test.go
@@ -26,7 +26,7 @@
 	defer srv.Close()
 	r, err := New(srv.URL).Commit(t.Context(), infra.Txn{
 		Conditions: []infra.Condition{{Key: "foo"}},
-		Puts:       []infra.Put{{Key: "foo", Value: []byte("bar"), Lease: 9}},
+		Puts:       []infra.Put{{Key: "foo", Value: []byte("bar"), Lease: infra.LeaseID{Number: 9}}},
 		Deletes:    []string{"old"},
 	})
 	require.NoError(t, err)
--- a/infra/standin/direct.go
+++ b/infra/standin/direct.go
@@ -105,16 +105,16 @@
 		return s
 	})
 	if err != nil {
-		return 0, err
+		return infra.LeaseID{}, err
 	}
-	return infra.LeaseID(reply.ID), nil
+	return infra.LeaseID{Number: reply.ID}, nil
 }
 
 // KeepAlive implements infra.KV.
 func (d directKV) KeepAlive(ctx context.Context, id infra.LeaseID) (time.Duration, error) {
 	var reply gateway.KeepAliveResponse
 	err := d.call(ctx, "keepalive", func() *gateway.Status {
-		reply = d.kv.keepAlive(gateway.LeaseRequest{ID: int64(id)})
+		reply = d.kv.keepAlive(gateway.LeaseRequest{ID: id.Number})
 		return nil
 	})
 	if err != nil {
@@ -126,7 +126,7 @@
 // Revoke implements infra.KV.
 func (d directKV) Revoke(ctx context.Context, id infra.LeaseID) error {
 	return d.call(ctx, "revoke", func() (s *gateway.Status) {
-		_, s = d.kv.revoke(gateway.LeaseRequest{ID: int64(id)})
+		_, s = d.kv.revoke(gateway.LeaseRequest{ID: id.Number})
 		return s
 	})
 }
--- a/infra/standin/kv.go
+++ b/infra/standin/kv.go
@@ -81,7 +81,7 @@
 func (k *KV) ExpireLease(id infra.LeaseID) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.endLease(int64(id))
+	k.endLease(id.Number)
 }
 
 // BreakWatches ends all watches, as a restart of the store does.
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -258,7 +258,7 @@
 func (h *Holder) endTerm(reason string) {
 	h.mu.Lock()
 	number, id := h.term.number, h.leaseID
-	h.term, h.leaseID, h.renewalsFailing = term{}, 0, false
+	h.term, h.leaseID, h.renewalsFailing = term{}, infra.LeaseID{}, false
 	h.mu.Unlock()
 	if h.o.OnLost != nil {
 		h.o.OnLost(number, reason)
--- a/lease/record.go
+++ b/lease/record.go
@@ -30,7 +30,7 @@
 		}
 		ctxtime.Sleep(ctx, pause)
 	}
-	if id == 0 {
+	if id == (infra.LeaseID{}) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
@@ -41,7 +41,7 @@
 // renewOrWrite renews the lease, or writes the key under a new lease if there
 // is none or it has expired.
 func (r Record) renewOrWrite(ctx context.Context, id *infra.LeaseID) error {
-	if *id != 0 {
+	if *id != (infra.LeaseID{}) {
 		remaining, err := r.KV.KeepAlive(ctx, *id)
 		switch {
 		case err != nil && !errors.Is(err, infra.ErrLeaseNotFound):
@@ -49,7 +49,7 @@
 		case err == nil && remaining > 0:
 			return nil
 		}
-		*id = 0 // the lease has expired
+		*id = infra.LeaseID{} // the lease has expired
 	}
 	granted, err := r.KV.Grant(ctx, r.TTL)
 	if err != nil {
