infra/standin, platform/storetest: restore the store from an older copy

Tests need a store that comes back from a copy as the users describe it. KV.TakeCopy and KV.Restore give out revisions and lease ids again, drop later leases and begin a new era. Rollback, which the product's own store uses, is unchanged.

--- a/infra/internal/gateway/gateway.go
+++ b/infra/internal/gateway/gateway.go
@@ -39,6 +39,8 @@
 // Header is part of every response.
 type Header struct {
 	Revision int64 `json:"revision,string,omitempty"`
+	// Era is the era in which the stand-in responded. etcd has no eras.
+	Era int64 `json:"-"`
 }
 
 // KeyValue is one stored key with its value.
--- a/infra/standin/direct.go
+++ b/infra/standin/direct.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -40,7 +41,9 @@
 	case refused || err != nil:
 		return errkind.Wrap(infra.ErrUnknownOutcome, errkind.StoreUnavailable, "%s: no response", kind)
 	}
+	d.kv.restoring.RLock()
 	status := run()
+	d.kv.restoring.RUnlock()
 	if write && d.kv.takeDroppedReply() {
 		return errkind.Wrap(infra.ErrUnknownOutcome, errkind.StoreUnavailable, "%s: reply lost", kind)
 	}
@@ -64,11 +67,23 @@
 	}
 	items := reply.Items()
 	for i := range items {
-		items[i].Value = bytes.Clone(items[i].Value)
+		items[i] = inEra(reply.Header.Era, items[i])
 	}
-	return items, reply.Header.Revision, nil
+	return items, headerRevision(reply.Header), nil
 }
 
+// inEra returns a copy of an item with the era in its revisions and its lease.
+func inEra(era int64, it infra.Item) infra.Item {
+	it.Value = bytes.Clone(it.Value)
+	it.CreateRevision, it.ModRevision = infra.NewRevision(era, it.CreateRevision), infra.NewRevision(era, it.ModRevision)
+	if it.Lease.Number != 0 {
+		it.Lease.Era = era
+	}
+	return it
+}
+
+func headerRevision(h gateway.Header) int64 { return infra.NewRevision(h.Era, h.Revision) }
+
 // Get implements infra.KV.
 func (d directKV) Get(ctx context.Context, key string) (infra.Item, int64, error) {
 	items, revision, err := d.readRange(ctx, gateway.RangeRequest{Key: []byte(key)})
@@ -90,11 +105,34 @@
 // Commit implements infra.KV.
 func (d directKV) Commit(ctx context.Context, t infra.Txn) (infra.TxnResult, error) {
 	var reply gateway.TxnResponse
-	err := d.call(ctx, "txn", func() (s *gateway.Status) { reply, s = d.kv.txn(gateway.FromTxn(t)); return s })
+	err := d.call(ctx, "txn", func() (s *gateway.Status) {
+		era := d.kv.Era()
+		for _, p := range t.Puts {
+			if p.Lease != (infra.LeaseID{}) && p.Lease.Era != era {
+				return &gateway.Status{Code: gateway.CodeNotFound, Message: gateway.TextLeaseNotFound}
+			}
+		}
+		for _, c := range t.Conditions {
+			if c.ModRevision != 0 && infra.Era(c.ModRevision) != era {
+				return nil // the condition does not hold
+			}
+		}
+		reply, s = d.kv.txn(fromTxn(t))
+		return s
+	})
 	if err != nil {
 		return infra.TxnResult{}, err
 	}
-	return infra.TxnResult{Succeeded: reply.Succeeded, Revision: reply.Header.Revision}, nil
+	return infra.TxnResult{Succeeded: reply.Succeeded, Revision: headerRevision(reply.Header)}, nil
+}
+
+// fromTxn converts a transaction of the current era to a request.
+func fromTxn(t infra.Txn) gateway.TxnRequest {
+	t.Conditions = slices.Clone(t.Conditions)
+	for i := range t.Conditions {
+		t.Conditions[i].ModRevision = infra.RevisionNumber(t.Conditions[i].ModRevision)
+	}
+	return gateway.FromTxn(t)
 }
 
 // Grant implements infra.KV.
@@ -107,14 +145,17 @@
 	if err != nil {
 		return infra.LeaseID{}, err
 	}
-	return infra.LeaseID{Number: reply.ID}, nil
+	return infra.LeaseID{Era: reply.Header.Era, Number: reply.ID}, nil
 }
 
 // KeepAlive implements infra.KV.
 func (d directKV) KeepAlive(ctx context.Context, id infra.LeaseID) (time.Duration, error) {
 	var reply gateway.KeepAliveResponse
 	err := d.call(ctx, "keepalive", func() *gateway.Status {
-		reply = d.kv.keepAlive(gateway.LeaseRequest{ID: id.Number})
+		reply = gateway.KeepAliveResponse{Result: &gateway.LeaseResponse{}}
+		if id.Era == d.kv.Era() {
+			reply = d.kv.keepAlive(gateway.LeaseRequest{ID: id.Number})
+		}
 		return nil
 	})
 	if err != nil {
@@ -126,6 +167,9 @@
 // Revoke implements infra.KV.
 func (d directKV) Revoke(ctx context.Context, id infra.LeaseID) error {
 	return d.call(ctx, "revoke", func() (s *gateway.Status) {
+		if id.Era != d.kv.Era() {
+			return &gateway.Status{Code: gateway.CodeNotFound, Message: gateway.TextLeaseNotFound}
+		}
 		_, s = d.kv.revoke(gateway.LeaseRequest{ID: id.Number})
 		return s
 	})
@@ -141,21 +185,30 @@
 	confirmed := make(chan struct{})
 	go func() {
 		defer close(out)
-		d.kv.watch(ctx, gateway.WatchCreate{Key: key, RangeEnd: end, StartRevision: after + 1}, func(m gateway.WatchResult) error {
+		d.kv.watch(ctx, gateway.WatchCreate{Key: key, RangeEnd: end, StartRevision: infra.RevisionNumber(after) + 1}, func(m gateway.WatchResult) error {
+			era := m.Header.Era
 			if m.Created {
 				close(confirmed)
-				return nil
+				if after == 0 || era == infra.Era(after) {
+					return nil
+				}
 			}
 			events := m.InfraEvents()
 			for i := range events {
-				events[i].Item.Value = bytes.Clone(events[i].Item.Value)
+				events[i].Item = inEra(era, events[i].Item)
 			}
-			if m.Canceled {
+			switch {
+			case m.Canceled:
 				err := errors.Wrapf(infra.ErrCompacted, "changes are kept from revision %d on", m.CompactRevision)
 				events = []infra.Event{{Err: err}}
+			case after != 0 && era != infra.Era(after):
+				events = []infra.Event{{Err: errors.Wrapf(infra.ErrCompacted, "the store is in era %d, not %d", era, infra.Era(after))}}
 			}
 			select {
 			case out <- events:
+				if last := len(events) - 1; last >= 0 && events[last].Err != nil {
+					return events[last].Err
+				}
 				return nil
 			case <-ctx.Done():
 				return ctx.Err()
--- a/infra/standin/kv.go
+++ b/infra/standin/kv.go
@@ -34,6 +34,10 @@
 type KV struct {
 	Faults
 
+	// restoring is held for writing by Restore and for reading by calls, so that a
+	// call runs in one era.
+	restoring sync.RWMutex
+
 	mu                sync.Mutex
 	revision          int64
 	items             map[string]gateway.KeyValue
@@ -42,6 +46,7 @@
 	history           []change
 	leases            map[int64]*leaseState
 	nextLease         int64
+	era               int64         // number of calls of Restore
 	changeSignal      chan struct{} // closed and replaced at each change
 	watchBreak        chan struct{} // closed and replaced to break all watches
 	calls             map[string]int
@@ -158,7 +163,7 @@
 	k.changeSignal = make(chan struct{})
 }
 
-func (k *KV) header() gateway.Header { return gateway.Header{Revision: k.revision} }
+func (k *KV) header() gateway.Header { return gateway.Header{Revision: k.revision, Era: k.era} }
 
 func (k *KV) readRange(r gateway.RangeRequest) gateway.RangeResponse {
 	k.mu.Lock()
@@ -272,10 +277,7 @@
 	}
 	k.nextLease++
 	id := k.nextLease
-	l := &leaseState{ttl: time.Duration(r.TTL) * time.Second}
-	l.deadline = time.Now().Add(l.ttl)
-	l.timer = time.AfterFunc(l.ttl, func() { k.expire(id) })
-	k.leases[id] = l
+	k.startLease(id, time.Duration(r.TTL)*time.Second)
 	return gateway.LeaseResponse{Header: k.header(), ID: id, TTL: r.TTL}, nil
 }
 
