mirror: a copy follows the eras of the store

Gateways whose store came back from an older copy would have kept the contents of before, since the list of the restored store has a lower revision; with the era in the revision the list replaces the copy, but the copy also took changes of the newer era without a list of what the store was restored to, and reported every key as changed.

A list of a newer era now replaces the copy as a whole and reports the keys whose values differ. Watch events and partial deltas of another era are ignored.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 
@@ -62,16 +63,18 @@
 
 // Load replaces the contents of the copy by a list of all items as of the
 // revision, and returns the changed keys. It changes nothing if the list is
-// older than the copy.
+// older than the copy. A list of a newer era is newer, whatever its number.
 func (m *Mirror) Load(items []infra.Item, revision int64) []string {
 	return m.Merge(Delta{Full: true, Revision: revision, Items: items})
 }
 
-// Apply applies the events of a watch and returns the changed keys.
+// Apply applies the events of a watch and returns the changed keys. It ignores
+// events of another era than that of the copy: older ones are outdated, and newer
+// ones need a list of the contents that the store was restored to.
 func (m *Mirror) Apply(events []infra.Event) []string {
 	var changed []string
 	for _, e := range events {
-		if e.Err != nil || e.Item.ModRevision <= 0 {
+		if e.Err != nil || e.Item.ModRevision <= 0 || !m.isOfSameEra(e.Item.ModRevision) {
 			continue
 		}
 		if m.applyItem(e.Item, e.Deleted) {
@@ -82,6 +85,11 @@
 	return changed
 }
 
+// isOfSameEra reports whether a revision is of the era of the copy.
+func (m *Mirror) isOfSameEra(revision int64) bool {
+	return infra.Era(revision) == infra.Era(m.revision)
+}
+
 // applyItem stores or deletes an item unless the copy has received a newer
 // change of the key. It reports whether the copy changed. The deletion of a key
 // that the copy lacks is recorded too: another instance may hold the key.
@@ -139,10 +147,17 @@
 }
 
 // Merge applies a delta from DeltaSince, or a full list, and returns the
-// changed keys. A full delta that is older than the copy changes nothing.
+// changed keys. A full delta that is older than the copy changes nothing, and
+// neither does a partial one of another era.
 func (m *Mirror) Merge(d Delta) []string {
-	if d.Full && d.Revision < m.revision {
+	switch {
+	case d.Full && d.Revision < m.revision:
 		return nil
+	case !m.isOfSameEra(d.Revision):
+		if !d.Full {
+			return nil
+		}
+		return m.replace(d)
 	}
 	var changed []string
 	present := map[string]bool{}
@@ -165,6 +180,26 @@
 	return changed
 }
 
+// replace replaces the copy by a full delta of a newer era and returns the keys
+// whose values differ. What was deleted in the older era does not matter any more.
+func (m *Mirror) replace(d Delta) []string {
+	former := m.items
+	*m = Mirror{items: map[string]infra.Item{}, deletedAt: map[string]int64{}, revision: d.Revision, deletionsSince: d.Revision}
+	var changed []string
+	for _, it := range d.Items {
+		m.items[it.Key] = it
+		if old, exists := former[it.Key]; !exists || !bytes.Equal(old.Value, it.Value) {
+			changed = append(changed, it.Key)
+		}
+	}
+	for key := range former {
+		if _, exists := m.items[key]; !exists {
+			changed = append(changed, key)
+		}
+	}
+	return changed
+}
+
 // deleteMissing deletes the items that are missing from a full list at the
 // revision, unless they are newer. It returns their keys.
 func (m *Mirror) deleteMissing(present map[string]bool, revision int64) []string {
