gateway: peers compare the eras of their copies

After a restore, a follower compared only revisions: it would have stayed on the copy of before until its revision was reached again, taken the heartbeat of a watcher as a confirmation of a copy of another era, and merged a late delta of the older one.

Heartbeats, pulls and deltas now carry the era. A peer with a newer era is asked for a full delta even if its revision is lower; one of an older era, or of the previous build, which sends no era, is neither asked nor does it confirm anything. A pull without an era gets a full delta.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -230,7 +230,8 @@
 // heartbeat returns the heartbeat that this instance sends now.
 func (c *control) heartbeat(now time.Time) *wirepb.PeerBeat {
 	b := &wirepb.PeerBeat{
-		Instance: c.g.id, StoreRevision: c.mirror.Revision(), StoreAgeMs: neverConfirmedAgeMs,
+		Instance: c.g.id, StoreAgeMs: neverConfirmedAgeMs,
+		StoreRevision: infra.RevisionNumber(c.mirror.Revision()), StoreEra: infra.Era(c.mirror.Revision()),
 		Leaving: c.g.leaving.Load(), StoreReachable: c.storeReachable && !c.following, StoreResting: c.following, Process: c.g.opts.Process,
 	}
 	if !c.confirmedAt.IsZero() {
@@ -256,7 +257,7 @@
 	case *wirepb.PeerFrame_Beat:
 		c.applyHeartbeat(session, id, body.Beat, now)
 	case *wirepb.PeerFrame_Pull:
-		d := c.mirror.DeltaSince(body.Pull.GetFromRevision())
+		d := c.mirror.DeltaSince(infra.NewRevision(body.Pull.GetFromEra(), body.Pull.GetFromRevision()))
 		c.sendAsync(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Delta{Delta: encodeDelta(d)}})
 	case *wirepb.PeerFrame_Delta:
 		c.applyChanges(c.mirror.Merge(decodeDelta(body.Delta)), "instance "+id, now)
@@ -294,7 +295,9 @@
 }
 
 // applyHeartbeat updates the state of a peer. It requests changes if the peer
-// has a newer copy of the store.
+// has a newer copy of the store. A peer of the previous build sends no era: if the
+// store has eras, its copy confirms nothing, and this instance watches the store
+// itself once its own copy is old.
 func (c *control) applyHeartbeat(session *wire.Session, id string, b *wirepb.PeerBeat, now time.Time) {
 	p := c.peers.byID[id]
 	if p == nil {
@@ -319,10 +322,12 @@
 	for _, l := range b.GetLoads() {
 		p.requestsByTarget[l.GetTarget()] = l.GetRequests()
 	}
-	switch {
-	case b.GetStoreRevision() > c.mirror.Revision():
-		c.sendAsync(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Pull{Pull: &wirepb.StorePull{FromRevision: c.mirror.Revision()}}})
-	case b.GetStoreRevision() == c.mirror.Revision() && b.GetStoreAgeMs() < neverConfirmedAgeMs:
+	own := c.mirror.Revision()
+	switch peerRevision := infra.NewRevision(b.GetStoreEra(), b.GetStoreRevision()); {
+	case peerRevision > own:
+		pull := &wirepb.StorePull{FromRevision: infra.RevisionNumber(own), FromEra: infra.Era(own)}
+		c.sendAsync(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Pull{Pull: pull}})
+	case peerRevision == own && b.GetStoreAgeMs() < neverConfirmedAgeMs:
 		c.confirmAsOf(now.Add(-time.Duration(b.GetStoreAgeMs()) * time.Millisecond))
 	}
 }
@@ -337,24 +342,33 @@
 	}()
 }
 
+// encodeDelta converts a delta to its message. All its revisions and leases are of
+// one era, which the message holds once.
 func encodeDelta(d mirror.Delta) *wirepb.StoreDelta {
-	w := &wirepb.StoreDelta{Full: d.Full, Revision: d.Revision}
+	w := &wirepb.StoreDelta{Full: d.Full, Revision: infra.RevisionNumber(d.Revision), Era: infra.Era(d.Revision)}
 	for _, it := range d.Items {
-		w.Items = append(w.Items, &wirepb.StoreItem{Key: it.Key, Value: it.Value, ModRevision: it.ModRevision, Lease: it.Lease.Number})
+		w.Items = append(w.Items, &wirepb.StoreItem{
+			Key: it.Key, Value: it.Value, ModRevision: infra.RevisionNumber(it.ModRevision), Lease: it.Lease.Number,
+		})
 	}
 	for _, del := range d.Deleted {
-		w.Deleted = append(w.Deleted, &wirepb.StoreItem{Key: del.Key, ModRevision: del.Revision})
+		w.Deleted = append(w.Deleted, &wirepb.StoreItem{Key: del.Key, ModRevision: infra.RevisionNumber(del.Revision)})
 	}
 	return w
 }
 
 func decodeDelta(w *wirepb.StoreDelta) mirror.Delta {
-	d := mirror.Delta{Full: w.GetFull(), Revision: w.GetRevision()}
+	era := w.GetEra()
+	d := mirror.Delta{Full: w.GetFull(), Revision: infra.NewRevision(era, w.GetRevision())}
 	for _, it := range w.GetItems() {
-		d.Items = append(d.Items, infra.Item{Key: it.GetKey(), Value: it.GetValue(), ModRevision: it.GetModRevision(), Lease: infra.LeaseID{Number: it.GetLease()}})
+		decoded := infra.Item{Key: it.GetKey(), Value: it.GetValue(), ModRevision: infra.NewRevision(era, it.GetModRevision())}
+		if it.GetLease() != 0 {
+			decoded.Lease = infra.LeaseID{Era: era, Number: it.GetLease()}
+		}
+		d.Items = append(d.Items, decoded)
 	}
 	for _, del := range w.GetDeleted() {
-		d.Deleted = append(d.Deleted, mirror.Deletion{Key: del.GetKey(), Revision: del.GetModRevision()})
+		d.Deleted = append(d.Deleted, mirror.Deletion{Key: del.GetKey(), Revision: infra.NewRevision(era, del.GetModRevision())})
 	}
 	return d
 }
