gateway: no tight loop of lists while the store is older than the copy

A store that answers a watch with 410 and then lists an older revision than that of the cached copy made the instance repeat both calls without a pause: the list changes nothing, so the next watch fails again. Each call has a price, and beyond the store's limits other calls are refused too.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -30,31 +30,35 @@
 			continue
 		}
 		if errors.Is(err, infra.ErrCompacted) {
-			c.log.Warn("store history compacted, listing all items again")
-			c.reloadMirror(ctx)
-			continue
+			c.log.Warn("store history compacted, listing all items again", "reason", err.Error())
+			if c.reloadMirror(ctx) {
+				continue
+			}
+		} else {
+			c.post(ctx, func() { c.recordStoreFailure(err, time.Now()) })
 		}
-		c.post(ctx, func() { c.recordStoreFailure(err, time.Now()) })
 		ctxtime.Sleep(ctx, pause)
 		pause = min(2*pause, maxWatchRetryDelay)
 	}
 }
 
 // reloadMirror replaces the cached copy by a complete list of the items in the
-// store.
-func (c *control) reloadMirror(ctx context.Context) {
+// store. It reports whether the copy is newer than before: a list that is older
+// than the copy changes nothing, and a watch from there would fail again.
+func (c *control) reloadMirror(ctx context.Context) (advanced bool) {
 	requestedAt := time.Now()
 	items, revision, err := c.g.kv.List(ctx, "")
 	if err != nil {
 		c.post(ctx, func() { c.recordStoreFailure(err, time.Now()) })
-		ctxtime.Sleep(ctx, watchRetryDelay)
-		return
+		return false
 	}
-	c.call(ctx, func() {
-		now := time.Now()
+	advanced, _ = query(ctx, c, func() bool {
+		now, before := time.Now(), c.mirror.Revision()
 		c.recordStoreSuccess(requestedAt, now)
 		c.applyChanges(c.mirror.Load(items, revision), "list", now)
+		return c.mirror.Revision() > before
 	})
+	return advanced
 }
 
 var errWatchEnded = errors.New("the watch ended")
@@ -66,7 +70,7 @@
 	defer cancel()
 	after, _ := query(ctx, c, c.mirror.Revision)
 	if after == 0 {
-		c.reloadMirror(ctx)
+		_ = c.reloadMirror(ctx)
 		if after, _ = query(ctx, c, c.mirror.Revision); after == 0 {
 			return errors.New("no list of the store items yet")
 		}
