gateway: a restored store takes back no acknowledged change

When the store comes back from an older copy, the copy briefly holds an older state, until the operator and the targets write again. Without care, requests would go to a data centre that is out of service, to targets that are leaving or have left, and not to running targets whose entries are younger than the copy.

At a change of the era an instance now compares the restored state with its own: - the configuration in force stays, as its version is higher; - a data centre without its mark stays out for 10 s unless it is written again; - targets without entries are kept like expired ones (expiryGrace); - an entry that contradicts a later one (leaving, left, an earlier incarnation) waits 6 s for the target to write again; one that is still there then is that of a running target. One log line and the counter store.restores report each restore.

TestEvacuationSurvivesRestore failed since the data centre received requests at once, TestRestoreBringsNoTargetBack in its four cases since the target did, and TestTargetSurvivesRestore, checked with the former treatment of missing entries, since the running target was dropped.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -46,6 +46,7 @@
 	expired          map[string]time.Time // targets whose entries expired, with the time of the deletion
 	peers            *peerTable
 	slowdownsByGroup map[string]map[string]float64 // by rank group and address of a target
+	restoreState
 
 	// confirmedAt is when the cached copy was last known to be up to date.
 	confirmedAt    time.Time
@@ -79,7 +80,7 @@
 	return &control{
 		g: g, log: g.log, inbox: make(chan func(), 256), mirror: mirror.New(),
 		targets: map[string]*target{}, expired: map[string]time.Time{}, peers: newPeerTable(),
-		slowdownsByGroup: map[string]map[string]float64{},
+		slowdownsByGroup: map[string]map[string]float64{}, restoreState: newRestoreState(),
 	}
 }
 
@@ -135,6 +136,7 @@
 
 func (c *control) tick(now time.Time) {
 	c.removeExpired(now)
+	c.endGracePeriods(now)
 	c.peers.removeOld(now)
 	c.recordStoreOutage(now)
 	c.updateFreshness(now)
@@ -153,7 +155,7 @@
 	if stale != c.stale {
 		c.stale = stale
 		c.log.Info("configuration freshness changed", "stale", stale, "age_ms", now.Sub(c.confirmedAt).Milliseconds(),
-			"revision", c.mirror.Revision(), "peers_heard", c.peers.reachableCount(now))
+			"revision", infra.RevisionNumber(c.mirror.Revision()), "peers_heard", c.peers.reachableCount(now))
 	}
 }
 
@@ -178,7 +180,7 @@
 // a time.
 func (c *control) recordStoreSuccess(asOf, now time.Time) {
 	if !c.storeReachable {
-		c.log.Info("dependency back", "dependency", "key-value service", "revision", c.mirror.Revision())
+		c.log.Info("dependency back", "dependency", "key-value service", "revision", infra.RevisionNumber(c.mirror.Revision()))
 		c.storeRecoveredAt = now
 	}
 	c.storeReachable = true
@@ -226,8 +228,9 @@
 			if id, ok := c.g.decoder.TargetID(key); ok {
 				c.applyTarget(id, it, exists, source, now)
 			} else if dc, ok := c.g.decoder.DataCentreOut(key); ok {
+				delete(c.keptOut, dc)
 				c.needsPublish = true
-				c.log.Info("data centre changed", "data_centre", dc, "out", exists, "revision", it.ModRevision, "source", source)
+				c.log.Info("data centre changed", "data_centre", dc, "out", exists, "revision", infra.RevisionNumber(it.ModRevision), "source", source)
 			} else if isInstanceKey(key) {
 				c.needsPublish = true
 			}
@@ -240,7 +243,7 @@
 func (c *control) applyConfig(it infra.Item, source string) {
 	cfg, err := c.g.decoder.Config(it.Value)
 	if err != nil {
-		c.log.Error("configuration not readable", "revision", it.ModRevision, "error", err.Error())
+		c.log.Error("configuration not readable", "revision", infra.RevisionNumber(it.ModRevision), "error", err.Error())
 		return
 	}
 	if c.config != nil && cfg.Version <= c.config.Version {
@@ -249,20 +252,21 @@
 	c.config, c.table = cfg, routing.NewTable(cfg)
 	c.g.callers.setLimits(cfg.Limits)
 	c.needsPublish = true
-	c.log.Info("configuration in force", "version", cfg.Version, "revision", it.ModRevision, "source", source,
+	c.log.Info("configuration in force", "version", cfg.Version, "revision", infra.RevisionNumber(it.ModRevision), "source", source,
 		"routes", len(cfg.Routes), "customers", len(cfg.Customers))
 }
 
 // applyTarget applies a changed or deleted entry of a target.
 func (c *control) applyTarget(id string, it infra.Item, exists bool, source string, now time.Time) {
 	c.needsPublish = true
+	delete(c.unconfirmed, id)
 	if !exists {
 		c.applyTargetDeletion(id, now)
 		return
 	}
 	entry, err := c.g.decoder.Target(id, it.Value)
 	if err != nil {
-		c.log.Warn("target entry not readable", "target", id, "revision", it.ModRevision, "error", err.Error())
+		c.log.Warn("target entry not readable", "target", id, "revision", infra.RevisionNumber(it.ModRevision), "error", err.Error())
 		c.removeTarget(id, "unreadable entry")
 		return
 	}
@@ -275,7 +279,7 @@
 		c.log.Info("target appeared", "target", id, "back_end", entry.Backend, "addr", entry.Addr, "data_centre", entry.DataCentre,
 			"cold_ms", entry.WarmUpRemaining.Milliseconds(), "leaving", entry.Leaving, "source", source)
 	} else if current.Leaving != entry.Leaving {
-		c.log.Info("target state changed", "target", id, "leaving", entry.Leaving, "revision", it.ModRevision, "source", source)
+		c.log.Info("target state changed", "target", id, "leaving", entry.Leaving, "revision", infra.RevisionNumber(it.ModRevision), "source", source)
 	}
 	if entry.WarmUpRemaining > 0 {
 		current.warmUpUntil.Store(monotonic(now.Add(entry.WarmUpRemaining)))
@@ -306,6 +310,7 @@
 		return
 	}
 	delete(c.targets, id)
+	c.rememberRemoved(id, t.Incarnation, time.Now())
 	t.pool.Close()
 	c.log.Info("target removed", "target", id, "back_end", t.Backend, "reason", reason)
 }
@@ -328,10 +333,13 @@
 	}
 	c.needsPublish = false
 	s := &snapshot{
-		table: c.table, revision: c.mirror.Revision(), targets: map[string][]*target{},
+		table: c.table, revision: infra.RevisionNumber(c.mirror.Revision()), targets: map[string][]*target{},
 		instanceCount: c.instanceCount(now),
 	}
 	outOfService := map[string]bool{}
+	for dc := range c.keptOut {
+		outOfService[dc] = true
+	}
 	c.mirror.Each(func(it infra.Item) {
 		if dc, ok := c.g.decoder.DataCentreOut(it.Key); ok {
 			outOfService[dc] = true
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,8 @@
 	hedges         metrics.Counter
 	retries        metrics.Counter
 	retriesRefused metrics.Counter
+	// storeRestores counts how often the store came back from an older copy.
+	storeRestores metrics.Counter
 }
 
 func newMetrics(r metrics.Registry, log *slog.Logger) *gatewayMetrics {
@@ -36,6 +38,7 @@
 		hedges:         metrics.NewRegisteredCounter("request.hedges", r),
 		retries:        metrics.NewRegisteredCounter("request.retries", r),
 		retriesRefused: metrics.NewRegisteredCounter("request.retries_refused", r),
+		storeRestores:  metrics.NewRegisteredCounter("store.restores", r),
 	}
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -260,7 +260,7 @@
 		d := c.mirror.DeltaSince(infra.NewRevision(body.Pull.GetFromEra(), body.Pull.GetFromRevision()))
 		c.sendAsync(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Delta{Delta: encodeDelta(d)}})
 	case *wirepb.PeerFrame_Delta:
-		c.applyChanges(c.mirror.Merge(decodeDelta(body.Delta)), "instance "+id, now)
+		c.updateCopy("instance "+id, now, func() []string { return c.mirror.Merge(decodeDelta(body.Delta)) })
 	case *wirepb.PeerFrame_Handover:
 		if c.g.opts.TakeOver != nil {
 			c.g.opts.TakeOver(Term{Group: body.Handover.GetGroup(), Fencing: body.Handover.GetFencing(), Maps: body.Handover.GetMaps()})
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -55,7 +55,7 @@
 	advanced, _ = query(ctx, c, func() bool {
 		now, before := time.Now(), c.mirror.Revision()
 		c.recordStoreSuccess(requestedAt, now)
-		c.applyChanges(c.mirror.Load(items, revision), "list", now)
+		c.updateCopy("list", now, func() []string { return c.mirror.Load(items, revision) })
 		return c.mirror.Revision() > before
 	})
 	return advanced
@@ -93,7 +93,7 @@
 		waitingSince = time.Now()
 		keepWatching, _ := query(ctx, c, func() bool {
 			c.recordStoreSuccess(asOf, time.Now())
-			c.applyChanges(c.mirror.Apply(batch), "watch", time.Now())
+			c.updateCopy("watch", time.Now(), func() []string { return c.mirror.Apply(batch) })
 			return c.shouldWatch(time.Now())
 		})
 		if !keepWatching {
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/membership"
 )
@@ -60,7 +61,7 @@
 	if c.following == shouldWatch {
 		c.following = !shouldWatch
 		c.log.Info("watch of the service changed", "resting", c.following, "age_ms", now.Sub(c.confirmedAt).Milliseconds(),
-			"revision", c.mirror.Revision(), "peers_heard", c.peers.reachableCount(now))
+			"revision", infra.RevisionNumber(c.mirror.Revision()), "peers_heard", c.peers.reachableCount(now))
 	}
 	if shouldWatch {
 		return 0
