lease: a late write does not let a record expire

A record of an instance, or of a rank's agent, whose write got no reply was written again under a new lease. If the first write took effect afterwards, it attached the key to the first lease, which nobody renewed: the key expired, and the record was never written again while the second lease lived. The instance was then missing for all that read the registry.

A write with unknown outcome is now repeated under the same lease, so that it does not matter which one takes effect last.

TestRecordSurvivesLateWrite failed with "key not found" after 20 s.

--- a/lease/record.go
+++ b/lease/record.go
@@ -22,42 +22,55 @@
 
 // Run keeps the record until ctx ends and then removes it.
 func (r Record) Run(ctx context.Context) {
-	var id infra.LeaseID
+	var l recordLease
 	for ctx.Err() == nil {
 		pause := r.RenewInterval
-		if err := r.renewOrWrite(ctx, &id); err != nil {
+		if err := r.renewOrWrite(ctx, &l); err != nil {
 			pause = min(retryInterval, r.RenewInterval)
 		}
 		ctxtime.Sleep(ctx, pause)
 	}
-	if id == (infra.LeaseID{}) {
+	if l.id == (infra.LeaseID{}) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
-	_ = r.KV.Revoke(ctx, id) // on failure the lease expires
+	_ = r.KV.Revoke(ctx, l.id) // on failure the lease expires
+}
+
+// recordLease is the lease of a record.
+type recordLease struct {
+	id infra.LeaseID // zero if there is none
+	// written is set once the key is known to be written under the lease.
+	written bool
 }
 
 // renewOrWrite renews the lease, or writes the key under a new lease if there
-// is none or it has expired.
-func (r Record) renewOrWrite(ctx context.Context, id *infra.LeaseID) error {
-	if *id != (infra.LeaseID{}) {
-		remaining, err := r.KV.KeepAlive(ctx, *id)
+// is none, it has expired, or the store was restored since it was granted. A write
+// whose outcome is unknown is sent again under the same lease, since it may still
+// take effect later: under another lease, the key would expire with the former one.
+func (r Record) renewOrWrite(ctx context.Context, l *recordLease) error {
+	if l.written {
+		remaining, err := r.KV.KeepAlive(ctx, l.id)
 		switch {
 		case err != nil && !errors.Is(err, infra.ErrLeaseNotFound):
 			return err
 		case err == nil && remaining > 0:
 			return nil
 		}
-		*id = infra.LeaseID{} // the lease has expired
+		*l = recordLease{}
 	}
-	granted, err := r.KV.Grant(ctx, r.TTL)
-	if err != nil {
-		return err
+	if l.id == (infra.LeaseID{}) {
+		id, err := r.KV.Grant(ctx, r.TTL)
+		if err != nil {
+			return err
+		}
+		l.id = id
 	}
-	if _, err := r.KV.Commit(ctx, infra.Txn{Puts: []infra.Put{{Key: r.Key, Value: r.Value, Lease: granted}}}); err != nil {
-		return err
+	_, err := r.KV.Commit(ctx, infra.Txn{Puts: []infra.Put{{Key: r.Key, Value: r.Value, Lease: l.id}}})
+	if errors.Is(err, infra.ErrLeaseNotFound) {
+		*l = recordLease{}
 	}
-	*id = granted
-	return nil
+	l.written = err == nil
+	return err
 }
