lease: holders get new and higher fencing numbers after a restore

A restored store gives out revisions again, and its copy may hold the key of a live holder, with a lease that nobody renews, that belongs to somebody else or that does not exist. The holder took its own key for that of another process and waited for it to expire, for ever without a lease. And a fencing number was the plain revision, so it could be lower than one that ranks had seen, or equal to that of the holder of before; with the era in the revision it would exceed 2^53 once multiplied to a map version.

A holder replaces a key that it wrote, but not in its last term.

--- a/infra/standin/restore.go
+++ b/infra/standin/restore.go
@@ -63,3 +63,6 @@
 		ttl: ttl, deadline: time.Now().Add(ttl), timer: time.AfterFunc(ttl, func() { k.expire(id) }),
 	}
 }
+
+// DropLeases removes the leases from a copy. Their keys stay and do not expire.
+func (c *Copy) DropLeases() { c.leases = nil }
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -57,6 +57,8 @@
 	mu      sync.Mutex
 	term    term
 	leaseID infra.LeaseID
+	// lastNumber is the fencing number of the last term.
+	lastNumber uint64
 	// renewalsFailing is set while renewals get no answer.
 	renewalsFailing bool
 	resigned        chan uint64 // fencing numbers passed to Resign
@@ -112,7 +114,7 @@
 	previous, _, err := h.o.KV.Get(ctx, h.o.Key)
 	switch {
 	case errors.Is(err, infra.ErrNotFound):
-	case err != nil || h.o.HolderDown == nil || !h.o.HolderDown(string(previous.Value)):
+	case err != nil || !h.isReplaceable(previous):
 		return false
 	}
 	requested := time.Now()
@@ -132,7 +134,7 @@
 		return false
 	}
 	h.mu.Lock()
-	h.term, h.leaseID = t, id
+	h.term, h.leaseID, h.lastNumber = t, id, number
 	h.mu.Unlock()
 	if h.o.OnAcquired != nil {
 		h.o.OnAcquired(number)
@@ -140,16 +142,32 @@
 	return true
 }
 
-// writeKey writes the key if it does not exist or still belongs to the holder
-// that is down. The fencing number is the revision of that write. If the reply
-// is lost, the key is read to find out whether the write succeeded.
+// isReplaceable reports whether the key of a holder may be replaced.
+func (h *Holder) isReplaceable(it infra.Item) bool {
+	return h.IsLeftover(it) || h.o.HolderDown != nil && h.o.HolderDown(string(it.Value))
+}
+
+// IsLeftover reports whether an item is a key that this process wrote, but not in
+// its last term. Such a key comes from the copy to which the store was restored, or
+// from a write with unknown outcome that took effect late. Its lease may belong to
+// somebody else, or not exist any more, so the key may never expire.
+func (h *Holder) IsLeftover(it infra.Item) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return string(it.Value) == h.o.HolderID && FencingNumber(it.ModRevision) != h.lastNumber
+}
+
+// writeKey writes the key if it does not exist or still has the previous revision.
+// The fencing number comes from the revision of that write. If the reply is lost,
+// the key is read to find out whether the write succeeded. After a restore of the
+// store the key is not under the lease of this attempt, whatever its number.
 func (h *Holder) writeKey(ctx context.Context, id infra.LeaseID, previousRevision int64) (uint64, bool) {
 	res, err := h.o.KV.Commit(ctx, infra.Txn{
 		Conditions: []infra.Condition{{Key: h.o.Key, ModRevision: previousRevision}},
 		Puts:       []infra.Put{{Key: h.o.Key, Value: []byte(h.o.HolderID), Lease: id}},
 	})
 	if err == nil {
-		return uint64(res.Revision), res.Succeeded
+		return FencingNumber(res.Revision), res.Succeeded
 	}
 	if !errors.Is(err, infra.ErrUnknownOutcome) {
 		return 0, false
@@ -159,7 +177,7 @@
 		// The caller revokes the lease, so that a write still in transit fails.
 		return 0, false
 	}
-	return uint64(item.ModRevision), true
+	return FencingNumber(item.ModRevision), true
 }
 
 // renewUntilEnd renews the lease until the term ends and returns the reason for
