ranks: coordinators, standbys and map versions follow the eras of the store

After a restore, a standby compared its fencing number with the revision of the coordinator's key, which includes the era: it resigned each number at once, so that nobody held one in reserve. A coordinator that found its own key of before in the copy waited until the key expired, for ever if its lease does not exist any more; the group kept its map. And map versions were not limited to what JSON readers read exactly.

The standby compares fencing numbers; a key that this process wrote, but not in its last term, counts as vacant; a term without versions below 2^53 plans no maps and logs an error. The layout of versions is unchanged: with 2^18 fencing numbers for each era, 20,000 restores after 200 days of 100 changes a second still fit.

TestStandbyTakesOverAfterRestore and TestCoordinatorReplacesItsKeyInCopy failed since there was no valid token, TestMapVersionLimits since a version beyond 2^53 was given. TestStandbyOfOlderEraResigns passed before too.

While instances of the previous build run beside this one, their fencing numbers are lower by 2^18 for each era, so ranks refuse them once one of this build has coordinated.

--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -30,12 +30,28 @@
 	// refusedReplanDelay is the pause before a new plan after a rank has
 	// refused a map.
 	refusedReplanDelay = 500 * time.Millisecond
-	// versionsPerTerm is the number of map versions reserved for each term. The
-	// fencing number of a term is a revision of the key-value store, so later
-	// terms have higher versions.
+	// versionsPerTerm is the number of map versions reserved for each term. Later
+	// terms have higher fencing numbers (lease.FencingNumber), so they have higher
+	// versions.
 	versionsPerTerm = 1_000_000
+	// maxMapFencing is the highest fencing number whose map versions are below
+	// 2^53. Readers of JSON may round larger numbers, so that two maps would have
+	// the same version.
+	maxMapFencing = (1<<53-1)/versionsPerTerm - 1
+	// versionsExhaustedDelay is the pause before the next attempt to plan a map in a
+	// term without versions.
+	versionsExhaustedDelay = time.Minute
 )
 
+// mapVersion returns the version of a map by its number in a term, or false if the
+// term has no version left for it.
+func mapVersion(fencing, number uint64) (uint64, bool) {
+	if fencing > maxMapFencing || number >= versionsPerTerm {
+		return 0, false
+	}
+	return fencing*versionsPerTerm + number, true
+}
+
 // coordinator plans and switches the maps of one group during one term.
 type coordinator struct {
 	log         *slog.Logger
@@ -235,13 +251,19 @@
 	if c.plan.Version != 0 && c.plan.Version != c.currentVersion {
 		return // a switch is in progress
 	}
+	version, ok := mapVersion(c.fencing, c.mapsPlanned+1)
+	if !ok {
+		c.log.Error("no map version left in this term", "fencing", c.fencing, "maps", c.mapsPlanned)
+		c.noPlanUntil = now.Add(versionsExhaustedDelay)
+		return
+	}
 	limits := plan.Limits{SlotsPerRank: c.shape.SlotsPerRank, NewPerRank: c.shape.MaxNewPerRank, Slowdowns: c.slowdowns}
 	proposal, ok := c.loadTracker.Propose(c.currentMap, limits, now)
 	if !ok {
 		return
 	}
 	c.mapsPlanned++
-	c.plan = switchover.Plan{Version: c.fencing*versionsPerTerm + c.mapsPlanned, Map: proposal.Map, HoldRank: int(c.mapsPlanned)}
+	c.plan = switchover.Plan{Version: version, Map: proposal.Map, HoldRank: int(c.mapsPlanned)}
 	c.log.Info("map planned", "version", c.plan.Version, "peak", proposal.MaxRankLoad, "planned_peak", proposal.PlannedMaxRankLoad, "copies", proposal.Copies,
 		"choices", c.loadTracker.Activations())
 }
--- a/ranks/election.go
+++ b/ranks/election.go
@@ -132,15 +132,7 @@
 // of the store, or in a term that was taken over, it hands the term over.
 func (c *Coordinators) coordinateGroup(ctx context.Context, group string) {
 	o, key := c.o, coordinatorKeyPrefix+group
-	holder := lease.New(lease.Options{
-		KV: o.KV, Key: key, HolderID: o.HolderID, Times: coordinatorTimes, KeepDuringOutage: true,
-		IsCandidate: func() bool { return leaseVacant(ctx, o, key) },
-		HolderDown:  o.isHolderDown,
-		OnAcquired:  func(n uint64) { o.Log.Info("lease taken", "group", group, "fencing", n) },
-		OnLost: func(n uint64, reason string) {
-			o.Log.Info("lease lost", "group", group, "fencing", n, "reason", reason)
-		},
-	})
+	holder := newCoordinatorLease(ctx, o, group, key)
 	reserve := newStandby(o, group, key)
 	leaseCtx, releaseLeases := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
@@ -189,6 +181,22 @@
 	}
 }
 
+// newCoordinatorLease returns a holder that competes for the coordinator lease of a
+// group.
+func newCoordinatorLease(ctx context.Context, o CoordinatorOptions, group, key string) *lease.Holder {
+	var holder *lease.Holder
+	holder = lease.New(lease.Options{
+		KV: o.KV, Key: key, HolderID: o.HolderID, Times: coordinatorTimes, KeepDuringOutage: true,
+		IsCandidate: func() bool { return leaseVacant(ctx, o, key, holder) },
+		HolderDown:  o.isHolderDown,
+		OnAcquired:  func(n uint64) { o.Log.Info("lease taken", "group", group, "fencing", n) },
+		OnLost: func(n uint64, reason string) {
+			o.Log.Info("lease lost", "group", group, "fencing", n, "reason", reason)
+		},
+	})
+	return holder
+}
+
 // activeToken returns the token under which this process may coordinate a
 // group: its own lease, a term that it took over, or the number that it holds
 // in reserve. It returns nil if there is none.
@@ -213,11 +221,12 @@
 // Token implements lease.Token.
 func (t takenOverToken) Token() (uint64, bool) { return t.Fencing, true }
 
-// leaseVacant reports whether the lease is free or its holder is down. It reads
-// the cached copy of the store, so that waiting costs no calls.
-func leaseVacant(ctx context.Context, o CoordinatorOptions, key string) bool {
+// leaseVacant reports whether the lease of a key, for which holder competes, is free,
+// its holder is down, or its key is a leftover of this process. It reads the cached
+// copy of the store, so that waiting costs no calls.
+func leaseVacant(ctx context.Context, o CoordinatorOptions, key string, holder *lease.Holder) bool {
 	items, err := o.Items(ctx, key)
-	return err == nil && (len(items) == 0 || o.isHolderDown(string(items[0].Value)))
+	return err == nil && (len(items) == 0 || o.isHolderDown(string(items[0].Value)) || holder.IsLeftover(items[0]))
 }
 
 // isHolderDown reports whether a holder is an earlier process of this instance,
--- a/ranks/standby.go
+++ b/ranks/standby.go
@@ -34,7 +34,7 @@
 	s.holder = lease.New(lease.Options{
 		KV: o.KV, Key: standbyKey, HolderID: o.HolderID, Times: coordinatorTimes, KeepDuringOutage: true, HolderDown: o.isHolderDown,
 		IsCandidate: func() bool {
-			return s.otherCoordinates() && rand.Float64() < standbyAcquireChance && leaseVacant(context.Background(), o, standbyKey)
+			return s.otherCoordinates() && rand.Float64() < standbyAcquireChance && leaseVacant(context.Background(), o, standbyKey, s.holder)
 		},
 		OnAcquired: func(n uint64) { o.Log.Info("standby taken", "group", group, "fencing", n) },
 		OnLost: func(n uint64, reason string) {
@@ -70,7 +70,7 @@
 		return false
 	}
 	it, ok := s.coordinatorLease(ctx)
-	if ok && (uint64(it.ModRevision) > number || string(it.Value) == s.o.HolderID) {
+	if ok && (lease.FencingNumber(it.ModRevision) > number || string(it.Value) == s.o.HolderID) {
 		s.holder.Resign(number)
 		return false
 	}
