ranks: the lease of a group is not mistaken for that of another

Items lists by prefix, and the lease of a group was the first item found. With the names g1 and g10, a free lease of g1 looked like that of g10: nobody competed for it until the coordinator of g10 was down, and g1 kept its map.

The item is now selected by its key, for the configuration too.

TestLeaseOfOtherGroupIsNotTakenForOwn failed since the lease was not vacant.

--- a/ranks/election.go
+++ b/ranks/election.go
@@ -225,8 +225,20 @@
 // its holder is down, or its key is a leftover of this process. It reads the cached
 // copy of the store, so that waiting costs no calls.
 func leaseVacant(ctx context.Context, o CoordinatorOptions, key string, holder *lease.Holder) bool {
+	it, exists, err := o.cachedItem(ctx, key)
+	return err == nil && (!exists || o.isHolderDown(string(it.Value)) || holder.IsLeftover(it))
+}
+
+// cachedItem returns the item with the key from the cached copy of the store, and
+// whether it exists. Other keys may begin with the key, since names of groups may.
+func (o CoordinatorOptions) cachedItem(ctx context.Context, key string) (infra.Item, bool, error) {
 	items, err := o.Items(ctx, key)
-	return err == nil && (len(items) == 0 || o.isHolderDown(string(items[0].Value)) || holder.IsLeftover(items[0]))
+	for _, it := range items {
+		if it.Key == key {
+			return it, true, err
+		}
+	}
+	return infra.Item{}, false, err
 }
 
 // isHolderDown reports whether a holder is an earlier process of this instance,
@@ -243,11 +255,11 @@
 // readShape returns the expert shape of a back end from the configuration, or
 // nil if it can't be read or has none.
 func readShape(ctx context.Context, o CoordinatorOptions, backend string) *routing.ExpertShape {
-	items, err := o.Items(ctx, o.Records.ConfigKey())
-	if err != nil || len(items) == 0 {
+	it, exists, err := o.cachedItem(ctx, o.Records.ConfigKey())
+	if err != nil || !exists {
 		return nil
 	}
-	cfg, err := o.Records.Config(items[0].Value)
+	cfg, err := o.Records.Config(it.Value)
 	if err != nil {
 		o.Log.Warn("configuration not readable", "error", err.Error())
 		return nil
--- a/ranks/era_test.go
+++ b/ranks/era_test.go
@@ -107,3 +107,19 @@
 		<-done
 	})
 }
+
+// Guards against a group that gets no coordinator since the name of another group
+// begins with its own name.
+func TestLeaseOfOtherGroupIsNotTakenForOwn(t *testing.T) {
+	o := CoordinatorOptions{
+		Instance: "a", HolderID: "a/1", Log: slog.New(slog.DiscardHandler),
+		Items: func(context.Context, string) ([]infra.Item, error) {
+			return []infra.Item{{Key: coordinatorKeyPrefix + "g10", Value: []byte("b/1"), ModRevision: 5}}, nil
+		},
+	}
+	key := coordinatorKeyPrefix + "g1"
+	h := newCoordinatorLease(t.Context(), o, "g1", key)
+	require.True(t, leaseVacant(t.Context(), o, key, h))
+	s := newStandby(o, "g1", key)
+	require.False(t, s.otherCoordinates(), "nobody coordinates g1")
+}
--- a/ranks/standby.go
+++ b/ranks/standby.go
@@ -47,11 +47,8 @@
 // coordinatorLease returns the item of the coordinator's lease from the cached
 // copy of the store.
 func (s *standby) coordinatorLease(ctx context.Context) (infra.Item, bool) {
-	items, err := s.o.Items(ctx, s.coordinatorKey)
-	if err != nil || len(items) == 0 {
-		return infra.Item{}, false
-	}
-	return items[0], true
+	it, exists, err := s.o.cachedItem(ctx, s.coordinatorKey)
+	return it, exists && err == nil
 }
 
 // otherCoordinates reports whether another process coordinates the group.
