gateway: an instance that has left is not listed again after a restore

The record of an instance that left between the copy and the restore is in the store again, and its lease may not exist any more. Others ignored the record for 15 s only, since they forgot the instance then; after that they named its address to callers.

A peer is now kept in the table while it has a record in the store.

TestRestoredRecordOfLeftInstanceIsNotListed failed since the instance was listed.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -137,7 +137,9 @@
 func (c *control) tick(now time.Time) {
 	c.removeExpired(now)
 	c.endGracePeriods(now)
-	c.peers.removeOld(now)
+	if c.peers.hasOld(now) {
+		c.peers.removeOld(c.instanceRecords(), now)
+	}
 	c.recordStoreOutage(now)
 	c.updateFreshness(now)
 	c.updateIsolation(now)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -26,8 +26,8 @@
 	peerTimeout = 1500 * time.Millisecond
 	// sessionTimeout ends a session on which nothing arrives.
 	sessionTimeout = 1200 * time.Millisecond
-	// peerRetention is how long an unresponsive peer stays in the table. Until
-	// then its record in the store is ignored, even if its lease has not
+	// peerRetention is how long an unresponsive peer stays in the table at least.
+	// While it does, its record in the store is ignored, even if its lease has not
 	// expired.
 	peerRetention = 15 * time.Second
 	// maxDialedPeers is how many peers an instance dials: those that follow it
--- a/gateway/peertable.go
+++ b/gateway/peertable.go
@@ -85,11 +85,22 @@
 }
 
 // removeOld removes peers that have been unresponsive for longer than
-// peerRetention.
-func (p *peerTable) removeOld(now time.Time) {
+// peerRetention and have no record in the store. In a restored store, the record of
+// an instance that has left may never expire.
+func (p *peerTable) removeOld(records map[string]instanceRecord, now time.Time) {
 	for id, peer := range p.byID {
-		if now.Sub(peer.lastHeartbeatAt) > peerRetention {
+		if _, hasRecord := records[id]; !hasRecord && now.Sub(peer.lastHeartbeatAt) > peerRetention {
 			delete(p.byID, id)
 		}
 	}
 }
+
+// hasOld reports whether a peer has been unresponsive for longer than peerRetention.
+func (p *peerTable) hasOld(now time.Time) bool {
+	for _, peer := range p.byID {
+		if now.Sub(peer.lastHeartbeatAt) > peerRetention {
+			return true
+		}
+	}
+	return false
+}
