--- a/lease/era_test.go
+++ b/lease/era_test.go
@@ -167,7 +167,7 @@
 		}
 	}
 	k.kv.Restore(k.older)
-	if _, err := k.KV.Grant(ctx, time.Minute); err != nil { // the id of the holder's lease
+	if _, err := k.Grant(ctx, time.Minute); err != nil { // the id of the holder's lease
 		return infra.TxnResult{}, err
 	}
 	if k.before {
