--- a/daemon/e2e/restore_test.go
+++ b/daemon/e2e/restore_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/infra/standin"
 )
 
 const (
@@ -36,11 +38,39 @@
 	// counts holds the requests received by the targets in dc1 and dc2.
 	counts [2]*atomic.Int64
 	addrs  [2]string
+	older  standin.Copy
+}
+
+// restores are ways in which the store comes back from an older copy.
+var restores = []func(*restoreTest){
+	func(s *restoreTest) { // refuses calls before
+		s.store.SetRefuse(true)
+		time.Sleep(300 * time.Millisecond)
+		s.store.Restore(s.older)
+		s.store.SetRefuse(false)
+	},
+	func(s *restoreTest) { // does not answer before
+		s.store.SetStall(true)
+		time.Sleep(700 * time.Millisecond)
+		s.store.Restore(s.older)
+		s.store.SetStall(false)
+	},
+	func(s *restoreTest) { // is not away, and gives out the revisions of before at once
+		s.store.Restore(s.older)
+		for i := range 200 {
+			require.NoError(s.t, s.store.Put(s.t.Context(), "other", i))
+		}
+	},
+	func(s *restoreTest) { // twice
+		s.store.Restore(s.older)
+		time.Sleep(100 * time.Millisecond)
+		s.store.Restore(s.older)
+	},
 }
 
-// startRestoreTest starts the deployment. All later writes are lost by a restore of
-// the copy that it returns.
-func startRestoreTest(t *testing.T) (s *restoreTest, restore func()) {
+// startRestoreTest starts the deployment. Its entries, and those of a target, are
+// younger than the copy to which the store is restored.
+func startRestoreTest(t *testing.T) (s *restoreTest) {
 	s = &restoreTest{platformDeployment: newPlatformDeployment(t)}
 	for i := range s.addrs {
 		count := &atomic.Int64{}
@@ -55,7 +85,7 @@
 	}
 	s.putConfig(1, "first")
 	s.putTarget(0)
-	older := s.store.TakeCopy()
+	s.older = s.store.TakeCopy()
 	s.putTarget(1)
 	s.gateways = []*platformProcess{s.start("gateway"), s.start("gateway")}
 	s.rank = s.start("rank")
@@ -63,12 +93,7 @@
 		g.waitReady()
 	}
 	s.requireRegistered(waitTimeout)
-	return s, func() {
-		s.store.SetRefuse(true)
-		time.Sleep(300 * time.Millisecond)
-		s.store.Restore(older)
-		s.store.SetRefuse(false)
-	}
+	return s
 }
 
 // putConfig writes a configuration with one route for each name.
@@ -172,13 +197,14 @@
 // takes back a configuration or an evacuation, loses the entries of the processes,
 // or keeps the processes from receiving later changes.
 func TestStoreRestoredFromOlderCopy(t *testing.T) {
-	s, restore := startRestoreTest(t)
-	for version := 2; version <= 8; version += 3 {
+	s := startRestoreTest(t)
+	for i, restore := range restores {
+		version := 2 + 3*i
 		added := fmt.Sprintf("added%d", version)
 		s.putConfig(version, "first", added)
 		s.requireRoute(added)
 		stopFirst, stopAdded := s.keepSending("first"), s.keepSending(added)
-		restore()
+		restore(s)
 		s.requireRegistered(registryReturn)
 		s.putTarget(0)
 		s.putTarget(1)
@@ -193,7 +219,7 @@
 		time.Sleep(restoreApplyTime)
 		before := s.counts[0].Load()
 		elsewhere := s.counts[1].Load()
-		restore()
+		restore(s)
 		time.Sleep(time.Second)
 		require.Equal(t, before, s.counts[0].Load(), "requests reached a data centre that is out of service")
 		require.Greater(t, s.counts[1].Load(), elsewhere)
