--- a/ctl/cmd/skylarkctl/main_test.go
+++ b/ctl/cmd/skylarkctl/main_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"os"
 	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -50,3 +52,14 @@
 		})
 	}
 }
+
+// Guards against a command that cannot be ended because it does not watch its
+// context.
+func TestCommandThatIgnoresSignalsEnds(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	blocked := make(chan struct{})
+	defer close(blocked)
+	err := runUntilStopped(ctx, 10*time.Millisecond, func(context.Context) error { <-blocked; return nil })
+	require.ErrorContains(t, err, "has not ended")
+}
--- a/ctl/command/dev.go
+++ b/ctl/command/dev.go
@@ -14,8 +14,12 @@
 	"github.com/skylarkstep/skylarkstep/ctl/dev"
 )
 
-// readyTimeout limits the wait for a dev deployment to become ready.
-const readyTimeout = 20 * time.Second
+const (
+	// readyTimeout limits the wait for a dev deployment to become ready.
+	readyTimeout = 20 * time.Second
+	// devStopTimeout limits the planned stop of a dev deployment.
+	devStopTimeout = 5 * time.Second
+)
 
 func devCommand() *cobra.Command {
 	var file, logFile string
@@ -77,5 +81,9 @@
 	_, _ = fmt.Fprintf(out, "running; entry %s, customer key %q, operator token %q; interrupt to stop\n",
 		d.EntryURL(), d.CustomerKey(c.Inventory.Customers[0].Name), dev.OperatorToken)
 	<-ctx.Done()
+	_, _ = fmt.Fprintf(out, "stopping; requests in progress have %v to complete\n", devStopTimeout)
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), devStopTimeout)
+	defer cancel()
+	d.Shutdown(stopCtx)
 	return nil
 }
--- a/ctl/dev/dev.go
+++ b/ctl/dev/dev.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -293,6 +294,30 @@
 	}
 }
 
+// Shutdown runs the planned stop of all entries, then that of all targets, since
+// entries finish their requests at targets, and closes the stand-ins. When ctx
+// ends, it closes them at once.
+func (d *Deployment) Shutdown(ctx context.Context) {
+	defer d.Close()
+	d.stopAll(ctx, func(name string) bool {
+		return slices.ContainsFunc(d.Config.Inventory.Entries, func(e config.Entry) bool { return e.Name == name })
+	})
+	d.stopAll(ctx, func(string) bool { return true })
+}
+
+// stopAll stops the processes that match and waits until they have exited or ctx
+// ends.
+func (d *Deployment) stopAll(ctx context.Context, match func(name string) bool) {
+	d.mu.Lock()
+	names := slices.DeleteFunc(slices.Collect(maps.Keys(d.processes)), func(name string) bool { return !match(name) })
+	d.mu.Unlock()
+	var stops sync.WaitGroup
+	for _, name := range names {
+		stops.Go(func() { _ = d.Stop(ctx, name) })
+	}
+	stops.Wait()
+}
+
 // Close closes the stand-ins and starts the planned stop of every entry and
 // target, without waiting for it.
 func (d *Deployment) Close() {
