daemon/entry: the final error of a model request that has run is not "not_run"

A caller that had received tokens, or whose request was lost at a target, got did_run "not_run" when the last target that was tried refused the rest, for example because it was stopping too.

Cause: the error of the last attempt became that of the request. The generation now remembers that an attempt may have run, and reports "unknown" then.

--- a/daemon/entry/complete.go
+++ b/daemon/entry/complete.go
@@ -46,6 +46,8 @@
 	// attempt.
 	failures    int
 	lastFailure error
+	// mayHaveRun is set once an attempt has failed that a target may have begun.
+	mayHaveRun bool
 	// startOffset is the token offset at which the current attempt began, and
 	// currentTarget its target.
 	startOffset   int
@@ -123,7 +125,7 @@
 			g.out.flush()
 		}
 		if !g.shouldContinue(err) {
-			return withRetryAfter(err)
+			return g.finalError(err)
 		}
 	}
 }
@@ -154,6 +156,7 @@
 	}
 	g.failures++
 	g.lastFailure = err
+	g.mayHaveRun = g.mayHaveRun || g.offset > g.startOffset || errkind.From(err).DidRun != errkind.NotRun
 	if g.ctx.Err() != nil || !errkind.KindOf(err).Response().FailOver ||
 		g.failures >= maxModelAttempts || g.attempts >= maxStreamAttempts {
 		return false
@@ -170,7 +173,7 @@
 			if g.lastFailure != nil && errkind.KindOf(err) == errkind.NoTarget {
 				err = g.lastFailure
 			}
-			return withRetryAfter(err)
+			return g.finalError(err)
 		}
 		g.startOffset = g.offset
 		g.currentTarget = to.name
@@ -185,7 +188,7 @@
 			return nil
 		}
 		if !g.shouldContinue(err) {
-			return withRetryAfter(err)
+			return g.finalError(err)
 		}
 	}
 }
@@ -207,10 +210,14 @@
 	}, nil
 }
 
-// withRetryAfter adds a retry-after time to the final error of a request if a
-// target may be able to serve the request later.
-func withRetryAfter(err error) error {
+// finalError returns the error of the request after that of its last attempt. It
+// adds a retry-after time if a target may be able to serve the request later. A
+// refusal of the last attempt says nothing about the earlier ones.
+func (g *generation) finalError(err error) error {
 	e := errkind.From(err)
+	if g.mayHaveRun && e.DidRun == errkind.NotRun {
+		e = e.WithDidRun(errkind.Unknown)
+	}
 	if e.RetryAfter == 0 && e.Kind.Response().FailOver {
 		return e.WithRetryAfter(retryAfter())
 	}
--- a/daemon/entry/streams_test.go
+++ b/daemon/entry/streams_test.go
@@ -244,6 +244,34 @@
 	}
 }
 
+// Guards against "not_run" in the final error of a request that has run: the
+// target that generated a part of it fails, and the next one refuses the rest.
+func TestErrorAfterTokensIsNotNotRun(t *testing.T) {
+	refuse := func(st *wire.Stream, _ *wirepb.Dispatch) {
+		_ = st.Send(&wirepb.Frame{Body: &wirepb.Frame_Failure{Failure: &wirepb.Failure{
+			Kind: uint32(errkind.Leaving), DidRun: uint32(errkind.NotRun), Message: "the target is stopping",
+		}}})
+	}
+	for name, first := range map[string]targetScript{
+		"after a token": func(st *wire.Stream, _ *wirepb.Dispatch) {
+			_ = st.Send(tokenFrame(0, standin.TokenText(testPrompt, 0)))
+		},
+		"before any answer": func(*wire.Stream, *wirepb.Dispatch) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				f := newFixture(t, "a", "b")
+				f.addScriptedTarget("a", first)
+				f.addScriptedTarget("b", refuse)
+				f.start()
+				got := f.complete(testTokens, testPrompt)
+				assert.Contains(t, got.body, `"kind":"leaving"`)
+				assert.NotContains(t, got.body, "not_run")
+			})
+		})
+	}
+}
+
 // Guards against work that continues after its caller has disconnected.
 func TestCallerGoesAway(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
