--- a/daemon/e2e/signals_test.go
+++ b/daemon/e2e/signals_test.go
@@ -1,12 +1,18 @@
 package e2e
 
 import (
+	"bytes"
+	"encoding/json"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/config"
 )
 
 const (
@@ -111,6 +117,66 @@
 	}
 }
 
+// Guards against a signal that ends a process of the product's own deployment
+// while it reads its settings.
+func TestSignalsDuringStartOfOwnProcess(t *testing.T) {
+	bin, err := buildDaemon()
+	require.NoError(t, err)
+	settings, err := json.Marshal(&config.Settings{
+		Role: config.RoleEntry, Name: "entry", DataCentre: "burgos", HTTPAddr: freeAddr(t), PeerAddr: freeAddr(t),
+		ClusterKey: "test-cluster-key-0123", Platform: config.Platform{KVURL: "http://" + freeAddr(t)}, StopTimeoutMs: 2000,
+	})
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "entry.json")
+	require.NoError(t, syscall.Mkfifo(path, 0o600))
+	p := &platformProcess{t: t, cmd: exec.Command(bin, "run", path), out: &lockedBuffer{}, done: make(chan struct{})}
+	p.cmd.Stderr = p.out
+	p.run()
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // blocks until the process reads
+	require.NoError(t, err)
+	for _, sig := range []syscall.Signal{hangup, terminate, hangup, terminate} {
+		p.signal(sig)
+		time.Sleep(signalPause)
+	}
+	_, err = pipe.Write(settings)
+	require.NoError(t, err)
+	require.NoError(t, pipe.Close())
+	p.waitForExit()
+}
+
+// Guards against a reload during a stop that cuts requests: the file may have
+// changed, be invalid or be missing.
+func TestReloadDuringStopCutsNoStream(t *testing.T) {
+	for name, change := range map[string]func(t *testing.T, path string){
+		"changed": func(t *testing.T, path string) {
+			data, err := os.ReadFile(path)
+			require.NoError(t, err)
+			require.NoError(t, os.WriteFile(path, bytes.Replace(data, []byte(`"budgetSlack":90`), []byte(`"budgetSlack":10`), 1), 0o600))
+		},
+		"invalid": func(t *testing.T, path string) { require.NoError(t, os.WriteFile(path, []byte("{"), 0o600)) },
+		"missing": func(t *testing.T, path string) { require.NoError(t, os.Remove(path)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const events = 40
+			p := newPlatformDeployment(t).start("gateway")
+			p.waitReady()
+			s := p.openStream(t.Context(), events)
+			p.signal(terminate)
+			p.waitForLog("stopping")
+			change(t, p.settings)
+			p.signal(hangup)
+			want := "settings not taken"
+			if name == "changed" {
+				want = "settings reloaded"
+			}
+			p.waitForLog(want)
+			s.requireComplete(t, events)
+			p.waitForExit()
+		})
+	}
+}
+
 // Guards against the end of a process when the reader of its log goes away.
 func TestClosedLogCutsNoStream(t *testing.T) {
 	const events = 40
