--- a/ctl/dev/dev.go
+++ b/ctl/dev/dev.go
@@ -55,12 +55,14 @@
 	Models    map[string]*enginestandin.Model   // by target
 	Services  map[string]*enginestandin.Service // by target
 
-	options   Options
-	kvURL     string
-	listURL   string
-	mu        sync.Mutex
-	processes map[string]*process
-	closers   []func()
+	options Options
+	kvURL   string
+	listURL string
+	// targetURLs holds the base URLs of the stand-ins by target.
+	targetURLs map[string]string
+	mu         sync.Mutex
+	processes  map[string]*process
+	closers    []func()
 	// reserved holds the listeners of AnyPorts until their process starts. They
 	// are opened before any address is published, so that no other socket can
 	// bind to one of the ports in the meantime.
@@ -88,6 +90,8 @@
 		options:   o,
 		processes: map[string]*process{},
 		reserved:  map[string]net.Listener{},
+
+		targetURLs: map[string]string{},
 	}
 	if err := d.start(ctx); err != nil {
 		d.Close()
@@ -164,7 +168,7 @@
 		m = enginestandin.NewModel(d.options.Model)
 		d.Models[target] = m
 	}
-	url, err := d.serve(m)
+	url, err := d.serveTarget(target, m)
 	if err != nil {
 		return nil, err
 	}
@@ -178,13 +182,26 @@
 		v = enginestandin.NewService(d.options.Service)
 		d.Services[target] = v
 	}
-	url, err := d.serve(v)
+	url, err := d.serveTarget(target, v)
 	if err != nil {
 		return nil, err
 	}
 	return service.New(url), nil
 }
 
+// serveTarget returns the base URL of the stand-in of a target. A restarted target
+// uses the server of its earlier start.
+func (d *Deployment) serveTarget(target string, h http.Handler) (string, error) {
+	if url := d.targetURLs[target]; url != "" {
+		return url, nil
+	}
+	url, err := d.serve(h)
+	if err == nil {
+		d.targetURLs[target] = url
+	}
+	return url, err
+}
+
 // StartEntry starts an entry with all other entries as its peers.
 func (d *Deployment) StartEntry(e config.Entry) error {
 	s := d.settings(config.RoleEntry, e.Name, e.DataCentre, e.PeerAddr, e.HTTPAddr)
--- a/ctl/dev/shutdown_test.go
+++ b/ctl/dev/shutdown_test.go
@@ -49,3 +49,20 @@
 	require.NoError(t, r.err, "the stream was cut")
 	require.Contains(t, string(r.res.body), "event: done")
 }
+
+// Guards against one more HTTP server for each restart of a target.
+func TestRestartedTargetUsesItsServer(t *testing.T) {
+	data, err := os.ReadFile("../../examples/cabina-norte.json")
+	require.NoError(t, err)
+	c, err := config.ParseConfig(data)
+	require.NoError(t, err)
+	d, err := Start(t.Context(), Options{Config: c, AnyPorts: true})
+	require.NoError(t, err)
+	defer d.Close()
+	servers := len(d.closers)
+	for _, target := range d.Config.Inventory.Targets[:2] {
+		require.NoError(t, d.Kill(target.Name))
+		require.NoError(t, d.StartTarget(target))
+	}
+	require.Len(t, d.closers, servers)
+}
