lease: instances and agents log that their record was lost

An operator could not see in the logs why a record was missing from the store for a moment; the rank's process logged nothing about a restore at all. Both now write one line when the lease of their record has expired or the store was restored, before they write the record again.

--- a/daemon/e2e/restore_test.go
+++ b/daemon/e2e/restore_test.go
@@ -234,5 +234,7 @@
 	}
 	for _, g := range s.gateways {
 		g.waitForLog("key-value service restored from an older copy")
+		g.waitForLog("own record lost, writing it again")
 	}
+	s.rank.waitForLog("own record lost, writing it again")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,7 +98,10 @@
 	g.queues = &queues{g: g, byBackend: map[string]*queue{}}
 	g.control = newControl(g)
 	own := instanceRecord{CallerAddr: o.CallerAddr, PeerAddr: o.PeerAddr, DataCentre: o.DataCentre, Region: o.Region}
-	g.ownRecord = lease.Record{KV: o.KV, Key: recordKey(g.id), Value: own.encode(), TTL: registryTTL, RenewInterval: registryRenewInterval}
+	g.ownRecord = lease.Record{
+		KV: o.KV, Key: recordKey(g.id), Value: own.encode(), TTL: registryTTL, RenewInterval: registryRenewInterval,
+		OnLost: func() { g.log.Warn("own record lost, writing it again", "key", recordKey(g.id)) },
+	}
 	return g
 }
 
--- a/lease/era_test.go
+++ b/lease/era_test.go
@@ -23,7 +23,8 @@
 				kv := standin.NewKV()
 				older := kv.TakeCopy()
 				ctx, cancel := context.WithCancel(t.Context())
-				r := Record{KV: kv.Direct(), Key: "k", Value: []byte("v"), TTL: 4 * time.Second, RenewInterval: time.Second}
+				lost := 0
+				r := Record{KV: kv.Direct(), Key: "k", Value: []byte("v"), TTL: 4 * time.Second, RenewInterval: time.Second, OnLost: func() { lost++ }}
 				done := make(chan struct{})
 				go func() { r.Run(ctx); close(done) }()
 				time.Sleep(1500 * time.Millisecond)
@@ -45,6 +46,7 @@
 				require.NoError(t, err)
 				cancel()
 				<-done
+				require.Equal(t, 1, lost, "the loss is reported once")
 				remaining, err := kv.Direct().KeepAlive(t.Context(), other)
 				require.NoError(t, err)
 				require.NotZero(t, remaining, "the lease of somebody else was ended")
--- a/lease/record.go
+++ b/lease/record.go
@@ -18,6 +18,9 @@
 	// TTL is the time after which the key of an exited process expires, and
 	// RenewInterval the interval of renewals.
 	TTL, RenewInterval time.Duration
+	// OnLost is called when the lease has expired or the store was restored, before
+	// the key is written again; it may be nil.
+	OnLost func()
 }
 
 // Run keeps the record until ctx ends and then removes it.
@@ -59,6 +62,9 @@
 			return nil
 		}
 		*l = recordLease{}
+		if r.OnLost != nil {
+			r.OnLost()
+		}
 	}
 	if l.id == (infra.LeaseID{}) {
 		id, err := r.KV.Grant(ctx, r.TTL)
--- a/ranks/ranks.go
+++ b/ranks/ranks.go
@@ -87,7 +87,11 @@
 	if err != nil {
 		panic(err) // a struct of numbers and strings always encodes
 	}
-	record := lease.Record{KV: o.KV, Key: groupPrefix(r.Group) + fmt.Sprint(r.Rank), Value: value, TTL: recordTTL, RenewInterval: recordRenewInterval}
+	key := groupPrefix(r.Group) + fmt.Sprint(r.Rank)
+	record := lease.Record{
+		KV: o.KV, Key: key, Value: value, TTL: recordTTL, RenewInterval: recordRenewInterval,
+		OnLost: func() { o.Log.Warn("own record lost, writing it again", "key", key) },
+	}
 	wg.Go(func() { record.Run(ctx) })
 	wg.Go(func() { recoverSwitch(ctx, o, a, r) })
 	for ctx.Err() == nil {
