--- a/ranks/standby.go
+++ b/ranks/standby.go
@@ -34,7 +34,7 @@
 	s.holder = lease.New(lease.Options{
 		KV: o.KV, Key: standbyKey, HolderID: o.HolderID, Times: coordinatorTimes, KeepDuringOutage: true, HolderDown: o.isHolderDown,
 		IsCandidate: func() bool {
-			return s.otherCoordinates() && rand.Float64() < standbyAcquireChance && leaseVacant(context.Background(), o, standbyKey)
+			return s.otherCoordinates() && rand.Float64() < standbyAcquireChance && leaseVacant(context.Background(), o, standbyKey, s.holder)
 		},
 		OnAcquired: func(n uint64) { o.Log.Info("standby taken", "group", group, "fencing", n) },
 		OnLost: func(n uint64, reason string) {
@@ -47,11 +47,8 @@
 // coordinatorLease returns the item of the coordinator's lease from the cached
 // copy of the store.
 func (s *standby) coordinatorLease(ctx context.Context) (infra.Item, bool) {
-	items, err := s.o.Items(ctx, s.coordinatorKey)
-	if err != nil || len(items) == 0 {
-		return infra.Item{}, false
-	}
-	return items[0], true
+	it, exists, err := s.o.cachedItem(ctx, s.coordinatorKey)
+	return it, exists && err == nil
 }
 
 // otherCoordinates reports whether another process coordinates the group.
@@ -70,7 +67,7 @@
 		return false
 	}
 	it, ok := s.coordinatorLease(ctx)
-	if ok && (uint64(it.ModRevision) > number || string(it.Value) == s.o.HolderID) {
+	if ok && (lease.FencingNumber(it.ModRevision) > number || string(it.Value) == s.o.HolderID) {
 		s.holder.Resign(number)
 		return false
 	}
