--- a/daemon/e2e/stop_test.go
+++ b/daemon/e2e/stop_test.go
@@ -151,3 +151,25 @@
 	p.waitForExit()
 	require.Less(t, time.Since(beganAt), stopBound, "the process would have been killed")
 }
+
+// Guards against a gateway that holds or drops requests if it is stopped before
+// its first configuration, or that does not exit then.
+func TestStopBeforeFirstConfiguration(t *testing.T) {
+	t.Parallel()
+	d := newPlatformDeployment(t)
+	d.store.SetLatency(time.Minute) // no call to the store gets a reply
+	p := d.start("gateway")
+	p.waitForLog("started")
+	conn, err := net.Dial("tcp", p.ip+":8227")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	waiting := make(chan string, 1)
+	go func() { waiting <- streamAttempt(conn, bufio.NewReader(conn), "waiting", 1) }()
+	time.Sleep(signalPause)
+	p.signal(terminate)
+	beganAt := time.Now()
+	require.Equal(t, "refused", <-waiting)
+	require.Less(t, time.Since(beganAt), time.Second)
+	p.waitForExit()
+	require.Less(t, time.Since(beganAt), stopBound)
+}
