--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,8 +31,6 @@
 	// CallerAddr is the address for callers, and PeerAddr the one for the other
 	// instances.
 	CallerAddr, PeerAddr string
-	// StopTimeout is the longest time that a planned stop may take.
-	StopTimeout time.Duration
 	// AddressTTL is how long callers may cache a list of addresses.
 	AddressTTL time.Duration
 	Limits     Limits
@@ -54,7 +52,10 @@
 	// instance may be: one that reaches neither the store nor another instance.
 	// Beyond it, the instance rejects requests.
 	MaxIsolatedStaleness time.Duration
-	Retries              routing.RetryLimits
+	// StopTimeout is the longest time that a planned stop may take. A change
+	// during a stop has no effect on it.
+	StopTimeout time.Duration
+	Retries     routing.RetryLimits
 }
 
 // Gateway is one instance of the load balancer.
@@ -75,9 +76,9 @@
 	snapshot     atomic.Pointer[snapshot]
 	// configured is closed when the first configuration is active.
 	configured chan struct{}
-	leaving    atomic.Bool
-	refusing   atomic.Bool // set late in a planned stop, when new requests are rejected
 	inFlight   atomic.Int64
+	workTimes  workTimes
+	stops      *stopState
 
 	limits atomic.Pointer[Limits]
 
@@ -90,7 +91,7 @@
 	g := &Gateway{
 		opts: o, id: o.Instance, log: o.Log, kv: o.KV, decoder: o.ItemDecoder, headers: o.Headers,
 		metrics: newMetrics(o.Registry, o.Log), peerSessions: &sessionTable{claimed: map[string]bool{}},
-		configured:   make(chan struct{}),
+		configured: make(chan struct{}), workTimes: workTimes{groups: map[workGroup]*workSamples{}}, stops: newStopState(),
 		retryBudgets: map[string]*routing.RetryBudget{},
 	}
 	g.limits.Store(&o.Limits)
@@ -135,8 +136,6 @@
 	switch {
 	case s == nil:
 		return nil, errkind.New(errkind.NotReady, "no configuration yet").WithRetryAfter(jitter(minRetryAfter))
-	case g.refusing.Load():
-		return nil, errkind.New(errkind.Leaving, "the instance is stopping").WithRetryAfter(minRetryAfter / 2)
 	case g.isIsolated():
 		return nil, errkind.New(errkind.Isolated, "the configuration may have changed; use another address").WithRetryAfter(minRetryAfter)
 	}
@@ -146,7 +145,7 @@
 // Ready returns nil if the instance should receive new callers, or the reason
 // why not.
 func (g *Gateway) Ready() error {
-	if g.leaving.Load() {
+	if g.isLeaving() {
 		return errkind.New(errkind.Leaving, "the instance is stopping")
 	}
 	_, err := g.servingSnapshot()
@@ -240,11 +239,7 @@
 	group.Go(func() { g.control.watch(runCtx) })
 	group.Go(func() { g.dialPeers(runCtx) })
 	group.Go(func() { g.acceptPeers(runCtx, l.Peers) })
-	registered := make(chan struct{})
-	group.Go(func() {
-		defer close(registered)
-		g.ownRecord.Run(ctx)
-	})
+	group.Go(func() { g.ownRecord.Run(ctx) })
 	failed := make(chan error, 1)
 	go func() { failed <- g.callers.serve(l.Callers) }()
 	var err error
@@ -253,6 +248,7 @@
 	case <-ctx.Done():
 		g.stop(context.Cause(ctx), l.Callers)
 	}
+	g.callers.close()
 	cancel()
 	_ = l.Peers.Close()
 	group.Wait()
