ranks: a repeated prepare order that is refused keeps the plan

While replies get lost, a group would not get a better map: the plan was dropped and another one begun, whose prepare orders met the same.

Cause: a rank refuses a version that it has had. If the reply to the first prepare order is lost, the repeat in the next round (or a duplicate) is refused although the rank copies the experts, and the coordinator dropped the plan for it.

The coordinator now records prepare orders without an answer. A refusal of the same version within prepareRetryInterval counts as the confirmation that was lost; the rank has the usual time to report the map as prepared. After that a refusal drops the plan as before.

TestRefusedRepeatOfPrepareKeepsPlan failed before: the plan was gone after the second round. Its last part checks that a plan that all ranks refuse for good is still dropped.

--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -55,7 +55,7 @@
 	// supersededFencing is the fencing number with which a rank has refused an
 	// order because another coordinator has used a higher one.
 	supersededFencing uint64
-	lastPrepare       map[int]acceptedPrepare
+	lastPrepare       map[int]sentPrepare
 	phase             switchover.Phase
 	slowdowns         []float64
 	// onSlowRanks is called with the slowdown factors of slow ranks by address;
@@ -68,15 +68,17 @@
 // healthy rank has 1.
 const slowThreshold = 1.2
 
-// acceptedPrepare is the last prepare order that a rank has accepted.
-type acceptedPrepare struct {
-	version uint64
-	at      time.Time
+// sentPrepare is the last prepare order that a rank has accepted or may have
+// accepted. Without an answer, at is the time of the first order of the version.
+type sentPrepare struct {
+	version  uint64
+	at       time.Time
+	answered bool
 }
 
 func newCoordinator(log *slog.Logger, l *links, shape *routing.ExpertShape) *coordinator {
 	return &coordinator{
-		log: log, links: l, shape: shape, lastPrepare: map[int]acceptedPrepare{},
+		log: log, links: l, shape: shape, lastPrepare: map[int]sentPrepare{},
 		loadTracker: plan.NewTracker(shape.Sets, shape.Experts, plan.DefaultTrackerRules),
 	}
 }
@@ -265,7 +267,7 @@
 	var out []switchover.Order
 	for _, o := range orders {
 		s := c.lastPrepare[o.Rank]
-		if o.Operation == switchover.Prepare && s.version == o.Version && now.Sub(s.at) < prepareRetryInterval {
+		if o.Operation == switchover.Prepare && s.answered && s.version == o.Version && now.Sub(s.at) < prepareRetryInterval {
 			continue
 		}
 		out = append(out, o)
@@ -288,11 +290,11 @@
 		}
 		switch {
 		case res.outcome == Done && o.Operation == switchover.Prepare:
-			c.lastPrepare[o.Rank] = acceptedPrepare{o.Version, time.Now()}
+			c.lastPrepare[o.Rank] = sentPrepare{version: o.Version, at: time.Now(), answered: true}
+		case res.outcome == NoReply && o.Operation == switchover.Prepare:
+			c.recordUnansweredPrepare(o, time.Now())
 		case res.outcome == Refused && o.Operation == switchover.Prepare:
-			c.log.Warn("map refused", "rank", o.Rank, "version", o.Version, "error", res.err)
-			c.plan, c.mapKnown = switchover.Plan{}, false
-			c.noPlanUntil = time.Now().Add(refusedReplanDelay)
+			c.handleRefusedPrepare(o, res.err, time.Now())
 		case res.outcome == Fenced:
 			c.supersededFencing = c.fencing
 			c.log.Warn("order fenced", "rank", o.Rank, "operation", string(o.Operation), "fencing", c.fencing)
@@ -303,4 +305,28 @@
 	return confirmed
 }
 
+// recordUnansweredPrepare records a prepare order that the rank may have
+// accepted.
+func (c *coordinator) recordUnansweredPrepare(o switchover.Order, now time.Time) {
+	if c.lastPrepare[o.Rank].version != o.Version {
+		c.lastPrepare[o.Rank] = sentPrepare{version: o.Version, at: now}
+	}
+}
+
+// handleRefusedPrepare drops the plan unless an order of the same version was
+// sent without an answer before. A rank refuses a version that it has had, so
+// the refusal may mean that it is copying the experts. It then has as much time
+// for that as if it had confirmed the order.
+func (c *coordinator) handleRefusedPrepare(o switchover.Order, reason string, now time.Time) {
+	s := c.lastPrepare[o.Rank]
+	if s.version == o.Version && !s.answered && now.Sub(s.at) < prepareRetryInterval {
+		s.answered = true
+		c.lastPrepare[o.Rank] = s
+		return
+	}
+	c.log.Warn("map refused", "rank", o.Rank, "version", o.Version, "error", reason)
+	c.plan, c.mapKnown = switchover.Plan{}, false
+	c.noPlanUntil = now.Add(refusedReplanDelay)
+}
+
 var outcomeNames = [...]string{NoReply: "no answer", Done: "done", Refused: "refused", Fenced: "fenced"}
--- a/ranks/order_test.go
+++ b/ranks/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"testing"
 
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/expertmap/switchover"
+	"github.com/skylarkstep/skylarkstep/routing"
 )
 
 // scriptedRank replies to the orders that it gets with the next outcomes of a
@@ -70,3 +72,54 @@
 		}
 	}
 }
+
+// copyingGroup is a group whose ranks take the whole test to copy experts, so
+// that they never report a map as prepared. It loses the reply to the first
+// prepare order that a rank carries out.
+type copyingGroup struct {
+	*fakeGroup
+	lost, refused int
+}
+
+func (g *copyingGroup) Order(ctx context.Context, addr string, o switchover.Order, fencing uint64) (Outcome, error) {
+	outcome, err := g.fakeGroup.Order(ctx, addr, o, fencing)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.states[rankOf(addr)].PreparedVersion = 0
+	if outcome == Refused {
+		g.refused++
+	}
+	if outcome == Done && o.Operation == switchover.Prepare && g.lost == 0 {
+		g.lost++
+		return NoReply, errors.New("reply lost")
+	}
+	return outcome, err
+}
+
+// Guards against a plan that is dropped because a rank refuses the second
+// prepare order of a version whose first one it carries out, and against a plan
+// that is kept although a rank refuses it for good.
+func TestRefusedRepeatOfPrepareKeepsPlan(t *testing.T) {
+	g := &copyingGroup{fakeGroup: newFakeGroup(0)}
+	l := directLinks(g.fakeGroup)
+	l.engine = g
+	coord := newCoordinator(slog.New(slog.DiscardHandler), l, &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3})
+	coord.token, coord.fencing = fixedToken(7), 7
+	coord.plan = switchover.Plan{Version: 7, Map: g.maps[0]}
+	coord.currentMap, coord.mapKnown = g.maps[0], true
+	for range 3 {
+		coord.runRound(t.Context())
+	}
+	g.mu.Lock()
+	require.Equal(t, 1, g.lost)
+	require.Positive(t, g.refused, "the order must be repeated")
+	g.mu.Unlock()
+	require.EqualValues(t, 7, coord.plan.Version, "the rank that refused the repeat is copying the experts")
+
+	for rank, p := range coord.lastPrepare {
+		p.at = p.at.Add(-prepareRetryInterval)
+		coord.lastPrepare[rank] = p
+	}
+	coord.runRound(t.Context())
+	require.Zero(t, coord.plan.Version, "no rank has prepared the map in time and all refuse it")
+}
