ranks: an order that was not sent does not count as lost

Operators would see "no answer" for orders that never left the process: the token is checked again before each order, since the process may have been paused, and a term that ended in the middle of a round leaves the rest unsent. The coordinator took that for lost replies. If it got a new term within 8 s, it sent each order three times and held steps ten ahead without need, which costs orders and the pause of the switch.

Cause: the zero value of an outcome is NoReply, and sendOrders returned it for orders that it did not send.

Such orders now have the outcome NotSent ("not sent" in the log), which starts no duplicates and is not recorded as a prepare order that the rank may have accepted.

--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -329,4 +329,4 @@
 	c.noPlanUntil = now.Add(refusedReplanDelay)
 }
 
-var outcomeNames = [...]string{NoReply: "no answer", Done: "done", Refused: "refused", Fenced: "fenced"}
+var outcomeNames = [...]string{NoReply: "no answer", Done: "done", Refused: "refused", Fenced: "fenced", NotSent: "not sent"}
--- a/ranks/engine.go
+++ b/ranks/engine.go
@@ -10,12 +10,14 @@
 type Outcome uint8
 
 // The outcomes of an order. After NoReply the rank may still carry the order
-// out later.
+// out later. A NotSent order was not sent, since the term had ended. Agents send
+// the numbers of the others to coordinators, so they must not change.
 const (
 	NoReply Outcome = iota
 	Done
 	Refused
 	Fenced
+	NotSent
 )
 
 // Report is the state of one rank.
--- a/ranks/links.go
+++ b/ranks/links.go
@@ -294,6 +294,7 @@
 		wg.Go(func() {
 			results[i] = orderResult{order: o}
 			if now, valid := token.Token(); !valid || now != fencing {
+				results[i].outcome = NotSent
 				return
 			}
 			outcome, err := l.sendOrder(ctx, o, fencing, duplicates)
