ranks: a late order does not lower the fencing number of recovery

Callers would wait while a held group serves nothing: if the coordinator becomes unresponsive during a switch, an agent finishes it with the number of the last order that it forwarded. After a late order of a superseded coordinator that number was too low, the ranks refused the orders of the agent, and the group stayed held until the next coordinator got its lease.

Cause: forwardOrder stored the number of every order, also of one that the rank had just refused as fenced.

The agent now keeps the highest number and ignores fenced orders.

--- a/ranks/agent.go
+++ b/ranks/agent.go
@@ -22,7 +22,8 @@
 	// since startedAt.
 	lastQueryAt atomic.Int64
 	startedAt   time.Time
-	// lastFencing is the fencing number of the last order that was forwarded.
+	// lastFencing is the highest fencing number of the forwarded orders that the
+	// rank has not refused for their number. Recovery uses it.
 	lastFencing atomic.Uint64
 }
 
@@ -96,7 +97,9 @@
 func (a *agent) forwardOrder(ctx context.Context, w *wirepb.RankOrder) *wirepb.RankOrderResult {
 	o := decodeOrder(w)
 	outcome, err := sendToRank(ctx, a.engine, a.rankAddr, o, w.GetFencing(), int(w.GetCopies()))
-	a.lastFencing.Store(w.GetFencing())
+	if outcome != Fenced {
+		a.recordFencing(w.GetFencing())
+	}
 	res := &wirepb.RankOrderResult{Outcome: uint32(outcome)}
 	if err != nil {
 		res.Error = err.Error()
@@ -104,6 +107,17 @@
 	return res
 }
 
+// recordFencing raises lastFencing. An order of a superseded coordinator may
+// arrive later than one of its successor.
+func (a *agent) recordFencing(number uint64) {
+	for {
+		last := a.lastFencing.Load()
+		if number <= last || a.lastFencing.CompareAndSwap(last, number) {
+			return
+		}
+	}
+}
+
 func encodeReport(r Report) *wirepb.RankState {
 	s := r.State
 	w := &wirepb.RankState{
