ranks: invalid numbers from outside are ignored

An order with many copies started a goroutine for each.

Cause: only the upper limits were checked, or none.

TestInvalidNumbersAreIgnored failed before in each of its parts: a panic for record, target, placement and outcome, 1000 orders instead of 3 at most for copies.

--- a/ranks/agent.go
+++ b/ranks/agent.go
@@ -96,7 +96,7 @@
 // forwardOrder sends an order to the rank and returns its outcome.
 func (a *agent) forwardOrder(ctx context.Context, w *wirepb.RankOrder) *wirepb.RankOrderResult {
 	o := decodeOrder(w)
-	outcome, err := sendToRank(ctx, a.engine, a.rankAddr, o, w.GetFencing(), int(w.GetCopies()))
+	outcome, err := sendToRank(ctx, a.engine, a.rankAddr, o, w.GetFencing(), int(min(w.GetCopies(), lossyDuplicates)))
 	if outcome != Fenced {
 		a.recordFencing(w.GetFencing())
 	}
@@ -170,6 +170,15 @@
 	return o
 }
 
+// decodeOutcome returns NoReply for an outcome that no agent of this version
+// sends: what the rank did is not known then.
+func decodeOutcome(w *wirepb.RankOrderResult) Outcome {
+	if w.GetOutcome() > uint32(Fenced) {
+		return NoReply
+	}
+	return Outcome(w.GetOutcome())
+}
+
 func convertInts[T, F int | uint32](from []F) []T {
 	to := make([]T, len(from))
 	for i, n := range from {
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/expertmap/plan"
@@ -198,7 +199,7 @@
 		c.loadTracker.MapChanged(time.Now())
 	default:
 		c.mapKnown = false
-		if m, ok := assembleMap(reports, c.shape.Sets); ok {
+		if m, ok := assembleMap(reports, c.shape); ok {
 			c.currentMap, c.currentVersion, c.mapKnown = m, version, true
 			c.plan = switchover.Plan{}
 		}
@@ -215,14 +216,18 @@
 }
 
 // assembleMap builds the map of the group from the placements that the ranks
-// report.
-func assembleMap(reports []Report, sets int) (switchover.Map, bool) {
-	m := make(switchover.Map, sets)
+// report. It fails if a placement does not fit the shape, for instance because
+// the configuration has changed.
+func assembleMap(reports []Report, shape *routing.ExpertShape) (switchover.Map, bool) {
+	m := make(switchover.Map, shape.Sets)
 	for _, r := range reports {
-		if len(r.Placement) != sets {
+		if len(r.Placement) != shape.Sets {
 			return nil, false
 		}
 		for s, experts := range r.Placement {
+			if slices.ContainsFunc(experts, func(e int) bool { return e < 0 || e >= shape.Experts }) {
+				return nil, false
+			}
 			m[s] = append(m[s], experts)
 		}
 	}
--- a/ranks/links.go
+++ b/ranks/links.go
@@ -32,6 +32,10 @@
 	recordRefreshMissing = time.Second
 	// addrSearchInterval is the interval of searches for the ranks' addresses.
 	addrSearchInterval = time.Second
+	// maxGroupSize limits the size of a group that a record may state, 64 times
+	// the largest in use. Links of a size from a damaged record could use up the
+	// memory.
+	maxGroupSize = 4096
 )
 
 // link is the connection to one rank: a session with its agent, and the rank's
@@ -98,12 +102,14 @@
 			l.log.Warn("decoding agent record failed", "key", it.Key, "error", err.Error())
 			continue
 		}
-		l.resize(r.Size)
-		if r.Rank < len(l.byRank) {
-			l.backend = r.Backend
-			l.byRank[r.Rank].setAgentAddr(r.PeerAddr)
-			l.byRank[r.Rank].advertisedAddr = r.RankAddr
+		if r.Size < 1 || r.Size > maxGroupSize || r.Rank < 0 || r.Rank >= r.Size {
+			l.log.Warn("agent record not valid", "key", it.Key, "rank", r.Rank, "size", r.Size)
+			continue
 		}
+		l.resize(r.Size)
+		l.backend = r.Backend
+		l.byRank[r.Rank].setAgentAddr(r.PeerAddr)
+		l.byRank[r.Rank].advertisedAddr = r.RankAddr
 	}
 }
 
@@ -124,7 +130,7 @@
 
 // resize replaces the links if the size of the group has changed.
 func (l *links) resize(size int) {
-	if size == len(l.byRank) || size <= 0 {
+	if size == len(l.byRank) {
 		return
 	}
 	l.byRank = make([]*link, size)
@@ -256,7 +262,7 @@
 	for _, t := range l.backendTargets(items) {
 		wg.Go(func() {
 			r, err := l.engine.Report(ctx, t.Addr)
-			if err != nil || r.Group != l.group || r.Rank >= len(l.byRank) {
+			if err != nil || r.Group != l.group || r.Rank < 0 || r.Rank >= len(l.byRank) {
 				return
 			}
 			k := l.byRank[r.Rank]
@@ -322,7 +328,7 @@
 		if r.GetError() != "" {
 			err = errors.New(r.GetError())
 		}
-		return Outcome(r.GetOutcome()), err
+		return decodeOutcome(r), err
 	}
 	if direct := k.directAddr(); direct != "" {
 		return sendToRank(ctx, l.engine, direct, o, fencing, duplicates)
