gateway: a request whose deadline has passed in an outage gets a response

Callers saw their connection closed without a response if the last attempt of a request failed as its deadline passed while the back end refused all requests, or none of its targets could be used.

Cause: Retry-After is a part of the remaining time then, and jitter passed it to rand.N, which panics for numbers that are not positive. net/http recovers the panic and closes the connection.

TestOutageErrorAfterDeadline failed before: invalid argument to N.

--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
 )
 
 // Guards against all requests being sent to a back end that refuses them: each
@@ -77,3 +79,15 @@
 	clients.Wait()
 	require.GreaterOrEqual(t, served.Load(), int64(24), "all requests are served except those that detected the outage")
 }
+
+// Guards against a request whose connection is closed without a response: its
+// back end refuses all requests, and the deadline has passed when its last
+// attempt fails, so that no time is left for Retry-After.
+func TestOutageErrorAfterDeadline(t *testing.T) {
+	g := newDeployment(t, config()).start("g1")
+	for _, remaining := range []time.Duration{0, -time.Second} {
+		x := &exchange{g: g.Gateway, backend: "b", deadline: time.Now().Add(remaining)}
+		require.NotPanics(t, func() { require.Equal(t, errkind.NoTarget, errkind.KindOf(x.attemptsFailedError())) })
+		require.NotPanics(t, func() { _ = g.queues.forBackend("b").outageError(remaining) })
+	}
+}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -302,8 +302,12 @@
 }
 
 // jitter returns a random duration between half and one and a half of d, so
-// that rejected callers do not retry all at once.
+// that rejected callers do not retry all at once. It returns 0 if d is not
+// positive: a part of the remaining time is negative after the deadline.
 func jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
 	return d/2 + rand.N(d)
 }
 
