gateway: no two instances dial each other

Operators saw more connections, messages and processor time for heartbeats than needed: with an even number of instances up to eight, some pairs had two sessions, each of which carries all heartbeats in both directions.

Cause: each instance dials the next half of the others in the order of ids. Two instances that are half the circle apart are in each other's half.

The half is now rounded down, and of two instances that are half the circle apart only the lower one dials the other. With up to nine instances every pair still has a session; with more, each dials the next four.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -138,15 +138,24 @@
 	ids := slices.Sorted(maps.Keys(found))
 	start, _ := slices.BinarySearch(ids, c.g.id)
 	addrs := map[string]string{}
-	// With few instances, the next ones of two instances overlap. The limit of
-	// half of the others keeps most pairs from dialing each other.
-	for k := range min(maxDialedPeers, (len(ids)+1)/2) {
+	for k := range dialCount(start, len(ids)+1) {
 		id := ids[(start+k)%len(ids)]
 		addrs[id] = found[id].PeerAddr
 	}
 	return addrs
 }
 
+// dialCount returns how many of the next instances the one at position dials, so
+// that no pair dials each other. If the number of instances is even, two of them
+// are half the circle apart, and only the lower one dials the other.
+func dialCount(position, instances int) int {
+	n := (instances - 1) / 2
+	if instances%2 == 0 && position < instances/2 {
+		n++
+	}
+	return min(maxDialedPeers, n)
+}
+
 func (g *Gateway) dialPeer(ctx context.Context, id, addr string) {
 	dialCtx, cancel := context.WithTimeout(ctx, peerDialTimeout)
 	defer cancel()
