ranks: a stopping agent answers what it takes and stays while its rank is held

Callers waited, and operators saw orders with "no answer" and a group that was unready, when the processes beside ranks were stopped:

- An order that the agent was forwarding when SIGTERM came was cut.
The rank may have carried it out, so the coordinator could not tell.
- Queries and orders that arrived later in the stop failed with "context canceled", for up to 2 s if the store did not answer the removal of the record.
- If all agents of a group and its coordinator stopped together while a step was held, nobody was left to release it: the recovery ended at SIGTERM, and the restarted agents know no fencing number.
The group served nothing until another process had got the coordinator's lease.

The agent stays, with its record, while its rank is held or armed, within the stop timeout. Then it closes the listener and ends each session directly after a reply, when no message of the coordinator can be on its way; a session without a message ends after 0.3 s. A coordinator whose session has ended calls the rank itself.

--- a/daemon/cmd/skylarkd/rank.go
+++ b/daemon/cmd/skylarkd/rank.go
@@ -28,7 +28,7 @@
 	err = ranks.RunAgent(p.signals.StopContext(), ranks.AgentOptions{
 		Instance: s.Instance, DataCentre: s.DataCentre, RankAddr: s.RunnerAddr, Backend: s.RunnerBackend,
 		PeerAddr: s.PeerAddr, KV: platform.NewStore(s.StoreURL), Records: platform.Records{},
-		Engine: platform.NewRanks(), Log: log,
+		Engine: platform.NewRanks(), StopTimeout: s.StopTimeout, Log: log,
 	}, listener)
 	log.Info("ended")
 	return err
--- a/ranks/agent.go
+++ b/ranks/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,26 +23,39 @@
 	// since startedAt.
 	lastQueryAt atomic.Int64
 	startedAt   time.Time
+	// stopping is set when a planned stop begins, and ending is closed at its end:
+	// each session then ends after its next message.
+	stopping atomic.Bool
+	ending   chan struct{}
+	sessions sync.WaitGroup
 	// lastFencing is the highest fencing number of the forwarded orders that the
 	// rank has not refused for their number. Recovery uses it.
 	lastFencing atomic.Uint64
 }
 
-// sessionIdleTimeout is the time without a message after which the session of a
-// coordinator is closed.
-const sessionIdleTimeout = 10 * time.Second
+const (
+	// sessionIdleTimeout is the time without a message after which the session
+	// of a coordinator is closed.
+	sessionIdleTimeout = 10 * time.Second
+	// lastMessageTimeout is how long a session waits for one more message at the
+	// end of a planned stop. A coordinator sends a query each roundInterval.
+	lastMessageTimeout = 2 * roundInterval
+	// endSessionsTimeout limits the wait for all sessions to end.
+	endSessionsTimeout = time.Second
+)
 
-// serve accepts sessions of coordinators until the listener is closed.
+// serve accepts sessions of coordinators until the listener is closed. ctx must
+// last until the end of a planned stop, since orders are forwarded until then.
 func (a *agent) serve(ctx context.Context, l net.Listener) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
-			if ctx.Err() == nil {
+			if !a.stopping.Load() {
 				a.log.Error("peer listener failed", "error", err.Error())
 			}
 			return
 		}
-		go func() {
+		a.sessions.Go(func() {
 			session, err := wire.Server(conn, nil, a.hello)
 			if err != nil {
 				a.log.Warn("coordinator refused", "addr", conn.RemoteAddr().String(), "error", err.Error())
@@ -49,17 +63,26 @@
 			}
 			defer func() { _ = session.Close() }()
 			a.serveSession(ctx, session)
-		}()
+		})
 	}
 }
 
 // serveSession answers the queries and orders of one coordinator until its
-// session ends.
+// session ends. At the end of a planned stop it ends the session after a reply,
+// when no message of the coordinator can be on its way, or when none arrives.
 func (a *agent) serveSession(ctx context.Context, session *wire.Session) {
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-a.ending:
+			limitLastMessage(session)
+		case <-ended:
+		}
+	}()
 	for ctx.Err() == nil {
-		_ = session.Control().SetReadDeadline(time.Now().Add(sessionIdleTimeout))
 		var f wirepb.RankFrame
-		if err := session.Control().Recv(&f); err != nil {
+		if err := a.receive(session, &f); err != nil {
 			a.log.Debug("coordinator session ended", "coordinator", session.Peer().GetInstance(), "error", err.Error())
 			return
 		}
@@ -73,12 +96,51 @@
 		default:
 			return
 		}
-		if err := session.Control().Send(&out); err != nil {
+		if err := session.Control().Send(&out); err != nil || a.isEnding() {
 			return
 		}
 	}
 }
 
+// receive waits for the next message of a session. Once the sessions end, it
+// waits for lastMessageTimeout at most.
+func (a *agent) receive(session *wire.Session, f *wirepb.RankFrame) error {
+	_ = session.Control().SetReadDeadline(time.Now().Add(sessionIdleTimeout))
+	if a.isEnding() {
+		limitLastMessage(session)
+	}
+	return session.Control().Recv(f)
+}
+
+func limitLastMessage(session *wire.Session) {
+	_ = session.Control().SetReadDeadline(time.Now().Add(lastMessageTimeout))
+}
+
+func (a *agent) isEnding() bool {
+	select {
+	case <-a.ending:
+		return true
+	default:
+		return false
+	}
+}
+
+// endSessions ends all sessions between two messages and waits until they have
+// ended, but not longer than endSessionsTimeout.
+func (a *agent) endSessions() {
+	close(a.ending)
+	ended := make(chan struct{})
+	go func() {
+		a.sessions.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(endSessionsTimeout):
+		a.log.Warn("sessions of coordinators not ended in time")
+	}
+}
+
 // sinceLastQuery returns the time since a coordinator last sent a query or an
 // order.
 func (a *agent) sinceLastQuery() time.Duration {
--- a/ranks/ranks.go
+++ b/ranks/ranks.go
@@ -27,6 +27,12 @@
 	// memberCheckInterval is the interval of checks whether the rank still has
 	// the same group, number and group size.
 	memberCheckInterval = 2 * time.Second
+	// agentStopMargin is what remains of the stop timeout for the end of the
+	// sessions and the removal of the record.
+	agentStopMargin = 3500 * time.Millisecond
+	// maxFailedReports is the number of reports without a reply after which a
+	// planned stop treats the rank as down; one that restarts is not held.
+	maxFailedReports = 5
 )
 
 // Records decodes keys and values of the key-value store.
@@ -49,18 +55,24 @@
 	KV                infra.KV
 	Records           Records
 	Engine            Engine
-	Log               *slog.Logger
+	// StopTimeout is the longest time that a planned stop may take.
+	StopTimeout time.Duration
+	Log         *slog.Logger
 }
 
 // RunAgent serves coordinators on l and publishes the agent's record while the
-// rank belongs to a group. It returns when ctx ends.
+// rank belongs to a group. When ctx ends, it performs a planned stop: it keeps
+// serving while the rank is held or armed, answers the messages that it has
+// received, and returns.
 func RunAgent(ctx context.Context, o AgentOptions, l net.Listener) error {
 	a := &agent{
-		engine: o.Engine, rankAddr: o.RankAddr, log: o.Log, startedAt: time.Now(),
+		engine: o.Engine, rankAddr: o.RankAddr, log: o.Log, startedAt: time.Now(), ending: make(chan struct{}),
 		hello: &wirepb.Hello{Instance: o.Instance, Role: "rank", DataCentre: o.DataCentre},
 	}
-	var wg sync.WaitGroup
-	wg.Go(func() { a.serve(ctx, l) })
+	workCtx, endWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer endWork()
+	var serving sync.WaitGroup
+	serving.Go(func() { a.serve(workCtx, l) })
 	for ctx.Err() == nil {
 		r, err := o.Engine.Report(ctx, o.RankAddr)
 		if err != nil || r.Group == "" {
@@ -69,15 +81,18 @@
 		}
 		runMember(ctx, o, a, r)
 	}
+	a.stopping.Store(true)
 	_ = l.Close()
-	wg.Wait()
+	serving.Wait()
+	a.endSessions()
 	return nil
 }
 
 // runMember publishes the agent's record and recovers unfinished switches. It
-// returns when ctx ends or the rank's group, number or group size has changed.
+// returns when the rank's group, number or group size has changed, or after ctx
+// has ended as soon as the rank is neither held nor armed.
 func runMember(ctx context.Context, o AgentOptions, a *agent, r Report) {
-	ctx, cancel := context.WithCancel(ctx)
+	memberCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
@@ -87,12 +102,35 @@
 		panic(err) // a struct of numbers and strings always encodes
 	}
 	record := lease.Record{KV: o.KV, Key: groupPrefix(r.Group) + fmt.Sprint(r.Rank), Value: value, TTL: recordTTL, RenewInterval: recordRenewInterval}
-	wg.Go(func() { record.Run(ctx) })
-	wg.Go(func() { recoverSwitch(ctx, o, a, r) })
+	wg.Go(func() { record.Run(memberCtx) })
+	wg.Go(func() { recoverSwitch(memberCtx, o, a, r) })
 	for ctx.Err() == nil {
 		ctxtime.Sleep(ctx, memberCheckInterval)
 		if current, err := o.Engine.Report(ctx, o.RankAddr); err == nil && (current.Group != r.Group || current.Rank != r.Rank || current.Size != r.Size) {
 			return
 		}
 	}
+	awaitRelease(memberCtx, o)
+}
+
+// awaitRelease waits while the rank is held or armed, so that a switch that is
+// left unfinished has somebody who finishes it. The agents of all ranks and the
+// coordinator may stop at the same time.
+func awaitRelease(ctx context.Context, o AgentOptions) {
+	ctx, cancel := context.WithTimeout(ctx, max(recoveryPollInterval, o.StopTimeout-agentStopMargin))
+	defer cancel()
+	failures := 0
+	for ctx.Err() == nil && failures < maxFailedReports {
+		report, err := o.Engine.Report(ctx, o.RankAddr)
+		switch {
+		case err != nil:
+			failures++
+		case !report.State.Held && report.State.ArmedVersion == 0:
+			return
+		default:
+			failures = 0
+		}
+		ctxtime.Sleep(ctx, recoveryPollInterval)
+	}
+	o.Log.Warn("planned stop: the rank may be held or armed", "addr", o.RankAddr, "failed_reports", failures)
 }
