ranks: a coordinator reads the agents' records again soon if there are none

Operators saw a group without new maps for 5 s after a start: a coordinator that began before the agents had published their records read them again only after recordRefresh, as if all ranks had reported.

Cause: with no ranks at all, "all have reported" was true.

It is now true only for a group of one rank or more, so the records are read again after recordRefreshMissing (1 s).

TestEmptyGroupIsReadAgainSoon failed before: no link after 1 s.

--- a/ranks/links.go
+++ b/ranks/links.go
@@ -156,7 +156,7 @@
 		})
 	}
 	wg.Wait()
-	l.allReported = true
+	l.allReported = len(reports) > 0
 	for i := range reports {
 		if !reports[i].State.Reported {
 			reports[i].Rank, l.allReported = i, false
--- a/ranks/links_test.go
+++ b/ranks/links_test.go
@@ -151,3 +151,19 @@
 	e.orders.Add(1)
 	return e.Engine.Order(ctx, addr, o, fencing)
 }
+
+// Guards against a group that stays without new maps for recordRefresh, since
+// its coordinator started before the agents had published their records.
+func TestEmptyGroupIsReadAgainSoon(t *testing.T) {
+	g := newFakeGroup(0)
+	var records []infra.Item
+	l := directLinks(g)
+	l.byRank = nil
+	l.listItems = func(context.Context, string) ([]infra.Item, error) { return records, nil }
+	l.queryAll(t.Context(), ReportQuery{})
+	value, err := json.Marshal(agentRecord{Group: "g", Rank: 0, Size: groupRanks})
+	require.NoError(t, err)
+	records = []infra.Item{{Key: "k", Value: value}}
+	l.refreshRecords(t.Context(), time.Now().Add(recordRefreshMissing))
+	require.Len(t, l.byRank, groupRanks)
+}
