ranks: a stopping coordinator finishes the switch that holds its group

Callers waited for a third of a second or more at each planned stop of a gateway that happened to switch the map of a group: the rank was left held, and the group served nothing until an agent noticed the silence and finished the switch, or, if the agents stopped as well or knew no number, until another gateway had got the lease.

Orders in progress were cut, so that the coordinator could not know whether they were carried out, and it did not look again.

Rounds now run on a context that lasts 1.5 s longer (ctxtime.Extend), with the lease. After SIGTERM the coordinator runs rounds in which it starts no switch until no step is held.

TestStoppingCoordinatorReleasesHeldStep, with SIGTERM at a hold, an arm or a go order and with and without lost orders, failed before in four of six cases ("rank 1 is held"); the other two are SIGTERM at the hold.

--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -10,6 +10,7 @@
 
 	"github.com/skylarkstep/skylarkstep/expertmap/plan"
 	"github.com/skylarkstep/skylarkstep/expertmap/switchover"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/routing"
 )
@@ -58,7 +59,11 @@
 	supersededFencing uint64
 	lastPrepare       map[int]sentPrepare
 	phase             switchover.Phase
-	slowdowns         []float64
+	// stepHeld is set while the group may be kept from beginning a step, or some
+	// ranks are armed and others are not. stopping is set when no new switch may
+	// be started.
+	stepHeld, stopping bool
+	slowdowns          []float64
 	// onSlowRanks is called with the slowdown factors of slow ranks by address;
 	// it may be nil. reportedSlow is the argument of the last call.
 	onSlowRanks  func(byAddr map[string]float64)
@@ -155,6 +160,7 @@
 	for {
 		phase, orders := switchover.Decide(states, c.plan)
 		c.setPhase(phase, states)
+		c.recordProgress(phase, orders)
 		orders = c.withoutBusyPrepares(orders, now)
 		confirmed := c.sendOrders(ctx, orders)
 		if len(orders) == 0 || !confirmed || phase != switchover.Holding && phase != switchover.Arming {
@@ -166,6 +172,33 @@
 	}
 }
 
+// recordProgress records whether the group may be held after a decision. A group
+// that is not ready may still be.
+func (c *coordinator) recordProgress(phase switchover.Phase, orders []switchover.Order) {
+	switch phase {
+	case switchover.Unready:
+	case switchover.Holding, switchover.Arming, switchover.Armed:
+		c.stepHeld = len(orders) > 0
+	default:
+		c.stepHeld = false
+	}
+}
+
+// finishSwitch releases a held step before the process stops: it runs rounds, in
+// which no new switch is started, until no step is held or ctx ends. A held group
+// serves no requests.
+func (c *coordinator) finishSwitch(ctx context.Context) {
+	c.stopping = true
+	for c.stepHeld && !c.isSuperseded() && ctx.Err() == nil {
+		ctxtime.Sleep(ctx, c.runRound(ctx))
+	}
+}
+
+// isSuperseded reports whether a rank has refused the current fencing number.
+func (c *coordinator) isSuperseded() bool {
+	return c.supersededFencing != 0 && c.supersededFencing == c.fencing
+}
+
 // mayReadCounts reports whether counts may be read in this round. They are not
 // read while a switch waits for orders: only if the phase is not yet known, the
 // group is unready or settled, or all ranks are armed.
@@ -236,6 +269,10 @@
 
 // replan plans a better map if no switch is in progress.
 func (c *coordinator) replan(states []switchover.State, now time.Time) {
+	if c.stopping {
+		c.plan = switchover.Plan{}
+		return
+	}
 	if !c.mapKnown || len(states) == 0 || now.Before(c.noPlanUntil) {
 		return
 	}
--- a/ranks/election.go
+++ b/ranks/election.go
@@ -19,6 +19,9 @@
 	// groupPollInterval is the interval at which the groups are listed.
 	groupPollInterval    = 500 * time.Millisecond
 	coordinatorKeyPrefix = "skylarkstep/coordinators/"
+	// coordinatorStopTimeout limits the time in which a stopping coordinator
+	// finishes a switch and hands its term over. The gateway serves for longer.
+	coordinatorStopTimeout = 1500 * time.Millisecond
 )
 
 // coordinatorTimes are short, since a group whose coordinator is down keeps its
@@ -128,9 +131,12 @@
 }
 
 // coordinateGroup competes for the coordinator and the standby lease of a group
-// and coordinates the group while it has a token. When ctx ends during an outage
-// of the store, or in a term that was taken over, it hands the term over.
+// and coordinates the group while it has a token. Orders and leases last beyond
+// the end of ctx, until the switch in progress is finished. Then, during an outage
+// of the store or in a term that was taken over, it hands the term over.
 func (c *Coordinators) coordinateGroup(ctx context.Context, group string) {
+	workCtx, endWork := ctxtime.Extend(ctx, coordinatorStopTimeout)
+	defer endWork()
 	o, key := c.o, coordinatorKeyPrefix+group
 	holder := lease.New(lease.Options{
 		KV: o.KV, Key: key, HolderID: o.HolderID, Times: coordinatorTimes, KeepDuringOutage: true,
@@ -176,13 +182,16 @@
 			}
 		}
 		coord.token = token
-		ctxtime.Sleep(ctx, coord.runRound(ctx))
-		if coord.supersededFencing != 0 && coord.supersededFencing == coord.fencing {
+		ctxtime.Sleep(ctx, coord.runRound(workCtx))
+		if coord.isSuperseded() {
 			c.dropTerm(group)
 			holder.Resign(coord.fencing)
 			reserve.holder.Resign(coord.fencing)
 		}
 	}
+	if coord != nil {
+		coord.finishSwitch(workCtx)
+	}
 	_, hasTerm := c.takenOverTerm(group)
 	if coord != nil && (hasTerm || holder.RenewalsFailing() || reserve.holder.RenewalsFailing()) && o.HandOver != nil {
 		o.HandOver(Term{Group: group, Fencing: coord.fencing, Maps: coord.mapsPlanned})
--- a/ranks/stop_test.go
+++ b/ranks/stop_test.go
@@ -137,17 +137,8 @@
 	go g.run(passes)
 	kv := standin.NewKV().Direct()
 	ctx, stop := context.WithCancel(t.Context())
-	var agents sync.WaitGroup
-	defer agents.Wait()
 	defer stop()
-	for r := range groupRanks {
-		addr := fmt.Sprintf("rank-%d", r)
-		put(t, kv, "target/"+addr, routing.Target{ID: addr, Addr: addr, Backend: "b", Slots: 1})
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		o := AgentOptions{Instance: addr, RankAddr: addr, Backend: "b", PeerAddr: l.Addr().String(), KV: kv, Records: testRecords{}, Engine: g, StopTimeout: 8 * time.Second, Log: slog.New(slog.DiscardHandler)}
-		agents.Go(func() { _ = RunAgent(ctx, o, l) })
-	}
+	startAgents(ctx, t, g, kv)
 	l := &links{
 		engine: g, records: testRecords{}, log: slog.New(slog.DiscardHandler), group: "g", hello: &wirepb.Hello{},
 		listItems: standinItems(kv),
@@ -179,6 +170,86 @@
 	require.False(t, g.mixedMaps)
 }
 
+// interruptingEngine calls onOrder before each order, loses a part of the orders
+// after the first one of the given kind, and ends a call whose context ends.
+type interruptingEngine struct {
+	*fakeGroup
+	kind    switchover.Operation
+	onOrder func()
+	loss    float64
+}
+
+func (e *interruptingEngine) Order(ctx context.Context, addr string, o switchover.Order, fencing uint64) (Outcome, error) {
+	if o.Operation == e.kind {
+		e.onOrder()
+		e.mu.Lock()
+		e.fakeGroup.loss = e.loss
+		e.mu.Unlock()
+	}
+	if err := ctx.Err(); err != nil {
+		return NoReply, errors.WithStack(err)
+	}
+	return e.fakeGroup.Order(ctx, addr, o, fencing)
+}
+
+// Guards against a held step that a stopping coordinator leaves behind, whatever
+// the order in progress at SIGTERM, with and without lost orders. The agents
+// would release it later only.
+func TestStoppingCoordinatorReleasesHeldStep(t *testing.T) {
+	for _, kind := range []switchover.Operation{switchover.Hold, switchover.Arm, switchover.Go} {
+		for _, loss := range []float64{0, 0.5} {
+			t.Run(fmt.Sprintf("%s loss %.1f", kind, loss), func(t *testing.T) {
+				t.Parallel()
+				g := newFakeGroup(0)
+				passes, endPasses := context.WithCancel(t.Context())
+				defer endPasses()
+				go g.run(passes)
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				e := &interruptingEngine{fakeGroup: g, kind: kind, onOrder: stop, loss: loss}
+				runCoordinators(ctx, t, e)
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				require.False(t, g.mixedMaps)
+				armed := 0
+				for r, s := range g.states {
+					require.False(t, s.Held, "rank %d is held", r)
+					if s.ArmedVersion != 0 {
+						armed++
+					}
+				}
+				require.Contains(t, []int{0, groupRanks}, armed, "some ranks are armed and others are not")
+			})
+		}
+	}
+}
+
+// runCoordinators coordinates a group until ctx ends and the stop is done.
+func runCoordinators(ctx context.Context, t *testing.T, e Engine) {
+	kv := standin.NewKV().Direct()
+	shape := &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3}
+	put(t, kv, "config", routing.Config{Version: 1, Backends: []routing.Backend{{Name: "b", Experts: shape}}})
+	startAgents(t.Context(), t, e, kv)
+	NewCoordinators(CoordinatorOptions{
+		Instance: "c", HolderID: "c/1", KV: kv, Records: testRecords{}, Engine: e, Log: slog.New(slog.DiscardHandler), Items: standinItems(kv),
+	}).Run(ctx)
+}
+
+// startAgents runs the agents of a group until ctx ends.
+func startAgents(ctx context.Context, t *testing.T, e Engine, kv infra.KV) {
+	ctx, stop := context.WithCancel(ctx)
+	var agents sync.WaitGroup
+	t.Cleanup(func() { stop(); agents.Wait() })
+	for r := range groupRanks {
+		addr := fmt.Sprintf("rank-%d", r)
+		put(t, kv, "target/"+addr, routing.Target{ID: addr, Addr: addr, Backend: "b", Slots: 1})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		o := AgentOptions{Instance: addr, RankAddr: addr, Backend: "b", PeerAddr: l.Addr().String(), KV: kv, Records: testRecords{}, Engine: e, StopTimeout: 8 * time.Second, Log: slog.New(slog.DiscardHandler)}
+		agents.Go(func() { _ = RunAgent(ctx, o, l) })
+	}
+}
+
 func standinItems(kv infra.KV) ItemLister {
 	return func(ctx context.Context, prefix string) ([]infra.Item, error) {
 		items, _, err := kv.List(ctx, prefix)
