ranks, gateway: a handed-over term reaches a process that stays

Operators would see a group without a coordinator, and its maps unchanged, for the rest of a store outage or until the standby noticed the exit, if gateways were stopped while the store granted no leases:

- The receiver had got SIGTERM at the same moment, or its heartbeat had not said so yet: it recorded the term and dropped it with its exit.
- The receiver got SIGTERM directly after it had taken the term over: it handed the term on only if it had run a round in it.
- The store had become unavailable within the last 0.8 s: no renewal had failed yet, so the coordinator released a lease that it could not release and handed nothing over.
- A term with a lower number replaced one with a higher number.
- The term went to any instance, also to one in the same data centre, whose instances are often stopped one after the other.
- HandOver waited for the gateway's control goroutine without a limit.
If it had ended, the process did not exit.

Now TakeOver refuses a term from the begin of the stop on, and the gateway of the refusing process sends it on, to no instance that has had it. A process hands terms over only when it stops, so the receiver takes the sender as leaving at once. What was accepted before is handed on, with or without a round, for known and unknown groups. A stopping coordinator asks the store before it relies on the release of its lease. Each term is sent to one instance only, and never again if the message gets lost, so no two processes coordinate with one number; a lost term is replaced by the standby, which has a higher one, once the sender has exited.

Tests that failed before: TestTermReachesInstanceThatStays (no term was accepted in 3 s if the receiver refused it), TestSuccessorIsInAnother- DataCentre, TestHandOverAfterTheStop (did not return), TestTermTakenOver- BeforeStopIsHandedOn, TestLowerTermIsIgnored, TestStoppingCoordinator- LeavesNoGap. TestTermEndsIfNobodyStays guards the forwarding that is new.

--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -49,7 +49,7 @@
 	var coordinators *ranks.Coordinators
 	process := fmt.Sprintf("%s/%d", s.Instance, rand.Uint64())
 	g := gateway.New(gateway.Options{
-		TakeOver: func(t gateway.Term) { coordinators.TakeOver(ranks.Term(t)) },
+		TakeOver: func(t gateway.Term) bool { return coordinators.TakeOver(ranks.Term(t)) },
 		Instance: s.Instance, Process: process, DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions,
 		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, StopTimeout: s.StopTimeout, AddressTTL: addressListMaxAge,
 		Limits: gatewayLimits(s), KV: store,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,9 +37,10 @@
 	AddressTTL time.Duration
 	Limits     Limits
 
-	// TakeOver is called when another instance hands over a coordinator term.
-	// It may be nil.
-	TakeOver func(Term)
+	// TakeOver is called when another instance hands over a coordinator term. It
+	// returns false if this process cannot continue the term, which then goes to
+	// another instance. It may be nil.
+	TakeOver func(Term) bool
 
 	KV          infra.KV
 	ItemDecoder ItemDecoder
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -188,6 +188,9 @@
 	// stopTimeout is short by default, so that tests end soon.
 	stopTimeout time.Duration
 	logger      *slog.Logger
+	// takeOver is called with the instance that a term is handed over to; it may
+	// be nil.
+	takeOver func(id string, t Term) bool
 }
 
 func newDeployment(t *testing.T, cfg routing.Config, targets ...*fakeTarget) *deployment {
@@ -220,7 +223,12 @@
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(d.t, err)
 	kv := &faultyKV{KV: d.kv.Direct()}
+	var takeOver func(Term) bool
+	if d.takeOver != nil {
+		takeOver = func(t Term) bool { return d.takeOver(id, t) }
+	}
 	g := New(Options{
+		TakeOver: takeOver,
 		Instance: id, DataCentre: "dc1", Region: "r1", Regions: map[string]string{"dc1": "r1"},
 		CallerAddr: callers.Addr().String(), PeerAddr: peers.Addr().String(), StopTimeout: d.stopTimeout, AddressTTL: time.Second,
 		Limits: Limits{MaxIsolatedStaleness: 6 * time.Second, Retries: routing.RetryLimits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}},
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -270,38 +270,10 @@
 	case *wirepb.PeerFrame_Delta:
 		c.applyChanges(c.mirror.Merge(decodeDelta(body.Delta)), "instance "+id, now)
 	case *wirepb.PeerFrame_Handover:
-		if c.g.opts.TakeOver != nil {
-			c.g.opts.TakeOver(Term{Group: body.Handover.GetGroup(), Fencing: body.Handover.GetFencing(), Maps: body.Handover.GetMaps()})
-		}
+		c.receiveTerm(id, Term{Group: body.Handover.GetGroup(), Fencing: body.Handover.GetFencing(), Maps: body.Handover.GetMaps()}, now)
 	}
 }
 
-// Term is the period for which one coordinator controls a rank group.
-type Term struct {
-	Group   string
-	Fencing uint64
-	// Maps is the number of expert maps planned so far.
-	Maps uint64
-}
-
-// HandOver passes a term to another instance that is reachable and not leaving.
-// The caller must have stopped sending orders for the group.
-func (g *Gateway) HandOver(ctx context.Context, t Term) {
-	g.control.call(ctx, func() {
-		now := time.Now()
-		for id, p := range g.control.peers.byID {
-			if p.leaving || p.session == nil || now.Sub(p.lastHeartbeatAt) > peerTimeout {
-				continue
-			}
-			g.log.Info("term handed over", "peer", id, "group", t.Group, "fencing", t.Fencing, "maps", t.Maps)
-			g.control.sendAsync(p.session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Handover{
-				Handover: &wirepb.TermHandover{Group: t.Group, Fencing: t.Fencing, Maps: t.Maps},
-			}})
-			return
-		}
-	})
-}
-
 // applyHeartbeat updates the state of a peer. It requests changes if the peer
 // has a newer copy of the store.
 func (c *control) applyHeartbeat(session *wire.Session, id string, b *wirepb.PeerBeat, now time.Time) {
@@ -311,15 +283,16 @@
 		c.peers.byID[id] = p
 		c.needsPublish = true
 	}
-	if now.Sub(p.lastHeartbeatAt) > peerTimeout || p.leaving != b.GetLeaving() {
+	leaving := b.GetLeaving() || p.handsOver(b.GetProcess())
+	if now.Sub(p.lastHeartbeatAt) > peerTimeout || p.leaving != leaving {
 		c.needsPublish = true
-		c.log.Info("instance heard", "peer", id, "leaving", b.GetLeaving())
+		c.log.Info("instance heard", "peer", id, "leaving", leaving)
 	}
 	if r, ok := c.instanceRecords()[id]; ok {
 		p.record = r
 	}
 	p.session, p.process = session, b.GetProcess()
-	p.lastHeartbeatAt, p.leaving, p.storeReachable, p.following = now, b.GetLeaving(), b.GetStoreReachable(), b.GetStoreResting()
+	p.lastHeartbeatAt, p.leaving, p.storeReachable, p.following = now, leaving, b.GetStoreReachable(), b.GetStoreResting()
 	p.slowdowns = make(map[string]float64, len(b.GetSlow()))
 	for _, t := range b.GetSlow() {
 		p.slowdowns[t.GetAddr()] = float64(t.GetPercent()) / 100
--- a/gateway/peertable.go
+++ b/gateway/peertable.go
@@ -19,6 +19,20 @@
 	// slowdowns holds the slowdown factors of slow targets, by address.
 	slowdowns map[string]float64
 	session   *wire.Session
+	// handedOver is set if the process has handed a term over, which a process
+	// does only when it stops. receivedTerms holds the terms that were handed
+	// over to it.
+	handedOver    bool
+	receivedTerms map[Term]bool
+}
+
+// handsOver reports whether a process of the peer is stopping according to a
+// term that it has handed over, and forgets terms of an earlier process.
+func (p *peer) handsOver(process string) bool {
+	if p.process != process {
+		p.handedOver, p.receivedTerms = false, nil
+	}
+	return p.handedOver
 }
 
 // peerTable holds the peers by instance id.
--- a/ranks/election.go
+++ b/ranks/election.go
@@ -22,6 +22,9 @@
 	// coordinatorStopTimeout limits the time in which a stopping coordinator
 	// finishes a switch and hands its term over. The gateway serves for longer.
 	coordinatorStopTimeout = 1500 * time.Millisecond
+	// storeCheckTimeout is the timeout of the call by which a stopping
+	// coordinator finds out whether the store answers.
+	storeCheckTimeout = 400 * time.Millisecond
 )
 
 // coordinatorTimes are short, since a group whose coordinator is down keeps its
@@ -47,20 +50,12 @@
 	// coordinates: their slowdown factors by the address at which they receive
 	// requests. It may be nil.
 	OnSlowRanks func(group string, byAddr map[string]float64)
-	// HandOver hands a term over to another instance; it may be nil.
+	// HandOver hands a term over to another instance; it may be nil. It is called
+	// after the last order of the term.
 	HandOver func(Term)
 	Log      *slog.Logger
 }
 
-// Term is the period in which one coordinator coordinates a group.
-type Term struct {
-	Group   string
-	Fencing uint64
-	// Maps is the number of maps planned so far. Their versions must not be
-	// used for other maps.
-	Maps uint64
-}
-
 // Coordinators compete for the leases of all groups and coordinate the groups
 // whose leases they hold.
 type Coordinators struct {
@@ -68,6 +63,7 @@
 
 	mu        sync.Mutex
 	takenOver map[string]Term
+	stopping  context.Context // the context of Run; nil before Run is called
 }
 
 // NewCoordinators returns coordinators; Run starts them.
@@ -75,32 +71,14 @@
 	return &Coordinators{o: o, takenOver: map[string]Term{}}
 }
 
-// TakeOver continues the term of a coordinator that has stopped while the
-// key-value store grants no leases.
-func (c *Coordinators) TakeOver(t Term) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.takenOver[t.Group] = t
-	c.o.Log.Info("term adopted", "group", t.Group, "fencing", t.Fencing, "maps", t.Maps)
-}
-
-// takenOverTerm returns the term of a group that was taken over, if any.
-func (c *Coordinators) takenOverTerm(group string) (Term, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t, ok := c.takenOver[group]
-	return t, ok
-}
-
-func (c *Coordinators) dropTerm(group string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.takenOver, group)
-}
-
-// Run coordinates groups until ctx ends.
+// Run coordinates groups until ctx ends. Then it finishes switches that hold a
+// step, and hands terms over or releases the leases.
 func (c *Coordinators) Run(ctx context.Context) {
+	c.mu.Lock()
+	c.stopping = ctx
+	c.mu.Unlock()
 	var wg sync.WaitGroup
+	defer c.handOverRemaining()
 	defer wg.Wait()
 	started := map[string]bool{}
 	for ctx.Err() == nil {
@@ -132,15 +110,15 @@
 
 // coordinateGroup competes for the coordinator and the standby lease of a group
 // and coordinates the group while it has a token. Orders and leases last beyond
-// the end of ctx, until the switch in progress is finished. Then, during an outage
-// of the store or in a term that was taken over, it hands the term over.
+// the end of ctx, until the switch in progress is finished and the term handed
+// over.
 func (c *Coordinators) coordinateGroup(ctx context.Context, group string) {
 	workCtx, endWork := ctxtime.Extend(ctx, coordinatorStopTimeout)
 	defer endWork()
 	o, key := c.o, coordinatorKeyPrefix+group
 	holder := lease.New(lease.Options{
 		KV: o.KV, Key: key, HolderID: o.HolderID, Times: coordinatorTimes, KeepDuringOutage: true,
-		IsCandidate: func() bool { return leaseVacant(ctx, o, key) },
+		IsCandidate: func() bool { return ctx.Err() == nil && leaseVacant(ctx, o, key) },
 		HolderDown:  o.isHolderDown,
 		OnAcquired:  func(n uint64) { o.Log.Info("lease taken", "group", group, "fencing", n) },
 		OnLost: func(n uint64, reason string) {
@@ -170,16 +148,10 @@
 			continue
 		}
 		if coord == nil {
-			l.refreshRecords(ctx, time.Now())
-			shape := readShape(ctx, o, l.backend)
-			if shape == nil {
+			if coord = c.newCoordinator(ctx, l); coord == nil {
 				ctxtime.Sleep(ctx, groupPollInterval)
 				continue
 			}
-			coord = newCoordinator(o.Log, l, shape)
-			if o.OnSlowRanks != nil {
-				coord.onSlowRanks = func(byAddr map[string]float64) { o.OnSlowRanks(group, byAddr) }
-			}
 		}
 		coord.token = token
 		ctxtime.Sleep(ctx, coord.runRound(workCtx))
@@ -192,10 +164,22 @@
 	if coord != nil {
 		coord.finishSwitch(workCtx)
 	}
-	_, hasTerm := c.takenOverTerm(group)
-	if coord != nil && (hasTerm || holder.RenewalsFailing() || reserve.holder.RenewalsFailing()) && o.HandOver != nil {
-		o.HandOver(Term{Group: group, Fencing: coord.fencing, Maps: coord.mapsPlanned})
+	c.endTerm(workCtx, group, coord, holder.RenewalsFailing() || reserve.holder.RenewalsFailing())
+}
+
+// newCoordinator returns a coordinator for the group of the links, or nil if the
+// shape of its experts is not known.
+func (c *Coordinators) newCoordinator(ctx context.Context, l *links) *coordinator {
+	l.refreshRecords(ctx, time.Now())
+	shape := readShape(ctx, c.o, l.backend)
+	if shape == nil {
+		return nil
+	}
+	coord := newCoordinator(c.o.Log, l, shape)
+	if c.o.OnSlowRanks != nil {
+		coord.onSlowRanks = func(byAddr map[string]float64) { c.o.OnSlowRanks(l.group, byAddr) }
 	}
+	return coord
 }
 
 // activeToken returns the token under which this process may coordinate a
@@ -216,12 +200,6 @@
 	return nil
 }
 
-// takenOverToken is the token of a term that was taken over.
-type takenOverToken Term
-
-// Token implements lease.Token.
-func (t takenOverToken) Token() (uint64, bool) { return t.Fencing, true }
-
 // leaseVacant reports whether the lease is free or its holder is down. It reads
 // the cached copy of the store, so that waiting costs no calls.
 func leaseVacant(ctx context.Context, o CoordinatorOptions, key string) bool {
--- /dev/null
+++ b/ranks/handover_test.go
@@ -0,0 +1,127 @@
+package ranks
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/standin"
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+// handOvers records the terms that a process hands over.
+type handOvers struct {
+	mu    sync.Mutex
+	terms []Term
+}
+
+func (h *handOvers) record(t Term) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.terms = append(h.terms, t)
+}
+
+func (h *handOvers) all() []Term {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Term(nil), h.terms...)
+}
+
+// process runs coordinators until stop is called.
+type process struct {
+	*Coordinators
+	handedOver handOvers
+	stop       func()
+}
+
+func startProcess(t *testing.T, name string, e Engine, kv infra.KV, items ItemLister) *process {
+	p := &process{}
+	p.Coordinators = NewCoordinators(CoordinatorOptions{
+		Instance: name, HolderID: name + "/1", KV: kv, Records: testRecords{}, Engine: e, Log: slog.New(slog.DiscardHandler), Items: items,
+		HandOver: p.handedOver.record,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		p.Run(ctx)
+		close(done)
+	}()
+	p.stop = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(p.stop)
+	return p
+}
+
+// Guards against a term that ends with a process that took it over directly
+// before its own stop: no other process gets a higher number in an outage of the
+// store.
+func TestTermTakenOverBeforeStopIsHandedOn(t *testing.T) {
+	record, err := json.Marshal(agentRecord{Group: "g", Rank: 0, Size: groupRanks})
+	require.NoError(t, err)
+	for name, items := range map[string][]infra.Item{
+		"group is not known":    {},
+		"no round has been run": {{Key: groupPrefix("g") + "0", Value: record}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			kv := standin.NewKV()
+			kv.SetRefuse(true)
+			p := startProcess(t, "b", newFakeGroup(0), kv.Direct(), func(context.Context, string) ([]infra.Item, error) { return items, nil })
+			require.True(t, p.TakeOver(Term{Group: "g", Fencing: 7, Maps: 3}))
+			time.Sleep(50 * time.Millisecond) // the group's loop has started, if it is known
+			p.stop()
+			require.Equal(t, []Term{{Group: "g", Fencing: 7, Maps: 3}}, p.handedOver.all())
+			require.False(t, p.TakeOver(Term{Group: "g", Fencing: 7}), "a stopped process must refuse terms")
+		})
+	}
+}
+
+// Guards against a term that replaces one with a higher number, which the ranks
+// have seen already: the process would be fenced and drop both.
+func TestLowerTermIsIgnored(t *testing.T) {
+	c := NewCoordinators(CoordinatorOptions{Log: slog.New(slog.DiscardHandler)})
+	require.True(t, c.TakeOver(Term{Group: "g", Fencing: 9}))
+	require.True(t, c.TakeOver(Term{Group: "g", Fencing: 7}))
+	term, _ := c.takenOverTerm("g")
+	require.EqualValues(t, 9, term.Fencing)
+}
+
+// Guards against a group without a coordinator after a planned stop: with the
+// store the lease must be free at once, and without it the term must be handed
+// over, also if the store has just become unavailable and no renewal has failed.
+func TestStoppingCoordinatorLeavesNoGap(t *testing.T) {
+	for _, storeDown := range []bool{false, true} {
+		g := newFakeGroup(0)
+		kv := standin.NewKV()
+		shape := &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3}
+		put(t, kv.Direct(), "config", routing.Config{Version: 1, Backends: []routing.Backend{{Name: "b", Experts: shape}}})
+		startAgents(t.Context(), t, g, kv.Direct())
+		key := coordinatorKeyPrefix + "g"
+		p := startProcess(t, "a", g, kv.Direct(), standinItems(kv.Direct()))
+		require.Eventually(t, func() bool {
+			_, _, err := kv.Direct().Get(t.Context(), key)
+			return err == nil
+		}, 5*time.Second, 5*time.Millisecond)
+		lease, _, err := kv.Direct().Get(t.Context(), key)
+		require.NoError(t, err)
+		time.Sleep(2 * roundInterval)
+		kv.SetRefuse(storeDown)
+		p.stop()
+		kv.SetRefuse(false)
+		if storeDown {
+			require.Len(t, p.handedOver.all(), 1)
+			require.EqualValues(t, lease.ModRevision, p.handedOver.all()[0].Fencing)
+		} else {
+			require.Empty(t, p.handedOver.all(), "the next coordinator gets a higher number")
+			_, _, err = kv.Direct().Get(t.Context(), key)
+			require.ErrorIs(t, err, infra.ErrNotFound, "the lease is not released")
+		}
+	}
+}
