skylarkd gateway: coordinators use the gateway until it has stopped

From reading; there is no test of runGateway without a store, and nobody has seen it. Two calls of the coordinators into the gateway had contexts that never end: after the control goroutine had ended, ProcessExited would have waited forever, and with it the exit of the process. A third one, the slowdown factors, had the context that ends at SIGTERM, so that the last report could be dropped. If the gateway ended by itself, the coordinators went on and the process stayed.

All of them now use a context that ends when the gateway has stopped, and the coordinators end with it.

--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -65,20 +65,28 @@
 	}
 	defer closeServers()
 	defer p.startReloads(func(n *platform.Settings) { g.SetLimits(gatewayLimits(n)) })()
+	// Coordinators use the gateway until it has stopped, also after SIGTERM.
+	workCtx, endWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer endWork()
 	coordinators = ranks.NewCoordinators(ranks.CoordinatorOptions{
 		Instance: s.Instance, HolderID: process, KV: store, Items: g.Items,
 		Records: platform.Records{}, Engine: platform.NewRanks(), Log: log,
-		HolderDown:  func(holder string) bool { return g.ProcessExited(context.WithoutCancel(ctx), holder) },
-		OnSlowRanks: func(group string, byAddr map[string]float64) { g.SetSlowTargets(ctx, group, byAddr) },
-		HandOver:    func(t ranks.Term) { g.HandOver(context.WithoutCancel(ctx), gateway.Term(t)) },
+		HolderDown:  func(holder string) bool { return g.ProcessExited(workCtx, holder) },
+		OnSlowRanks: func(group string, byAddr map[string]float64) { g.SetSlowTargets(workCtx, group, byAddr) },
+		HandOver:    func(t ranks.Term) { g.HandOver(workCtx, gateway.Term(t)) },
 	})
+	coordinatorsCtx, stopCoordinators := context.WithCancel(ctx)
+	defer stopCoordinators()
 	coordinatorsDone := make(chan struct{})
 	go func() {
 		defer close(coordinatorsDone)
-		coordinators.Run(ctx)
+		coordinators.Run(coordinatorsCtx)
 	}()
 	log.Info("started", "callers", s.CallerAddr, "store", s.StoreURL)
 	err = g.Run(ctx, gateway.Listeners{Callers: callerListener, Peers: peerListener})
+	// Without SIGTERM, the gateway has failed, and the coordinators must end too.
+	endWork()
+	stopCoordinators()
 	<-coordinatorsDone
 	log.Info("ended", "error", err)
 	return err
