daemon/entry: a link to another instance ends at once

Operators would see an entry dial an address for up to 2 s after the target was removed from the configuration, if another instance answered there, and the goroutine outlived the entry.

Cause: the pause after that answer ignored the context of the link.

TestLinkToAnotherInstanceEndsAtOnce failed before: the link was still running after 0.5 s.

--- a/daemon/entry/link.go
+++ b/daemon/entry/link.go
@@ -9,6 +9,7 @@
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/daemon/node"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/timeline"
 	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
@@ -71,7 +72,7 @@
 		l.entry.node.Log.Warn("another instance answers at the address of a target",
 			"target", name, "instance", s.Peer().GetInstance(), "addr", l.target.PeerAddr)
 		_ = s.Close()
-		time.Sleep(maxBackoff)
+		ctxtime.Sleep(ctx, maxBackoff)
 		return
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
