daemon/target: a group that stalls during a planned stop is reported

Callers waited until their deadlines for responses of a group that stalled while its target process was stopping: entries stop waiting for a stalled group, but its age without a step did not grow any more.

The probe in progress at SIGTERM was cut as well.

They now end with the stop.

--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -77,7 +77,11 @@
 // Run serves sessions accepted from ln until ctx ends. It then stops gracefully
 // within the stop timeout of the settings.
 func (t *Target) Run(ctx context.Context, ln net.Listener) error {
-	go t.group.pollProgress(ctx)
+	// Probes last until the end of the stop: the entries still need to know
+	// whether the group makes steps for the work in progress.
+	probeCtx, endProbes := context.WithCancel(context.WithoutCancel(ctx))
+	defer endProbes()
+	go t.group.pollProgress(probeCtx)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
