daemon/target: handing over stored responses keeps to the time of the stop

Callers that repeated a booking got 409 "may have run" instead of the first response, if a target process was killed while it handed its responses over, or before it began.

Cause: the transfer ignored the deadline of the stop. Each of three successors had 3 s, for each origin again, also if it was paused. And if work was still in progress at the deadline, the transfer began only then.

The transfer now begins a quarter of the stop timeout, 3 s at most, before the deadline and ends with it; work that finishes after that moves in a second transfer. A dial and each batch have 1 s, and a successor that has failed is not tried again in this stop.

--- a/daemon/target/handover.go
+++ b/daemon/target/handover.go
@@ -9,16 +9,16 @@
 
 	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/config"
-	"github.com/skylarkstep/skylarkstep/timeline"
 	"github.com/skylarkstep/skylarkstep/wire"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
 const (
-	// handoverTimeout limits the transfer to one successor. If no successor
+	// handoverTimeout limits the dial to a successor and the transfer of each
+	// batch, so that a successor that is paused leaves time for the next. If none
 	// accepts the operations, the planned stop continues and their outcome
 	// becomes unknown.
-	handoverTimeout = 3 * time.Second
+	handoverTimeout = time.Second
 	// handoverBatch is the maximum size in bytes of the responses in one batch. A
 	// response has at most 1 MB, so a batch stays under wire.MaxMessage.
 	handoverBatch = 1 << 20
@@ -30,50 +30,82 @@
 	incarnation uint64
 }
 
-// handOverOperations moves stored responses to successors, so that a retry still
-// gets the first response after this process has stopped. Responses that were
-// handed over to this process move to the successors of their origin, since
-// entries look for them there.
-func (t *Target) handOverOperations() {
+// handover moves stored responses to successors, so that a retry still gets the
+// first response after this process has stopped.
+type handover struct {
+	target *Target
+	moved  map[atmostonce.ID]bool
+	failed map[string]bool // successors that did not accept responses, by name
+}
+
+func newHandover(t *Target) *handover {
+	return &handover{target: t, moved: map[atmostonce.ID]bool{}, failed: map[string]bool{}}
+}
+
+// run moves the responses that are stored now and were not moved before, until
+// ctx ends. Responses that were handed over to this process move to the
+// successors of their origin, since entries look for them there.
+func (h *handover) run(ctx context.Context) {
+	t := h.target
 	c := t.config.Load()
 	if c == nil {
 		return
 	}
-	byOrigin := map[origin][]*wirepb.StoredAnswer{}
+	byOrigin := map[origin][]atmostonce.StoredOperation{}
 	for _, s := range t.operations.exportStored() {
-		o := origin{s.ID.Target, s.ID.Incarnation}
-		byOrigin[o] = append(byOrigin[o], encodeStored(s))
+		if !h.moved[s.ID] {
+			o := origin{s.ID.Target, s.ID.Incarnation}
+			byOrigin[o] = append(byOrigin[o], s)
+		}
 	}
-	for o, responses := range byOrigin {
-		if err := t.handOverTo(c, o, responses); err != nil {
-			t.node.Log.Warn("planned stop: stored responses are lost", "answers", len(responses), "error", err)
+	for o, stored := range byOrigin {
+		if err := h.moveTo(ctx, c, o, stored); err != nil {
+			t.node.Log.Warn("planned stop: stored responses are lost", "answers", len(stored), "error", err)
 			continue
 		}
-		t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "stored responses moved"})
+		t.recordStopStep("stored responses moved")
 	}
 }
 
-// handOverTo sends the responses to the first successor that accepts them.
+// moveTo sends the responses to the first successor that accepts them.
 // Successors that are leaving come last.
-func (t *Target) handOverTo(c *config.Config, o origin, responses []*wirepb.StoredAnswer) error {
+func (h *handover) moveTo(ctx context.Context, c *config.Config, o origin, stored []atmostonce.StoredOperation) error {
+	var responses []*wirepb.StoredAnswer
+	for _, s := range stored {
+		responses = append(responses, encodeStored(s))
+	}
+	err := errors.New("no other target of the back end accepts them")
+	for _, s := range h.successors(c, o) {
+		if ctx.Err() != nil {
+			return errors.WithStack(ctx.Err())
+		}
+		if err = h.target.sendStored(ctx, s.PeerAddr, responses); err == nil {
+			for _, s := range stored {
+				h.moved[s.ID] = true
+			}
+			return nil
+		}
+		h.failed[s.Name] = true
+	}
+	return err
+}
+
+// successors returns the successors of an origin that have not failed, those that
+// are leaving last.
+func (h *handover) successors(c *config.Config, o origin) []config.Target {
+	t := h.target
 	var staying, leaving []config.Target
 	for _, name := range atmostonce.Successors(backendTargets(c, t.settings.Target.Backend), o.target, o.incarnation) {
 		s, _ := c.Target(name)
 		switch {
-		case name == t.node.Name:
+		case name == t.node.Name || h.failed[name]:
 		case c.IsLeaving(s):
 			leaving = append(leaving, s)
 		default:
 			staying = append(staying, s)
 		}
 	}
-	err := errors.New("the back end has no other target")
-	for _, s := range append(staying, leaving...) {
-		if err = t.sendStored(s.PeerAddr, responses); err == nil {
-			return nil
-		}
-	}
-	return err
+	return append(staying, leaving...)
 }
 
 func backendTargets(c *config.Config, backend string) []string {
@@ -86,24 +118,21 @@
 	return names
 }
 
-func (t *Target) sendStored(addr string, responses []*wirepb.StoredAnswer) error {
-	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+func (t *Target) sendStored(ctx context.Context, addr string, responses []*wirepb.StoredAnswer) error {
+	dialCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	s, err := wire.Dial(ctx, addr, t.node.ClusterKey, t.node.Hello(t.revision()))
+	s, err := wire.Dial(dialCtx, addr, t.node.ClusterKey, t.node.Hello(t.revision()))
 	if err != nil {
 		return err
 	}
 	defer func() { _ = s.Close() }()
-	// A stalled successor must not delay the stop.
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	defer stop()
 	for len(responses) > 0 {
 		n, size := 0, 0
 		for n < len(responses) && (n == 0 || size+len(responses[n].GetData()) <= handoverBatch) {
 			size += len(responses[n].GetData())
 			n++
 		}
-		if err := t.sendBatch(s, responses[:n]); err != nil {
+		if err := t.sendBatch(ctx, s, responses[:n]); err != nil {
 			return err
 		}
 		responses = responses[n:]
@@ -111,7 +140,12 @@
 	return nil
 }
 
-func (t *Target) sendBatch(s *wire.Session, responses []*wirepb.StoredAnswer) error {
+func (t *Target) sendBatch(ctx context.Context, s *wire.Session, responses []*wirepb.StoredAnswer) error {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	// A stalled successor must not delay the stop.
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
 	st, err := s.Open(&wirepb.Open{Body: &wirepb.Open_Handover{Handover: &wirepb.Handover{
 		FromTarget: t.node.Name, FromIncarnation: t.node.Incarnation, Answers: responses,
 	}}})
--- a/daemon/target/stop.go
+++ b/daemon/target/stop.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"context"
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/daemon/node"
@@ -17,10 +18,53 @@
 	// drainGrace covers a dispatch that an entry routed just before it applied
 	// the leaving state. It must be refused, not lost with the session.
 	drainGrace = 100 * time.Millisecond
+	// handoverReserve is the part of the stop timeout that is kept for handing
+	// over stored responses, a quarter of the timeout at most.
+	handoverReserve = 3 * time.Second
 	// controlStreams is the number of streams of a session that has no work.
 	controlStreams = 1
 )
 
+// stop refuses new work, waits for the work in progress, and then waits until
+// the entries have applied the leaving state. It hands stored responses over
+// before its time is up, also if work is still in progress then.
+func (t *Target) stop() {
+	timeout := t.settings.StopTimeout()
+	deadline := time.Now().Add(timeout)
+	idle := t.work.Close()
+	requiredEchoes := t.announceLeaving()
+	t.recordStopStep("refusing new work")
+	t.node.Log.Info("planned stop: refusing new work", "running", t.work.Count())
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	transfer := newHandover(t)
+	if !finishedBy(idle, deadline.Add(-min(handoverReserve, timeout/4))) {
+		t.node.Log.Warn("planned stop: handing over with work in progress", "running", t.work.Count())
+		transfer.run(ctx)
+		if !finishedBy(idle, deadline) {
+			t.node.Log.Warn("planned stop: timeout reached with work in progress", "running", t.work.Count())
+			return
+		}
+	}
+	t.recordStopStep("work finished")
+	transfer.run(ctx)
+	t.drain(requiredEchoes, deadline)
+}
+
+// finishedBy waits for idle to be closed, until the deadline at most.
+func finishedBy(idle <-chan struct{}, deadline time.Time) bool {
+	select {
+	case <-idle:
+		return true
+	case <-time.After(time.Until(deadline)):
+		return false
+	}
+}
+
+func (t *Target) recordStopStep(detail string) {
+	t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: detail})
+}
+
 func (t *Target) sendHeartbeatsNow() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -57,7 +101,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	time.Sleep(min(drainGrace, max(time.Until(deadline), 0)))
-	t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "entries have applied the leaving state"})
+	t.recordStopStep("entries have applied the leaving state")
 }
 
 // drained reports whether every entry has applied the leaving state and closed
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -103,26 +103,6 @@
 	}
 }
 
-// stop refuses new work, waits for the work in progress, and then waits until
-// the entries have applied the leaving state.
-func (t *Target) stop() {
-	deadline := time.Now().Add(t.settings.StopTimeout())
-	idle := t.work.Close()
-	requiredEchoes := t.announceLeaving()
-	t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "refusing new work"})
-	t.node.Log.Info("planned stop: refusing new work", "running", t.work.Count())
-	select {
-	case <-idle:
-		t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "work finished"})
-	case <-time.After(time.Until(deadline)):
-		t.node.Log.Warn("planned stop: timeout reached with work in progress", "running", t.work.Count())
-		t.handOverOperations()
-		return
-	}
-	t.handOverOperations()
-	t.drain(requiredEchoes, deadline)
-}
-
 func (t *Target) closeSessions() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
