daemon/target: a stopping target process takes over no stored responses

Callers that repeated a booking got 409 "may have run" instead of the first response, if two target processes of a service stopped at the same time: the first handed its responses to the second, which had handed over its own already and then exited with them.

Cause: serveHandover stored responses at any moment.

From the begin of its stop on, a process now closes the stream of a transfer without a reply, as an unreachable one does, so that the sender goes on to the next successor.

TestStoppingTargetTakesOverNoResponses failed before: the response was at the stopping successor only.

--- a/daemon/target/handover.go
+++ b/daemon/target/handover.go
@@ -157,8 +157,16 @@
 	return errors.Wrap(st.Recv(&reply), "read the reply of the successor")
 }
 
-// serveHandover stores the responses of a stopping target process.
+// serveHandover stores the responses of a stopping target process. If this
+// process is stopping too, it sends no reply, so that the sender tries another
+// successor: the responses would be lost with this process. They count as work in
+// progress until they are stored, so that a stop that begins now moves them on.
 func (t *Target) serveHandover(st *wire.Stream, h *wirepb.Handover) {
+	if !t.work.Begin() {
+		t.node.Log.Info("stored responses refused: this process is stopping", "from", h.GetFromTarget(), "offered", len(h.GetAnswers()))
+		return
+	}
+	defer t.work.End()
 	stored := uint32(0)
 	for _, m := range h.GetAnswers() {
 		id, err := atmostonce.ParseID(m.GetOperationId())
--- a/daemon/target/handover_test.go
+++ b/daemon/target/handover_test.go
@@ -124,3 +124,25 @@
 	<-p.exited
 	require.True(t, successor.holds(last))
 }
+
+// Guards against responses that are lost with a successor that stops as well and
+// has handed over its own already.
+func TestStoppingTargetTakesOverNoResponses(t *testing.T) {
+	p := startPeerTarget(t, "app-1", 5*time.Second)
+	id := p.store()
+	addrs := map[string]string{"app-1": p.addr, "app-2": "", "app-3": ""}
+	p.know(addrs)
+	order := newHandover(p.Target).successors(p.config.Load(), origin{"app-1", p.node.Incarnation})
+	stopping, staying := startPeerTarget(t, order[0].Name, 5*time.Second), startPeerTarget(t, order[1].Name, time.Second)
+	addrs[order[0].Name], addrs[order[1].Name] = stopping.addr, staying.addr
+	p.know(addrs)
+	stopping.know(addrs)
+	// A dispatch in progress keeps the first successor in its stop.
+	require.True(t, stopping.work.Begin())
+	defer stopping.work.End()
+	stopping.stop()
+	require.Eventually(t, stopping.work.Closed, time.Second, time.Millisecond)
+	p.stop()
+	<-p.exited
+	require.True(t, staying.holds(id), "the response is lost when the first successor exits")
+}
