daemon: a stopping entry finishes what it has begun with rank groups

Callers waited while a group made no step: if the entry that coordinates a data centre was stopped while a group started or switched its map, the ranks stayed halted, or paused before the step of the switch, until another entry had got the lease (it looks once a second and waits 2 s before its first order) and had queried them.

From SIGTERM on, the runner begins nothing, aborts a switch that is not decided, and goes on with the rest until its groups are idle, for 2 s at most. The lease is held until then. Without anything unfinished it is released at once, as before.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -100,17 +101,7 @@
 	if e.instances != nil {
 		go e.watchInstances(controlCtx)
 	}
-	leaseCtx, releaseLease := context.WithCancel(controlCtx)
-	released := make(chan struct{})
-	go func() {
-		defer close(released)
-		e.lease.Run(leaseCtx)
-	}()
-	defer func() {
-		releaseLease()
-		<-released
-	}()
-	go e.runGroups(leaseCtx)
+	defer e.startCoordinating(ctx)()
 	if e.peerListener != nil {
 		defer func() { _ = e.peerListener.Close() }()
 		go e.acceptPeers(controlCtx, e.peerListener)
@@ -124,11 +115,29 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
-	releaseLease() // another entry coordinates while this one finishes its last requests
 	e.stop(srv)
 	return nil
 }
 
+// startCoordinating competes for the lease and coordinates groups until ctx ends.
+// The runner then finishes what it has begun, and the lease is released, so that
+// another entry coordinates while this one finishes its last requests. The
+// function that it returns ends both and waits for them.
+func (e *Entry) startCoordinating(ctx context.Context) (end func()) {
+	ctx, stop := context.WithCancel(ctx)
+	leaseCtx, releaseLease := context.WithCancel(context.WithoutCancel(ctx))
+	var running sync.WaitGroup
+	running.Go(func() { e.lease.Run(leaseCtx) })
+	running.Go(func() {
+		defer releaseLease()
+		e.runGroups(ctx)
+	})
+	return func() {
+		stop()
+		running.Wait()
+	}
+}
+
 // propagationMargin is the time allowed until every other entry has received
 // the notice of a planned stop. Until then, address responses may still contain
 // this entry.
--- a/daemon/groups/runner.go
+++ b/daemon/groups/runner.go
@@ -14,6 +14,7 @@
 
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/expertmap"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
@@ -31,6 +32,11 @@
 	defaultLeadSteps     = 100             // steps; 7 s at 71 ms a step, enough to load the weights
 	prepareTimeout       = 5 * time.Second // after which an unprepared switch is aborted
 	defaultAuditInterval = 10 * time.Second
+	// finishTimeout limits the time in which a stopping runner finishes what it
+	// has begun, and finishInterval is the pause between two messages to a rank
+	// that has not replied.
+	finishTimeout  = 2 * time.Second
+	finishInterval = 50 * time.Millisecond
 )
 
 // Options are the dependencies and settings of a Runner.
@@ -57,6 +63,8 @@
 	fencing uint64
 	groups  map[string]*group
 	desired map[string]uint64
+	// stopping is set when nothing new may be started.
+	stopping bool
 }
 
 type group struct {
@@ -98,18 +106,43 @@
 	return g.coordinator.Phase(), g.decided
 }
 
-// Run coordinates the groups of the data centre until ctx ends.
+// Run coordinates the groups of the data centre until ctx ends. Then it finishes
+// what it has begun, within finishTimeout: a group that is left in the middle of a
+// switch or of a start may make no step until the next holder of the lease has
+// queried it. The lease must be held until Run returns.
 func (r *Runner) Run(ctx context.Context) {
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
-	for {
-		r.tick(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
+	workCtx, endWork := ctxtime.Extend(ctx, finishTimeout)
+	defer endWork()
+	for ctx.Err() == nil {
+		r.tick(workCtx)
+		ctxtime.Sleep(ctx, tickInterval)
+	}
+	r.mu.Lock()
+	r.stopping = true
+	r.mu.Unlock()
+	for workCtx.Err() == nil && r.hasUnfinishedGroup() {
+		r.tick(workCtx)
+		ctxtime.Sleep(workCtx, finishInterval)
+	}
+}
+
+// hasUnfinishedGroup reports whether this runner holds the lease and has begun
+// something that a group has not completed.
+func (r *Runner) hasUnfinishedGroup() bool {
+	number, valid := r.opts.Lease.Token()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !valid || number != r.fencing {
+		return false
+	}
+	for _, g := range r.groups {
+		switch g.coordinator.Phase() {
+		case expertmap.Querying, expertmap.Idle, expertmap.Superseded:
+		default:
+			return true
 		}
 	}
+	return false
 }
 
 // tick calls driveGroup for every group. Groups run concurrently, so that an
@@ -183,6 +216,9 @@
 	if p := state.coordinator.Phase(); p != state.phase {
 		state.phase, state.phaseStart = p, time.Now()
 	}
+	if r.stopping {
+		return state.finishingMessages()
+	}
 	age := time.Since(state.phaseStart)
 	switch state.phase {
 	case expertmap.Idle:
@@ -205,6 +241,19 @@
 	return state.coordinator.Resend()
 }
 
+// finishingMessages returns the messages that complete what has begun. A switch
+// that is not decided is aborted.
+func (g *group) finishingMessages() []expertmap.Message {
+	switch g.phase {
+	case expertmap.Querying, expertmap.Idle:
+		return nil
+	case expertmap.Preparing:
+		return g.coordinator.AbortSwitch()
+	default:
+		return g.coordinator.Resend()
+	}
+}
+
 func (g *group) queryRanks() []expertmap.Message {
 	g.lastQuery, g.phaseStart = time.Now(), time.Now()
 	return g.coordinator.Requery()
--- a/daemon/groups/runner_test.go
+++ b/daemon/groups/runner_test.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkstep/skylarkstep/daemon/node"
 	"github.com/skylarkstep/skylarkstep/daemon/target"
 	"github.com/skylarkstep/skylarkstep/engine/standin"
+	"github.com/skylarkstep/skylarkstep/expertmap"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
@@ -120,7 +121,13 @@
 
 // startRunner starts a runner that uses the given lease.
 func (f *fixture) startRunner(lease Lease) *Runner {
-	r := New(Options{
+	r := f.newRunner(lease)
+	f.wait.Go(func() { r.Run(f.ctx) })
+	return r
+}
+
+func (f *fixture) newRunner(lease Lease) *Runner {
+	return New(Options{
 		DataCentre: "gent-a", Lease: lease, LeadSteps: 40, AuditInterval: 3 * time.Second, SendOrder: f.send,
 		Config: func() *config.Config {
 			f.mu.Lock()
@@ -128,8 +135,6 @@
 			return f.config
 		},
 	})
-	f.wait.Go(func() { r.Run(f.ctx) })
-	return r
 }
 
 func (f *fixture) mapVersion() uint64 {
@@ -235,3 +240,44 @@
 		})
 	}
 }
+
+// Guards against a group that stands still until another entry has the lease,
+// because its coordinator stops in the middle of a switch or of a start.
+func TestStoppingRunnerFinishesSwitch(t *testing.T) {
+	unfinished := []expertmap.CoordinatorPhase{expertmap.Preparing, expertmap.Committing, expertmap.Aborting, expertmap.Halting, expertmap.Starting}
+	stoppedIn := map[expertmap.CoordinatorPhase]int{}
+	for delay := range 60 {
+		runInBubble(t, true, func(f *fixture) {
+			slow := func(ctx context.Context, name string, o *wirepb.Order) (*wirepb.OrderResult, error) {
+				select {
+				case <-time.After(20 * time.Millisecond):
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				}
+				return f.send(ctx, name, o)
+			}
+			r := f.newRunner(&fakeLease{number: 7})
+			r.opts.SendOrder = slow
+			ctx, stop := context.WithCancel(f.ctx)
+			ended := make(chan struct{})
+			go func() {
+				r.Run(ctx)
+				close(ended)
+			}()
+			if delay >= 20 { // the first ones are stops while the group starts
+				time.Sleep(5 * time.Second)
+				r.SetDesiredMap("g1", 99)
+			}
+			time.Sleep(time.Duration(delay) * 11 * time.Millisecond)
+			phase, _ := r.Phase("g1")
+			stoppedIn[phase]++
+			stop()
+			<-ended
+			phase, _ = r.Phase("g1")
+			require.NotContains(f.t, unfinished, phase, "stop after %d", delay)
+		})
+	}
+	for _, phase := range []expertmap.CoordinatorPhase{expertmap.Preparing, expertmap.Starting} {
+		require.Positive(t, stoppedIn[phase], "no stop in phase %v: %v", phase, stoppedIn)
+	}
+}
