--- a/ranks/election.go
+++ b/ranks/election.go
@@ -116,15 +116,7 @@
 	workCtx, endWork := ctxtime.Extend(ctx, coordinatorStopTimeout)
 	defer endWork()
 	o, key := c.o, coordinatorKeyPrefix+group
-	holder := lease.New(lease.Options{
-		KV: o.KV, Key: key, HolderID: o.HolderID, Times: coordinatorTimes, KeepDuringOutage: true,
-		IsCandidate: func() bool { return ctx.Err() == nil && leaseVacant(ctx, o, key) },
-		HolderDown:  o.isHolderDown,
-		OnAcquired:  func(n uint64) { o.Log.Info("lease taken", "group", group, "fencing", n) },
-		OnLost: func(n uint64, reason string) {
-			o.Log.Info("lease lost", "group", group, "fencing", n, "reason", reason)
-		},
-	})
+	holder := newCoordinatorLease(ctx, o, group, key)
 	reserve := newStandby(o, group, key)
 	leaseCtx, releaseLeases := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
@@ -182,6 +174,22 @@
 	return coord
 }
 
+// newCoordinatorLease returns a holder that competes for the coordinator lease of a
+// group.
+func newCoordinatorLease(ctx context.Context, o CoordinatorOptions, group, key string) *lease.Holder {
+	var holder *lease.Holder
+	holder = lease.New(lease.Options{
+		KV: o.KV, Key: key, HolderID: o.HolderID, Times: coordinatorTimes, KeepDuringOutage: true,
+		IsCandidate: func() bool { return ctx.Err() == nil && leaseVacant(ctx, o, key, holder) },
+		HolderDown:  o.isHolderDown,
+		OnAcquired:  func(n uint64) { o.Log.Info("lease taken", "group", group, "fencing", n) },
+		OnLost: func(n uint64, reason string) {
+			o.Log.Info("lease lost", "group", group, "fencing", n, "reason", reason)
+		},
+	})
+	return holder
+}
+
 // activeToken returns the token under which this process may coordinate a
 // group: its own lease, a term that it took over, or the number that it holds
 // in reserve. It returns nil if there is none.
@@ -200,11 +208,24 @@
 	return nil
 }
 
-// leaseVacant reports whether the lease is free or its holder is down. It reads
-// the cached copy of the store, so that waiting costs no calls.
-func leaseVacant(ctx context.Context, o CoordinatorOptions, key string) bool {
+// leaseVacant reports whether the lease of a key, for which holder competes, is free,
+// its holder is down, or its key is a leftover of this process. It reads the cached
+// copy of the store, so that waiting costs no calls.
+func leaseVacant(ctx context.Context, o CoordinatorOptions, key string, holder *lease.Holder) bool {
+	it, exists, err := o.cachedItem(ctx, key)
+	return err == nil && (!exists || o.isHolderDown(string(it.Value)) || holder.IsLeftover(it))
+}
+
+// cachedItem returns the item with the key from the cached copy of the store, and
+// whether it exists. Other keys may begin with the key, since names of groups may.
+func (o CoordinatorOptions) cachedItem(ctx context.Context, key string) (infra.Item, bool, error) {
 	items, err := o.Items(ctx, key)
-	return err == nil && (len(items) == 0 || o.isHolderDown(string(items[0].Value)))
+	for _, it := range items {
+		if it.Key == key {
+			return it, true, err
+		}
+	}
+	return infra.Item{}, false, err
 }
 
 // isHolderDown reports whether a holder is an earlier process of this instance,
@@ -221,11 +242,11 @@
 // readShape returns the expert shape of a back end from the configuration, or
 // nil if it can't be read or has none.
 func readShape(ctx context.Context, o CoordinatorOptions, backend string) *routing.ExpertShape {
-	items, err := o.Items(ctx, o.Records.ConfigKey())
-	if err != nil || len(items) == 0 {
+	it, exists, err := o.cachedItem(ctx, o.Records.ConfigKey())
+	if err != nil || !exists {
 		return nil
 	}
-	cfg, err := o.Records.Config(items[0].Value)
+	cfg, err := o.Records.Config(it.Value)
 	if err != nil {
 		o.Log.Warn("configuration not readable", "error", err.Error())
 		return nil
--- a/ranks/handover_test.go
+++ b/ranks/handover_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/infra/standin"
+	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/routing"
 )
 
@@ -109,7 +110,7 @@
 			_, _, err := kv.Direct().Get(t.Context(), key)
 			return err == nil
 		}, 5*time.Second, 5*time.Millisecond)
-		lease, _, err := kv.Direct().Get(t.Context(), key)
+		item, _, err := kv.Direct().Get(t.Context(), key)
 		require.NoError(t, err)
 		time.Sleep(2 * roundInterval)
 		kv.SetRefuse(storeDown)
@@ -117,7 +118,7 @@
 		kv.SetRefuse(false)
 		if storeDown {
 			require.Len(t, p.handedOver.all(), 1)
-			require.EqualValues(t, lease.ModRevision, p.handedOver.all()[0].Fencing)
+			require.Equal(t, lease.FencingNumber(item.ModRevision), p.handedOver.all()[0].Fencing)
 		} else {
 			require.Empty(t, p.handedOver.all(), "the next coordinator gets a higher number")
 			_, _, err = kv.Direct().Get(t.Context(), key)
