configsync: an edit of the same id and other content is not taken for one's own

Operators could see a configuration in force that was never accepted: if two entries got edits with one id and different contents at the same time, the entry that lost the race reported its own content as accepted and made it active, with the winner's or a wrong revision.

Cause: after the condition on the key of the edit id had failed, the entry found the id there and returned its own change as the result.

It now compares the stored record of the revision with its change. If it is another one, the result is that of the accepted edit ("already accepted", with its revision), which makes nothing active; the entry gets that configuration like all others.

TestSameEditIDWithOtherContent failed before: the result was not "already accepted".

--- a/configsync/store.go
+++ b/configsync/store.go
@@ -191,12 +191,20 @@
 	if err := s.addPruning(ctx, &txn, record.Revision); err != nil {
 		return nil, err
 	}
-	if err := s.commitUntilKnown(ctx, c, txn); err != nil {
-		return nil, err
+	done, err = s.commitUntilKnown(ctx, c, txn)
+	if err != nil || done != nil && !s.isStored(ctx, record) {
+		return done, err
 	}
 	return &ApplyResult{Revision: record.Revision, Tree: tree, Delta: record.Delta}, nil
 }
 
+// isStored reports whether a change is the accepted one of its revision. Another
+// entry may have accepted an edit with the same id and other content.
+func (s *Store) isStored(ctx context.Context, r *Record) bool {
+	stored, err := s.Record(ctx, r.Revision)
+	return err == nil && stored.EditID == r.EditID && stored.Digest == r.Digest
+}
+
 // newRecord returns the record of a change between two trees.
 func newRecord(c Change, from, to []byte) (*Record, error) {
 	patch, err := config.Diff(from, to)
@@ -281,37 +289,38 @@
 // commitUntilKnown sends the transaction until its outcome is known or ctx ends.
 // After a lost reply it reads the key of the edit id. If that does not exist or
 // can't be read, it sends the same transaction again, which is safe because the
-// conditions let the transaction take effect only once.
-func (s *Store) commitUntilKnown(ctx context.Context, c Change, txn infra.Txn) error {
+// conditions let the transaction take effect only once. If it finds the edit id, it
+// returns what is stored under it: this change, or another one with the same id.
+func (s *Store) commitUntilKnown(ctx context.Context, c Change, txn infra.Txn) (*ApplyResult, error) {
 	for {
 		res, err := s.kv.Commit(ctx, txn)
 		switch {
 		case err == nil && res.Succeeded:
-			return nil
+			return nil, nil
 		case err != nil && !errors.Is(err, infra.ErrUnknownOutcome):
-			return storeError(err, "write the head")
+			return nil, storeError(err, "write the head")
 		}
 		lostReply := err
 		if lostReply != nil && !waitBeforeRetry(ctx) {
-			return unknownOutcomeError(lostReply)
+			return nil, unknownOutcomeError(lostReply)
 		}
 		done, err := s.findAcceptedEdit(ctx, c.EditID)
 		switch {
 		case done != nil:
-			return nil
+			return done, nil
 		case err != nil && lostReply != nil && ctx.Err() == nil:
 			continue
 		case err != nil && lostReply == nil:
-			return err
+			return nil, err
 		case err != nil:
-			return unknownOutcomeError(lostReply)
+			return nil, unknownOutcomeError(lostReply)
 		}
 		if lostReply == nil {
 			st, err := s.Head(ctx)
 			if err != nil {
-				return err
+				return nil, err
 			}
-			return s.conflictError(ctx, c, st.Head)
+			return nil, s.conflictError(ctx, c, st.Head)
 		}
 	}
 }
