configsync: an edit whose parts were not written is reported as not run

Operators had to find out whether an edit was accepted although it cannot have been: if the replies to the writes of its parts were lost until the time was up, the error said that it may have run.

Cause: the error of the lost reply was returned as it was. It is right for the part, but nothing refers to a part before the head is written.

TestEditWithoutPartsDidNotRun failed before: did_run "unknown".

--- a/configsync/race_test.go
+++ b/configsync/race_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/infra/standin"
 )
@@ -52,3 +54,22 @@
 		require.Empty(t, a.Tree)
 	}
 }
+
+// Guards against an operator who must find out whether an edit was accepted
+// although it cannot have been: its parts were not written.
+func TestEditWithoutPartsDidNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := standin.NewKV()
+		_, err := NewStore(kv.Direct()).Apply(t.Context(), change(0, "first", sampleConfig(1)))
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := NewStore(&interruptedKV{KV: kv.Direct(), before: func() {
+			kv.DropReplies(1)
+			cancel()
+		}})
+		_, err = s.Apply(ctx, change(1, "second", sampleConfig(2, "burgos")))
+		require.Error(t, err)
+		require.Equal(t, errkind.NotRun, errkind.From(err).DidRun, "%v", err)
+	})
+}
--- a/configsync/store.go
+++ b/configsync/store.go
@@ -231,12 +231,10 @@
 			txn.Puts = append(txn.Puts, infra.Put{Key: p.key(), Value: parts[p.Name]})
 		}
 		if _, err := s.kv.Commit(ctx, txn); err != nil {
-			if !errors.Is(err, infra.ErrUnknownOutcome) {
-				return storeError(err, "write the parts")
-			}
-			if !waitBeforeRetry(ctx) {
-				// No head refers to the new parts yet, so the edit has not taken effect.
-				return storeError(err, "write the parts")
+			if !errors.Is(err, infra.ErrUnknownOutcome) || !waitBeforeRetry(ctx) {
+				// No head refers to the new parts yet, so the edit has not taken
+				// effect, whatever happened to the parts.
+				return errkind.From(storeError(err, "write the parts")).WithDidRun(errkind.NotRun)
 			}
 			continue
 		}
