config: the model of a plain service makes no other back end invalid

Operators could not apply a configuration in which a plain service has a model field and a later back end serves that model: the error named the later back end, "a model that no other back end serves".

Cause: the models of all back ends were recorded, also of plain services, for which the field has no meaning.

TestModelsOfBackends failed before: one invalid field for a service before a model back end.

--- a/config/check.go
+++ b/config/check.go
@@ -77,11 +77,14 @@
 func (k *referenceChecker) checkBackends(inv *Inventory) {
 	models := map[string]bool{}
 	for i, b := range inv.Backends {
+		if b.Kind != KindModel {
+			continue // a model of a plain service has no meaning
+		}
 		p := fmt.Sprintf("/inventory/back_ends/%d/model", i)
-		if b.Kind == KindModel && b.Model == "" {
+		if b.Model == "" {
 			k.addInvalid(p, b.Model, "the model that the back end serves")
 		}
-		if b.Kind == KindModel && models[b.Model] {
+		if models[b.Model] {
 			k.addInvalid(p, b.Model, "a model that no other back end serves")
 		}
 		models[b.Model] = true
