--- a/ctl/command/config.go
+++ b/ctl/command/config.go
@@ -238,7 +238,7 @@
 			if err != nil {
 				return err
 			}
-			if e.Base == 0 {
+			if !cmd.Flags().Changed("base") {
 				doc, err := cl.Config(cmd.Context())
 				if err != nil {
 					return err
--- a/ctl/command/config_test.go
+++ b/ctl/command/config_test.go
@@ -90,6 +90,7 @@
 		{"zone out again", "zone out " + zone, ExitOK, "revision 3"},
 		{"unknown zone", "zone out nowhere", ExitInvalid, "does not exist"},
 		{"zone in", "zone in " + zone, ExitOK, "revision 4"},
+		{"rollback with base 0", "config rollback 1 --base 0", ExitConflict, "revision 4 by dev changed"},
 		{"rollback", "config rollback 1 --wait", ExitOK, "revision 5 accepted"},
 		{"history", "config history --limit 2", ExitOK, `{"rules":{"address_ttl_ms":10000}}`},
 		{"wait", "config wait 5", ExitOK, "in force in"},
