skylarkctl load: requests that fail whenever they are sent are not retried

Operators who ran a scenario with a wrong key, model or body saw several times the load that they had asked for: each refused request was sent again as often as its flow allows.

Cause: the last line of canRetry was always true, since each flow names a model or a back end.

An error of the caller (4xx other than 429) is now final. All others are retried as before.

TestRetriesOfSender failed before: 3 requests instead of 1 for 401.

--- a/ctl/load/sender.go
+++ b/ctl/load/sender.go
@@ -36,6 +36,8 @@
 	firstByteLatency time.Duration // after the scheduled arrival
 	latency          time.Duration // after the scheduled arrival
 	retries          int
+	// final is set if the same request would fail again, whenever it is sent.
+	final bool
 }
 
 // sender sends requests as a plain HTTP caller would. It rotates through the
@@ -79,20 +81,15 @@
 }
 
 // canRetry reports whether the request may be sent again after the given number
-// of retries.
+// of retries. A retry is safe for all flows: a non-idempotent call is sent with an
+// idempotency key.
 func (s *sender) canRetry(ctx context.Context, a arrival, o *outcome, retries int) bool {
-	if o.result == resultComplete || ctx.Err() != nil || retries >= a.flow.MaxRetries {
-		return false
-	}
-	safe := o.result == resultNotRun || a.flow.Idempotent || a.flow.Model != ""
-	// A non-idempotent call is sent with an idempotency key, so that a retry is safe
-	// whatever happened to the first attempt.
-	return safe || a.flow.Backend != ""
+	return o.result != resultComplete && !o.final && ctx.Err() == nil && retries < a.flow.MaxRetries
 }
 
 // attempt sends the request to one entry and records the result in o.
 func (s *sender) attempt(ctx context.Context, a arrival, entry string, header http.Header, o *outcome) {
-	o.result, o.errorKind = resultUnknown, "connection"
+	o.result, o.errorKind, o.final = resultUnknown, "connection", false
 	path := "/v1/services/" + a.flow.Backend + "/" + a.flow.Operation
 	body := fmt.Sprintf(`{"id":"load-%d"}`, a.id)
 	if a.flow.Model != "" {
@@ -126,6 +123,7 @@
 	if res.StatusCode >= http.StatusBadRequest {
 		data, _ := io.ReadAll(res.Body)
 		o.recordError(data)
+		o.final = res.StatusCode < http.StatusInternalServerError && res.StatusCode != http.StatusTooManyRequests
 		return
 	}
 	if a.flow.Model == "" {
