skylarkctl load: streams of flows without max_tokens count as complete

Operators saw every request of a model flow without max_tokens as interrupted ("short").

Cause: the sender asks for one token then, and the reader expected none.

TestStreamOfFlowWithoutMaxTokens failed before: "short".

--- a/ctl/load/scenario.go
+++ b/ctl/load/scenario.go
@@ -80,6 +80,9 @@
 	return time.Duration(f.DeadlineMs) * time.Millisecond
 }
 
+// expectedTokens is the number of tokens that a request to a model asks for.
+func (f *Flow) expectedTokens() int { return max(f.MaxTokens, 1) }
+
 // ParseScenario decodes and validates a scenario and sorts its events by time.
 func ParseScenario(data []byte) (*Scenario, error) {
 	var s Scenario
--- a/ctl/load/sender.go
+++ b/ctl/load/sender.go
@@ -95,7 +95,7 @@
 	if a.flow.Model != "" {
 		path = "/v1/completions"
 		body = fmt.Sprintf(`{"model":%q,"prompt":"load %d","max_tokens":%d,"deadline_ms":%d}`,
-			a.flow.Model, a.id, max(a.flow.MaxTokens, 1), a.flow.deadline().Milliseconds())
+			a.flow.Model, a.id, a.flow.expectedTokens(), a.flow.deadline().Milliseconds())
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+path, strings.NewReader(body))
 	if err != nil {
@@ -162,7 +162,7 @@
 			event = string(line[len("event: "):])
 		case bytes.HasPrefix(line, []byte("data: ")) && event == "done":
 			o.result, o.errorKind = resultComplete, ""
-			if tokens != a.flow.MaxTokens {
+			if tokens != a.flow.expectedTokens() {
 				o.result, o.errorKind = resultInterrupted, "short"
 			}
 		case bytes.HasPrefix(line, []byte("data: ")) && event == "error":
--- a/ctl/load/sender_test.go
+++ b/ctl/load/sender_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,6 +21,18 @@
 	return s
 }
 
+// Guards against complete streams that count as interrupted because their flow
+// does not set max_tokens. The sender asks for one token then.
+func TestStreamOfFlowWithoutMaxTokens(t *testing.T) {
+	for maxTokens, tokens := range map[int]int{0: 1, 1: 1, 3: 3} {
+		s := startSender(t, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprint(w, strings.Repeat("event: token\ndata: {}\n\n", tokens), "event: done\ndata: {}\n\n")
+		})
+		o := s.send(t.Context(), arrival{flow: &Flow{Model: "m", MaxTokens: maxTokens}})
+		require.Equal(t, resultComplete, o.result, "max_tokens %d: %s", maxTokens, o.errorKind)
+	}
+}
+
 // Guards against retries of requests that fail whenever they are sent, which
 // distort the load, and against missing retries of others.
 func TestRetriesOfSender(t *testing.T) {
