expertmap/plan: the minimum of activations holds for every set

Operators would see expert copies that bring nothing, and the estimate of the load thrown away, if the ranks count fewer activations in a later set than in the first: a handful of them decided the map of that set, and counted as a shift.

Cause: the number was checked in the first set only, for proposals and for shifts.

The set with the fewest activations decides now. "choices" in the log line of a planned map is that number as well.

TestEverySetNeedsActivations and TestShiftNeedsActivationsOfEverySet failed before: a proposal from 10 activations, and 1 activation left of 9001.

--- a/expertmap/plan/tracker.go
+++ b/expertmap/plan/tracker.go
@@ -16,8 +16,8 @@
 	// ShiftDistance, the earlier activations are discarded.
 	ShiftWindow   time.Duration
 	ShiftDistance float64
-	// MinActivations is the number of activations, counted in the first set,
-	// that a proposal needs.
+	// MinActivations is the number of activations in each set that a proposal
+	// needs.
 	MinActivations float64
 	// MinGain is the amount by which a change must lower the time of a forward
 	// pass, relative to the time under an even load.
@@ -120,7 +120,7 @@
 	for _, w := range t.recent {
 		addTable(latest, w.added)
 	}
-	if total(latest[0]) < t.rules.MinActivations || shareDistance(latest, t.activations) < t.rules.ShiftDistance {
+	if minTotal(latest) < t.rules.MinActivations || shareDistance(latest, t.activations) < t.rules.ShiftDistance {
 		return
 	}
 	t.activations = latest
@@ -143,9 +143,9 @@
 	return d / 2 / float64(len(a))
 }
 
-// Activations returns the number of activations, counted in the first set, on
-// which the estimate is based.
-func (t *Tracker) Activations() float64 { return total(t.activations[0]) }
+// Activations returns the number of activations on which the estimate is based, in
+// the set with the fewest.
+func (t *Tracker) Activations() float64 { return minTotal(t.activations) }
 
 // Proposal is a proposed change of the map.
 type Proposal struct {
@@ -194,6 +194,15 @@
 	}
 }
 
+// minTotal returns the total of the set with the fewest activations.
+func minTotal(t [][]float64) float64 {
+	n := total(t[0])
+	for _, row := range t[1:] {
+		n = min(n, total(row))
+	}
+	return n
+}
+
 func total(row []float64) float64 {
 	n := 0.0
 	for _, w := range row {
