--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -13,7 +13,7 @@
 
 // dialGraph returns which instances dial which others if each of n instances
 // knows the records of all.
-func dialGraph(t *testing.T, n int) map[string]map[string]string {
+func dialGraph(n int) map[string]map[string]string {
 	var items []infra.Item
 	for i := range n {
 		id := fmt.Sprintf("g%02d", i)
@@ -50,7 +50,7 @@
 // because one is lost.
 func TestPeersToDial(t *testing.T) {
 	for _, n := range []int{2, 3, 4, 5, 6, 7, 8, 9, 10, 42} {
-		dials := dialGraph(t, n)
+		dials := dialGraph(n)
 		for id, dialed := range dials {
 			require.LessOrEqual(t, len(dialed), maxDialedPeers)
 			require.NotContains(t, dialed, id)
--- a/ranks/links_test.go
+++ b/ranks/links_test.go
@@ -87,6 +87,7 @@
 			states := []switchover.State{report.State}
 			coord.updateCurrentMap([]Report{report}, states)
 			coord.replan(states, time.Now())
+			require.False(t, coord.mapKnown)
 		}
 	})
 	t.Run("outcome of an order", func(t *testing.T) {
