ranks: agents release a held step without an answer of the store

Callers waited for as long as an outage of the store lasted, or until the standby took over, if a coordinator exited with a step held: the agents, which finish such a switch, could not.

Cause: an agent read the addresses of the other agents and of the ranks from the store at that moment. Without them it saw no ranks. With them but without the address of the holding rank, it could not send the go order; its queries kept the other agents from acting, also the one on the machine of that rank.

An agent now reads the addresses of the others at the first order of each term, one call to the store. A go order to a rank whose address is not known goes through the agent of that rank. Hold orders still need the address, so a coordinator begins no switch that it cannot end by itself.

--- a/ranks/links.go
+++ b/ranks/links.go
@@ -315,12 +315,18 @@
 }
 
 // sendOrder sends an order through the agent of the rank, or directly to the rank
-// if the agent does not reply. Hold and Go orders are always sent directly.
+// if the agent does not reply. A Hold order is always sent directly, so that the
+// coordinator needs no other process to release the held step, and a Go order if
+// the address of the rank is known.
 func (l *links) sendOrder(ctx context.Context, o switchover.Order, fencing uint64, duplicates int) (Outcome, error) {
-	if o.Operation == switchover.Hold || o.Operation == switchover.Go {
-		return l.sendOrderDirect(ctx, o, fencing, duplicates)
-	}
 	k := l.byRank[o.Rank]
+	direct := k.directAddr()
+	switch {
+	case o.Operation == switchover.Hold && direct == "":
+		return Refused, errors.Errorf("address of rank %d is not known", o.Rank)
+	case o.Operation == switchover.Hold, o.Operation == switchover.Go && direct != "":
+		return sendToRank(ctx, l.engine, direct, o, fencing, duplicates)
+	}
 	f := &wirepb.RankFrame{Body: &wirepb.RankFrame_Order{Order: encodeOrder(o, fencing, duplicates)}}
 	reply, err := k.roundTrip(ctx, l.hello, f, agentOrderTimeout)
 	if err == nil {
@@ -330,19 +336,8 @@
 		}
 		return decodeOutcome(r), err
 	}
-	if direct := k.directAddr(); direct != "" {
+	if direct != "" {
 		return sendToRank(ctx, l.engine, direct, o, fencing, duplicates)
 	}
 	return NoReply, err
 }
-
-// sendOrderDirect sends an order to a rank without its agent. Hold and Go
-// orders are sent this way, so that no other machine of the group than that of
-// the holding rank is needed to release the held step.
-func (l *links) sendOrderDirect(ctx context.Context, o switchover.Order, fencing uint64, duplicates int) (Outcome, error) {
-	direct := l.byRank[o.Rank].directAddr()
-	if direct == "" {
-		return Refused, errors.Errorf("address of rank %d is not known", o.Rank)
-	}
-	return sendToRank(ctx, l.engine, direct, o, fencing, duplicates)
-}
--- a/ranks/recovery.go
+++ b/ranks/recovery.go
@@ -32,7 +32,9 @@
 
 // recoverSwitch finishes a switch on behalf of an unresponsive coordinator that
 // has left the group held. A held group serves no requests, and the next
-// coordinator can act only after the lease has expired.
+// coordinator can act only after the lease has expired. It needs no answer of the
+// store at that moment: the addresses of the other agents are read when a
+// coordinator sends its first order.
 func recoverSwitch(ctx context.Context, o AgentOptions, a *agent, r Report) {
 	stagger := min(time.Duration(r.Rank)*recoveryStagger, maxRecoveryStagger)
 	l := &links{
@@ -42,9 +44,15 @@
 			return items, err
 		},
 	}
+	readFor := uint64(0)
 	for ctx.Err() == nil {
 		ctxtime.Sleep(ctx, recoveryPollInterval)
 		fencing := a.lastFencing.Load()
+		if fencing != readFor {
+			// The store may not answer when the addresses are needed.
+			readFor = fencing
+			l.refreshRecords(ctx, time.Now())
+		}
 		if fencing == 0 || a.sinceLastQuery() < recoveryTimeout+stagger {
 			continue
 		}
