gateway: a stopping instance dials the peers that have no session with it

Operators would see an instance that is stopped directly after its start counted by nobody although it still sends requests, so that its peers take its share of the limits: the peers that should dial it have not seen its record, which is removed when the stop begins, and it dials only those that are its own to dial. Since each pair has one dialer, this can happen with any number of instances; before, it could with an odd one.

The time since when a peer is known to be leaving also counts from a term that it has handed over, if that comes before its heartbeat.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -68,6 +68,9 @@
 // sender may not have reported yet that it is leaving.
 func (c *control) receiveTerm(from string, t Term, now time.Time) {
 	if p := c.peers.byID[from]; p != nil {
+		if !p.leaving {
+			p.leavingSince = now
+		}
 		p.leaving, p.handedOver, c.needsPublish = true, true, true
 	}
 	if c.g.opts.TakeOver == nil || !c.g.opts.TakeOver(t) {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -145,9 +145,26 @@
 		id := ids[(start+k)%len(ids)]
 		addrs[id] = found[id].PeerAddr
 	}
+	if c.g.isLeaving() {
+		c.addMissingPeers(addrs, ids, start, found)
+	}
 	return addrs
 }
 
+// addMissingPeers adds the instances before and after a stopping one that have no
+// session with it. Those that should dial it may not have seen its record, which
+// is removed when the stop begins.
+func (c *control) addMissingPeers(addrs map[string]string, ids []string, start int, found map[string]instanceRecord) {
+	for k := range min(maxDialedPeers, len(ids)) {
+		for _, i := range []int{start + k, start - 1 - k} {
+			id := ids[(i+len(ids))%len(ids)]
+			if p := c.peers.byID[id]; p == nil || !p.hasSession() {
+				addrs[id] = found[id].PeerAddr
+			}
+		}
+	}
+}
+
 // dialCount returns how many of the next instances the one at position dials, so
 // that no pair dials each other. If the number of instances is even, two of them
 // are half the circle apart, and only the lower one dials the other.
