ranks: a stopped coordinator reports no slow ranks

Callers' requests went past a healthy rank for up to 8 s: a coordinator that stopped while a rank was slow reported it as slow until its process exited, and the other gateways use the largest of all reports.

Cause: the report was withdrawn only if the term ended while the process went on.

TestStoppedCoordinatorReportsNoSlowRanks failed before: the last report named four slow ranks.

--- a/ranks/election.go
+++ b/ranks/election.go
@@ -132,8 +132,8 @@
 	for ctx.Err() == nil {
 		token := c.activeToken(ctx, group, holder, reserve)
 		if token == nil {
-			if coord != nil && o.OnSlowRanks != nil {
-				o.OnSlowRanks(group, nil)
+			if coord != nil {
+				c.reportNoSlowRanks(group)
 			}
 			coord = nil
 			ctxtime.Sleep(ctx, roundInterval)
@@ -155,10 +155,18 @@
 	}
 	if coord != nil {
 		coord.finishSwitch(workCtx)
+		c.reportNoSlowRanks(group)
 	}
 	c.endTerm(workCtx, group, coord, holder.RenewalsFailing() || reserve.holder.RenewalsFailing())
 }
 
+// reportNoSlowRanks withdraws the report of slow ranks at the end of a term.
+func (c *Coordinators) reportNoSlowRanks(group string) {
+	if c.o.OnSlowRanks != nil {
+		c.o.OnSlowRanks(group, nil)
+	}
+}
+
 // newCoordinator returns a coordinator for the group of the links, or nil if the
 // shape of its experts is not known.
 func (c *Coordinators) newCoordinator(ctx context.Context, l *links) *coordinator {
--- a/ranks/handover_test.go
+++ b/ranks/handover_test.go
@@ -126,3 +126,40 @@
 		}
 	}
 }
+
+// Guards against ranks that count as slow for the whole stop of their coordinator,
+// although nobody measures them in the old term any more.
+func TestStoppedCoordinatorReportsNoSlowRanks(t *testing.T) {
+	kv := standin.NewKV().Direct()
+	shape := &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3}
+	put(t, kv, "config", routing.Config{Version: 1, Backends: []routing.Backend{{Name: "b", Experts: shape}}})
+	g := newFakeGroup(0)
+	startAgents(t.Context(), t, &slowRanks{g}, kv)
+	var mu sync.Mutex
+	var reports []map[string]float64
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	NewCoordinators(CoordinatorOptions{
+		Instance: "a", HolderID: "a/1", KV: kv, Records: testRecords{}, Engine: &slowRanks{g}, Log: slog.New(slog.DiscardHandler),
+		Items: standinItems(kv),
+		OnSlowRanks: func(_ string, byAddr map[string]float64) {
+			mu.Lock()
+			defer mu.Unlock()
+			reports = append(reports, byAddr)
+			if len(byAddr) > 0 {
+				stop()
+			}
+		},
+	}).Run(ctx)
+	require.NotEmpty(t, reports)
+	require.Empty(t, reports[len(reports)-1])
+}
+
+// slowRanks is a group whose ranks are slow.
+type slowRanks struct{ Engine }
+
+func (e *slowRanks) Report(ctx context.Context, addr string) (Report, error) {
+	r, err := e.Engine.Report(ctx, addr)
+	r.Slowdown = 3
+	return r, err
+}
