--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -77,7 +77,11 @@
 // Run serves sessions accepted from ln until ctx ends. It then stops gracefully
 // within the stop timeout of the settings.
 func (t *Target) Run(ctx context.Context, ln net.Listener) error {
-	go t.group.pollProgress(ctx)
+	// Probes last until the end of the stop: the entries still need to know
+	// whether the group makes steps for the work in progress.
+	probeCtx, endProbes := context.WithCancel(context.WithoutCancel(ctx))
+	defer endProbes()
+	go t.group.pollProgress(probeCtx)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -99,26 +103,6 @@
 	}
 }
 
-// stop refuses new work, waits for the work in progress, and then waits until
-// the entries have applied the leaving state.
-func (t *Target) stop() {
-	deadline := time.Now().Add(t.settings.StopTimeout())
-	idle := t.work.Close()
-	requiredEchoes := t.announceLeaving()
-	t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "refusing new work"})
-	t.node.Log.Info("planned stop: refusing new work", "running", t.work.Count())
-	select {
-	case <-idle:
-		t.node.Events.Record(timeline.Event{Kind: timeline.StopStep, Target: t.node.Name, Detail: "work finished"})
-	case <-time.After(time.Until(deadline)):
-		t.node.Log.Warn("planned stop: timeout reached with work in progress", "running", t.work.Count())
-		t.handOverOperations()
-		return
-	}
-	t.handOverOperations()
-	t.drain(requiredEchoes, deadline)
-}
-
 func (t *Target) closeSessions() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -145,15 +145,41 @@
 	ids := slices.Sorted(maps.Keys(found))
 	start, _ := slices.BinarySearch(ids, c.g.id)
 	addrs := map[string]string{}
-	// With few instances, the next ones of two instances overlap. The limit of
-	// half of the others keeps most pairs from dialing each other.
-	for k := range min(maxDialedPeers, (len(ids)+1)/2) {
+	for k := range dialCount(start, len(ids)+1) {
 		id := ids[(start+k)%len(ids)]
 		addrs[id] = found[id].PeerAddr
 	}
+	if c.g.isLeaving() {
+		c.addMissingPeers(addrs, ids, start, found)
+	}
 	return addrs
 }
 
+// addMissingPeers adds the instances before and after a stopping one that have no
+// session with it. Those that should dial it may not have seen its record, which
+// is removed when the stop begins.
+func (c *control) addMissingPeers(addrs map[string]string, ids []string, start int, found map[string]instanceRecord) {
+	for k := range min(maxDialedPeers, len(ids)) {
+		for _, i := range []int{start + k, start - 1 - k} {
+			id := ids[(i+len(ids))%len(ids)]
+			if p := c.peers.byID[id]; p == nil || !p.hasSession() {
+				addrs[id] = found[id].PeerAddr
+			}
+		}
+	}
+}
+
+// dialCount returns how many of the next instances the one at position dials, so
+// that no pair dials each other. If the number of instances is even, two of them
+// are half the circle apart, and only the lower one dials the other.
+func dialCount(position, instances int) int {
+	n := (instances - 1) / 2
+	if instances%2 == 0 && position < instances/2 {
+		n++
+	}
+	return min(maxDialedPeers, n)
+}
+
 func (g *Gateway) dialPeer(ctx context.Context, id, addr string) {
 	dialCtx, cancel := context.WithTimeout(ctx, peerDialTimeout)
 	defer cancel()
@@ -275,38 +301,10 @@
 	case *wirepb.PeerFrame_Delta:
 		c.updateCopy("instance "+id, now, func() []string { return c.mirror.Merge(decodeDelta(body.Delta)) })
 	case *wirepb.PeerFrame_Handover:
-		if c.g.opts.TakeOver != nil {
-			c.g.opts.TakeOver(Term{Group: body.Handover.GetGroup(), Fencing: body.Handover.GetFencing(), Maps: body.Handover.GetMaps()})
-		}
+		c.receiveTerm(id, Term{Group: body.Handover.GetGroup(), Fencing: body.Handover.GetFencing(), Maps: body.Handover.GetMaps()}, now)
 	}
 }
 
-// Term is the period for which one coordinator controls a rank group.
-type Term struct {
-	Group   string
-	Fencing uint64
-	// Maps is the number of expert maps planned so far.
-	Maps uint64
-}
-
-// HandOver passes a term to another instance that is reachable and not leaving.
-// The caller must have stopped sending orders for the group.
-func (g *Gateway) HandOver(ctx context.Context, t Term) {
-	g.control.call(ctx, func() {
-		now := time.Now()
-		for id, p := range g.control.peers.byID {
-			if p.leaving || p.session == nil || now.Sub(p.lastHeartbeatAt) > peerTimeout {
-				continue
-			}
-			g.log.Info("term handed over", "peer", id, "group", t.Group, "fencing", t.Fencing, "maps", t.Maps)
-			g.control.sendAsync(p.session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Handover{
-				Handover: &wirepb.TermHandover{Group: t.Group, Fencing: t.Fencing, Maps: t.Maps},
-			}})
-			return
-		}
-	})
-}
-
 // applyHeartbeat updates the state of a peer. It requests changes if the peer
 // has a newer copy of the store. A peer of the previous build sends no era: if the
 // store has eras, its copy confirms nothing, and this instance watches the store
@@ -318,9 +316,10 @@
 		c.peers.byID[id] = p
 		c.needsPublish = true
 	}
-	if now.Sub(p.lastHeartbeatAt) > peerTimeout || p.leaving != b.GetLeaving() {
+	leaving := b.GetLeaving() || p.handsOver(b.GetProcess())
+	if now.Sub(p.lastHeartbeatAt) > peerTimeout || p.leaving != leaving {
 		c.needsPublish = true
-		c.log.Info("instance heard", "peer", id, "leaving", b.GetLeaving())
+		c.log.Info("instance heard", "peer", id, "leaving", leaving)
 	}
 	if r, ok := c.instanceRecords()[id]; ok {
 		p.record = r
@@ -329,7 +328,7 @@
 		p.leavingSince = now
 	}
 	p.session, p.process = session, b.GetProcess()
-	p.lastHeartbeatAt, p.leaving, p.storeReachable, p.following = now, b.GetLeaving(), b.GetStoreReachable(), b.GetStoreResting()
+	p.lastHeartbeatAt, p.leaving, p.storeReachable, p.following = now, leaving, b.GetStoreReachable(), b.GetStoreResting()
 	p.slowdowns = make(map[string]float64, len(b.GetSlow()))
 	for _, t := range b.GetSlow() {
 		p.slowdowns[t.GetAddr()] = float64(t.GetPercent()) / 100
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -5,10 +5,12 @@
 	"log/slog"
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/expertmap/plan"
 	"github.com/skylarkstep/skylarkstep/expertmap/switchover"
+	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/routing"
 )
@@ -71,9 +73,13 @@
 	// supersededFencing is the fencing number with which a rank has refused an
 	// order because another coordinator has used a higher one.
 	supersededFencing uint64
-	lastPrepare       map[int]acceptedPrepare
+	lastPrepare       map[int]sentPrepare
 	phase             switchover.Phase
-	slowdowns         []float64
+	// stepHeld is set while the group may be kept from beginning a step, or some
+	// ranks are armed and others are not. stopping is set when no new switch may
+	// be started.
+	stepHeld, stopping bool
+	slowdowns          []float64
 	// onSlowRanks is called with the slowdown factors of slow ranks by address;
 	// it may be nil. reportedSlow is the argument of the last call.
 	onSlowRanks  func(byAddr map[string]float64)
@@ -84,15 +90,17 @@
 // healthy rank has 1.
 const slowThreshold = 1.2
 
-// acceptedPrepare is the last prepare order that a rank has accepted.
-type acceptedPrepare struct {
-	version uint64
-	at      time.Time
+// sentPrepare is the last prepare order that a rank has accepted or may have
+// accepted. Without an answer, at is the time of the first order of the version.
+type sentPrepare struct {
+	version  uint64
+	at       time.Time
+	answered bool
 }
 
 func newCoordinator(log *slog.Logger, l *links, shape *routing.ExpertShape) *coordinator {
 	return &coordinator{
-		log: log, links: l, shape: shape, lastPrepare: map[int]acceptedPrepare{},
+		log: log, links: l, shape: shape, lastPrepare: map[int]sentPrepare{},
 		loadTracker: plan.NewTracker(shape.Sets, shape.Experts, plan.DefaultTrackerRules),
 	}
 }
@@ -168,6 +176,7 @@
 	for {
 		phase, orders := switchover.Decide(states, c.plan)
 		c.setPhase(phase, states)
+		c.recordProgress(phase, orders)
 		orders = c.withoutBusyPrepares(orders, now)
 		confirmed := c.sendOrders(ctx, orders)
 		if len(orders) == 0 || !confirmed || phase != switchover.Holding && phase != switchover.Arming {
@@ -179,6 +188,33 @@
 	}
 }
 
+// recordProgress records whether the group may be held after a decision. A group
+// that is not ready may still be.
+func (c *coordinator) recordProgress(phase switchover.Phase, orders []switchover.Order) {
+	switch phase {
+	case switchover.Unready:
+	case switchover.Holding, switchover.Arming, switchover.Armed:
+		c.stepHeld = len(orders) > 0
+	default:
+		c.stepHeld = false
+	}
+}
+
+// finishSwitch releases a held step before the process stops: it runs rounds, in
+// which no new switch is started, until no step is held or ctx ends. A held group
+// serves no requests.
+func (c *coordinator) finishSwitch(ctx context.Context) {
+	c.stopping = true
+	for c.stepHeld && !c.isSuperseded() && ctx.Err() == nil {
+		ctxtime.Sleep(ctx, c.runRound(ctx))
+	}
+}
+
+// isSuperseded reports whether a rank has refused the current fencing number.
+func (c *coordinator) isSuperseded() bool {
+	return c.supersededFencing != 0 && c.supersededFencing == c.fencing
+}
+
 // mayReadCounts reports whether counts may be read in this round. They are not
 // read while a switch waits for orders: only if the phase is not yet known, the
 // group is unready or settled, or all ranks are armed.
@@ -212,7 +248,7 @@
 		c.loadTracker.MapChanged(time.Now())
 	default:
 		c.mapKnown = false
-		if m, ok := assembleMap(reports, c.shape.Sets); ok {
+		if m, ok := assembleMap(reports, c.shape); ok {
 			c.currentMap, c.currentVersion, c.mapKnown = m, version, true
 			c.plan = switchover.Plan{}
 		}
@@ -229,14 +265,18 @@
 }
 
 // assembleMap builds the map of the group from the placements that the ranks
-// report.
-func assembleMap(reports []Report, sets int) (switchover.Map, bool) {
-	m := make(switchover.Map, sets)
+// report. It fails if a placement does not fit the shape, for instance because
+// the configuration has changed.
+func assembleMap(reports []Report, shape *routing.ExpertShape) (switchover.Map, bool) {
+	m := make(switchover.Map, shape.Sets)
 	for _, r := range reports {
-		if len(r.Placement) != sets {
+		if len(r.Placement) != shape.Sets {
 			return nil, false
 		}
 		for s, experts := range r.Placement {
+			if slices.ContainsFunc(experts, func(e int) bool { return e < 0 || e >= shape.Experts }) {
+				return nil, false
+			}
 			m[s] = append(m[s], experts)
 		}
 	}
@@ -245,6 +285,10 @@
 
 // replan plans a better map if no switch is in progress.
 func (c *coordinator) replan(states []switchover.State, now time.Time) {
+	if c.stopping {
+		c.plan = switchover.Plan{}
+		return
+	}
 	if !c.mapKnown || len(states) == 0 || now.Before(c.noPlanUntil) {
 		return
 	}
@@ -287,7 +331,7 @@
 	var out []switchover.Order
 	for _, o := range orders {
 		s := c.lastPrepare[o.Rank]
-		if o.Operation == switchover.Prepare && s.version == o.Version && now.Sub(s.at) < prepareRetryInterval {
+		if o.Operation == switchover.Prepare && s.answered && s.version == o.Version && now.Sub(s.at) < prepareRetryInterval {
 			continue
 		}
 		out = append(out, o)
@@ -310,11 +354,11 @@
 		}
 		switch {
 		case res.outcome == Done && o.Operation == switchover.Prepare:
-			c.lastPrepare[o.Rank] = acceptedPrepare{o.Version, time.Now()}
+			c.lastPrepare[o.Rank] = sentPrepare{version: o.Version, at: time.Now(), answered: true}
+		case res.outcome == NoReply && o.Operation == switchover.Prepare:
+			c.recordUnansweredPrepare(o, time.Now())
 		case res.outcome == Refused && o.Operation == switchover.Prepare:
-			c.log.Warn("map refused", "rank", o.Rank, "version", o.Version, "error", res.err)
-			c.plan, c.mapKnown = switchover.Plan{}, false
-			c.noPlanUntil = time.Now().Add(refusedReplanDelay)
+			c.handleRefusedPrepare(o, res.err, time.Now())
 		case res.outcome == Fenced:
 			c.supersededFencing = c.fencing
 			c.log.Warn("order fenced", "rank", o.Rank, "operation", string(o.Operation), "fencing", c.fencing)
@@ -325,4 +369,28 @@
 	return confirmed
 }
 
-var outcomeNames = [...]string{NoReply: "no answer", Done: "done", Refused: "refused", Fenced: "fenced"}
+// recordUnansweredPrepare records a prepare order that the rank may have
+// accepted.
+func (c *coordinator) recordUnansweredPrepare(o switchover.Order, now time.Time) {
+	if c.lastPrepare[o.Rank].version != o.Version {
+		c.lastPrepare[o.Rank] = sentPrepare{version: o.Version, at: now}
+	}
+}
+
+// handleRefusedPrepare drops the plan unless an order of the same version was
+// sent without an answer before. A rank refuses a version that it has had, so
+// the refusal may mean that it is copying the experts. It then has as much time
+// for that as if it had confirmed the order.
+func (c *coordinator) handleRefusedPrepare(o switchover.Order, reason string, now time.Time) {
+	s := c.lastPrepare[o.Rank]
+	if s.version == o.Version && !s.answered && now.Sub(s.at) < prepareRetryInterval {
+		s.answered = true
+		c.lastPrepare[o.Rank] = s
+		return
+	}
+	c.log.Warn("map refused", "rank", o.Rank, "version", o.Version, "error", reason)
+	c.plan, c.mapKnown = switchover.Plan{}, false
+	c.noPlanUntil = now.Add(refusedReplanDelay)
+}
+
+var outcomeNames = [...]string{NoReply: "no answer", Done: "done", Refused: "refused", Fenced: "fenced", NotSent: "not sent"}
--- a/ranks/links.go
+++ b/ranks/links.go
@@ -32,6 +32,10 @@
 	recordRefreshMissing = time.Second
 	// addrSearchInterval is the interval of searches for the ranks' addresses.
 	addrSearchInterval = time.Second
+	// maxGroupSize limits the size of a group that a record may state, 64 times
+	// the largest in use. Links of a size from a damaged record could use up the
+	// memory.
+	maxGroupSize = 4096
 )
 
 // link is the connection to one rank: a session with its agent, and the rank's
@@ -98,12 +102,14 @@
 			l.log.Warn("decoding agent record failed", "key", it.Key, "error", err.Error())
 			continue
 		}
-		l.resize(r.Size)
-		if r.Rank < len(l.byRank) {
-			l.backend = r.Backend
-			l.byRank[r.Rank].setAgentAddr(r.PeerAddr)
-			l.byRank[r.Rank].advertisedAddr = r.RankAddr
+		if r.Size < 1 || r.Size > maxGroupSize || r.Rank < 0 || r.Rank >= r.Size {
+			l.log.Warn("agent record not valid", "key", it.Key, "rank", r.Rank, "size", r.Size)
+			continue
 		}
+		l.resize(r.Size)
+		l.backend = r.Backend
+		l.byRank[r.Rank].setAgentAddr(r.PeerAddr)
+		l.byRank[r.Rank].advertisedAddr = r.RankAddr
 	}
 }
 
@@ -124,7 +130,7 @@
 
 // resize replaces the links if the size of the group has changed.
 func (l *links) resize(size int) {
-	if size == len(l.byRank) || size <= 0 {
+	if size == len(l.byRank) {
 		return
 	}
 	l.byRank = make([]*link, size)
@@ -150,7 +156,7 @@
 		})
 	}
 	wg.Wait()
-	l.allReported = true
+	l.allReported = len(reports) > 0
 	for i := range reports {
 		if !reports[i].State.Reported {
 			reports[i].Rank, l.allReported = i, false
@@ -256,7 +262,7 @@
 	for _, t := range l.backendTargets(items) {
 		wg.Go(func() {
 			r, err := l.engine.Report(ctx, t.Addr)
-			if err != nil || r.Group != l.group || r.Rank >= len(l.byRank) {
+			if err != nil || r.Group != l.group || r.Rank < 0 || r.Rank >= len(l.byRank) {
 				return
 			}
 			k := l.byRank[r.Rank]
@@ -294,6 +300,7 @@
 		wg.Go(func() {
 			results[i] = orderResult{order: o}
 			if now, valid := token.Token(); !valid || now != fencing {
+				results[i].outcome = NotSent
 				return
 			}
 			outcome, err := l.sendOrder(ctx, o, fencing, duplicates)
@@ -308,12 +315,18 @@
 }
 
 // sendOrder sends an order through the agent of the rank, or directly to the rank
-// if the agent does not reply. Hold and Go orders are always sent directly.
+// if the agent does not reply. A Hold order is always sent directly, so that the
+// coordinator needs no other process to release the held step, and a Go order if
+// the address of the rank is known.
 func (l *links) sendOrder(ctx context.Context, o switchover.Order, fencing uint64, duplicates int) (Outcome, error) {
-	if o.Operation == switchover.Hold || o.Operation == switchover.Go {
-		return l.sendOrderDirect(ctx, o, fencing, duplicates)
-	}
 	k := l.byRank[o.Rank]
+	direct := k.directAddr()
+	switch {
+	case o.Operation == switchover.Hold && direct == "":
+		return Refused, errors.Errorf("address of rank %d is not known", o.Rank)
+	case o.Operation == switchover.Hold, o.Operation == switchover.Go && direct != "":
+		return sendToRank(ctx, l.engine, direct, o, fencing, duplicates)
+	}
 	f := &wirepb.RankFrame{Body: &wirepb.RankFrame_Order{Order: encodeOrder(o, fencing, duplicates)}}
 	reply, err := k.roundTrip(ctx, l.hello, f, agentOrderTimeout)
 	if err == nil {
@@ -321,21 +334,10 @@
 		if r.GetError() != "" {
 			err = errors.New(r.GetError())
 		}
-		return Outcome(r.GetOutcome()), err
+		return decodeOutcome(r), err
 	}
-	if direct := k.directAddr(); direct != "" {
+	if direct != "" {
 		return sendToRank(ctx, l.engine, direct, o, fencing, duplicates)
 	}
 	return NoReply, err
 }
-
-// sendOrderDirect sends an order to a rank without its agent. Hold and Go
-// orders are sent this way, so that no other machine of the group than that of
-// the holding rank is needed to release the held step.
-func (l *links) sendOrderDirect(ctx context.Context, o switchover.Order, fencing uint64, duplicates int) (Outcome, error) {
-	direct := l.byRank[o.Rank].directAddr()
-	if direct == "" {
-		return Refused, errors.Errorf("address of rank %d is not known", o.Rank)
-	}
-	return sendToRank(ctx, l.engine, direct, o, fencing, duplicates)
-}
