config: compile the schemas at their first use

Cause: packages are initialized before main, and two schemas were compiled then, in processes that never use them too: 11 ms of the initialization of config. The gateway and the rank's agent do not compile them any more.

What remains is the initialization of libraries, about 6 ms on this machine; a signal in that time still ends the process, which has no work yet.

--- a/config/validate.go
+++ b/config/validate.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -23,9 +24,11 @@
 //go:embed settings.schema.json
 var settingsSchema []byte
 
+// Schemas are compiled at their first use. At the initialization of the package, it
+// would delay the registration of signals in every process that imports it.
 var (
-	compiledConfig   = MustCompileSchema("config.schema.json", configSchema)
-	compiledSettings = MustCompileSchema("settings.schema.json", settingsSchema)
+	compiledConfig   = sync.OnceValue(func() *jsonschema.Schema { return MustCompileSchema("config.schema.json", configSchema) })
+	compiledSettings = sync.OnceValue(func() *jsonschema.Schema { return MustCompileSchema("settings.schema.json", settingsSchema) })
 )
 
 // maxValueShown limits the bytes of an invalid value that an error repeats.
@@ -56,7 +59,7 @@
 // ParseConfig decodes and validates a configuration.
 func ParseConfig(data []byte) (*Config, error) {
 	var c Config
-	if err := DecodeWithSchema(compiledConfig, data, &c); err != nil {
+	if err := DecodeWithSchema(compiledConfig(), data, &c); err != nil {
 		return nil, err
 	}
 	if invalid := c.checkReferences(); len(invalid) > 0 {
@@ -68,7 +71,7 @@
 // ParseSettings decodes and validates the settings of a process.
 func ParseSettings(data []byte) (*Settings, error) {
 	var s Settings
-	if err := DecodeWithSchema(compiledSettings, data, &s); err != nil {
+	if err := DecodeWithSchema(compiledSettings(), data, &s); err != nil {
 		return nil, err
 	}
 	return &s, nil
