--- a/daemon/cmd/skylarkd/settings.go
+++ b/daemon/cmd/skylarkd/settings.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"reflect"
-	"sync"
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/daemon/signals"
@@ -14,15 +13,26 @@
 // may change without a signal.
 const settingsPollInterval = 2 * time.Second
 
+// reloadEndTimeout limits the wait for a reload in progress at the exit. Reading the
+// file may block, for example on a file system that does not respond.
+const reloadEndTimeout = 200 * time.Millisecond
+
 // startReloads begins to apply changed settings and returns a function that ends
 // it. The function must be called after the planned stop.
 func (p *platformProcess) startReloads(apply func(*platform.Settings)) (end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	running.Go(func() { p.watchSettings(ctx, apply) })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.watchSettings(ctx, apply)
+	}()
 	return func() {
 		cancel()
-		running.Wait()
+		select {
+		case <-done:
+		case <-time.After(reloadEndTimeout):
+			p.log.Warn("reload not ended", "after_ms", reloadEndTimeout.Milliseconds())
+		}
 	}
 }
 
--- a/daemon/e2e/signals_test.go
+++ b/daemon/e2e/signals_test.go
@@ -177,6 +177,23 @@
 	}
 }
 
+// Guards against a process that cannot exit because its settings cannot be read
+// any more. The poll of the file blocks in the test.
+func TestUnreadableSettingsDoNotKeepProcess(t *testing.T) {
+	for _, role := range []string{"gateway", "rank"} {
+		t.Run(role, func(t *testing.T) {
+			t.Parallel()
+			p := newPlatformDeployment(t).start(role)
+			p.waitForLog("started")
+			require.NoError(t, os.Remove(p.settings))
+			require.NoError(t, syscall.Mkfifo(p.settings, 0o600))
+			p.signal(hangup)
+			p.signal(terminate)
+			p.waitForExit()
+		})
+	}
+}
+
 // Guards against the end of a process when the reader of its log goes away.
 func TestClosedLogCutsNoStream(t *testing.T) {
 	const events = 40
