gateway/upstream: limit the head of a response in bytes and in time

Callers saw: a request to a target that sends a status line, a header or informational responses without end got its error only at its deadline, and an idempotent one waited 0.7 s for the second attempt. The target did not count as failing, since the attempt ended with the request. Meanwhile the gateway buffered all that arrived.

Cause: http.ReadResponse limits neither the head nor the number of informational responses; net/http does so in its Transport only. Nothing limited the time between the first byte of a head and its end.

Fix: the reader below the buffer of a connection fails after 64 KB of head, informational responses included, and the head must be complete 500 ms after its first byte. At most 10 informational responses are skipped; a status below 100 is an error. Waiting for the first byte stays unlimited, because a target may work for long before it responds. 500 ms is shorter than the 700 ms after which a request goes to a second target, so that the attempt counts as failed before it is cancelled.

--- /dev/null
+++ b/gateway/endless_test.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// garbageText marks bytes that belong to no response. It must not reach a
+// caller.
+const garbageText = "GARBAGE"
+
+const sealedHead = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Seal: s\r\n"
+
+// endlessScript returns a handler that sends a prefix and then a unit again and
+// again until the gateway closes the connection, with pauses. ID in the prefix
+// stands for the id of the request.
+func endlessScript(prefix, unit string, pause time.Duration) func(net.Conn, *http.Request) {
+	return func(w net.Conn, r *http.Request) {
+		_, err := w.Write([]byte(strings.ReplaceAll(prefix, "ID", r.Header.Get("X-Id"))))
+		for err == nil {
+			_, err = w.Write([]byte(unit))
+			time.Sleep(pause)
+		}
+	}
+}
+
+const (
+	floodPause   = time.Millisecond
+	dribblePause = 20 * time.Millisecond
+	// floodUnit is the size of one write of a flood in bytes.
+	floodUnit = 16 << 10
+)
+
+func flood(prefix, unit string) func(net.Conn, *http.Request) {
+	return endlessScript(prefix, strings.Repeat(unit, floodUnit/len(unit)), floodPause)
+}
+
+func dribble(prefix, unit string) func(net.Conn, *http.Request) {
+	return endlessScript(prefix, unit, dribblePause)
+}
+
+// startBadAndGood starts an instance with a target that behaves as specified,
+// which gets the first request, and one that works.
+func startBadAndGood(t *testing.T, handle func(net.Conn, *http.Request), goodBody string) (g *instance, bad, good *fakeTarget) {
+	good = startFakeTarget(t, "good", func(w net.Conn, r *http.Request) { writeResponse(w, r, goodBody) })
+	bad = startFakeTarget(t, "bad", handle)
+	d := newDeployment(t, config(), bad)
+	g = d.start("g1")
+	require.Eventually(t, func() bool { return g.targetCount() == 1 }, time.Second, time.Millisecond)
+	d.put("target/good", good.target("b"))
+	require.Eventually(t, func() bool { return g.targetCount() == 2 }, time.Second, time.Millisecond)
+	// The good target appears busier, so that the bad one is tried first.
+	g.target("good").peerRequests.Store(2)
+	return g, bad, good
+}
+
+// requireClosed fails if the gateway does not close a connection to the target
+// soon.
+func (f *fakeTarget) requireClosed(t *testing.T) {
+	t.Helper()
+	select {
+	case <-f.closed:
+	case <-time.After(time.Second):
+		require.Fail(t, "the connection to the target is still open")
+	}
+}
+
+func (t *target) currentFailureRate() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failureRate
+}
+
+// atOnce is the time within which a request gets its final response, although
+// its deadline is at least 3 s: the time for a head and a margin.
+const atOnce = 2 * time.Second
+
+// Guards against a target whose head never ends: the gateway buffered it without
+// limit, and the caller got an error only at its deadline.
+func TestHeadWithoutEnd(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		handle func(net.Conn, *http.Request)
+	}{
+		{"no HTTP", flood("", garbageText)},
+		{"no HTTP, with lines", flood("", garbageText+"\r\n")},
+		{"no HTTP, slowly", dribble("", "G")},
+		{"status line", flood("HTTP/1.1 200 ", garbageText)},
+		{"status line, slowly", dribble("HTTP/1.1 200 ", "G")},
+		{"status below 100", flood("HTTP/1.1 099 Odd\r\n\r\n", "HTTP/1.1 099 Odd\r\n\r\n")},
+		{"header line", flood(sealedHead+"X-Garbage: ", garbageText)},
+		{"header line, slowly", dribble(sealedHead+"X-Garbage: ", "G")},
+		{"headers", flood(sealedHead, "X-Garbage: "+garbageText+"\r\n")},
+		{"headers, slowly", dribble(sealedHead, "X-Garbage: 1\r\n")},
+		{"head that is never completed", dribble(sealedHead+"X-Not-Run: 1\r\nX-Garbage: ", "G")},
+		{"informational responses", flood("", "HTTP/1.1 102 Processing\r\n\r\n")},
+		{"informational responses, slowly", dribble("", "HTTP/1.1 102 Processing\r\n\r\n")},
+	} {
+		t.Run(c.name, func(t *testing.T) { t.Parallel(); requireFailureAtOnce(t, c.handle) })
+	}
+}
+
+// requireFailureAtOnce sends a request of each kind to a target that behaves as
+// specified. A request that may run only once must get an error that does not
+// promise that it has not run, and the others the response of another target.
+func requireFailureAtOnce(t *testing.T, handle func(net.Conn, *http.Request)) {
+	const event = "id: 1\ndata: good\n\n"
+	for _, c := range []struct {
+		path     string
+		status   int
+		arrivals int64
+	}{
+		{"/book/1", http.StatusBadGateway, 1},
+		{"/swap/1", http.StatusBadGateway, 1},
+		{"/read/1", http.StatusOK, 2},
+		{"/chat/1", http.StatusOK, 2},
+	} {
+		t.Run(c.path[1:5], func(t *testing.T) {
+			t.Parallel()
+			g, bad, good := startBadAndGood(t, handle, event)
+			start := time.Now()
+			resp := g.request(t.Context(), http.MethodPost, c.path, "")
+			require.Less(t, time.Since(start), atOnce)
+			require.NoError(t, resp.err)
+			require.Equal(t, c.status, resp.status, resp.body)
+			require.Empty(t, resp.header.Get("X-Garbage"))
+			if c.status == http.StatusOK {
+				require.Equal(t, event, resp.body)
+			}
+			require.Equal(t, c.arrivals, good.requests.Load()+bad.requests.Load())
+			bad.requireClosed(t)
+			require.Positive(t, g.target("bad").currentFailureRate())
+			require.Eventually(t, func() bool { return g.target("bad").ownRequests.Load() == 0 }, time.Second, time.Millisecond)
+		})
+	}
+}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -25,8 +25,19 @@
 	// target it is closed here.
 	defaultIdleTimeout = 4 * time.Second
 	idleMargin         = 500 * time.Millisecond
+	// maxHeadBytes limits what is read of a response before its body: the status
+	// line, the headers and preceding informational responses, in bytes. Heads of
+	// targets are below 1 KB.
+	maxHeadBytes = 64 << 10
+	// headTimeout limits the time from the first byte of a head to its end.
+	// Targets send a head in one write, so only a faulty one takes longer. It is
+	// shorter than the delay after which a request is sent to a second target:
+	// otherwise the attempt would be cancelled then, and not count as failed.
+	headTimeout = 500 * time.Millisecond
 )
 
+var errHeadTooLarge = errors.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
+
 // conn is one connection. A goroutine waits for the first byte of the next
 // response, also while the connection is idle. A connection that the target
 // closes, or that delivers unrequested bytes, is therefore detected before the
@@ -35,7 +46,11 @@
 	net.Conn
 	reader    *bufio.Reader
 	idleUntil time.Time
-	firstByte chan error // receives nil or an error once a byte arrives or reading fails
+	// headRemaining is how many bytes may still be read before the head of the
+	// response is complete. It applies while readingHead is set.
+	headRemaining int
+	readingHead   bool
+	firstByte     chan error // receives nil or an error once a byte arrives or reading fails
 }
 
 func dial(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
@@ -44,9 +59,31 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	nc := &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}
+	return newConn(c), nil
+}
+
+func newConn(c net.Conn) *conn {
+	nc := &conn{Conn: c}
+	nc.reader = bufio.NewReaderSize(headLimiter{nc}, readBufferSize)
 	nc.awaitFirstByte()
-	return nc, nil
+	return nc
+}
+
+// headLimiter reads from a connection and fails once a head exceeds
+// maxHeadBytes. Without it, a line without end would be buffered completely.
+type headLimiter struct{ c *conn }
+
+// Read implements io.Reader.
+func (l headLimiter) Read(p []byte) (int, error) {
+	if !l.c.readingHead {
+		return l.c.Read(p)
+	}
+	if l.c.headRemaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.c.Read(p[:min(len(p), l.c.headRemaining)])
+	l.c.headRemaining -= n
+	return n, err
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -63,6 +100,7 @@
 // awaitFirstByte starts waiting for the next byte. It is called when the
 // connection becomes idle, and before another response is read.
 func (c *conn) awaitFirstByte() {
+	c.readingHead, c.headRemaining = true, maxHeadBytes
 	c.firstByte = make(chan error, 1)
 	firstByte := c.firstByte
 	go func() {
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -28,6 +28,9 @@
 	maxStrayResponses = 3
 	// maxStrayBytes limits the body of a skipped response.
 	maxStrayBytes = 1 << 20
+	// maxInformational limits the informational responses (1xx) that precede a
+	// response.
+	maxInformational = 10
 )
 
 // ErrClosed reports that the pool was closed because its target was removed.
@@ -186,27 +189,47 @@
 		if r.Matches == nil || r.Matches(resp.StatusCode, resp.Header) {
 			return resp, written, nil
 		}
-		if _, err := io.CopyN(io.Discard, resp.Body, maxStrayBytes); !errors.Is(err, io.EOF) {
-			return nil, nil, errors.New("the response to another request is incomplete")
-		}
-		if resp.Close {
-			return nil, nil, errors.New("the connection ended after the response to another request")
+		if err := c.skipBody(resp); err != nil {
+			return nil, nil, err
 		}
 		c.awaitFirstByte()
 	}
 	return nil, nil, errors.New("too many responses to other requests")
 }
 
+// skipBody reads the body of a response to another request.
+func (c *conn) skipBody(resp *http.Response) error {
+	if _, err := io.CopyN(io.Discard, resp.Body, maxStrayBytes); !errors.Is(err, io.EOF) {
+		return errors.New("the response to another request is incomplete")
+	}
+	if resp.Close {
+		return errors.New("the connection ended after the response to another request")
+	}
+	return nil
+}
+
+// readResponse reads the head of a response whose first byte has arrived. It
+// skips informational responses.
 func readResponse(c *conn, method string) (*http.Response, error) {
-	for {
+	for range maxInformational + 1 {
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, errors.Wrap(err, "wait for the response")
+		}
+		_ = c.SetReadDeadline(time.Now().Add(headTimeout))
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, errors.Wrap(err, "read the response")
+			return nil, errors.Wrap(err, "read the head of the response")
 		}
-		if resp.StatusCode >= http.StatusOK {
+		_ = c.SetReadDeadline(time.Time{})
+		switch {
+		case resp.StatusCode >= http.StatusOK:
+			c.readingHead = false
 			return resp, nil
+		case resp.StatusCode < http.StatusContinue:
+			return nil, errors.Errorf("response with status %d", resp.StatusCode)
 		}
 	}
+	return nil, errors.Errorf("more than %d informational responses", maxInformational)
 }
 
 // encodeHead encodes the request line and the headers. The caller must have
