gateway/upstream: limit the time for the body of a stray response

Callers saw: if a late response to another request preceded theirs and its body did not end, the request was held until its deadline.

Cause: the body of a response that belongs to another request was limited to 1 MB, but not in time.

Fix: the body must end within 1 s; otherwise the connection is closed and the request, which may have run, counts as lost.

The limit of 1 MB was already right (case fast).

--- a/gateway/upstream/head_test.go
+++ b/gateway/upstream/head_test.go
@@ -81,6 +81,29 @@
 	}
 }
 
+// Guards against a response to another request whose body does not end, which
+// would hold the request in progress until its deadline.
+func TestStrayResponseWithoutEnd(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"fast": 0, "slow": 10 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ours, theirs := net.Pipe()
+				sent := make(chan int)
+				go func() {
+					sent <- sendForever(theirs, "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n", strings.Repeat("A", 1<<10), pause)
+				}()
+				start := time.Now()
+				conn := newConn(ours)
+				_, _, err := conn.roundTrip(&Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(int, http.Header) bool { return false }})
+				require.ErrorContains(t, err, "another request")
+				require.LessOrEqual(t, time.Since(start), strayTimeout)
+				require.NoError(t, conn.Close())
+				require.LessOrEqual(t, <-sent, maxStrayBytes+maxHeadBytes)
+			})
+		})
+	}
+}
+
 // Guards against an interim response that is taken for the final one.
 func TestInformationalResponsesAreSkipped(t *testing.T) {
 	ours, theirs := net.Pipe()
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -26,8 +26,10 @@
 	// maxStrayResponses limits the number of responses that are read for one
 	// request; those that belong to other requests are skipped.
 	maxStrayResponses = 3
-	// maxStrayBytes limits the body of a skipped response.
+	// maxStrayBytes limits the body of a skipped response, and strayTimeout the
+	// time for reading it.
 	maxStrayBytes = 1 << 20
+	strayTimeout  = time.Second
 	// maxInformational limits the informational responses (1xx) that precede a
 	// response.
 	maxInformational = 10
@@ -199,12 +201,14 @@
 
 // skipBody reads the body of a response to another request.
 func (c *conn) skipBody(resp *http.Response) error {
+	_ = c.SetReadDeadline(time.Now().Add(strayTimeout))
 	if _, err := io.CopyN(io.Discard, resp.Body, maxStrayBytes); !errors.Is(err, io.EOF) {
 		return errors.New("the response to another request is incomplete")
 	}
 	if resp.Close {
 		return errors.New("the connection ended after the response to another request")
 	}
+	_ = c.SetReadDeadline(time.Time{})
 	return nil
 }
 
