gateway/upstream: errors quote nothing that the target sent

Callers saw: the error response to a request whose target sent bytes that are no HTTP contained these bytes, in the field "message"; with a line of up to any length. The log lines of the attempt and of the request contained them too.

Cause: errors of net/http quote the line that they could not parse, and the gateway passes the text of the last error on.

Fix: upstream replaces all errors of parsing, in heads and bodies, by "the response is not valid HTTP/1.1". Errors of the connection keep their text.

Evidence: TestHeadWithoutEnd, cases "no HTTP, with lines" and "malformed header", failed before for a booking and a swap (the body contained the text GARBAGE).

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -100,6 +101,9 @@
 		{"head that is never completed", dribble(sealedHead+"X-Not-Run: 1\r\nX-Garbage: ", "G")},
 		{"informational responses", flood("", "HTTP/1.1 102 Processing\r\n\r\n")},
 		{"informational responses, slowly", dribble("", "HTTP/1.1 102 Processing\r\n\r\n")},
+		{"malformed header", func(w net.Conn, r *http.Request) {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s\r\n\r\n", r.Header.Get("X-Id"), garbageText)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) { t.Parallel(); requireFailureAtOnce(t, c.handle) })
 	}
@@ -128,6 +132,7 @@
 			require.Less(t, time.Since(start), atOnce)
 			require.NoError(t, resp.err)
 			require.Equal(t, c.status, resp.status, resp.body)
+			require.NotContains(t, resp.body, garbageText)
 			require.Empty(t, resp.header.Get("X-Garbage"))
 			if c.status == http.StatusOK {
 				require.Equal(t, event, resp.body)
--- a/gateway/upstream/head_test.go
+++ b/gateway/upstream/head_test.go
@@ -52,6 +52,7 @@
 				conn := newConn(ours)
 				_, _, err := conn.roundTrip(&Request{Method: http.MethodGet, Target: "/", Host: "h"})
 				require.Error(t, err)
+				require.NotContains(t, err.Error(), "AAAA")
 				require.NoError(t, conn.Close())
 				require.LessOrEqual(t, <-sent, maxHeadBytes+readBufferSize)
 			})
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -217,25 +217,48 @@
 func readResponse(c *conn, method string) (*http.Response, error) {
 	for range maxInformational + 1 {
 		if _, err := c.reader.Peek(1); err != nil {
-			return nil, errors.Wrap(err, "wait for the response")
+			return nil, errors.Wrap(describe(err), "wait for the response")
 		}
 		_ = c.SetReadDeadline(time.Now().Add(headTimeout))
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, errors.Wrap(err, "read the head of the response")
+			return nil, errors.Wrap(describe(err), "read the head of the response")
 		}
 		_ = c.SetReadDeadline(time.Time{})
 		switch {
 		case resp.StatusCode >= http.StatusOK:
 			c.readingHead = false
+			resp.Body = bodyReader{resp.Body}
 			return resp, nil
 		case resp.StatusCode < http.StatusContinue:
-			return nil, errors.Errorf("response with status %d", resp.StatusCode)
+			return nil, errMalformed
 		}
 	}
 	return nil, errors.Errorf("more than %d informational responses", maxInformational)
 }
 
+var errMalformed = errors.New("the response is not valid HTTP/1.1")
+
+// describe returns an error whose text contains nothing that the target sent.
+// Errors of net/http quote the bytes that they could not parse, and the text of
+// an error goes to the log and to the caller.
+func describe(err error) error {
+	var netErr net.Error
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errHeadTooLarge) || errors.As(err, &netErr) {
+		return err
+	}
+	return errMalformed
+}
+
+// bodyReader is the body of a response whose errors are described.
+type bodyReader struct{ io.ReadCloser }
+
+// Read implements io.Reader.
+func (b bodyReader) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	return n, describe(err)
+}
+
 // encodeHead encodes the request line and the headers. The caller must have
 // removed the headers that apply to a single connection.
 func encodeHead(r *Request) []byte {
