gateway: a refusal whose body does not end holds no request

Callers saw: after a refusal whose body arrived without end and slowly, the error of a request that may be tried once, and the second attempt of one that may be tried twice, came at the deadline (3.0 s; a stream 4.0 s).

Cause: drainBody reads the body of a refusal, to keep the connection, with a limit in bytes and none in time; the request waits for it.

Fix: reading fails after 50 ms, and the connection is closed then. The head alone says that the request has not run, so the verdict does not change. The deadline is removed before the connection is kept for another request.

Evidence: TestRefusalWithoutEnd, cases slow/book, slow/swap and slow/chat, failed before ("3.00 s is not less than 2 s"); the fast cases passed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -116,11 +116,15 @@
 	return res
 }
 
-// maxDrainBytes limits how much of a refusal is read in order to keep the
-// connection.
-const maxDrainBytes = 16 << 10
+// maxDrainBytes and drainTimeout limit the reading of a refusal's body, which
+// only serves to keep the connection. The request waits for it.
+const (
+	maxDrainBytes = 16 << 10
+	drainTimeout  = 50 * time.Millisecond
+)
 
 func drainBody(resp *upstream.Response) {
+	resp.LimitReading(drainTimeout)
 	if _, err := io.CopyN(io.Discard, resp.Body, maxDrainBytes); errors.Is(err, io.EOF) {
 		resp.Finish()
 		return
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -109,38 +109,74 @@
 	}
 }
 
-// requireFailureAtOnce sends a request of each kind to a target that behaves as
-// specified. A request that may run only once must get an error that does not
-// promise that it has not run, and the others the response of another target.
+// goodEvent is the response of the good target: one event, which is also the
+// body of a call.
+const goodEvent = "id: 1\ndata: good\n\n"
+
+// expectation is the result of a request whose first target misbehaves.
+type expectation struct {
+	path     string
+	status   int
+	arrivals int64
+}
+
+// afterFailure applies if the request may have run at the first target: one that
+// may run only once gets an error that does not promise that it has not run, and
+// the others the response of the second target.
+var afterFailure = []expectation{
+	{"/book/1", http.StatusBadGateway, 1},
+	{"/swap/1", http.StatusBadGateway, 1},
+	{"/read/1", http.StatusOK, 2},
+	{"/chat/1", http.StatusOK, 2},
+}
+
+// afterRefusal applies if the first target guarantees that the request has not
+// run.
+var afterRefusal = []expectation{
+	{"/book/1", http.StatusServiceUnavailable, 1},
+	{"/swap/1", http.StatusOK, 2},
+	{"/read/1", http.StatusOK, 2},
+	{"/chat/1", http.StatusOK, 2},
+}
+
 func requireFailureAtOnce(t *testing.T, handle func(net.Conn, *http.Request)) {
-	const event = "id: 1\ndata: good\n\n"
-	for _, c := range []struct {
-		path     string
-		status   int
-		arrivals int64
-	}{
-		{"/book/1", http.StatusBadGateway, 1},
-		{"/swap/1", http.StatusBadGateway, 1},
-		{"/read/1", http.StatusOK, 2},
-		{"/chat/1", http.StatusOK, 2},
-	} {
+	for _, c := range afterFailure {
 		t.Run(c.path[1:5], func(t *testing.T) {
 			t.Parallel()
-			g, bad, good := startBadAndGood(t, handle, event)
-			start := time.Now()
-			resp := g.request(t.Context(), http.MethodPost, c.path, "")
-			require.Less(t, time.Since(start), atOnce)
-			require.NoError(t, resp.err)
-			require.Equal(t, c.status, resp.status, resp.body)
-			require.NotContains(t, resp.body, garbageText)
-			require.Empty(t, resp.header.Get("X-Garbage"))
-			if c.status == http.StatusOK {
-				require.Equal(t, event, resp.body)
-			}
-			require.Equal(t, c.arrivals, good.requests.Load()+bad.requests.Load())
-			bad.requireClosed(t)
+			g := requireAtOnce(t, handle, c)
 			require.Positive(t, g.target("bad").currentFailureRate())
-			require.Eventually(t, func() bool { return g.target("bad").ownRequests.Load() == 0 }, time.Second, time.Millisecond)
 		})
 	}
 }
+
+// requireAtOnce sends a request whose first target behaves as specified. The
+// result must be as expected well before the deadline, without bytes of the
+// first target, and its connection must be closed.
+func requireAtOnce(t *testing.T, handle func(net.Conn, *http.Request), c expectation) *instance {
+	g, bad, good := startBadAndGood(t, handle, goodEvent)
+	start := time.Now()
+	resp := g.request(t.Context(), http.MethodPost, c.path, "")
+	require.Less(t, time.Since(start), atOnce)
+	require.NoError(t, resp.err)
+	require.Equal(t, c.status, resp.status, resp.body)
+	require.NotContains(t, resp.body, garbageText)
+	require.Empty(t, resp.header.Get("X-Garbage"))
+	if c.status == http.StatusOK {
+		require.Equal(t, goodEvent, resp.body)
+	}
+	require.Equal(t, c.arrivals, good.requests.Load()+bad.requests.Load())
+	bad.requireClosed(t)
+	require.Eventually(t, func() bool { return g.target("bad").ownRequests.Load() == 0 }, time.Second, time.Millisecond)
+	return g
+}
+
+// Guards against a refusal whose body does not end, which held the request until
+// its deadline instead of sending it to another target.
+func TestRefusalWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 503 Full\r\nX-Id: ID\r\nX-Not-Run: 1\r\n\r\n"
+	for name, handle := range map[string]func(net.Conn, *http.Request){"fast": flood(head, garbageText), "slow": dribble(head, garbageText)} {
+		for _, c := range afterRefusal {
+			t.Run(name+c.path, func(t *testing.T) { t.Parallel(); requireAtOnce(t, handle, c) })
+		}
+	}
+}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -125,6 +125,7 @@
 
 func (p *Pool) release(c *conn, keep time.Duration) {
 	c.idleUntil = time.Now().Add(keep)
+	_ = c.SetReadDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -276,6 +277,11 @@
 	return b.Bytes()
 }
 
+// LimitReading makes reading the body fail once d has passed.
+func (r *Response) LimitReading(d time.Duration) {
+	_ = r.conn.SetReadDeadline(time.Now().Add(d))
+}
+
 // Finish must be called after the body was read to its end. It keeps the
 // connection for further requests if the target allows this. After Finish,
 // Close does nothing.
