gateway: an error response whose body does not end counts as lost

Callers saw: if the body of a 500 did not end, a request that may run once got no final response before its deadline (3.0 s), or a 500 that was interrupted after more than 2 s.

Cause: the body of an error response was read like that of a success: without a limit in time, and passed on as a stream beyond 1 MB.

Fix: such a body must end within 500 ms and 1 MB. Otherwise the connection is closed, and the request gets 502 or, if it is retryable, its second attempt. For the same reason the body of a stray response now has 500 ms instead of 1 s: both end before a request goes to a second target (700 ms), so that the attempt counts as failed before it may be cancelled.

Evidence: TestMalformedBodyWithoutEnd, cases "failure" and "failure, slowly" for a booking and a swap, and "response to another request, slowly" for a read (failure rate 0), failed before. Its other cases (chunk sizes, chunk extensions and trailers without end, responses without a seal or of another request) were already right.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,6 +21,10 @@
 	// completely before it is forwarded, so that the request can be retried if
 	// the response is interrupted.
 	maxBufferedBytes = 1 << 20
+	// failureBodyTimeout limits the time for the body of an error response. It is
+	// shorter than hedgeDelay, so that the attempt counts as failed before it may
+	// be cancelled.
+	failureBodyTimeout = 500 * time.Millisecond
 	// hedgeDelay is how long an idempotent call may remain without a response
 	// before it is also sent to a second target.
 	hedgeDelay = 700 * time.Millisecond
@@ -274,9 +278,16 @@
 	return res
 }
 
-// readResponseBody reads the body of a response, up to maxBufferedBytes.
+// readResponseBody reads the body of a response, up to maxBufferedBytes. An error
+// response whose body is longer or does not end in time counts as lost.
 func readResponseBody(res attemptResult) attemptResult {
+	if res.verdict == failed {
+		res.resp.LimitReading(failureBodyTimeout)
+	}
 	body, err := io.ReadAll(io.LimitReader(res.resp.Body, maxBufferedBytes+1))
+	if err == nil && len(body) > maxBufferedBytes && res.verdict == failed {
+		err = errors.Errorf("body of an error response exceeds %d bytes", maxBufferedBytes)
+	}
 	switch {
 	case err != nil:
 		res.resp.Close()
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -170,6 +170,35 @@
 	return g
 }
 
+const chunkedHead = sealedHead + "Transfer-Encoding: chunked\r\n\r\n"
+
+// Guards against a body that is no valid HTTP and never ends: its bytes must
+// neither be buffered without limit nor count as a response.
+func TestMalformedBodyWithoutEnd(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		handle func(net.Conn, *http.Request)
+	}{
+		{"chunk size", flood(chunkedHead, "0000000")},
+		{"no chunk size", flood(chunkedHead, garbageText)},
+		{"chunk extension", flood(chunkedHead+"5;", garbageText)},
+		{"chunk extensions", flood(chunkedHead, "1;"+garbageText+garbageText+garbageText+garbageText+"\r\nx\r\n")},
+		{"trailer line", flood(chunkedHead+"3\r\nabc\r\n0\r\nX-Garbage: ", garbageText)},
+		{"trailers", flood(chunkedHead+"3\r\nabc\r\n0\r\n", "X-Garbage: "+garbageText+"\r\n")},
+		{"malformed trailer", func(w net.Conn, r *http.Request) {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n%s\r\n\r\n", r.Header.Get("X-Id"), garbageText)
+		}},
+		{"response without a seal", flood("HTTP/1.1 200 OK\r\nX-Id: ID\r\n\r\n", garbageText)},
+		{"response without a seal, slowly", dribble("HTTP/1.1 200 OK\r\nX-Id: ID\r\n\r\n", garbageText)},
+		{"response to another request", flood("HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\n\r\n", garbageText)},
+		{"response to another request, slowly", dribble("HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\n\r\n", garbageText)},
+		{"failure", flood("HTTP/1.1 500 Failed\r\nX-Id: ID\r\nX-Seal: s\r\n\r\n", garbageText)},
+		{"failure, slowly", dribble("HTTP/1.1 500 Failed\r\nX-Id: ID\r\nX-Seal: s\r\n\r\n", garbageText)},
+	} {
+		t.Run(c.name, func(t *testing.T) { t.Parallel(); requireFailureAtOnce(t, c.handle) })
+	}
+}
+
 // Guards against a refusal whose body does not end, which held the request until
 // its deadline instead of sending it to another target.
 func TestRefusalWithoutEnd(t *testing.T) {
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -27,9 +27,10 @@
 	// request; those that belong to other requests are skipped.
 	maxStrayResponses = 3
 	// maxStrayBytes limits the body of a skipped response, and strayTimeout the
-	// time for reading it.
+	// time for reading it. Like headTimeout, it is shorter than the delay after
+	// which a request is sent to a second target.
 	maxStrayBytes = 1 << 20
-	strayTimeout  = time.Second
+	strayTimeout  = 500 * time.Millisecond
 	// maxInformational limits the informational responses (1xx) that precede a
 	// response.
 	maxInformational = 10
