gateway: a large response may take longer than one write

Callers saw: a response over 1 MB was interrupted if its target needed more than 2 s for the rest, although the caller was reading.

Cause: the write of the buffered part sets a deadline of 2 s for writes to the caller, and io.Copy of the rest did not renew it.

Fix: the rest is written by the same function, which sets the deadline for each write.

Evidence: TestLargeResponseThatPauses failed before (unexpected EOF at the caller).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,6 +21,9 @@
 	// completely before it is forwarded, so that the request can be retried if
 	// the response is interrupted.
 	maxBufferedBytes = 1 << 20
+	// copyBufferSize is the size in bytes of the buffer for the part of a response
+	// that follows.
+	copyBufferSize = 32 << 10
 	// failureBodyTimeout limits the time for the body of an error response. It is
 	// shorter than hedgeDelay, so that the attempt counts as failed before it may
 	// be cancelled.
@@ -317,13 +320,29 @@
 	if !res.truncated {
 		return nil
 	}
+	return x.forwardRest(res)
+}
+
+// forwardRest streams the part of a response that was not buffered.
+func (x *exchange) forwardRest(res attemptResult) error {
 	defer res.resp.Close()
-	if _, err := io.Copy(x.w, res.resp.Body); err != nil {
-		x.lastErr = errors.Wrapf(err, "response of target %s was interrupted", res.target.ID)
-		return errkind.Wrap(errInterrupted, errkind.TargetLost, "after the buffered part of the response")
+	buf := make([]byte, copyBufferSize)
+	for {
+		n, readErr := res.resp.Body.Read(buf)
+		if n > 0 {
+			if err := x.write(buf[:n]); err != nil {
+				return errkind.Wrap(errInterrupted, errkind.Canceled, "the caller disconnected")
+			}
+		}
+		if errors.Is(readErr, io.EOF) {
+			res.resp.Finish()
+			return nil
+		}
+		if readErr != nil {
+			x.lastErr = errors.Wrapf(readErr, "response of target %s was interrupted", res.target.ID)
+			return errkind.Wrap(errInterrupted, errkind.TargetLost, "after the buffered part of the response")
+		}
 	}
-	res.resp.Finish()
-	return nil
 }
 
 // forwardFailure writes the error response of a target to the caller. A status
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -209,3 +209,20 @@
 		}
 	}
 }
+
+// Guards against a large response that is interrupted although its target is
+// still sending it.
+func TestLargeResponseThatPauses(t *testing.T) {
+	part := strings.Repeat("a", 3*maxBufferedBytes/2)
+	fake := startFakeTarget(t, "r", func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), 2*len(part), part)
+		time.Sleep(writeTimeout + 300*time.Millisecond)
+		_, _ = w.Write([]byte(part))
+	})
+	d := newDeployment(t, config(), fake)
+	g := d.start("g1")
+	resp := g.request(t.Context(), http.MethodPost, "/book/1", "")
+	require.NoError(t, resp.err)
+	require.Len(t, resp.body, 2*len(part))
+	require.Zero(t, g.target("r").currentFailureRate())
+}
