gateway: a target that interrupts a large response counts as failing

Callers saw: after a response over 1 MB that broke off or never ended, further requests went to its target as before.

Cause: the attempt was recorded as a success once 1 MB had arrived, and the failure of the rest was not recorded.

Fix: forwardRest records the failure, unless the caller has disconnected.

Evidence: TestResponseWithoutEnd failed before in the four cases with more than 1 MB (failure rate 0). It also shows what was already right: such a response ends at the deadline, does not look complete, and its connection is closed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -339,6 +339,9 @@
 			return nil
 		}
 		if readErr != nil {
+			if x.r.Context().Err() == nil {
+				res.target.recordOutcome(true)
+			}
 			x.lastErr = errors.Wrapf(readErr, "response of target %s was interrupted", res.target.ID)
 			return errkind.Wrap(errInterrupted, errkind.TargetLost, "after the buffered part of the response")
 		}
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -210,6 +210,46 @@
 	}
 }
 
+// Guards against a response without end that a caller takes for complete, that is
+// passed on beyond the deadline, or whose target does not count as failing.
+func TestResponseWithoutEnd(t *testing.T) {
+	const timeout = 3 * time.Second // of the route
+	for _, c := range []struct {
+		name   string
+		handle func(net.Conn, *http.Request)
+		status int // 0 if the response is interrupted
+	}{
+		{"until the connection closes", flood(sealedHead+"\r\n", "a"), 0},
+		{"until the connection closes, slowly", dribble(sealedHead+"\r\n", "a"), http.StatusGatewayTimeout},
+		{"chunks", flood(chunkedHead, "1\r\na\r\n"), 0},
+		{"chunks, slowly", dribble(chunkedHead, "1\r\na\r\n"), http.StatusGatewayTimeout},
+		{"length not reached", flood(sealedHead+"Content-Length: 100000000000\r\n\r\n", "a"), 0},
+		{"length not reached, slowly", dribble(sealedHead+"Content-Length: 1000000\r\n\r\n", "a"), http.StatusGatewayTimeout},
+		{"length not reached, closed after a large part", func(w net.Conn, r *http.Request) {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 9000000\r\n\r\n%s", r.Header.Get("X-Id"), strings.Repeat("a", 2*maxBufferedBytes))
+			_ = w.Close()
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			bad := startFakeTarget(t, "bad", c.handle)
+			d := newDeployment(t, config(), bad)
+			g := d.start("g1")
+			start := time.Now()
+			resp := g.request(t.Context(), http.MethodPost, "/book/1", "")
+			require.Less(t, time.Since(start), timeout+500*time.Millisecond)
+			if c.status == 0 {
+				require.Error(t, resp.err)
+			} else {
+				require.NoError(t, resp.err)
+				require.Equal(t, c.status, resp.status)
+			}
+			bad.requireClosed(t)
+			require.Eventually(t, func() bool { return g.target("bad").currentFailureRate() > 0 }, time.Second, time.Millisecond)
+		})
+	}
+}
+
 // Guards against a large response that is interrupted although its target is
 // still sending it.
 func TestLargeResponseThatPauses(t *testing.T) {
