gateway: test bytes after a complete response

They were already handled: a connection on which bytes arrive while it is idle is closed at the next tick and used for no request. TestBytesAfterResponse shows it for endless garbage, a second response with a seal, and an unfinished head.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -266,3 +266,32 @@
 	require.Len(t, resp.body, 2*len(part))
 	require.Zero(t, g.target("r").currentFailureRate())
 }
+
+// Guards against bytes after a complete response that reach the next caller, or
+// that keep the connection open.
+func TestBytesAfterResponse(t *testing.T) {
+	for name, c := range map[string]struct{ tail, unit string }{
+		"no HTTP":           {"", garbageText},
+		"another response":  {"HTTP/1.1 200 OK\r\nX-Id: id-/read/2\r\nX-Seal: s\r\nContent-Length: 7\r\n\r\n" + garbageText, garbageText},
+		"informational":     {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"more than length":  {"GARB", "AGE"},
+		"a response's head": {"HTTP/1.1 200 OK\r\nX-Id: id-/read/2\r\n", "X-Garbage: 1\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fake := startFakeTarget(t, "r", func(w net.Conn, r *http.Request) {
+				writeResponse(w, r, "good")
+				if r.URL.Path == "/read/1" {
+					endlessScript(c.tail, c.unit, floodPause)(w, r)
+				}
+			})
+			d := newDeployment(t, config(), fake)
+			g := d.start("g1")
+			require.Equal(t, "good", g.request(t.Context(), http.MethodPost, "/read/1", "").body)
+			fake.requireClosed(t)
+			resp := g.request(t.Context(), http.MethodPost, "/read/2", "")
+			require.Equal(t, http.StatusOK, resp.status, resp.body)
+			require.Equal(t, "good", resp.body)
+		})
+	}
+}
