gateway: read the error response to a stream before its connection is closed

Callers saw: a target's 500 to a stream whose body came after its head, 30 ms in the test, was replaced by 502 target_lost (row of docs/FAULTS.md).

Cause: the context of the attempt was cancelled, which closes the connection, before the body was read.

Fix: the body is read as part of the attempt, within the limits for error responses (500 ms, 1 MB).

Evidence: TestStreamReturnsErrorResponse failed before (502 instead of 500). TestMalformedBodyWithoutEnd/failure shows that a body without end does not hold the stream.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -40,8 +40,11 @@
 		startedAt := time.Now()
 		attemptCtx, cancel := context.WithCancel(ctx)
 		res := x.sendStream(attemptCtx, cancel, t, events.LastID())
-		if res.verdict == succeeded {
+		switch res.verdict {
+		case succeeded:
 			res = x.relay(attemptCtx, res, startedAt, &events, &headerSent)
+		case failed:
+			res = readResponseBody(res)
 		}
 		cancel()
 		x.recordAttempt(res)
@@ -63,10 +66,7 @@
 			events.Reset()
 			x.backOff(ctx, res)
 		case res.verdict == failed && !headerSent:
-			if res = readResponseBody(res); res.verdict == failed {
-				return x.forwardFailure(res)
-			}
-			return x.attemptsFailedError()
+			return x.forwardFailure(res)
 		default:
 			return x.streamError(headerSent, x.attemptsFailedError())
 		}
