gateway: a response that arrives during the stall check is no success

Cause: sendStream replaced the error of the result and kept its verdict.

Fix: after the cancellation only a refusal, or that nothing was sent, remains valid; any other result is lost and its connection is closed. It may have run, so only retryable streams, to which alone the stall check applies, go on.

Evidence: TestResponseDuringStallCheck failed before in the cases success (verdict 4, succeeded, instead of 3, lost) and failure (2 instead of 3); the case refusal was right.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -98,15 +98,26 @@
 		case now := <-ticker.C:
 			if x.isStalled(t, streamProgress{sentAt: sentAt}, now) {
 				cancel()
-				res := <-done
-				res.err = errors.Errorf("target %s sent no response for %d ms", t.ID, now.Sub(sentAt).Milliseconds())
-				t.recordOutcome(true)
-				return res
+				return stalledResult(<-done, now.Sub(sentAt))
 			}
 		}
 	}
 }
 
+// stalledResult returns the result of an attempt that was cancelled because the
+// target did not respond. A response that arrived meanwhile cannot be used, since
+// its connection is closed, but a refusal remains one.
+func stalledResult(res attemptResult, idle time.Duration) attemptResult {
+	res.target.recordOutcome(true)
+	if res.verdict == refused || res.verdict == notSent {
+		return res
+	}
+	if res.resp != nil {
+		res.resp.Close()
+	}
+	return attemptResult{verdict: lost, target: res.target, err: errors.Errorf("target %s sent no response for %d ms", res.target.ID, idle.Milliseconds())}
+}
+
 // streamProgress records when a stream was requested and when it last made
 // progress.
 type streamProgress struct {
--- a/gateway/streamfailure_test.go
+++ b/gateway/streamfailure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -27,3 +28,39 @@
 	require.Equal(t, "sorry", resp.body)
 	require.Equal(t, "s", resp.header.Get("X-Seal"))
 }
+
+// Guards against a response that arrives just as the stall check cancels its
+// attempt and then counts as a success: it carries an error, and its connection
+// is closed.
+func TestResponseDuringStallCheck(t *testing.T) {
+	for name, c := range map[string]struct {
+		head string
+		want verdict
+	}{
+		"success": {"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\n\r\n", lost},
+		"failure": {"HTTP/1.1 500 Failed\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nsorry", lost},
+		"refusal": {"HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", refused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			fake := startFakeTarget(t, "r", func(w net.Conn, r *http.Request) {
+				<-release
+				_, _ = fmt.Fprintf(w, c.head, r.Header.Get("X-Id"))
+			})
+			g := newDeployment(t, config(), fake).start("g1")
+			req := httptest.NewRequest(http.MethodGet, "/chat/1", nil)
+			req.Header.Set("X-Id", "1")
+			x := &exchange{g: g.Gateway, r: req, backend: "b", route: &config().Routes[3], meta: RequestMeta{ID: "1"}, deadline: time.Now().Add(5 * time.Second)}
+			target := g.target("r")
+			// Requests that were sent later already receive their responses.
+			target.recordResponse(time.Now(), time.Now().Add(time.Minute))
+			// The function that cancels the attempt has the response sent instead.
+			res := x.sendStream(t.Context(), func() { close(release) }, target, "")
+			require.Equal(t, c.want, res.verdict)
+			require.Error(t, res.err)
+			if c.want == lost {
+				fake.requireClosed(t)
+			}
+		})
+	}
+}
