gateway: a target's error response ends a stream without a second target

Callers saw: if the first target of a retryable stream failed with 500 and no other target was available, they got 502 target_lost instead of the target's response. Calls had it right.

Cause: serveStream kept a failed response only if no further attempt was allowed.

Fix: serveStream keeps the last error response, like serveCall, and returns it when the attempts end before anything has been sent. The attempt itself moves to attemptStream.

Evidence: TestStreamReturnsErrorResponseWithoutSecondTarget failed before for /chat/1 (502 instead of 500) and passed for /read/1.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,30 +31,17 @@
 // event.
 func (x *exchange) serveStream(ctx context.Context) error {
 	var events sse.Splitter
+	var lastFailed *attemptResult
 	headerSent := false
 	for {
 		t, err := x.acquireTarget(ctx)
 		if err != nil {
-			return x.streamError(headerSent, err)
+			return x.streamFailure(headerSent, lastFailed, err)
 		}
-		startedAt := time.Now()
-		attemptCtx, cancel := context.WithCancel(ctx)
-		res := x.sendStream(attemptCtx, cancel, t, events.LastID())
-		switch res.verdict {
-		case succeeded:
-			res = x.relay(attemptCtx, res, startedAt, &events, &headerSent)
-		case failed:
-			res = readResponseBody(res)
+		res := x.attemptStream(ctx, t, &events, &headerSent)
+		if res.verdict == failed {
+			lastFailed = &res
 		}
-		cancel()
-		x.recordAttempt(res)
-		x.eventCount = events.Events()
-		slotTime := time.Duration(0)
-		if res.verdict == succeeded {
-			slotTime = time.Since(startedAt)
-			t.recordOutcome(false)
-		}
-		x.g.queues.forBackend(x.backend).releaseSlot(t, slotTime)
 		switch {
 		case res.verdict == succeeded:
 			return nil
@@ -65,14 +52,45 @@
 		case x.shouldRetry(res):
 			events.Reset()
 			x.backOff(ctx, res)
-		case res.verdict == failed && !headerSent:
-			return x.forwardFailure(res)
 		default:
-			return x.streamError(headerSent, x.attemptsFailedError())
+			return x.streamFailure(headerSent, lastFailed, x.attemptsFailedError())
 		}
 	}
 }
 
+// attemptStream makes one attempt and relays its events. It releases the slot at
+// the target.
+func (x *exchange) attemptStream(ctx context.Context, t *target, events *sse.Splitter, headerSent *bool) attemptResult {
+	startedAt := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	res := x.sendStream(ctx, cancel, t, events.LastID())
+	switch res.verdict {
+	case succeeded:
+		res = x.relay(ctx, res, startedAt, events, headerSent)
+	case failed:
+		res = readResponseBody(res)
+	}
+	x.recordAttempt(res)
+	x.eventCount = events.Events()
+	slotTime := time.Duration(0)
+	if res.verdict == succeeded {
+		slotTime = time.Since(startedAt)
+		t.recordOutcome(false)
+	}
+	x.g.queues.forBackend(x.backend).releaseSlot(t, slotTime)
+	return res
+}
+
+// streamFailure ends a stream whose attempts have failed. As long as nothing has
+// been sent to the caller, a target's own error response takes precedence.
+func (x *exchange) streamFailure(headerSent bool, lastFailed *attemptResult, err error) error {
+	if lastFailed != nil && !headerSent {
+		return x.forwardFailure(*lastFailed)
+	}
+	return x.streamError(headerSent, err)
+}
+
 // streamError returns the error of a stream. Once events have been sent, no
 // error response is possible, and the connection is interrupted instead.
 func (x *exchange) streamError(headerSent bool, err error) error {
--- a/gateway/streamfailure_test.go
+++ b/gateway/streamfailure_test.go
@@ -29,6 +29,21 @@
 	require.Equal(t, "s", resp.header.Get("X-Seal"))
 }
 
+// Guards against an error response to a stream that is replaced by an error of
+// the gateway if the second attempt gets no target.
+func TestStreamReturnsErrorResponseWithoutSecondTarget(t *testing.T) {
+	fake := startFakeTarget(t, "r", func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 500 Failed\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nsorry", r.Header.Get("X-Id"))
+	})
+	g := newDeployment(t, config(), fake).start("g1")
+	for _, path := range []string{"/read/1", "/chat/1"} {
+		resp := g.request(t.Context(), http.MethodPost, path, "")
+		require.NoError(t, resp.err)
+		require.Equal(t, http.StatusInternalServerError, resp.status, path+resp.body)
+		require.Equal(t, "sorry", resp.body)
+	}
+}
+
 // Guards against a response that arrives just as the stall check cancels its
 // attempt and then counts as a success: it carries an error, and its connection
 // is closed.
