gateway/sse: limit an event to 64 KB and scan each line once

Cause: the splitter kept an incomplete event of any size and looked for its end from its first byte after each chunk.

Fix: an incomplete event over 64 KB is an error. The attempt then counts as lost and the target as failing: a resumable stream goes on at another target, any other is interrupted at once. The splitter remembers where the first incomplete line begins.

--- /dev/null
+++ b/gateway/endlessstream_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const firstEvent = "id: 1\ndata: first\n\n"
+
+// streamScripts are streams that begin well and then send bytes without end that
+// contain no further event.
+var streamScripts = map[string]func(net.Conn, *http.Request){
+	"line":                  flood(sealedHead+"\r\n"+firstEvent+"data: ", garbageText),
+	"event":                 flood(sealedHead+"\r\n"+firstEvent, "data: "+garbageText+"\n"),
+	"comment lines":         flood(sealedHead+"\r\n"+firstEvent, ": "+garbageText+"\n"),
+	"event in small chunks": flood(chunkedHead+fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent), "1\r\nd\r\n"),
+}
+
+// streamLimit is the time within which a stream goes on or is interrupted.
+const streamLimit = 3 * time.Second
+
+// Guards against a stream that waits until its deadline for an event that never
+// ends, buffers it without limit, or passes on bytes that are no event.
+func TestStreamWithoutEnd(t *testing.T) {
+	for name, handle := range streamScripts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			t.Run("resumable", func(t *testing.T) { t.Parallel(); requireResumed(t, handle) })
+			t.Run("not resumable", func(t *testing.T) { t.Parallel(); requireInterrupted(t, handle) })
+		})
+	}
+}
+
+// requireResumed sends a stream that may be resumed to a target that behaves as
+// specified after its first event.
+func requireResumed(t *testing.T, handle func(net.Conn, *http.Request)) {
+	const second = "id: 2\ndata: second\n\n"
+	g, bad, good := startBadAndGood(t, handle, second)
+	start := time.Now()
+	resp := g.request(t.Context(), http.MethodPost, "/chat/1", "")
+	require.Less(t, time.Since(start), streamLimit)
+	require.NoError(t, resp.err)
+	require.Equal(t, firstEvent+second, resp.body)
+	require.EqualValues(t, 1, good.requests.Load())
+	bad.requireClosed(t)
+	require.Positive(t, g.target("bad").currentFailureRate())
+}
+
+// requireInterrupted does the same with a stream that may not be resumed.
+func requireInterrupted(t *testing.T, handle func(net.Conn, *http.Request)) {
+	bad := startFakeTarget(t, "bad", handle)
+	cfg := config()
+	cfg.Routes[3].Resumable, cfg.Routes[3].MaxAttempts = false, 1
+	g := newDeployment(t, cfg, bad).start("g1")
+	start := time.Now()
+	resp := g.request(t.Context(), http.MethodPost, "/chat/1", "")
+	require.Less(t, time.Since(start), streamLimit)
+	require.Error(t, resp.err, "an interrupted stream must not look complete")
+	require.Equal(t, firstEvent, resp.body)
+	bad.requireClosed(t)
+	require.Positive(t, g.target("bad").currentFailureRate())
+}
--- a/gateway/sse/sse.go
+++ b/gateway/sse/sse.go
@@ -2,13 +2,27 @@
 // that an interrupted event is never forwarded.
 package sse
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/pkg/errors"
+)
+
+// MaxEventBytes limits an event with its blank line. An event carries the text of
+// a few tokens.
+const MaxEventBytes = 64 << 10
+
+// ErrTooLarge reports an event that exceeds MaxEventBytes.
+var ErrTooLarge = errors.Errorf("an event of the stream exceeds %d bytes", MaxEventBytes)
 
 // Splitter buffers bytes and returns complete events.
 type Splitter struct {
-	buf    []byte
-	lastID string
-	events int
+	buf []byte
+	// lineStart is the index in buf of the first line that is not complete yet.
+	// Lines before it are not scanned again.
+	lineStart int
+	lastID    string
+	events    int
 }
 
 // LastID returns the id of the last complete event that Push returned and that
@@ -20,45 +34,41 @@
 
 // Reset discards an incomplete event. It is called before another response
 // continues the stream.
-func (s *Splitter) Reset() { s.buf = s.buf[:0] }
+func (s *Splitter) Reset() { s.buf, s.lineStart = s.buf[:0], 0 }
 
 // Incomplete reports whether bytes of an incomplete event are buffered.
 func (s *Splitter) Incomplete() bool { return len(s.buf) > 0 }
 
 // Push adds bytes and returns all complete events, or nil if there are none.
-// The result is valid until the next call.
-func (s *Splitter) Push(p []byte) []byte {
+// After an error, which may come with events, the rest of the stream is unusable.
+func (s *Splitter) Push(p []byte) ([]byte, error) {
 	s.buf = append(s.buf, p...)
-	end := 0
-	for {
-		n := eventEnd(s.buf[end:])
-		if n == 0 {
-			break
-		}
-		s.recordEvent(s.buf[end : end+n])
-		end += n
+	end := s.scanLines()
+	var out []byte
+	if end > 0 {
+		out = bytes.Clone(s.buf[:end])
+		s.buf = append(s.buf[:0], s.buf[end:]...)
+		s.lineStart -= end
 	}
-	if end == 0 {
-		return nil
+	if len(s.buf) > MaxEventBytes {
+		return out, ErrTooLarge
 	}
-	out := bytes.Clone(s.buf[:end])
-	s.buf = append(s.buf[:0], s.buf[end:]...)
-	return out
+	return out, nil
 }
 
-// eventEnd returns the length of the first event with its blank line, or 0 if
-// it is incomplete.
-func eventEnd(b []byte) int {
-	start := 0
+// scanLines scans the lines that have become complete. It returns the length of
+// the complete events.
+func (s *Splitter) scanLines() (end int) {
 	for {
-		i := bytes.IndexByte(b[start:], '\n')
-		if i < 0 {
-			return 0
+		n := bytes.IndexByte(s.buf[s.lineStart:], '\n')
+		if n < 0 {
+			return end
 		}
-		line := bytes.TrimSuffix(b[start:start+i], []byte("\r"))
-		start += i + 1
+		line := bytes.TrimSuffix(s.buf[s.lineStart:s.lineStart+n], []byte("\r"))
+		s.lineStart += n + 1
 		if len(line) == 0 {
-			return start
+			s.recordEvent(s.buf[end:s.lineStart])
+			end = s.lineStart
 		}
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -189,11 +189,16 @@
 			x.timing.recordChunk(progress.lastChunkAt)
 			newlyVerified := res.target.recordResponse(progress.lastChunkAt, sentAt)
 			x.g.queues.forBackend(x.backend).recordResponse(progress.lastChunkAt, newlyVerified)
-			if out := events.Push(chunk); out != nil {
+			out, streamErr := events.Push(chunk)
+			if out != nil {
 				if err := x.writeEvents(res, out, headerSent); err != nil {
 					return attemptResult{verdict: lost, target: res.target, err: err}
 				}
 			}
+			if streamErr != nil {
+				res.target.recordOutcome(true)
+				return attemptResult{verdict: lost, target: res.target, err: errors.Wrapf(streamErr, "stream of target %s after event %q", res.target.ID, events.LastID())}
+			}
 		case err := <-readErr:
 			return x.finishStream(res, err, events, headerSent)
 		case now := <-ticker.C:
