gateway: bytes that are no event are not forwarded

Callers saw: after the last event of a failing target came whatever it sent, as soon as that contained a blank line, until the deadline. The same held for data without an id, after which a resumed stream would repeat events.

Cause: the splitter took each sequence of bytes that ends with a blank line for an event.

Fix: a line that is neither blank nor a comment nor a field is an error, and so is an event with data and without an id, if the stream may be resumed or has had an id before. Fields that the standard does not define remain valid, since targets send them; arbitrary text and binary data are not of this form. An event without an id remains valid in a stream that has none.

--- a/gateway/endlessstream_test.go
+++ b/gateway/endlessstream_test.go
@@ -18,6 +18,12 @@
 	"line":                  flood(sealedHead+"\r\n"+firstEvent+"data: ", garbageText),
 	"event":                 flood(sealedHead+"\r\n"+firstEvent, "data: "+garbageText+"\n"),
 	"comment lines":         flood(sealedHead+"\r\n"+firstEvent, ": "+garbageText+"\n"),
+	"no events":             flood(sealedHead+"\r\n"+firstEvent, garbageText+"\n\n"),
+	"no events, slowly":     dribble(sealedHead+"\r\n"+firstEvent, garbageText+"\n\n"),
+	"no text":               flood(sealedHead+"\r\n"+firstEvent, "\x00\xff\n\n\r\n"),
+	"events without ids":    flood(sealedHead+"\r\n"+firstEvent, "data: "+garbageText+"\n\n"),
+	"no chunk":              flood(chunkedHead+fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent), garbageText),
+	"chunk size":            flood(chunkedHead+fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent), "0000"),
 	"event in small chunks": flood(chunkedHead+fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent), "1\r\nd\r\n"),
 }
 
--- a/gateway/sse/sse.go
+++ b/gateway/sse/sse.go
@@ -12,11 +12,19 @@
 // a few tokens.
 const MaxEventBytes = 64 << 10
 
-// ErrTooLarge reports an event that exceeds MaxEventBytes.
-var ErrTooLarge = errors.Errorf("an event of the stream exceeds %d bytes", MaxEventBytes)
+// Errors of a stream.
+var (
+	ErrTooLarge  = errors.Errorf("an event of the stream exceeds %d bytes", MaxEventBytes)
+	ErrMalformed = errors.New("the stream contains a line that is not part of an event")
+	ErrNoID      = errors.New("an event of the stream has no id")
+)
 
 // Splitter buffers bytes and returns complete events.
 type Splitter struct {
+	// RequireIDs is set if the stream may be resumed: data without an id would be
+	// repeated then. Without it, ids are required once an event has had one.
+	RequireIDs bool
+
 	buf []byte
 	// lineStart is the index in buf of the first line that is not complete yet.
 	// Lines before it are not scanned again.
@@ -43,48 +51,87 @@
 // After an error, which may come with events, the rest of the stream is unusable.
 func (s *Splitter) Push(p []byte) ([]byte, error) {
 	s.buf = append(s.buf, p...)
-	end := s.scanLines()
+	end, err := s.scanLines()
 	var out []byte
 	if end > 0 {
 		out = bytes.Clone(s.buf[:end])
 		s.buf = append(s.buf[:0], s.buf[end:]...)
 		s.lineStart -= end
 	}
-	if len(s.buf) > MaxEventBytes {
-		return out, ErrTooLarge
+	if err == nil && len(s.buf) > MaxEventBytes {
+		err = ErrTooLarge
 	}
-	return out, nil
+	return out, err
 }
 
 // scanLines scans the lines that have become complete. It returns the length of
 // the complete events.
-func (s *Splitter) scanLines() (end int) {
+func (s *Splitter) scanLines() (end int, err error) {
 	for {
 		n := bytes.IndexByte(s.buf[s.lineStart:], '\n')
 		if n < 0 {
-			return end
+			return end, nil
 		}
 		line := bytes.TrimSuffix(s.buf[s.lineStart:s.lineStart+n], []byte("\r"))
+		if !isEventLine(line) {
+			return end, ErrMalformed
+		}
 		s.lineStart += n + 1
 		if len(line) == 0 {
-			s.recordEvent(s.buf[end:s.lineStart])
+			if err := s.recordEvent(s.buf[end:s.lineStart]); err != nil {
+				return end, err
+			}
 			end = s.lineStart
 		}
 	}
 }
 
+// isEventLine reports whether a line may occur in a stream: a blank line, a
+// comment, or a field. Targets also send fields that the standard does not
+// define, but only the standard ones may lack the colon. Arbitrary bytes with
+// line breaks would otherwise be forwarded as events.
+func isEventLine(line []byte) bool {
+	if len(line) == 0 || line[0] == ':' {
+		return true
+	}
+	name, _, hasValue := bytes.Cut(line, []byte(":"))
+	if !hasValue {
+		switch string(name) {
+		case "data", "event", "id", "retry":
+			return true
+		}
+		return false
+	}
+	for _, b := range name {
+		if !isNameByte(b) {
+			return false
+		}
+	}
+	return true
+}
+
+func isNameByte(b byte) bool {
+	return 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || '0' <= b && b <= '9' || b == '-' || b == '_' || b == '.'
+}
+
 // recordEvent counts an event and stores its id.
-func (s *Splitter) recordEvent(event []byte) {
-	counts := false
+func (s *Splitter) recordEvent(event []byte) error {
+	hasData, hasID, id := false, false, ""
 	for line := range bytes.Lines(event) {
 		line = bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			s.lastID = string(bytes.TrimPrefix(value, []byte(" ")))
-			counts = true
+			id, hasID = string(bytes.TrimPrefix(value, []byte(" "))), true
 		}
-		counts = counts || bytes.HasPrefix(line, []byte("data:"))
+		hasData = hasData || bytes.HasPrefix(line, []byte("data:"))
+	}
+	switch {
+	case hasID:
+		s.lastID = id
+	case hasData && (s.RequireIDs || s.lastID != ""):
+		return ErrNoID
 	}
-	if counts {
+	if hasData || hasID {
 		s.events++
 	}
+	return nil
 }
--- a/gateway/sse/sse_test.go
+++ b/gateway/sse/sse_test.go
@@ -44,8 +44,8 @@
 	})
 }
 
-// Guards against a stream without end that is buffered completely. What precedes
-// it must be forwarded.
+// Guards against a stream without end that is buffered completely, or whose bytes
+// are forwarded as events. What precedes them must be forwarded.
 func TestBytesThatAreNoEvent(t *testing.T) {
 	const good = ": comment\r\n\r\nskylarkstep-version: 3\nid: 1\nevent: token\ndata: a\ndata\n\nid:2\n\nretry: 5\n\n"
 	for _, c := range []struct {
@@ -56,6 +56,12 @@
 		{"an event without end", "data: a\n", ErrTooLarge},
 		{"comments without end", ": a\n", ErrTooLarge},
 		{"fields without end", "x: a\r\n", ErrTooLarge},
+		{"zeros", "\x00\x00\n", ErrMalformed},
+		{"text", "some text\n", ErrMalformed},
+		{"text with a blank line", "some text\n\n", ErrMalformed},
+		{"text with a colon", "HTTP/1.1 200: OK\n", ErrMalformed},
+		{"JSON", "{\"error\":1}\n", ErrMalformed},
+		{"an event without an id", "data: a\n\n", ErrNoID},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var s Splitter
@@ -76,6 +82,19 @@
 	}
 }
 
+// Guards against ids that are required of a stream that cannot be resumed and has
+// none, and against data without an id in a stream that may be resumed.
+func TestIDsOfEvents(t *testing.T) {
+	var s Splitter
+	require.Equal(t, "data: a\n\ndata: b\n\n", push(t, &s, "data: a\n\ndata: b\n\n"))
+	require.Equal(t, 2, s.Events())
+	s = Splitter{RequireIDs: true}
+	require.Equal(t, ": a\n\n", push(t, &s, ": a\n\n"))
+	out, err := s.Push([]byte("id: 1\ndata: a\n\ndata: b\n\n"))
+	require.ErrorIs(t, err, ErrNoID)
+	require.Equal(t, "id: 1\ndata: a\n\n", string(out))
+}
+
 // Guards against a long line that is scanned again with each of its bytes, and
 // that thereby occupies a core.
 func TestEachLineIsScannedOnce(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -30,7 +30,7 @@
 // target fails, the stream resumes on another target after the last complete
 // event.
 func (x *exchange) serveStream(ctx context.Context) error {
-	var events sse.Splitter
+	events := sse.Splitter{RequireIDs: x.route.Resumable}
 	var lastFailed *attemptResult
 	headerSent := false
 	for {
