gateway: only complete events are progress of a stream

Callers saw: a stream whose target sent bytes of an event that never became complete, or only comments, stayed without events until its deadline. The bytes also counted as a sign that the target and its back end respond.

Cause: the stall check looked at the time of the last bytes, and applied only to retryable streams while others continue.

Fix: progress is a complete event with an id or data. Independently of other streams, an event must be complete 2 s after its first byte: targets send an event in one write, and callers drop a stream that pauses for longer.

Evidence: TestStreamWithoutEnd, the slow cases and "event of many chunks", and TestCommentsAreNoProgress failed before (4.0 s at the deadline; limits 3 s and 2 s).

--- a/gateway/endlessstream_test.go
+++ b/gateway/endlessstream_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,8 +17,11 @@
 // contain no further event.
 var streamScripts = map[string]func(net.Conn, *http.Request){
 	"line":                  flood(sealedHead+"\r\n"+firstEvent+"data: ", garbageText),
+	"line, slowly":          dribble(sealedHead+"\r\n"+firstEvent+"data: ", garbageText),
 	"event":                 flood(sealedHead+"\r\n"+firstEvent, "data: "+garbageText+"\n"),
+	"event, slowly":         dribble(sealedHead+"\r\n"+firstEvent, "data: "+garbageText+"\n"),
 	"comment lines":         flood(sealedHead+"\r\n"+firstEvent, ": "+garbageText+"\n"),
+	"comment lines, slowly": dribble(sealedHead+"\r\n"+firstEvent, ": "+garbageText+"\n"),
 	"no events":             flood(sealedHead+"\r\n"+firstEvent, garbageText+"\n\n"),
 	"no events, slowly":     dribble(sealedHead+"\r\n"+firstEvent, garbageText+"\n\n"),
 	"no text":               flood(sealedHead+"\r\n"+firstEvent, "\x00\xff\n\n\r\n"),
@@ -25,6 +29,7 @@
 	"no chunk":              flood(chunkedHead+fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent), garbageText),
 	"chunk size":            flood(chunkedHead+fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent), "0000"),
 	"event in small chunks": flood(chunkedHead+fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent), "1\r\nd\r\n"),
+	"event of many chunks":  dribble(chunkedHead+fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent), "1\r\nd\r\n"),
 }
 
 // streamLimit is the time within which a stream goes on or is interrupted.
@@ -71,3 +76,24 @@
 	bad.requireClosed(t)
 	require.Positive(t, g.target("bad").currentFailureRate())
 }
+
+// Guards against a stream that waits until its deadline because a target sends
+// comments instead of events, although its other streams continue.
+func TestCommentsAreNoProgress(t *testing.T) {
+	second := "id: 2\ndata: second\n\n"
+	g, bad, _ := startBadAndGood(t, dribble(sealedHead+"\r\n"+firstEvent, ": wait\n\n"), second)
+	others := time.NewTicker(50 * time.Millisecond)
+	defer others.Stop()
+	target := g.target("bad")
+	go func() {
+		for now := range others.C {
+			target.recordResponse(now, now.Add(-time.Minute))
+		}
+	}()
+	start := time.Now()
+	resp := g.request(t.Context(), http.MethodPost, "/chat/1", "")
+	require.Less(t, time.Since(start), atOnce)
+	require.NoError(t, resp.err)
+	require.Equal(t, firstEvent+second, strings.ReplaceAll(resp.body, ": wait\n\n", ""))
+	bad.requireClosed(t)
+}
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -232,6 +232,6 @@
 	require.False(t, x.isStalled(target, pendingStream, now), "only requests sent earlier receive responses")
 	target.recordResponse(now, now.Add(-time.Second))
 	require.True(t, x.isStalled(target, pendingStream, now), "a request sent later receives its response")
-	startedStream := streamProgress{sentAt: pendingStream.sentAt, lastChunkAt: now.Add(-2 * time.Second)}
+	startedStream := streamProgress{sentAt: pendingStream.sentAt, lastEventAt: now.Add(-2 * time.Second)}
 	require.True(t, x.isStalled(target, startedStream, now), "other streams of the target continue")
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -221,11 +221,11 @@
 	if x.route.CallerIdleTimeout == 0 {
 		return until
 	}
-	lastChunkAt := x.startedAt
-	if !x.timing.lastChunkAt.IsZero() {
-		lastChunkAt = x.timing.lastChunkAt
+	lastEventAt := x.startedAt
+	if !x.timing.lastEventAt.IsZero() {
+		lastEventAt = x.timing.lastEventAt
 	}
-	if latestStart := lastChunkAt.Add(x.route.CallerIdleTimeout - x.route.LatencyGoal); latestStart.Before(until) {
+	if latestStart := lastEventAt.Add(x.route.CallerIdleTimeout - x.route.LatencyGoal); latestStart.Before(until) {
 		return latestStart
 	}
 	return until
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -44,7 +44,7 @@
 	m.duration.Observe(duration)
 	m.queueTime.Observe(x.queueTime)
 	if x.eventCount > 0 {
-		m.firstEvent.Observe(x.timing.firstChunkAt.Sub(x.startedAt))
+		m.firstEvent.Observe(x.timing.firstEventAt.Sub(x.startedAt))
 		m.longestGap.Observe(x.timing.longestGap)
 	}
 	metrics.GetOrRegisterCounter("request.outcome."+outcome, m.registry).Inc(1)
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -10,21 +10,21 @@
 	"github.com/skylarkstep/skylarkstep/errkind"
 )
 
-// streamTiming records when the parts of a stream arrived. It shows whether a
+// streamTiming records when the events of a stream arrived. It shows whether a
 // late stream began late or paused.
 type streamTiming struct {
-	firstChunkAt, lastChunkAt time.Time
+	firstEventAt, lastEventAt time.Time
 	longestGap                time.Duration
 }
 
-// recordChunk records that a part of the response has arrived.
-func (t *streamTiming) recordChunk(now time.Time) {
-	if t.firstChunkAt.IsZero() {
-		t.firstChunkAt = now
+// recordEvent records that an event of the response has arrived.
+func (t *streamTiming) recordEvent(now time.Time) {
+	if t.firstEventAt.IsZero() {
+		t.firstEventAt = now
 	} else {
-		t.longestGap = max(t.longestGap, now.Sub(t.lastChunkAt))
+		t.longestGap = max(t.longestGap, now.Sub(t.lastEventAt))
 	}
-	t.lastChunkAt = now
+	t.lastEventAt = now
 }
 
 // writeError writes an error response of the gateway itself, unless a response
@@ -77,7 +77,7 @@
 		attrs = append(attrs, slog.Int("prompt_tokens", x.meta.PromptTokens))
 	}
 	if x.eventCount > 0 {
-		attrs = append(attrs, slog.Int("events", x.eventCount), slog.Int64("first_event_ms", x.timing.firstChunkAt.Sub(x.startedAt).Milliseconds()),
+		attrs = append(attrs, slog.Int("events", x.eventCount), slog.Int64("first_event_ms", x.timing.firstEventAt.Sub(x.startedAt).Milliseconds()),
 			slog.Int64("longest_gap_ms", x.timing.longestGap.Milliseconds()))
 	}
 	if x.lastErr != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,6 +24,10 @@
 	// all counts as unreachable, if other targets of the back end continue to
 	// send.
 	pathLossTimeout = 1300 * time.Millisecond
+	// eventTimeout limits the time from the first byte of an event to its end.
+	// Targets send an event in one write. Callers drop a stream that pauses for
+	// longer than this.
+	eventTimeout = 2 * time.Second
 )
 
 // serveStream serves a request whose response is a series of events. If the
@@ -137,18 +141,21 @@
 }
 
 // streamProgress records when a stream was requested and when it last made
-// progress.
+// progress. Bytes that complete no event are no progress.
 type streamProgress struct {
 	sentAt time.Time
-	// lastChunkAt is when data last arrived; zero before the first event.
-	lastChunkAt time.Time
+	// lastEventAt is when an event was last complete; zero before the first one.
+	lastEventAt time.Time
+	// incompleteSince is when the first byte of an incomplete event arrived; zero
+	// if there is none.
+	incompleteSince time.Time
 }
 
 func (p streamProgress) idleSince() time.Time {
-	if p.lastChunkAt.IsZero() {
+	if p.lastEventAt.IsZero() {
 		return p.sentAt
 	}
-	return p.lastChunkAt
+	return p.lastEventAt
 }
 
 // isStalled reports whether a stream has been idle for too long although others
@@ -161,10 +168,10 @@
 	t.mu.Lock()
 	lastByteAt, newestRespondingSentAt := t.lastByteAt, t.newestRespondingSentAt
 	t.mu.Unlock()
-	if progress.lastChunkAt.IsZero() && newestRespondingSentAt.After(progress.sentAt) {
+	if progress.lastEventAt.IsZero() && newestRespondingSentAt.After(progress.sentAt) {
 		return true // a request that was sent later already receives its response
 	}
-	if !progress.lastChunkAt.IsZero() && lastByteAt.Sub(progress.lastChunkAt) > stallTimeout {
+	if !progress.lastEventAt.IsZero() && lastByteAt.Sub(progress.lastEventAt) > stallTimeout {
 		return true // other streams of the target continue
 	}
 	respondingSince := x.g.queues.forBackend(x.backend).respondingSince(now)
@@ -185,26 +192,15 @@
 	for {
 		select {
 		case chunk := <-chunks:
-			progress.lastChunkAt = time.Now()
-			x.timing.recordChunk(progress.lastChunkAt)
-			newlyVerified := res.target.recordResponse(progress.lastChunkAt, sentAt)
-			x.g.queues.forBackend(x.backend).recordResponse(progress.lastChunkAt, newlyVerified)
-			out, streamErr := events.Push(chunk)
-			if out != nil {
-				if err := x.writeEvents(res, out, headerSent); err != nil {
-					return attemptResult{verdict: lost, target: res.target, err: err}
-				}
-			}
-			if streamErr != nil {
-				res.target.recordOutcome(true)
-				return attemptResult{verdict: lost, target: res.target, err: errors.Wrapf(streamErr, "stream of target %s after event %q", res.target.ID, events.LastID())}
+			if err := x.relayChunk(res, chunk, &progress, events, headerSent); err != nil {
+				return attemptResult{verdict: lost, target: res.target, err: err}
 			}
 		case err := <-readErr:
 			return x.finishStream(res, err, events, headerSent)
 		case now := <-ticker.C:
-			if x.isStalled(res.target, progress, now) {
+			if err := x.checkProgress(res.target, progress, now); err != nil {
 				res.target.recordOutcome(true)
-				return attemptResult{verdict: lost, target: res.target, err: errors.Errorf("target %s sent no event for %d ms in a stream", res.target.ID, now.Sub(progress.idleSince()).Milliseconds())}
+				return attemptResult{verdict: lost, target: res.target, err: err}
 			}
 		case <-ctx.Done():
 			return attemptResult{verdict: lost, target: res.target, err: errors.WithStack(ctx.Err())}
@@ -212,6 +208,46 @@
 	}
 }
 
+// relayChunk adds bytes to the stream and forwards the events that they complete.
+func (x *exchange) relayChunk(res attemptResult, chunk []byte, progress *streamProgress, events *sse.Splitter, headerSent *bool) error {
+	now := time.Now()
+	eventsBefore := events.Events()
+	out, streamErr := events.Push(chunk)
+	if events.Events() > eventsBefore {
+		progress.lastEventAt = now
+		x.timing.recordEvent(now)
+		newlyVerified := res.target.recordResponse(now, progress.sentAt)
+		x.g.queues.forBackend(x.backend).recordResponse(now, newlyVerified)
+	}
+	switch {
+	case !events.Incomplete():
+		progress.incompleteSince = time.Time{}
+	case out != nil || progress.incompleteSince.IsZero():
+		progress.incompleteSince = now
+	}
+	if out != nil {
+		if err := x.writeEvents(res, out, headerSent); err != nil {
+			return err
+		}
+	}
+	if streamErr != nil {
+		res.target.recordOutcome(true)
+		return errors.Wrapf(streamErr, "stream of target %s after event %q", res.target.ID, events.LastID())
+	}
+	return nil
+}
+
+// checkProgress returns an error if a stream has made no progress for too long.
+func (x *exchange) checkProgress(t *target, progress streamProgress, now time.Time) error {
+	if !progress.incompleteSince.IsZero() && now.Sub(progress.incompleteSince) > eventTimeout {
+		return errors.Errorf("target %s did not complete an event in %d ms", t.ID, now.Sub(progress.incompleteSince).Milliseconds())
+	}
+	if x.isStalled(t, progress, now) {
+		return errors.Errorf("target %s sent no event for %d ms in a stream", t.ID, now.Sub(progress.idleSince()).Milliseconds())
+	}
+	return nil
+}
+
 func readChunks(ctx context.Context, body io.Reader, chunks chan<- []byte, readErr chan<- error) {
 	for {
 		buf := make([]byte, chunkSize)
