gateway: responses without events to a stream

Callers saw two faults. A target's 404 with a JSON body, as the response to a stream, became 502 after a second attempt. If a target resumed a stream with a 404 without a body, the stream ended there and looked complete, although events were missing.

Cause: the body of each response that is no 5xx was read as a series of events: bytes without a blank line were an interrupted event, and no bytes were a complete stream.

Fix: only the body of a 2xx is read as events. Another status is returned with its body, as for a call; once events have been sent, it ends the attempt, and the stream is resumed again or interrupted.

Evidence: TestStreamReturnsClientError (502 instead of 404) and TestClientErrorAfterEvents (no error at the caller) failed before.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -47,6 +47,8 @@
 			lastFailed = &res
 		}
 		switch {
+		case res.verdict == succeeded && !res.hasEvents():
+			return x.forwardResponse(res)
 		case res.verdict == succeeded:
 			return nil
 		case ctx.Err() != nil:
@@ -69,10 +71,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	res := x.sendStream(ctx, cancel, t, events.LastID())
-	switch res.verdict {
-	case succeeded:
+	switch {
+	case res.verdict == succeeded && res.hasEvents():
 		res = x.relay(ctx, res, startedAt, events, headerSent)
-	case failed:
+	case res.verdict == succeeded && *headerSent:
+		res.resp.Close()
+		res.verdict, res.err = lost, errors.Errorf("target %s resumed a stream with status %d", t.ID, res.resp.StatusCode)
+	case res.verdict == succeeded || res.verdict == failed:
 		res = readResponseBody(res)
 	}
 	x.recordAttempt(res)
@@ -86,6 +91,10 @@
 	return res
 }
 
+// hasEvents reports whether the body of a response to a stream consists of
+// events. Redirects and errors have other bodies.
+func (r *attemptResult) hasEvents() bool { return r.resp.StatusCode < http.StatusMultipleChoices }
+
 // streamFailure ends a stream whose attempts have failed. As long as nothing has
 // been sent to the caller, a target's own error response takes precedence.
 func (x *exchange) streamFailure(headerSent bool, lastFailed *attemptResult, err error) error {
--- a/gateway/streamfailure_test.go
+++ b/gateway/streamfailure_test.go
@@ -79,3 +79,40 @@
 		})
 	}
 }
+
+// Guards against a target's response without events to a stream, such as a 404,
+// that is taken for an interrupted stream and sent to another target.
+func TestStreamReturnsClientError(t *testing.T) {
+	fake := startFakeTarget(t, "r", func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 404 Unknown\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 17\r\n\r\n{\"unknown\":\"doc\"}", r.Header.Get("X-Id"))
+	})
+	g := newDeployment(t, config(), fake).start("g1")
+	resp := g.request(t.Context(), http.MethodPost, "/chat/1", "")
+	require.NoError(t, resp.err)
+	require.Equal(t, http.StatusNotFound, resp.status, resp.body)
+	require.Equal(t, `{"unknown":"doc"}`, resp.body)
+	require.Equal(t, "s", resp.header.Get("X-Seal"))
+	require.EqualValues(t, 1, fake.requests.Load())
+}
+
+// Guards against the same response after the first events, which cannot be
+// returned any more: the stream must not look complete.
+func TestClientErrorAfterEvents(t *testing.T) {
+	notFound := func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 404 Unknown\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+	}
+	other := startFakeTarget(t, "other", notFound)
+	var d *deployment
+	first := startFakeTarget(t, "first", func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\n\r\n%s", r.Header.Get("X-Id"), firstEvent)
+		d.put("target/other", other.target("b"))
+		time.Sleep(100 * time.Millisecond)
+		reset(w)
+	})
+	d = newDeployment(t, config(), first)
+	g := d.start("g1")
+	resp := g.request(t.Context(), http.MethodPost, "/chat/1", "")
+	require.Error(t, resp.err)
+	require.Equal(t, firstEvent, resp.body)
+	require.EqualValues(t, 1, other.requests.Load())
+}
