gateway: a redirect or client error whose body does not end counts as lost

Callers saw: a 404 of a target whose body did not end held the request until its deadline (3.0 s), or was passed on without end if it arrived fast.

Cause: the limits for the body of an error response applied to 5xx only.

Fix: they apply to all responses that are no 2xx.

Evidence: TestMalformedBodyWithoutEnd, cases "client error", "client error, slowly" and "redirect, slowly", failed before for a booking, a swap and, for the first one, a read.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,8 +24,8 @@
 	// copyBufferSize is the size in bytes of the buffer for the part of a response
 	// that follows.
 	copyBufferSize = 32 << 10
-	// failureBodyTimeout limits the time for the body of an error response. It is
-	// shorter than hedgeDelay, so that the attempt counts as failed before it may
+	// failureBodyTimeout limits the time for the body of a redirect or an error
+	// response. It is shorter than hedgeDelay, so that the attempt counts as failed before it may
 	// be cancelled.
 	failureBodyTimeout = 500 * time.Millisecond
 	// hedgeDelay is how long an idempotent call may remain without a response
@@ -281,15 +281,17 @@
 	return res
 }
 
-// readResponseBody reads the body of a response, up to maxBufferedBytes. An error
-// response whose body is longer or does not end in time counts as lost.
+// readResponseBody reads the body of a response, up to maxBufferedBytes. A
+// redirect or error response whose body is longer or does not end in time counts
+// as lost.
 func readResponseBody(res attemptResult) attemptResult {
-	if res.verdict == failed {
+	isShort := res.resp.StatusCode >= http.StatusMultipleChoices
+	if isShort {
 		res.resp.LimitReading(failureBodyTimeout)
 	}
 	body, err := io.ReadAll(io.LimitReader(res.resp.Body, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes && res.verdict == failed {
-		err = errors.Errorf("body of an error response exceeds %d bytes", maxBufferedBytes)
+	if err == nil && len(body) > maxBufferedBytes && isShort {
+		err = errors.Errorf("body of a response with status %d exceeds %d bytes", res.resp.StatusCode, maxBufferedBytes)
 	}
 	switch {
 	case err != nil:
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -200,6 +200,9 @@
 		{"response to another request, slowly", dribble("HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\n\r\n", garbageText)},
 		{"failure", flood("HTTP/1.1 500 Failed\r\nX-Id: ID\r\nX-Seal: s\r\n\r\n", garbageText)},
 		{"failure, slowly", dribble("HTTP/1.1 500 Failed\r\nX-Id: ID\r\nX-Seal: s\r\n\r\n", garbageText)},
+		{"client error", flood("HTTP/1.1 404 Unknown\r\nX-Id: ID\r\nX-Seal: s\r\n\r\n", garbageText)},
+		{"client error, slowly", dribble("HTTP/1.1 404 Unknown\r\nX-Id: ID\r\nX-Seal: s\r\n\r\n", garbageText)},
+		{"redirect, slowly", dribble("HTTP/1.1 302 Elsewhere\r\nX-Id: ID\r\nX-Seal: s\r\n\r\n", garbageText)},
 	} {
 		t.Run(c.name, func(t *testing.T) { t.Parallel(); requireFailureAtOnce(t, c.handle) })
 	}
