engine: limit the heads of responses to 64 KB

What was seen: an engine or service that sends a status line, a header or informational responses without end had each call read 10 MB.

Cause: the default of net/http.

Fix: MaxResponseHeaderBytes in the three clients.

--- a/engine/internal/httpcall/httpcall.go
+++ b/engine/internal/httpcall/httpcall.go
@@ -16,6 +16,10 @@
 // Retry-After header has a resolution of one second.
 const RetryAfterMS = "Retry-After-Ms"
 
+// MaxHeadBytes limits the head of a response in bytes. Heads are below 1 KB; the
+// default of net/http is 10 MB.
+const MaxHeadBytes = 64 << 10
+
 // Do sends req and maps a transport error to an error kind. If the request never had
 // a connection, nothing was written, so the error is not_run. After any other
 // failure, it is unknown whether the request ran.
--- a/engine/openai/client.go
+++ b/engine/openai/client.go
@@ -58,6 +58,8 @@
 				IdleConnTimeout:     idleTimeout,
 				DisableCompression:  true,
 				Protocols:           protocols,
+
+				MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/engine/rankgroup/client.go
+++ b/engine/rankgroup/client.go
@@ -34,9 +34,12 @@
 func New(baseURL string) *Client {
 	return &Client{
 		base: strings.TrimSuffix(baseURL, "/"),
-		http: &http.Client{Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
-		}},
+		http: &http.Client{
+			Transport: &http.Transport{
+				DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
+				MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
+			},
+		},
 	}
 }
 
--- /dev/null
+++ b/engine/rankgroup/client_test.go
@@ -0,0 +1,49 @@
+package rankgroup
+
+import (
+	"context"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/expertmap"
+	"github.com/skylarkstep/skylarkstep/infra/standin/endless"
+)
+
+// Guards against an engine whose response never ends: a message must fail by its
+// deadline, without using up the memory, and never count as not delivered.
+func TestResponseWithoutEnd(t *testing.T) {
+	const (
+		callTimeout = 500 * time.Millisecond
+		timeMargin  = 2 * time.Second // on a loaded machine
+		maxHead     = 64 << 10
+	)
+	scripts := endless.Heads()
+	maps.Copy(scripts, endless.Bodies("200 OK", ""))
+	for name, script := range endless.Bodies("500 Failed", "") {
+		scripts["500: "+name] = script
+	}
+	for name, script := range scripts {
+		limit := int64(maxResponseBytes)
+		if _, ok := endless.Heads()[name]; ok {
+			limit = maxHead
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := endless.Start(t, script)
+			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+			defer cancel()
+			start := time.Now()
+			_, err := New(server.URL).Switch(ctx, expertmap.Message{})
+			require.Error(t, err)
+			require.Less(t, time.Since(start), callTimeout+timeMargin)
+			require.Equal(t, errkind.Unknown, errkind.From(err).DidRun, "%v", err)
+			server.RequireClosed(t)
+			require.EqualValues(t, 1, server.Requests())
+			require.LessOrEqual(t, server.Sent(), limit+endless.KernelBuffers)
+		})
+	}
+}
--- a/engine/service/client.go
+++ b/engine/service/client.go
@@ -68,6 +68,8 @@
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
 			Protocols:           protocols,
+
+			MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
