engine/openai: no tokens beyond the limit of the request

Callers saw: if an engine ignored max_tokens, it passed on tokens until the deadline: 143,052 instead of 5 in half a second.

Fix: a token beyond the limit fails the generation.

Evidence: TestStreamWithoutEnd, cases "tokens" and "tokens, slowly", failed before (143,052 and 21 tokens).

--- a/engine/openai/client.go
+++ b/engine/openai/client.go
@@ -117,7 +117,7 @@
 		return engine.Finish{}, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	finish, err := readStream(ctx, res.Body, g.ResumeOffset, emit)
+	finish, err := readStream(ctx, res.Body, g.ResumeOffset, limitTokens(g.MaxTokens, emit))
 	var e emitError
 	if errors.As(err, &e) {
 		return engine.Finish{}, e.error
@@ -130,6 +130,20 @@
 	return finish, err
 }
 
+// limitTokens returns a function that fails for a token beyond the limit of the
+// request, which is zero if there is none.
+func limitTokens(limit int, emit func(engine.Token) error) func(engine.Token) error {
+	if limit == 0 {
+		return emit
+	}
+	return func(t engine.Token) error {
+		if t.Offset >= limit {
+			return errkind.New(errkind.BackendFailed, "engine generated more than %d tokens", limit)
+		}
+		return emit(t)
+	}
+}
+
 // send sends a request. It returns the response if its status is 200 or 204, and an
 // error for any other status.
 func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
--- a/engine/openai/endless_test.go
+++ b/engine/openai/endless_test.go
@@ -77,17 +77,19 @@
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 	const token = "data: {\"choices\":[{\"text\":\"a\"}]}\n\n"
 	for name, script := range map[string]endless.Script{
-		"line":          {Prefix: head + token + "data: ", Unit: endless.Garbage},
-		"line, slowly":  {Prefix: head + token + "data: ", Unit: "G", Slow: true},
-		"event":         {Prefix: head + token, Unit: "data: " + endless.Garbage + "\n"},
-		"event, slowly": {Prefix: head + token, Unit: "data: " + endless.Garbage + "\n", Slow: true},
-		"comments":      {Prefix: head + token, Unit: ": wait\n\n"},
-		"comment lines": {Prefix: head + token, Unit: ": wait\n"},
-		"empty events":  {Prefix: head + token, Unit: "data:\n\n"},
-		"no JSON":       {Prefix: head + token, Unit: "data: " + endless.Garbage + "\n\n"},
-		"no event":      {Prefix: head + token, Unit: endless.Garbage + "\n\n"},
-		"no choice":     {Prefix: head + token, Unit: "data: {}\n\n"},
-		"after the end": {Prefix: head + "data: {\"choices\":[{\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n", Unit: endless.Garbage},
+		"line":           {Prefix: head + token + "data: ", Unit: endless.Garbage},
+		"line, slowly":   {Prefix: head + token + "data: ", Unit: "G", Slow: true},
+		"event":          {Prefix: head + token, Unit: "data: " + endless.Garbage + "\n"},
+		"event, slowly":  {Prefix: head + token, Unit: "data: " + endless.Garbage + "\n", Slow: true},
+		"comments":       {Prefix: head + token, Unit: ": wait\n\n"},
+		"comment lines":  {Prefix: head + token, Unit: ": wait\n"},
+		"empty events":   {Prefix: head + token, Unit: "data:\n\n"},
+		"no JSON":        {Prefix: head + token, Unit: "data: " + endless.Garbage + "\n\n"},
+		"no event":       {Prefix: head + token, Unit: endless.Garbage + "\n\n"},
+		"no choice":      {Prefix: head + token, Unit: "data: {}\n\n"},
+		"tokens":         {Prefix: head, Unit: token},
+		"tokens, slowly": {Prefix: head, Unit: token, Slow: true},
+		"after the end":  {Prefix: head + "data: {\"choices\":[{\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n", Unit: endless.Garbage},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
