engine/openai: keep the text of an error response that is not JSON

Cause: statusError only used the message in the field "error".

Fix: without such a message, the first 256 bytes of the body are quoted, so that arbitrary bytes are harmless in the log.

--- a/engine/internal/httpcall/httpcall.go
+++ b/engine/internal/httpcall/httpcall.go
@@ -2,7 +2,10 @@
 package httpcall
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -20,6 +23,30 @@
 // default of net/http is 10 MB.
 const MaxHeadBytes = 64 << 10
 
+const (
+	// maxErrorBytes limits what is read of the body of an error response.
+	maxErrorBytes = 4 << 10
+	// maxErrorText limits the text of an error that is not in the expected format,
+	// in bytes.
+	maxErrorText = 256
+)
+
+// ReadError reads the body of an error response.
+func ReadError(res *http.Response) []byte {
+	body, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
+	return body
+}
+
+// ErrorText returns the beginning of the body of an error response for an error
+// message. It is quoted, so that arbitrary bytes are harmless.
+func ErrorText(body []byte) string {
+	body = bytes.TrimSpace(body)
+	if len(body) > maxErrorText {
+		return fmt.Sprintf("%q (%d bytes or more)", body[:maxErrorText], len(body))
+	}
+	return strconv.Quote(string(body))
+}
+
 // Do sends req and maps a transport error to an error kind. If the request never had
 // a connection, nothing was written, so the error is not_run. After any other
 // failure, it is unknown whether the request ran.
--- a/engine/openai/chunk_test.go
+++ b/engine/openai/chunk_test.go
@@ -108,6 +108,29 @@
 	}
 }
 
+// Guards against an error response whose text is lost because it is not JSON, such
+// as that of a proxy, and against a text that floods the log.
+func TestTextOfStatusErrors(t *testing.T) {
+	for _, c := range []struct{ body, want string }{
+		{`{"error":{"message":"no such model"}}`, "status 500: no such model"},
+		{`{"error":"x"}`, `status 500: "x"`},
+		{"upstream connect error\n", `status 500: "upstream connect error"`},
+		{`{"detail":"y"}`, `status 500: "{\"detail\":\"y\"}"`},
+		{"\x00\n\xff", `status 500: "\x00\n\xff"`},
+		{"", `status 500: ""`},
+		{strings.Repeat("z", 1<<20), "zzz\" (4096 bytes or more)"},
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+			_, _ = w.Write([]byte(c.body))
+		}))
+		_, err := New(srv.URL).Generate(t.Context(), engine.Generation{}, nil)
+		srv.Close()
+		require.ErrorContains(t, err, c.want)
+		require.Less(t, len(err.Error()), 1<<10)
+	}
+}
+
 // Guards against a panic on a damaged stream, against offsets out of order, and
 // against a finish without the end marker.
 func FuzzReadStream(f *testing.F) {
--- a/engine/openai/client.go
+++ b/engine/openai/client.go
@@ -28,7 +28,6 @@
 	// transport can reuse the connection only if the body was read to its end.
 	drainTimeout   = 100 * time.Millisecond
 	maxDrainBytes  = 4 << 10
-	maxErrorBytes  = 4 << 10
 	maxReportBytes = 4 << 20
 	maxCacheBytes  = 32 << 20
 )
@@ -167,8 +166,12 @@
 
 // statusError maps the status of a response to an error kind.
 func statusError(res *http.Response) error {
-	text, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
-	engineError := gjson.GetBytes(text, "error")
+	body := httpcall.ReadError(res)
+	engineError := gjson.GetBytes(body, "error")
+	text := errorMessage(engineError)
+	if text == "" {
+		text = httpcall.ErrorText(body)
+	}
 	kind := errkind.BackendFailed
 	switch {
 	case res.StatusCode == http.StatusServiceUnavailable && engineError.Get("code").String() == codeOverwhelmed:
@@ -182,7 +185,7 @@
 	case res.StatusCode >= 400 && res.StatusCode < 500:
 		kind = errkind.InvalidRequest
 	}
-	return errkind.New(kind, "engine returned status %d: %s", res.StatusCode, errorMessage(engineError)).
+	return errkind.New(kind, "engine returned status %d: %s", res.StatusCode, text).
 		WithRetryAfter(httpcall.RetryAfter(res.Header))
 }
 
