engine/openai: a refusal whose body does not end holds no call

Callers saw: the refusal of an engine came at the deadline of the call if the engine sent the body of its 503 slowly and without end.

Cause: the body of an error response was limited in bytes but not in time.

Fix: it is read for at most 200 ms; then the connection is closed. The kind of the error comes from the status and what has arrived of the body.

Evidence: TestRefusalWithoutEnd, the slow cases, failed before (the deadline had passed).

--- a/engine/internal/httpcall/httpcall.go
+++ b/engine/internal/httpcall/httpcall.go
@@ -24,15 +24,20 @@
 const MaxHeadBytes = 64 << 10
 
 const (
-	// maxErrorBytes limits what is read of the body of an error response.
-	maxErrorBytes = 4 << 10
+	// maxErrorBytes limits what is read of the body of an error response, and
+	// errorBodyTimeout the time for it: the status alone ends the call.
+	maxErrorBytes    = 4 << 10
+	errorBodyTimeout = 200 * time.Millisecond
 	// maxErrorText limits the text of an error that is not in the expected format,
 	// in bytes.
 	maxErrorText = 256
 )
 
-// ReadError reads the body of an error response.
+// ReadError reads the body of an error response as far as it arrives in time.
 func ReadError(res *http.Response) []byte {
+	// Closing the body interrupts Read.
+	timer := time.AfterFunc(errorBodyTimeout, func() { _ = res.Body.Close() })
+	defer timer.Stop()
 	body, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
 	return body
 }
--- a/engine/openai/endless_test.go
+++ b/engine/openai/endless_test.go
@@ -107,3 +107,23 @@
 		})
 	}
 }
+
+// Guards against a refusal whose body does not end, which held the call until its
+// deadline.
+func TestRefusalWithoutEnd(t *testing.T) {
+	for name, script := range endless.Bodies("503 Full", "") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := endless.Start(t, script)
+			c := openai.New(server.URL)
+			defer c.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*timeMargin)
+			defer cancel()
+			_, err := c.Load(ctx)
+			require.NoError(t, ctx.Err())
+			require.Equal(t, errkind.Overloaded, errkind.KindOf(err), "%v", err)
+			require.Equal(t, errkind.NotRun, errkind.From(err).DidRun)
+			server.RequireClosed(t)
+		})
+	}
+}
