engine/rankgroup: do not follow redirects

What was seen: after a 307 or 308, a message of the switch protocol was sent a second time, to another process, whose reply counted as the engine's (row of docs/FAULTS.md).

Fix: a redirect is a response with an unexpected status. A message whose outcome is unknown is handled by the protocol.

Evidence: TestRedirectIsNotFollowed failed before (no error).

--- a/engine/rankgroup/client.go
+++ b/engine/rankgroup/client.go
@@ -39,6 +39,8 @@
 				DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
 				MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
 			},
+			// A 307 or 308 would send a message of the switch protocol a second time.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
 }
--- a/engine/rankgroup/client_test.go
+++ b/engine/rankgroup/client_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"maps"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,3 +51,23 @@
 		})
 	}
 }
+
+// Guards against a message of the switch protocol that is sent a second time, to
+// another process, because the engine responded with a redirect.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var requests atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		requests.Add(1)
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer other.Close()
+	for _, status := range []int{http.StatusFound, http.StatusTemporaryRedirect, http.StatusPermanentRedirect} {
+		srv := httptest.NewServer(http.RedirectHandler(other.URL, status))
+		_, err := New(srv.URL).Switch(t.Context(), expertmap.Message{})
+		require.Equal(t, errkind.BackendFailed, errkind.KindOf(err), "%v", err)
+		_, err = New(srv.URL).Progress(t.Context())
+		require.Error(t, err)
+		srv.Close()
+	}
+	require.Zero(t, requests.Load())
+}
