engine/rankgroup: report a response over the size limit as such

Fix: a longer response is an error of its own, and the error of an error response quotes 256 bytes.

Evidence: TestLongResponse failed before, and so did the case "body" of TestResponseWithoutEnd (no error).

--- a/engine/rankgroup/client.go
+++ b/engine/rankgroup/client.go
@@ -75,12 +75,15 @@
 		return err
 	}
 	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	if res.StatusCode != http.StatusOK {
+		return errkind.New(errkind.BackendFailed, "engine of the rank group returned status %d: %s", res.StatusCode, httpcall.ErrorText(httpcall.ReadError(res)))
+	}
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	if err != nil {
 		return httpcall.ConnectionError(ctx, err)
 	}
-	if res.StatusCode != http.StatusOK {
-		return errkind.New(errkind.BackendFailed, "engine of the rank group returned status %d: %s", res.StatusCode, data)
+	if len(data) > maxResponseBytes {
+		return errkind.New(errkind.BackendFailed, "response of the engine of the rank group exceeds %d bytes", maxResponseBytes)
 	}
 	if err := json.Unmarshal(data, response); err != nil {
 		return errkind.Wrap(err, errkind.BackendFailed, "decoding the response of the engine of the rank group")
--- a/engine/rankgroup/client_test.go
+++ b/engine/rankgroup/client_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,7 +27,7 @@
 		maxHead     = 64 << 10
 	)
 	scripts := endless.Heads()
-	maps.Copy(scripts, endless.Bodies("200 OK", ""))
+	maps.Copy(scripts, endless.Bodies("200 OK", "{}"))
 	for name, script := range endless.Bodies("500 Failed", "") {
 		scripts["500: "+name] = script
 	}
@@ -52,6 +53,23 @@
 	}
 }
 
+// Guards against a long response that is reported as malformed JSON, and against
+// an error response whose body floods the log.
+func TestLongResponse(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	for status, want := range map[int]string{http.StatusOK: "exceeds 65536 bytes", http.StatusInternalServerError: "status 500"} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, long)
+		}))
+		_, err := New(srv.URL).Progress(t.Context())
+		srv.Close()
+		require.Equal(t, errkind.BackendFailed, errkind.KindOf(err))
+		require.ErrorContains(t, err, want)
+		require.Less(t, len(err.Error()), 1<<10)
+	}
+}
+
 // Guards against a message of the switch protocol that is sent a second time, to
 // another process, because the engine responded with a redirect.
 func TestRedirectIsNotFollowed(t *testing.T) {
