caller: a response over the limit is not complete

Address lists and operation ids that are followed by blanks without end were accepted too.

Cause: io.LimitReader, whose end looks like the end of the body.

Fix: readLimited fails for a longer body. The call then ends with an InterruptedError that does not say "not run"; an idempotent one is retried.

--- a/caller/addresses.go
+++ b/caller/addresses.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -87,7 +86,7 @@
 		} `json:"addresses"`
 		TTLMs int64 `json:"ttl_ms"`
 	}
-	body, readErr := io.ReadAll(io.LimitReader(res.Body, maxAddressResponseBytes))
+	body, readErr := readLimited(res.Body, maxAddressResponseBytes)
 	if readErr != nil || res.StatusCode != http.StatusOK || json.Unmarshal(body, &response) != nil {
 		return nil, 0, false
 	}
--- a/caller/call.go
+++ b/caller/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,8 +15,7 @@
 // DefaultCallDeadline is the deadline of a call that sets none.
 const DefaultCallDeadline = 30 * time.Second
 
-// maxResponseBytes limits the response of a plain service. A longer response is
-// truncated.
+// maxResponseBytes limits the response of a plain service.
 const maxResponseBytes = 4 << 20
 
 // CallRequest describes a call to a plain service.
@@ -141,7 +139,7 @@
 		return nil, sendErr
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	body, err := readLimited(res.Body, maxResponseBytes)
 	if err != nil {
 		return nil, &InterruptedError{cause: err}
 	}
--- a/caller/client.go
+++ b/caller/client.go
@@ -102,6 +102,19 @@
 	return res, nil
 }
 
+// readLimited reads a body to its end and fails if it is longer than limit bytes.
+// A body that is merely cut off there could be taken for a complete one.
+func readLimited(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if int64(len(data)) > limit {
+		return nil, errors.Errorf("response exceeds %d bytes", limit)
+	}
+	return data, nil
+}
+
 // readError reads the error from a response whose status is not 200.
 func readError(res *http.Response) *ResponseError {
 	defer func() { _ = res.Body.Close() }()
--- a/caller/operation.go
+++ b/caller/operation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -48,7 +47,7 @@
 	var issued struct {
 		OperationID string `json:"operation_id"`
 	}
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
+	data, err := readLimited(res.Body, maxErrorBytes)
 	if err != nil || json.Unmarshal(data, &issued) != nil {
 		return ""
 	}
