caller: no tokens beyond the limit of the request

Callers saw: Complete passed on all tokens that an entry sent, whatever MaxTokens: 50,000 instead of 5 in the test.

Fix: a token beyond MaxTokens interrupts the attempt, and the generation resumes at the next address.

Evidence: TestStreamWithoutEnd/tokens failed before. The other cases were already right: lines, events and comments without end, bytes that are no event, and repeated tokens are neither buffered nor passed on, and end with the deadline at the latest.

--- a/caller/complete.go
+++ b/caller/complete.go
@@ -182,6 +182,8 @@
 		return Finish{}, true, s.broken(errors.Errorf("token %d follows %d tokens", t.Offset, s.tokens))
 	case t.Offset < s.tokens:
 		return Finish{}, false, nil
+	case s.request.MaxTokens > 0 && s.tokens >= s.request.MaxTokens:
+		return Finish{}, true, s.broken(errors.Errorf("more than %d tokens", s.request.MaxTokens))
 	}
 	s.tokens++
 	s.text.WriteString(t.Text)
--- a/caller/endless_test.go
+++ b/caller/endless_test.go
@@ -12,8 +12,56 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/infra/standin/endless"
 )
 
+const (
+	// callTimeout is the deadline of a request.
+	callTimeout = 500 * time.Millisecond
+	// timeMargin is what a request may take beyond it on a loaded machine.
+	timeMargin = 2 * time.Second
+)
+
+// newEndlessClient returns a client whose only entry follows the script. It knows
+// the address, so that its first request is the one under test.
+func newEndlessClient(t *testing.T, script endless.Script) (*Client, *endless.Server) {
+	server := endless.Start(t, script)
+	c := New(Options{Entries: []string{server.URL}})
+	t.Cleanup(c.Close)
+	c.addresses.store([]string{server.URL}, time.Hour)
+	c.operations.notBefore.Store(time.Now().Add(time.Hour).UnixNano())
+	return c, server
+}
+
+// Guards against a stream without end that is buffered completely, or whose
+// tokens are passed on beyond the limit of the request.
+func TestStreamWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	for name, script := range map[string]endless.Script{
+		"line":          {Prefix: head + tokens(0, 1) + "data: ", Unit: endless.Garbage},
+		"line, slowly":  {Prefix: head + tokens(0, 1) + "data: ", Unit: "G", Slow: true},
+		"event":         {Prefix: head + tokens(0, 1), Unit: "data: " + endless.Garbage + "\n"},
+		"comments":      {Prefix: head + tokens(0, 1), Unit: ": wait\n\n", Slow: true},
+		"comment lines": {Prefix: head + tokens(0, 1), Unit: ": wait\n"},
+		"no JSON":       {Prefix: head + tokens(0, 1), Unit: "data: " + endless.Garbage + "\n\n"},
+		"no event":      {Prefix: head + tokens(0, 1), Unit: endless.Garbage + "\n\n"},
+		"old tokens":    {Prefix: head + tokens(0, 1), Unit: tokens(0, 1)},
+		"tokens":        {Prefix: head + tokens(0, 50000), Unit: " "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, server := newEndlessClient(t, script)
+			received := 0
+			start := time.Now()
+			_, err := c.Complete(t.Context(), CompleteRequest{Model: "m", MaxTokens: 5, Deadline: callTimeout}, func(Token) error { received++; return nil })
+			require.Error(t, err)
+			require.Less(t, time.Since(start), callTimeout+timeMargin)
+			require.LessOrEqual(t, received, 5)
+			server.RequireClosed(t)
+		})
+	}
+}
+
 // Guards against a response over the limit that is cut off there and returned as
 // complete.
 func TestCallWithLongResponse(t *testing.T) {
