caller: limit the head of a response to 64 KB

What was seen: an entry whose status line, headers or informational responses never end had each attempt read 10 MB, and an idempotent request makes several.

Fix: MaxResponseHeaderBytes.

--- a/caller/client.go
+++ b/caller/client.go
@@ -29,6 +29,9 @@
 	noDataTimeout = 35 * time.Second
 	// maxErrorBytes limits the body of an error.
 	maxErrorBytes = 64 << 10
+	// maxHeadBytes limits the head of a response. Heads are below 1 KB; the default
+	// of net/http is 10 MB.
+	maxHeadBytes = 64 << 10
 )
 
 // Options are the options of a Client.
@@ -62,6 +65,8 @@
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
 			Protocols:           protocols,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}
 	}
 	return &Client{
--- a/caller/endless_test.go
+++ b/caller/endless_test.go
@@ -1,8 +1,10 @@
 package caller
 
 import (
+	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -33,6 +35,69 @@
 	return c, server
 }
 
+// Guards against an entry whose response never ends: a request must fail by its
+// deadline, without using up the memory, and a call that may run once must be
+// sent once and never count as not run.
+func TestResponseWithoutEnd(t *testing.T) {
+	scripts := endless.Heads()
+	maps.Copy(scripts, endless.Bodies("200 OK", "{}"))
+	for name, script := range endless.Bodies("503 Full", `{"kind":`) {
+		scripts["503: "+name] = script
+	}
+	calls := map[string]func(context.Context, *Client) error{
+		"call": func(ctx context.Context, c *Client) error {
+			_, err := c.Call(ctx, CallRequest{Backend: "b", Operation: "o", Deadline: callTimeout})
+			return err
+		},
+		"complete": func(ctx context.Context, c *Client) error {
+			_, err := c.Complete(ctx, CompleteRequest{Model: "m", Deadline: callTimeout}, func(Token) error { return nil })
+			return err
+		},
+	}
+	for name, script := range scripts {
+		limit := int64(maxResponseBytes)
+		if _, ok := endless.Heads()[name]; ok {
+			limit = maxHeadBytes
+		}
+		for callName, call := range calls {
+			t.Run(callName+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				c, server := newEndlessClient(t, script)
+				start := time.Now()
+				err := call(t.Context(), c)
+				require.Error(t, err)
+				require.Less(t, time.Since(start), callTimeout+timeMargin)
+				server.RequireClosed(t)
+				if callName == "call" {
+					require.NotEqual(t, errkind.NotRun, didRun(err), "%v", err)
+					require.EqualValues(t, 1, server.Requests())
+				}
+				require.LessOrEqual(t, server.Sent(), server.Requests()*(limit+endless.KernelBuffers))
+			})
+		}
+	}
+}
+
+// Guards against an address list that never ends: the client must go on with the
+// addresses that it knows.
+func TestAddressesWithoutEnd(t *testing.T) {
+	scripts := endless.Heads()
+	maps.Copy(scripts, endless.Bodies("200 OK", `{"addresses":[{"url":"http://127.0.0.1:1"}],"ttl_ms":1000}`))
+	for name, script := range scripts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := endless.Start(t, script)
+			c := New(Options{Entries: []string{server.URL}})
+			defer c.Close()
+			start := time.Now()
+			require.Equal(t, []string{server.URL}, c.rankedAddresses(t.Context()))
+			require.Less(t, time.Since(start), addressTimeout+timeMargin)
+			server.RequireClosed(t)
+			require.LessOrEqual(t, server.Sent(), int64(maxAddressResponseBytes+endless.KernelBuffers))
+		})
+	}
+}
+
 // Guards against a stream without end that is buffered completely, or whose
 // tokens are passed on beyond the limit of the request.
 func TestStreamWithoutEnd(t *testing.T) {
