infra: limit the heads of responses to 64 KB

What was seen: a key-value store, instance list or weight store that sends a status line, a header or informational responses without end had each call read 10 MB, and allocate 63 to 98 MB meanwhile.

Fix: MaxResponseHeaderBytes in the three clients.

Evidence: TestStoreResponseWithoutEnd, TestWatchWithoutEnd, TestInstanceListWithoutEnd and TestWeightsWithoutEnd failed before for these scripts. They show what was already right: bodies and messages of a watch are limited, calls end by their timeout, the outcome of a write is unknown, and connections are closed. A watch whose message arrives slowly and without end stays open, by design: the entry also polls the head of the configuration.

The stand-in no longer allocates memory for each write, which had counted as the client's.

--- a/infra/instancehttp/client.go
+++ b/infra/instancehttp/client.go
@@ -15,6 +15,9 @@
 	defaultTimeout = time.Second
 	// defaultMaxResponse is enough for over 50,000 rows of about 150 bytes.
 	defaultMaxResponse = 8 << 20
+	// maxHeadBytes limits the head of a response. Heads are below 1 KB; the default
+	// of net/http is 10 MB.
+	maxHeadBytes = 64 << 10
 )
 
 // Client implements infra.InstanceList.
@@ -40,7 +43,9 @@
 func New(url string, opts ...Option) *Client {
 	c := &Client{
 		url: url, timeout: defaultTimeout, maxResponse: defaultMaxResponse,
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
+		http: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes,
+		}},
 	}
 	for _, o := range opts {
 		o(c)
--- a/infra/kvhttp/client.go
+++ b/infra/kvhttp/client.go
@@ -24,6 +24,9 @@
 	// defaultMaxResponse is well above the size of a list of all configuration
 	// parts. A larger response is an error of the store.
 	defaultMaxResponse = 32 << 20
+	// maxHeadBytes limits the head of a response. Heads are below 1 KB; the default
+	// of net/http is 10 MB.
+	maxHeadBytes = 64 << 10
 	// TCP keep-alive. If the server becomes unreachable without closing the
 	// connection, a watch ends after
 	// keepAliveIdle + keepAliveCount * keepAliveInterval.
@@ -59,7 +62,10 @@
 	c := &Client{
 		base: strings.TrimSuffix(baseURL, "/"), timeout: defaultTimeout, maxResponse: defaultMaxResponse,
 		http: &http.Client{
-			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute},
+			Transport: &http.Transport{
+				DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
+				MaxResponseHeaderBytes: maxHeadBytes,
+			},
 			// A 307 or 308 would make net/http send a write twice.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/infra/standin/endless/endless.go
+++ b/infra/standin/endless/endless.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -121,16 +122,16 @@
 	defer s.open.Add(-1)
 	_, _ = io.Copy(io.Discard, req.Body)
 	s.requests.Add(1)
-	unit := s.script.Unit
+	unit := []byte(s.script.Unit)
 	if !s.script.Slow {
-		unit = strings.Repeat(unit, max(1, floodUnit/len(unit)))
+		unit = bytes.Repeat(unit, max(1, floodUnit/len(unit)))
 	}
-	n, err := io.WriteString(c, s.script.Prefix)
+	n, err := c.Write([]byte(s.script.Prefix))
 	for sent := n; err == nil; sent += n {
 		if s.script.Slow || sent > maxFlood {
 			time.Sleep(slowPause)
 		}
-		n, err = io.WriteString(c, unit)
+		n, err = c.Write(unit)
 	}
 }
 
--- a/infra/weighthttp/client.go
+++ b/infra/weighthttp/client.go
@@ -23,6 +23,9 @@
 	defaultRetryAfter = time.Second
 	// maxRetryAfter prevents a wrong header from stopping fetches for good.
 	maxRetryAfter = time.Hour
+	// maxHeadBytes limits the head of a response. Heads are below 1 KB; the default
+	// of net/http is 10 MB.
+	maxHeadBytes = 64 << 10
 )
 
 // Client implements infra.WeightStore.
@@ -43,7 +46,10 @@
 
 // New returns a client of the store at baseURL.
 func New(baseURL string, opts ...Option) *Client {
-	t := &http.Transport{ResponseHeaderTimeout: defaultHeaderTimeout, IdleConnTimeout: time.Minute, DisableCompression: true}
+	t := &http.Transport{
+		ResponseHeaderTimeout: defaultHeaderTimeout, IdleConnTimeout: time.Minute, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
 	for _, o := range opts {
 		o(t)
 	}
