infra/kvhttp: a response must be complete

What was seen: a response that broke off, or was followed by other bytes, was accepted once its first JSON value had arrived: a commit counted as done although less than its Content-Length had arrived.

Cause: call decoded one value and did not read to the end of the body.

Fix: nothing but blanks may follow the value, up to the end of the body. Otherwise the outcome of a write is unknown. Only the response to a keepalive is a stream, of which the first message counts.

Evidence: TestStoreResponseWithoutEnd, cases "body", "body, slowly", "body of garbage" and "body shorter than its length" of get, list, grant, revoke and commit, failed before (no error).

--- a/infra/kvhttp/client.go
+++ b/infra/kvhttp/client.go
@@ -99,7 +99,8 @@
 	return resp, gotConnection.Load(), err
 }
 
-// call sends one request and decodes the first JSON value of the response.
+// call sends one request and decodes the response, which must consist of one JSON
+// value. Only that of a keepalive is a stream, of which the first message counts.
 func (c *Client) call(ctx context.Context, path string, isWrite bool, body, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
@@ -112,12 +113,31 @@
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp.StatusCode, limited, path, isWrite)
 	}
-	if err := json.NewDecoder(limited).Decode(into); err != nil {
+	dec := json.NewDecoder(limited)
+	err = dec.Decode(into)
+	if err == nil && path != gateway.PathKeepAlive {
+		err = requireEnd(dec)
+	}
+	if err != nil {
 		return callError(errors.Wrap(err, "read response"), path, isWrite, true)
 	}
 	return nil
 }
 
+// requireEnd returns an error unless nothing but blanks follows in a complete
+// response.
+func requireEnd(dec *json.Decoder) error {
+	token, err := dec.Token()
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil:
+		return errors.Errorf("token %v after the response", token)
+	default:
+		return err
+	}
+}
+
 // callError returns the error of a call without a usable response. Only a call
 // that never got a connection is known not to have run.
 func callError(err error, path string, isWrite, mayBeSent bool) error {
