ctl/client: limit heads and error texts, report long responses

What operators saw: a command whose entry sent a head without end allocated 52 to 84 MB; a response over 64 MB was reported as malformed, or taken for complete if blanks followed it; and an error page was printed as it was, with all its control characters and up to 64 MB.

Fix: heads are limited to 64 KB, a longer body is an error, and 256 bytes of an error page are quoted. The proxy of the environment applies as before.

Already right: slow bodies, chunk sizes, chunk extensions and trailers without end end with the timeout, and the connection is closed.

--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -16,11 +16,18 @@
 	"github.com/skylarkstep/skylarkstep/timeline"
 )
 
-// maxResponseBytes limits the size of a response body.
-const maxResponseBytes = 64 << 20
-
-// requestTimeout limits one request to one entry.
-const requestTimeout = 10 * time.Second
+const (
+	// maxResponseBytes limits the size of a response body.
+	maxResponseBytes = 64 << 20
+	// maxHeadBytes limits the head of a response. Heads are below 1 KB; the default
+	// of net/http is 10 MB.
+	maxHeadBytes = 64 << 10
+	// requestTimeout limits one request to one entry.
+	requestTimeout = 10 * time.Second
+	// maxErrorText limits the text of an error response that is not an error of the
+	// API, in bytes.
+	maxErrorText = 256
+)
 
 // Client sends requests to the entries of a deployment with the token of an
 // operator.
@@ -32,7 +39,9 @@
 
 // New returns a client for entries with the given base URLs.
 func New(entries []string, token string) *Client {
-	return &Client{Entries: entries, Token: token, HTTP: &http.Client{Timeout: requestTimeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone() // with the proxy of the environment
+	transport.MaxResponseHeaderBytes = maxHeadBytes
+	return &Client{Entries: entries, Token: token, HTTP: &http.Client{Timeout: requestTimeout, Transport: transport}}
 }
 
 // Request is one request to an entry.
@@ -84,10 +93,13 @@
 		return errkind.Wrap(err, errkind.TargetUnreachable, "entry %s does not answer", entry)
 	}
 	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	if err != nil {
 		return errkind.Wrap(err, errkind.TargetUnreachable, "read the response of entry %s", entry)
 	}
+	if len(data) > maxResponseBytes {
+		return errkind.New(errkind.Internal, "the response of entry %s exceeds %d bytes", entry, maxResponseBytes)
+	}
 	if res.StatusCode >= http.StatusBadRequest {
 		return decodeError(res.StatusCode, data)
 	}
@@ -98,14 +110,15 @@
 }
 
 // decodeError returns the error that a response body holds. A body that is not
-// an error of the API gives an internal error with the status and the body.
+// an error of the API gives an internal error with the status and the begin of the
+// body, quoted because it may contain control characters of a terminal.
 func decodeError(status int, data []byte) error {
 	var body struct {
 		httpapi.ErrorResponse
 		Detail json.RawMessage `json:"detail"`
 	}
 	if err := json.Unmarshal(data, &body); err != nil {
-		return errkind.New(errkind.Internal, "status %d: %s", status, bytes.TrimSpace(data))
+		return errkind.New(errkind.Internal, "status %d: %q", status, data[:min(len(data), maxErrorText)])
 	}
 	kind, ok := errkind.ParseKind(body.Kind)
 	if !ok {
