ctl/load: do not buffer responses without end

What was seen: a load whose entry sent a body without end buffered it until the deadline of the request (166 MB allocated in half a second), once per request.

Cause: io.ReadAll of responses and errors without a limit.

Fix: bodies are read and discarded, errors are limited to 64 KB and heads to 64 KB.

Evidence: TestResponseWithoutEnd failed before for heads, bodies and chunks that arrive fast. Already right: no such response counts as complete or as not run, and streams whose lines, events or comments never end are interrupted.

--- a/ctl/load/sender.go
+++ b/ctl/load/sender.go
@@ -14,6 +14,14 @@
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 )
 
+const (
+	// maxErrorBytes limits the body of an error.
+	maxErrorBytes = 64 << 10
+	// maxHeadBytes limits the head of a response. Heads are below 1 KB; the default
+	// of net/http is 10 MB.
+	maxHeadBytes = 64 << 10
+)
+
 // result is how a request ended, as seen by its caller.
 type result string
 
@@ -52,8 +60,9 @@
 		entries: entries,
 		key:     key,
 		http: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 512,
-			IdleConnTimeout:     30 * time.Second,
+			MaxIdleConnsPerHost:    512,
+			IdleConnTimeout:        30 * time.Second,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}},
 	}
 }
@@ -124,12 +133,12 @@
 // readResponse reads the response and records the result in o.
 func (s *sender) readResponse(a arrival, res *http.Response, o *outcome) {
 	if res.StatusCode >= http.StatusBadRequest {
-		data, _ := io.ReadAll(res.Body)
+		data, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
 		o.recordError(data)
 		return
 	}
 	if a.flow.Model == "" {
-		_, err := io.ReadAll(res.Body)
+		_, err := io.Copy(io.Discard, res.Body)
 		o.firstByteLatency = time.Since(s.start) - a.at
 		if err != nil {
 			o.result, o.errorKind = resultInterrupted, "cut"
