wire: test bytes without end from a peer

They were already handled: a handshake without end fails at its limit of 4 KB or after 5 s, frames that are not yamux's or exceed a window end the session, and a message without end fails at the read deadline, which no byte extends.

--- a/wire/session_test.go
+++ b/wire/session_test.go
@@ -66,6 +66,12 @@
 			_, _ = c.Write([]byte("GET / HTTP/1.1\r\nHost: peer\r\n\r\n" + string(make([]byte, 100))))
 		},
 			errkind.TargetUnreachable, 0},
+		"garbage without end": {func(c net.Conn) { sendForever(c, bytes.Repeat([]byte("G"), 1<<10), 0) }, errkind.TargetUnreachable, 0},
+		"length without end":  {func(c net.Conn) { sendForever(c, []byte{0xff}, 0) }, errkind.TargetUnreachable, 0},
+		"message without end": {func(c net.Conn) {
+			_, _ = c.Write([]byte{0x80, 0x20})
+			sendForever(c, []byte{'x'}, 100*time.Millisecond)
+		}, errkind.TargetUnreachable, handshakeTimeout},
 		"length over the limit": {func(c net.Conn) { _, _ = c.Write([]byte{0x81, 0x80, 0x40}) }, errkind.TargetUnreachable, 0},
 		"closed":                {func(c net.Conn) { _ = c.Close() }, errkind.TargetUnreachable, 0},
 		"other version":         {func(c net.Conn) { _ = WriteMsg(c, otherVersion); discardInput(c) }, errkind.ProtocolMismatch, 0},
@@ -78,18 +84,31 @@
 			inBubble(t, func(t *testing.T) {
 				near, far := net.Pipe()
 				defer func() { _ = near.Close() }()
-				go tc.play(near)
+				played := make(chan struct{})
+				go func() {
+					defer close(played)
+					tc.play(near)
+				}()
 				start := time.Now()
 				_, err := Server(far, testKey, &wirepb.Hello{Instance: "server"})
 				assert.Equal(t, tc.kind, errkind.KindOf(err), "%v", err)
 				assert.Equal(t, tc.took, time.Since(start))
 				_, err = far.Write([]byte{0})
 				assert.Error(t, err, "the connection is still open")
+				_ = near.Close()
+				<-played
 			})
 		})
 	}
 }
 
+// sendForever writes bytes again and again until the connection is closed.
+func sendForever(c net.Conn, p []byte, pause time.Duration) {
+	for _, err := c.Write(p); err == nil; _, err = c.Write(p) {
+		time.Sleep(pause)
+	}
+}
+
 func discardInput(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
 
 // reflectProof plays a peer that sends a MAC over the server's own nonce without
@@ -120,6 +139,69 @@
 	})
 }
 
+// Guards against a peer that sends bytes without end after the handshake: the
+// session must end and close the connection.
+func TestBytesAfterHandshake(t *testing.T) {
+	// A frame of yamux begins with version, type and flags (2), and the ids of the
+	// stream and the length (4 each).
+	frames := map[string][]byte{
+		"no frame":                 bytes.Repeat([]byte("GARBAGE"), 100),
+		"data without end":         {0, 0, 0, 1, 0, 0, 0, 1, 0xff, 0xff, 0xff, 0xff, 'x', 'x'},
+		"data over the window":     {0, 0, 0, 0, 0, 0, 0, 1, 0, 0x10, 0, 0},
+		"the same stream again":    {0, 1, 0, 1, 0, 0, 0, 1, 0, 0, 0, 0},
+		"unknown type of a frame":  {0, 9, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0},
+		"goaway with unknown code": {0, 3, 0, 0, 0, 0, 0, 0, 0, 0, 0, 9},
+	}
+	for name, frame := range frames {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				stopped := make(chan struct{})
+				go func() {
+					defer close(stopped)
+					_, err := handshake(near, testKey, &wirepb.Hello{}, true, time.Now().Add(handshakeTimeout))
+					assert.NoError(t, err)
+					go discardInput(near)
+					_, _ = near.Write([]byte{0, 1, 0, 1, 0, 0, 0, 1, 0, 0, 0, 0}) // opens the control stream
+					sendForever(near, frame, time.Millisecond)
+				}()
+				// The frames may arrive before the control stream is accepted.
+				if s, err := Server(far, testKey, &wirepb.Hello{}); err == nil {
+					require.Error(t, s.Control().Recv(&wirepb.Control{}))
+					<-s.Done()
+				}
+				<-stopped
+			})
+		})
+	}
+}
+
+// Guards against a message that never ends on an open session: it must fail at the
+// read deadline, which no byte extends.
+func TestMessageWithoutEnd(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		client, server := newSessionPair(t, near, far)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			raw := client.control.raw
+			_, err := raw.Write([]byte{0x80, 0x80, 0x40}) // a message of 1 MB
+			for err == nil {
+				time.Sleep(10 * time.Millisecond)
+				_, err = raw.Write([]byte{'x'})
+			}
+		}()
+		start := time.Now()
+		require.NoError(t, server.Control().SetReadDeadline(start.Add(time.Second)))
+		require.Error(t, server.Control().Recv(&wirepb.Control{}))
+		require.Equal(t, time.Second, time.Since(start))
+		require.NoError(t, server.Close())
+		require.NoError(t, client.Close())
+		<-stopped
+	})
+}
+
 // forwardUntil forwards bytes until stop is closed. Then it discards them, like a
 // network whose other end has become unreachable.
 func forwardUntil(from, to net.Conn, stop <-chan struct{}) {
