gateway: a caller that disconnects does not make its target a failing one

What was seen: if callers disconnected while they received a response, its target's failure rate rose (0.15 per request), and other requests avoided it.

Cause: an interrupted body was recorded as a failure of the target, also if the gateway itself had closed the connection because the caller had left. An interrupted head was not.

Fix: it is not recorded if the context was cancelled by the caller. A deadline, or another attempt that was faster although it began 0.7 s later, still counts: a target whose body never ends must not get further requests as before.

Evidence: TestCancelledAttempt/caller_disconnects failed before (0.15 instead of 0).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -198,12 +198,16 @@
 	}
 }
 
+// errOvertaken is the cause with which an attempt is cancelled after the request
+// has got its response from another one.
+var errOvertaken = errors.New("another attempt was faster")
+
 // serveCall serves a request with a single response. If the first target of an
 // idempotent request does not respond for hedgeDelay, the request is also sent
 // to a second target.
 func (x *exchange) serveCall(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(errOvertaken)
 	results := make(chan attemptResult, 2*x.route.MaxAttempts+1)
 	running := 0
 	startAttempt := func() error {
@@ -268,7 +272,7 @@
 	startedAt := time.Now()
 	res := x.send(ctx, t, "")
 	if res.verdict == succeeded || res.verdict == failed {
-		res = readResponseBody(res)
+		res = readResponseBody(ctx, res)
 	}
 	q := x.g.queues.forBackend(x.backend)
 	slotTime := time.Since(startedAt)
@@ -284,7 +288,7 @@
 // readResponseBody reads the body of a response, up to maxBufferedBytes. A
 // redirect or error response whose body is longer or does not end in time counts
 // as lost.
-func readResponseBody(res attemptResult) attemptResult {
+func readResponseBody(ctx context.Context, res attemptResult) attemptResult {
 	isShort := res.resp.StatusCode >= http.StatusMultipleChoices
 	if isShort {
 		res.resp.LimitReading(failureBodyTimeout)
@@ -296,7 +300,9 @@
 	switch {
 	case err != nil:
 		res.resp.Close()
-		res.target.recordOutcome(true)
+		if !errors.Is(context.Cause(ctx), context.Canceled) { // the caller is still there
+			res.target.recordOutcome(true)
+		}
 		return attemptResult{verdict: lost, target: res.target, err: errors.Wrapf(err, "response of target %s was interrupted", res.target.ID)}
 	case len(body) > maxBufferedBytes:
 		res.truncated = true
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -235,3 +235,33 @@
 	startedStream := streamProgress{sentAt: pendingStream.sentAt, lastEventAt: now.Add(-2 * time.Second)}
 	require.True(t, x.isStalled(target, startedStream, now), "other streams of the target continue")
 }
+
+// Guards against targets that count as failing because callers disconnect while
+// they receive a response. A target that has begun a response and is overtaken by
+// one that got the request 0.7 s later does count as failing.
+func TestCancelledAttempt(t *testing.T) {
+	begin := func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 10\r\n\r\nbegin", r.Header.Get("X-Id"))
+	}
+	t.Run("caller disconnects", func(t *testing.T) {
+		fake := startFakeTarget(t, "r", begin)
+		g := newDeployment(t, config(), fake).start("g1")
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan response)
+		go func() { done <- g.request(ctx, http.MethodPost, "/book/1", "") }()
+		require.Eventually(t, func() bool { return fake.requests.Load() == 1 }, time.Second, time.Millisecond)
+		time.Sleep(50 * time.Millisecond) // the head arrives
+		cancel()
+		require.Error(t, (<-done).err)
+		fake.requireClosed(t)
+		require.Eventually(t, func() bool { return g.target("r").ownRequests.Load() == 0 }, time.Second, time.Millisecond)
+		require.Zero(t, g.target("r").currentFailureRate())
+	})
+	t.Run("another target responds first", func(t *testing.T) {
+		g, slow, _ := startBadAndGood(t, begin, goodEvent)
+		require.Equal(t, goodEvent, g.request(t.Context(), http.MethodPost, "/read/1", "").body)
+		slow.requireClosed(t)
+		require.Eventually(t, func() bool { return g.target("bad").ownRequests.Load() == 0 }, time.Second, time.Millisecond)
+		require.Positive(t, g.target("bad").currentFailureRate())
+	})
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -78,7 +78,7 @@
 		res.resp.Close()
 		res.verdict, res.err = lost, errors.Errorf("target %s resumed a stream with status %d", t.ID, res.resp.StatusCode)
 	case res.verdict == succeeded || res.verdict == failed:
-		res = readResponseBody(res)
+		res = readResponseBody(ctx, res)
 	}
 	x.recordAttempt(res)
 	x.eventCount = events.Events()
