--- a/infra/internal/gateway/gateway.go
+++ b/infra/internal/gateway/gateway.go
@@ -39,6 +39,8 @@
 // Header is part of every response.
 type Header struct {
 	Revision int64 `json:"revision,string,omitempty"`
+	// Era is the era in which the stand-in responded. etcd has no eras.
+	Era int64 `json:"-"`
 }
 
 // KeyValue is one stored key with its value.
@@ -185,7 +187,7 @@
 		r.Compare = append(r.Compare, Compare{Result: "EQUAL", Target: "MOD", Key: []byte(c.Key), ModRevision: c.ModRevision})
 	}
 	for _, p := range t.Puts {
-		r.Success = append(r.Success, RequestOp{Put: &PutRequest{Key: []byte(p.Key), Value: p.Value, Lease: int64(p.Lease)}})
+		r.Success = append(r.Success, RequestOp{Put: &PutRequest{Key: []byte(p.Key), Value: p.Value, Lease: p.Lease.Number}})
 	}
 	for _, d := range t.Deletes {
 		r.Success = append(r.Success, RequestOp{Delete: &DeleteRequest{Key: []byte(d)}})
@@ -197,7 +199,7 @@
 func (k KeyValue) Item() infra.Item {
 	return infra.Item{
 		Key: string(k.Key), Value: k.Value, CreateRevision: k.CreateRevision,
-		ModRevision: k.ModRevision, Lease: infra.LeaseID(k.Lease),
+		ModRevision: k.ModRevision, Lease: infra.LeaseID{Number: k.Lease},
 	}
 }
 
