--- a/infra/endless_test.go
+++ b/infra/endless_test.go
@@ -61,11 +61,14 @@
 		scripts["503: "+name] = script
 	}
 	for name, call := range map[string]func(context.Context, infra.KV) error{
-		"get":        func(ctx context.Context, kv infra.KV) error { _, _, err := kv.Get(ctx, "k"); return err },
-		"list":       func(ctx context.Context, kv infra.KV) error { _, _, err := kv.List(ctx, "k"); return err },
-		"grant":      func(ctx context.Context, kv infra.KV) error { _, err := kv.Grant(ctx, time.Second); return err },
-		"keep alive": func(ctx context.Context, kv infra.KV) error { _, err := kv.KeepAlive(ctx, infra.LeaseID{Number: 1}); return err },
-		"revoke":     func(ctx context.Context, kv infra.KV) error { return kv.Revoke(ctx, infra.LeaseID{Number: 1}) },
+		"get":   func(ctx context.Context, kv infra.KV) error { _, _, err := kv.Get(ctx, "k"); return err },
+		"list":  func(ctx context.Context, kv infra.KV) error { _, _, err := kv.List(ctx, "k"); return err },
+		"grant": func(ctx context.Context, kv infra.KV) error { _, err := kv.Grant(ctx, time.Second); return err },
+		"keep alive": func(ctx context.Context, kv infra.KV) error {
+			_, err := kv.KeepAlive(ctx, infra.LeaseID{Number: 1})
+			return err
+		},
+		"revoke": func(ctx context.Context, kv infra.KV) error { return kv.Revoke(ctx, infra.LeaseID{Number: 1}) },
 		"commit": func(ctx context.Context, kv infra.KV) error {
 			_, err := kv.Commit(ctx, putTxn("k", "v", 0))
 			if err != nil {
