--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -206,6 +206,33 @@
 	require.NoError(d.t, err)
 }
 
+// processListener closes all of its connections when the process of a gateway
+// would exit, as the operating system does.
+type processListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *processListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, c)
+	return c, nil
+}
+
+func (l *processListener) exit() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		_ = c.Close()
+	}
+}
+
 // instance is a running gateway with its own access to the store.
 type instance struct {
 	*Gateway
@@ -215,6 +242,13 @@
 }
 
 func (d *deployment) start(id string) *instance {
+	i := d.launch(id)
+	require.Eventually(d.t, func() bool { return i.Ready() == nil }, 3*time.Second, 5*time.Millisecond)
+	return i
+}
+
+// launch starts a gateway and does not wait until it is ready.
+func (d *deployment) launch(id string) *instance {
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(d.t, err)
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
@@ -222,16 +256,24 @@
 	kv := &faultyKV{KV: d.kv.Direct()}
 	g := New(Options{
 		Instance: id, DataCentre: "dc1", Region: "r1", Regions: map[string]string{"dc1": "r1"},
-		CallerAddr: callers.Addr().String(), PeerAddr: peers.Addr().String(), StopTimeout: d.stopTimeout, AddressTTL: time.Second,
-		Limits: Limits{MaxIsolatedStaleness: 6 * time.Second, Retries: routing.RetryLimits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}},
+		CallerAddr: callers.Addr().String(), PeerAddr: peers.Addr().String(), AddressTTL: time.Second,
+		Limits: Limits{MaxIsolatedStaleness: 6 * time.Second, StopTimeout: d.stopTimeout, Retries: routing.RetryLimits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}},
 		KV:     kv, ItemDecoder: testDecoder{}, Headers: testHeaders{}, Log: d.logger, Registry: metrics.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { _ = g.Run(ctx, Listeners{Callers: callers, Peers: peers}) })
+	process := &processListener{Listener: callers}
+	running.Go(func() {
+		defer process.exit()
+		_ = g.Run(ctx, Listeners{Callers: process, Peers: peers})
+	})
 	stop := sync.OnceFunc(func() { cancel(); running.Wait() })
-	d.t.Cleanup(func() { g.refusing.Store(true); stop() })
-	require.Eventually(d.t, func() bool { return g.Ready() == nil }, 3*time.Second, 5*time.Millisecond)
+	d.t.Cleanup(func() {
+		if !g.isLeaving() {
+			_ = callers.Close() // ends Run without the waits of a planned stop
+		}
+		stop()
+	})
 	return &instance{Gateway: g, url: "http://" + callers.Addr().String(), kv: kv, stop: stop}
 }
 
@@ -279,7 +321,16 @@
 	}
 	defer func() { _ = httpResp.Body.Close() }()
 	body, err := io.ReadAll(httpResp.Body)
-	return response{httpResp.StatusCode, httpResp.Header, string(body), err}
+	return response{httpResp.StatusCode, headerWithClose(httpResp), string(body), err}
+}
+
+// headerWithClose returns the header of a response with "Connection: close",
+// which net/http removes when it reads the response.
+func headerWithClose(resp *http.Response) http.Header {
+	if resp.Close {
+		resp.Header.Set("Connection", "close")
+	}
+	return resp.Header
 }
 
 // target returns the state of the instance for a target.
