--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -25,8 +25,8 @@
 	// that follows.
 	copyBufferSize = 32 << 10
 	// failureBodyTimeout limits the time for the body of a redirect or an error
-	// response. It is shorter than hedgeDelay, so that the attempt counts as failed before it may
-	// be cancelled.
+	// response. It is shorter than hedgeDelay, so that the attempt counts as
+	// failed before it may be cancelled.
 	failureBodyTimeout = 500 * time.Millisecond
 	// hedgeDelay is how long an idempotent call may remain without a response
 	// before it is also sent to a second target.
