--- a/engine/openai/client.go
+++ b/engine/openai/client.go
@@ -28,7 +28,6 @@
 	// transport can reuse the connection only if the body was read to its end.
 	drainTimeout   = 100 * time.Millisecond
 	maxDrainBytes  = 4 << 10
-	maxErrorBytes  = 4 << 10
 	maxReportBytes = 4 << 20
 	maxCacheBytes  = 32 << 20
 )
@@ -58,6 +57,8 @@
 				IdleConnTimeout:     idleTimeout,
 				DisableCompression:  true,
 				Protocols:           protocols,
+
+				MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
@@ -115,7 +116,7 @@
 		return engine.Finish{}, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	finish, err := readStream(ctx, res.Body, g.ResumeOffset, emit)
+	finish, err := readStream(ctx, res.Body, g.ResumeOffset, limitTokens(g.MaxTokens, emit))
 	var e emitError
 	if errors.As(err, &e) {
 		return engine.Finish{}, e.error
@@ -128,6 +129,20 @@
 	return finish, err
 }
 
+// limitTokens returns a function that fails for a token beyond the limit of the
+// request, which is zero if there is none.
+func limitTokens(limit int, emit func(engine.Token) error) func(engine.Token) error {
+	if limit == 0 {
+		return emit
+	}
+	return func(t engine.Token) error {
+		if t.Offset >= limit {
+			return errkind.New(errkind.BackendFailed, "engine generated more than %d tokens", limit)
+		}
+		return emit(t)
+	}
+}
+
 // send sends a request. It returns the response if its status is 200 or 204, and an
 // error for any other status.
 func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
@@ -151,8 +166,12 @@
 
 // statusError maps the status of a response to an error kind.
 func statusError(res *http.Response) error {
-	text, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
-	engineError := gjson.GetBytes(text, "error")
+	body := httpcall.ReadError(res)
+	engineError := gjson.GetBytes(body, "error")
+	text := errorMessage(engineError)
+	if text == "" {
+		text = httpcall.ErrorText(body)
+	}
 	kind := errkind.BackendFailed
 	switch {
 	case res.StatusCode == http.StatusServiceUnavailable && engineError.Get("code").String() == codeOverwhelmed:
@@ -166,7 +185,7 @@
 	case res.StatusCode >= 400 && res.StatusCode < 500:
 		kind = errkind.InvalidRequest
 	}
-	return errkind.New(kind, "engine returned status %d: %s", res.StatusCode, errorMessage(engineError)).
+	return errkind.New(kind, "engine returned status %d: %s", res.StatusCode, text).
 		WithRetryAfter(httpcall.RetryAfter(res.Header))
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,6 +21,13 @@
 	// completely before it is forwarded, so that the request can be retried if
 	// the response is interrupted.
 	maxBufferedBytes = 1 << 20
+	// copyBufferSize is the size in bytes of the buffer for the part of a response
+	// that follows.
+	copyBufferSize = 32 << 10
+	// failureBodyTimeout limits the time for the body of a redirect or an error
+	// response. It is shorter than hedgeDelay, so that the attempt counts as
+	// failed before it may be cancelled.
+	failureBodyTimeout = 500 * time.Millisecond
 	// hedgeDelay is how long an idempotent call may remain without a response
 	// before it is also sent to a second target.
 	hedgeDelay = 700 * time.Millisecond
@@ -116,11 +123,15 @@
 	return res
 }
 
-// maxDrainBytes limits how much of a refusal is read in order to keep the
-// connection.
-const maxDrainBytes = 16 << 10
+// maxDrainBytes and drainTimeout limit the reading of a refusal's body, which
+// only serves to keep the connection. The request waits for it.
+const (
+	maxDrainBytes = 16 << 10
+	drainTimeout  = 50 * time.Millisecond
+)
 
 func drainBody(resp *upstream.Response) {
+	resp.LimitReading(drainTimeout)
 	if _, err := io.CopyN(io.Discard, resp.Body, maxDrainBytes); errors.Is(err, io.EOF) {
 		resp.Finish()
 		return
@@ -187,12 +198,16 @@
 	}
 }
 
+// errOvertaken is the cause with which an attempt is cancelled after the request
+// has got its response from another one.
+var errOvertaken = errors.New("another attempt was faster")
+
 // serveCall serves a request with a single response. If the first target of an
 // idempotent request does not respond for hedgeDelay, the request is also sent
 // to a second target.
 func (x *exchange) serveCall(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(errOvertaken)
 	results := make(chan attemptResult, 2*x.route.MaxAttempts+1)
 	running := 0
 	startAttempt := func() error {
@@ -257,7 +272,7 @@
 	startedAt := time.Now()
 	res := x.send(ctx, t, "")
 	if res.verdict == succeeded || res.verdict == failed {
-		res = readResponseBody(res)
+		res = readResponseBody(ctx, res)
 	}
 	q := x.g.queues.forBackend(x.backend)
 	slotTime := time.Since(startedAt)
@@ -270,13 +285,24 @@
 	return res
 }
 
-// readResponseBody reads the body of a response, up to maxBufferedBytes.
-func readResponseBody(res attemptResult) attemptResult {
+// readResponseBody reads the body of a response, up to maxBufferedBytes. A
+// redirect or error response whose body is longer or does not end in time counts
+// as lost.
+func readResponseBody(ctx context.Context, res attemptResult) attemptResult {
+	isShort := res.resp.StatusCode >= http.StatusMultipleChoices
+	if isShort {
+		res.resp.LimitReading(failureBodyTimeout)
+	}
 	body, err := io.ReadAll(io.LimitReader(res.resp.Body, maxBufferedBytes+1))
+	if err == nil && len(body) > maxBufferedBytes && isShort {
+		err = errors.Errorf("body of a response with status %d exceeds %d bytes", res.resp.StatusCode, maxBufferedBytes)
+	}
 	switch {
 	case err != nil:
 		res.resp.Close()
-		res.target.recordOutcome(true)
+		if !errors.Is(context.Cause(ctx), context.Canceled) { // the caller is still there
+			res.target.recordOutcome(true)
+		}
 		return attemptResult{verdict: lost, target: res.target, err: errors.Wrapf(err, "response of target %s was interrupted", res.target.ID)}
 	case len(body) > maxBufferedBytes:
 		res.truncated = true
@@ -302,13 +328,32 @@
 	if !res.truncated {
 		return nil
 	}
+	return x.forwardRest(res)
+}
+
+// forwardRest streams the part of a response that was not buffered.
+func (x *exchange) forwardRest(res attemptResult) error {
 	defer res.resp.Close()
-	if _, err := io.Copy(x.w, res.resp.Body); err != nil {
-		x.lastErr = errors.Wrapf(err, "response of target %s was interrupted", res.target.ID)
-		return errkind.Wrap(errInterrupted, errkind.TargetLost, "after the buffered part of the response")
+	buf := make([]byte, copyBufferSize)
+	for {
+		n, readErr := res.resp.Body.Read(buf)
+		if n > 0 {
+			if err := x.write(buf[:n]); err != nil {
+				return errkind.Wrap(errInterrupted, errkind.Canceled, "the caller disconnected")
+			}
+		}
+		if errors.Is(readErr, io.EOF) {
+			res.resp.Finish()
+			return nil
+		}
+		if readErr != nil {
+			if x.r.Context().Err() == nil {
+				res.target.recordOutcome(true)
+			}
+			x.lastErr = errors.Wrapf(readErr, "response of target %s was interrupted", res.target.ID)
+			return errkind.Wrap(errInterrupted, errkind.TargetLost, "after the buffered part of the response")
+		}
 	}
-	res.resp.Finish()
-	return nil
 }
 
 // forwardFailure writes the error response of a target to the caller. A status
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,35 +24,31 @@
 	// all counts as unreachable, if other targets of the back end continue to
 	// send.
 	pathLossTimeout = 1300 * time.Millisecond
+	// eventTimeout limits the time from the first byte of an event to its end.
+	// Targets send an event in one write. Callers drop a stream that pauses for
+	// longer than this.
+	eventTimeout = 2 * time.Second
 )
 
 // serveStream serves a request whose response is a series of events. If the
 // target fails, the stream resumes on another target after the last complete
 // event.
 func (x *exchange) serveStream(ctx context.Context) error {
-	var events sse.Splitter
+	events := sse.Splitter{RequireIDs: x.route.Resumable}
+	var lastFailed *attemptResult
 	headerSent := false
 	for {
 		t, err := x.acquireTarget(ctx)
 		if err != nil {
-			return x.streamError(headerSent, err)
+			return x.streamFailure(headerSent, lastFailed, err)
 		}
-		startedAt := time.Now()
-		attemptCtx, cancel := context.WithCancel(ctx)
-		res := x.sendStream(attemptCtx, cancel, t, events.LastID())
-		if res.verdict == succeeded {
-			res = x.relay(attemptCtx, res, startedAt, &events, &headerSent)
+		res := x.attemptStream(ctx, t, &events, &headerSent)
+		if res.verdict == failed {
+			lastFailed = &res
 		}
-		cancel()
-		x.recordAttempt(res)
-		x.eventCount = events.Events()
-		slotTime := time.Duration(0)
-		if res.verdict == succeeded {
-			slotTime = time.Since(startedAt)
-			t.recordOutcome(false)
-		}
-		x.g.queues.forBackend(x.backend).releaseSlot(t, slotTime)
 		switch {
+		case res.verdict == succeeded && !res.hasEvents():
+			return x.forwardResponse(res)
 		case res.verdict == succeeded:
 			return nil
 		case ctx.Err() != nil:
@@ -62,17 +58,52 @@
 		case x.shouldRetry(res):
 			events.Reset()
 			x.backOff(ctx, res)
-		case res.verdict == failed && !headerSent:
-			if res = readResponseBody(res); res.verdict == failed {
-				return x.forwardFailure(res)
-			}
-			return x.attemptsFailedError()
 		default:
-			return x.streamError(headerSent, x.attemptsFailedError())
+			return x.streamFailure(headerSent, lastFailed, x.attemptsFailedError())
 		}
 	}
 }
 
+// attemptStream makes one attempt and relays its events. It releases the slot at
+// the target.
+func (x *exchange) attemptStream(ctx context.Context, t *target, events *sse.Splitter, headerSent *bool) attemptResult {
+	startedAt := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	res := x.sendStream(ctx, cancel, t, events.LastID())
+	switch {
+	case res.verdict == succeeded && res.hasEvents():
+		res = x.relay(ctx, res, startedAt, events, headerSent)
+	case res.verdict == succeeded && *headerSent:
+		res.resp.Close()
+		res.verdict, res.err = lost, errors.Errorf("target %s resumed a stream with status %d", t.ID, res.resp.StatusCode)
+	case res.verdict == succeeded || res.verdict == failed:
+		res = readResponseBody(ctx, res)
+	}
+	x.recordAttempt(res)
+	x.eventCount = events.Events()
+	slotTime := time.Duration(0)
+	if res.verdict == succeeded {
+		slotTime = time.Since(startedAt)
+		t.recordOutcome(false)
+	}
+	x.g.queues.forBackend(x.backend).releaseSlot(t, slotTime)
+	return res
+}
+
+// hasEvents reports whether the body of a response to a stream consists of
+// events. Redirects and errors have other bodies.
+func (r *attemptResult) hasEvents() bool { return r.resp.StatusCode < http.StatusMultipleChoices }
+
+// streamFailure ends a stream whose attempts have failed. As long as nothing has
+// been sent to the caller, a target's own error response takes precedence.
+func (x *exchange) streamFailure(headerSent bool, lastFailed *attemptResult, err error) error {
+	if lastFailed != nil && !headerSent {
+		return x.forwardFailure(*lastFailed)
+	}
+	return x.streamError(headerSent, err)
+}
+
 // streamError returns the error of a stream. Once events have been sent, no
 // error response is possible, and the connection is interrupted instead.
 func (x *exchange) streamError(headerSent bool, err error) error {
@@ -98,28 +129,42 @@
 		case now := <-ticker.C:
 			if x.isStalled(t, streamProgress{sentAt: sentAt}, now) {
 				cancel()
-				res := <-done
-				res.err = errors.Errorf("target %s sent no response for %d ms", t.ID, now.Sub(sentAt).Milliseconds())
-				t.recordOutcome(true)
-				return res
+				return stalledResult(<-done, now.Sub(sentAt))
 			}
 		}
 	}
 }
 
+// stalledResult returns the result of an attempt that was cancelled because the
+// target did not respond. A response that arrived meanwhile cannot be used, since
+// its connection is closed, but a refusal remains one.
+func stalledResult(res attemptResult, idle time.Duration) attemptResult {
+	res.target.recordOutcome(true)
+	if res.verdict == refused || res.verdict == notSent {
+		return res
+	}
+	if res.resp != nil {
+		res.resp.Close()
+	}
+	return attemptResult{verdict: lost, target: res.target, err: errors.Errorf("target %s sent no response for %d ms", res.target.ID, idle.Milliseconds())}
+}
+
 // streamProgress records when a stream was requested and when it last made
-// progress.
+// progress. Bytes that complete no event are no progress.
 type streamProgress struct {
 	sentAt time.Time
-	// lastChunkAt is when data last arrived; zero before the first event.
-	lastChunkAt time.Time
+	// lastEventAt is when an event was last complete; zero before the first one.
+	lastEventAt time.Time
+	// incompleteSince is when the first byte of an incomplete event arrived; zero
+	// if there is none.
+	incompleteSince time.Time
 }
 
 func (p streamProgress) idleSince() time.Time {
-	if p.lastChunkAt.IsZero() {
+	if p.lastEventAt.IsZero() {
 		return p.sentAt
 	}
-	return p.lastChunkAt
+	return p.lastEventAt
 }
 
 // isStalled reports whether a stream has been idle for too long although others
@@ -132,10 +177,10 @@
 	t.mu.Lock()
 	lastByteAt, newestRespondingSentAt := t.lastByteAt, t.newestRespondingSentAt
 	t.mu.Unlock()
-	if progress.lastChunkAt.IsZero() && newestRespondingSentAt.After(progress.sentAt) {
+	if progress.lastEventAt.IsZero() && newestRespondingSentAt.After(progress.sentAt) {
 		return true // a request that was sent later already receives its response
 	}
-	if !progress.lastChunkAt.IsZero() && lastByteAt.Sub(progress.lastChunkAt) > stallTimeout {
+	if !progress.lastEventAt.IsZero() && lastByteAt.Sub(progress.lastEventAt) > stallTimeout {
 		return true // other streams of the target continue
 	}
 	respondingSince := x.g.queues.forBackend(x.backend).respondingSince(now)
@@ -156,21 +201,15 @@
 	for {
 		select {
 		case chunk := <-chunks:
-			progress.lastChunkAt = time.Now()
-			x.timing.recordChunk(progress.lastChunkAt)
-			newlyVerified := res.target.recordResponse(progress.lastChunkAt, sentAt)
-			x.g.queues.forBackend(x.backend).recordResponse(progress.lastChunkAt, newlyVerified)
-			if out := events.Push(chunk); out != nil {
-				if err := x.writeEvents(res, out, headerSent); err != nil {
-					return attemptResult{verdict: lost, target: res.target, err: err}
-				}
+			if err := x.relayChunk(res, chunk, &progress, events, headerSent); err != nil {
+				return attemptResult{verdict: lost, target: res.target, err: err}
 			}
 		case err := <-readErr:
 			return x.finishStream(res, err, events, headerSent)
 		case now := <-ticker.C:
-			if x.isStalled(res.target, progress, now) {
+			if err := x.checkProgress(res.target, progress, now); err != nil {
 				res.target.recordOutcome(true)
-				return attemptResult{verdict: lost, target: res.target, err: errors.Errorf("target %s sent no event for %d ms in a stream", res.target.ID, now.Sub(progress.idleSince()).Milliseconds())}
+				return attemptResult{verdict: lost, target: res.target, err: err}
 			}
 		case <-ctx.Done():
 			return attemptResult{verdict: lost, target: res.target, err: errors.WithStack(ctx.Err())}
@@ -178,6 +217,46 @@
 	}
 }
 
+// relayChunk adds bytes to the stream and forwards the events that they complete.
+func (x *exchange) relayChunk(res attemptResult, chunk []byte, progress *streamProgress, events *sse.Splitter, headerSent *bool) error {
+	now := time.Now()
+	eventsBefore := events.Events()
+	out, streamErr := events.Push(chunk)
+	if events.Events() > eventsBefore {
+		progress.lastEventAt = now
+		x.timing.recordEvent(now)
+		newlyVerified := res.target.recordResponse(now, progress.sentAt)
+		x.g.queues.forBackend(x.backend).recordResponse(now, newlyVerified)
+	}
+	switch {
+	case !events.Incomplete():
+		progress.incompleteSince = time.Time{}
+	case out != nil || progress.incompleteSince.IsZero():
+		progress.incompleteSince = now
+	}
+	if out != nil {
+		if err := x.writeEvents(res, out, headerSent); err != nil {
+			return err
+		}
+	}
+	if streamErr != nil {
+		res.target.recordOutcome(true)
+		return errors.Wrapf(streamErr, "stream of target %s after event %q", res.target.ID, events.LastID())
+	}
+	return nil
+}
+
+// checkProgress returns an error if a stream has made no progress for too long.
+func (x *exchange) checkProgress(t *target, progress streamProgress, now time.Time) error {
+	if !progress.incompleteSince.IsZero() && now.Sub(progress.incompleteSince) > eventTimeout {
+		return errors.Errorf("target %s did not complete an event in %d ms", t.ID, now.Sub(progress.incompleteSince).Milliseconds())
+	}
+	if x.isStalled(t, progress, now) {
+		return errors.Errorf("target %s sent no event for %d ms in a stream", t.ID, now.Sub(progress.idleSince()).Milliseconds())
+	}
+	return nil
+}
+
 func readChunks(ctx context.Context, body io.Reader, chunks chan<- []byte, readErr chan<- error) {
 	for {
 		buf := make([]byte, chunkSize)
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -26,8 +26,14 @@
 	// maxStrayResponses limits the number of responses that are read for one
 	// request; those that belong to other requests are skipped.
 	maxStrayResponses = 3
-	// maxStrayBytes limits the body of a skipped response.
+	// maxStrayBytes limits the body of a skipped response, and strayTimeout the
+	// time for reading it. Like headTimeout, it is shorter than the delay after
+	// which a request is sent to a second target.
 	maxStrayBytes = 1 << 20
+	strayTimeout  = 500 * time.Millisecond
+	// maxInformational limits the informational responses (1xx) that precede a
+	// response.
+	maxInformational = 10
 )
 
 // ErrClosed reports that the pool was closed because its target was removed.
@@ -120,6 +126,7 @@
 
 func (p *Pool) release(c *conn, keep time.Duration) {
 	c.idleUntil = time.Now().Add(keep)
+	_ = c.SetReadDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -186,27 +193,72 @@
 		if r.Matches == nil || r.Matches(resp.StatusCode, resp.Header) {
 			return resp, written, nil
 		}
-		if _, err := io.CopyN(io.Discard, resp.Body, maxStrayBytes); !errors.Is(err, io.EOF) {
-			return nil, nil, errors.New("the response to another request is incomplete")
-		}
-		if resp.Close {
-			return nil, nil, errors.New("the connection ended after the response to another request")
+		if err := c.skipBody(resp); err != nil {
+			return nil, nil, err
 		}
 		c.awaitFirstByte()
 	}
 	return nil, nil, errors.New("too many responses to other requests")
 }
 
+// skipBody reads the body of a response to another request.
+func (c *conn) skipBody(resp *http.Response) error {
+	_ = c.SetReadDeadline(time.Now().Add(strayTimeout))
+	if _, err := io.CopyN(io.Discard, resp.Body, maxStrayBytes); !errors.Is(err, io.EOF) {
+		return errors.New("the response to another request is incomplete")
+	}
+	if resp.Close {
+		return errors.New("the connection ended after the response to another request")
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	return nil
+}
+
+// readResponse reads the head of a response whose first byte has arrived. It
+// skips informational responses.
 func readResponse(c *conn, method string) (*http.Response, error) {
-	for {
+	for range maxInformational + 1 {
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, errors.Wrap(describe(err), "wait for the response")
+		}
+		_ = c.SetReadDeadline(time.Now().Add(headTimeout))
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, errors.Wrap(err, "read the response")
+			return nil, errors.Wrap(describe(err), "read the head of the response")
 		}
-		if resp.StatusCode >= http.StatusOK {
+		_ = c.SetReadDeadline(time.Time{})
+		switch {
+		case resp.StatusCode >= http.StatusOK:
+			c.readingHead = false
+			resp.Body = bodyReader{resp.Body}
 			return resp, nil
+		case resp.StatusCode < http.StatusContinue:
+			return nil, errMalformed
 		}
 	}
+	return nil, errors.Errorf("more than %d informational responses", maxInformational)
+}
+
+var errMalformed = errors.New("the response is not valid HTTP/1.1")
+
+// describe returns an error whose text contains nothing that the target sent.
+// Errors of net/http quote the bytes that they could not parse, and the text of
+// an error goes to the log and to the caller.
+func describe(err error) error {
+	var netErr net.Error
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errHeadTooLarge) || errors.As(err, &netErr) {
+		return err
+	}
+	return errMalformed
+}
+
+// bodyReader is the body of a response whose errors are described.
+type bodyReader struct{ io.ReadCloser }
+
+// Read implements io.Reader.
+func (b bodyReader) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	return n, describe(err)
 }
 
 // encodeHead encodes the request line and the headers. The caller must have
@@ -226,6 +278,11 @@
 	return b.Bytes()
 }
 
+// LimitReading makes reading the body fail once d has passed.
+func (r *Response) LimitReading(d time.Duration) {
+	_ = r.conn.SetReadDeadline(time.Now().Add(d))
+}
+
 // Finish must be called after the body was read to its end. It keeps the
 // connection for further requests if the target allows this. After Finish,
 // Close does nothing.
