wire: sessions are accepted again after an error of the listener

Cause: their loops took any error of Accept for the end of the listener. The loop for callers did not; all use wire.Accept now, which returns only when the listener is closed.

--- a/daemon/entry/peer.go
+++ b/daemon/entry/peer.go
@@ -54,7 +54,7 @@
 // acceptPeers accepts and serves sessions of other entries until ln is closed.
 func (e *Entry) acceptPeers(ctx context.Context, ln net.Listener) {
 	for {
-		conn, err := ln.Accept()
+		conn, err := wire.Accept(ln, e.node.Log)
 		if err != nil {
 			return
 		}
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/skylarkstep/skylarkstep/atmostonce"
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/configsync"
@@ -90,10 +88,10 @@
 		_ = ln.Close()
 	}()
 	for {
-		conn, err := ln.Accept()
+		conn, err := wire.Accept(ln, t.node.Log)
 		if err != nil {
 			if ctx.Err() == nil {
-				return errors.Wrap(err, "accept")
+				return err
 			}
 			<-stopped
 			t.closeSessions()
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/routing"
+	"github.com/skylarkstep/skylarkstep/wire"
 )
 
 const (
@@ -20,9 +21,6 @@
 	defaultHeaderTimeout  = 5 * time.Second
 	defaultIdleTimeout    = 90 * time.Second
 	defaultMaxHeaderBytes = 64 << 10
-	// acceptRetryDelay is the pause after a connection could not be accepted,
-	// for example because no file descriptor is free.
-	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // callerServer serves callers within limits that may change. An http.Server
@@ -98,14 +96,9 @@
 // serve accepts connections until the listener is closed.
 func (s *callerServer) serve(l net.Listener) error {
 	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return errors.WithStack(err)
-		}
+		conn, err := wire.Accept(l, s.log)
 		if err != nil {
-			s.log.Warn("connection not accepted", "error", err.Error())
-			time.Sleep(acceptRetryDelay)
-			continue
+			return err
 		}
 		s.dispatch(conn)
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -195,7 +195,7 @@
 // acceptPeers serves the sessions that other instances open.
 func (g *Gateway) acceptPeers(ctx context.Context, l net.Listener) {
 	for {
-		conn, err := l.Accept()
+		conn, err := wire.Accept(l, g.log)
 		if err != nil {
 			if ctx.Err() == nil {
 				g.log.Error("peer listener failed", "error", err.Error())
--- a/ranks/agent.go
+++ b/ranks/agent.go
@@ -48,7 +48,7 @@
 // last until the end of a planned stop, since orders are forwarded until then.
 func (a *agent) serve(ctx context.Context, l net.Listener) {
 	for {
-		conn, err := l.Accept()
+		conn, err := wire.Accept(l, a.log)
 		if err != nil {
 			if !a.stopping.Load() {
 				a.log.Error("peer listener failed", "error", err.Error())
