skylarkd run: the log never blocks the process

Cause: it wrote its log directly; only the processes of the users' platform used telemetry.LogWriter. It does now, too. TestUnreadLogDoesNotStopOwnProcess failed before: the process did not exit within its stop timeout.

--- a/daemon/cmd/skylarkd/main.go
+++ b/daemon/cmd/skylarkd/main.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/infra/instancehttp"
 	"github.com/skylarkstep/skylarkstep/infra/kvhttp"
+	"github.com/skylarkstep/skylarkstep/telemetry"
 )
 
 func main() {
@@ -90,10 +91,12 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for HTTP")
 	}
+	log := telemetry.NewLogWriter(os.Stderr)
+	defer log.Close()
 	return role.Run(registered.StopContext(), role.Options{
 		Settings:     s,
 		Signals:      registered,
-		LogOutput:    os.Stderr,
+		LogOutput:    log,
 		PeerListener: peerListener,
 		HTTPListener: httpListener,
 		KV:           kvhttp.New(s.Platform.KVURL),
--- a/daemon/e2e/signals_test.go
+++ b/daemon/e2e/signals_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -117,20 +118,30 @@
 	}
 }
 
-// Guards against a signal that ends a process of the product's own deployment
-// while it reads its settings.
-func TestSignalsDuringStartOfOwnProcess(t *testing.T) {
+// prepareOwnEntry returns an entry of the product's own deployment that is not running
+// yet and lacks the path of its settings, and the settings. Its field ip holds the
+// address for HTTP.
+func prepareOwnEntry(t *testing.T) (*platformProcess, []byte) {
 	bin, err := buildDaemon()
 	require.NoError(t, err)
+	httpAddr := freeAddr(t)
 	settings, err := json.Marshal(&config.Settings{
-		Role: config.RoleEntry, Name: "entry", DataCentre: "burgos", HTTPAddr: freeAddr(t), PeerAddr: freeAddr(t),
+		Role: config.RoleEntry, Name: "entry", DataCentre: "burgos", HTTPAddr: httpAddr, PeerAddr: freeAddr(t),
 		ClusterKey: "test-cluster-key-0123", Platform: config.Platform{KVURL: "http://" + freeAddr(t)}, StopTimeoutMs: 2000,
 	})
 	require.NoError(t, err)
+	p := &platformProcess{t: t, ip: httpAddr, cmd: exec.Command(bin, "run"), out: &lockedBuffer{}, done: make(chan struct{})}
+	p.cmd.Stderr = p.out
+	return p, settings
+}
+
+// Guards against a signal that ends a process of the product's own deployment
+// while it reads its settings.
+func TestSignalsDuringStartOfOwnProcess(t *testing.T) {
+	p, settings := prepareOwnEntry(t)
 	path := filepath.Join(t.TempDir(), "entry.json")
 	require.NoError(t, syscall.Mkfifo(path, 0o600))
-	p := &platformProcess{t: t, cmd: exec.Command(bin, "run", path), out: &lockedBuffer{}, done: make(chan struct{})}
-	p.cmd.Stderr = p.out
+	p.cmd.Args = append(p.cmd.Args, path)
 	p.run()
 	pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // blocks until the process reads
 	require.NoError(t, err)
@@ -177,6 +188,38 @@
 	}
 }
 
+// Guards against a process of the product's own deployment that stands still, or
+// cannot exit, because nobody reads its log.
+func TestUnreadLogDoesNotStopOwnProcess(t *testing.T) {
+	p, settings := prepareOwnEntry(t)
+	path := filepath.Join(t.TempDir(), "entry.json")
+	require.NoError(t, os.WriteFile(path, settings, 0o600))
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	defer func() { _ = reader.Close() }()
+	_, _, errno := syscall.Syscall(syscall.SYS_FCNTL, writer.Fd(), syscall.F_SETPIPE_SZ, 4096)
+	require.Zero(t, errno)
+	p.cmd.Args, p.cmd.Stderr = append(p.cmd.Args, path), writer
+	p.run()
+	require.NoError(t, writer.Close())
+	responds := func() bool {
+		resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + p.ip + "/healthz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return true
+	}
+	require.Eventually(t, responds, waitTimeout, 10*time.Millisecond)
+	for range 100 { // each signal writes a line
+		p.signal(hangup)
+		time.Sleep(2 * time.Millisecond)
+	}
+	require.True(t, responds())
+	p.signal(terminate)
+	p.waitForExit()
+}
+
 // Guards against a process that cannot exit because its settings cannot be read
 // any more. The poll of the file blocks in the test.
 func TestUnreadableSettingsDoNotKeepProcess(t *testing.T) {
