--- a/daemon/role/role.go
+++ b/daemon/role/role.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"time"
 
 	"golang.org/x/net/netutil"
 
@@ -53,10 +54,19 @@
 	t := target.New(target.Options{Settings: o.Settings, Node: n, Model: o.Model, Service: o.Service, Group: o.Group})
 	srv := httpapi.NewServer(t.Handler(), n.Log)
 	go func() { _ = srv.Serve(limitConnections(o.HTTPListener)) }()
-	defer func() { _ = srv.Close() }()
+	defer func() {
+		stopCtx, cancel := context.WithTimeout(context.Background(), serverCloseTimeout)
+		defer cancel()
+		_ = srv.Shutdown(stopCtx)
+		_ = srv.Close()
+	}()
 	return t.Run(ctx, limitConnections(o.PeerListener))
 }
 
+// serverCloseTimeout limits the wait for the requests in progress to the status and
+// metrics of a target when its process exits.
+const serverCloseTimeout = 200 * time.Millisecond
+
 // maxConnections limits the open connections of each listener. Further ones wait
 // in the listen backlog of the kernel.
 const maxConnections = 8192
