skylarkctl dev: its stop ends by itself, and survives a closed output

- With the shipped examples each stop of a dev deployment ran into its limit of 5 s and then reset the connections of its callers: its entries wait until callers have dropped their address lists, 10 s there, or half of their stop timeout, 60 s by default.
- The first line written after the reader of the output had gone away ended the deployment with "signal: broken pipe".
TestClosedOutputDoesNotEndDeployment failed before.
- TestSignalsStopDeployment sent its signals without a pause and did not notice a registration that was removed at the first one; it had no time limit, and did not end when SIGHUP was ignored by its parent.

--- a/ctl/cmd/skylarkctl/main.go
+++ b/ctl/cmd/skylarkctl/main.go
@@ -16,7 +16,7 @@
 
 // stopTimeout is how long a command may take to end after a signal. It is longer
 // than the planned stop of the dev command.
-const stopTimeout = 8 * time.Second
+const stopTimeout = 9 * time.Second
 
 func main() { os.Exit(run()) }
 
--- a/ctl/cmd/skylarkctl/main_test.go
+++ b/ctl/cmd/skylarkctl/main_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/exec"
+	"os/signal"
 	"strings"
 	"syscall"
 	"testing"
@@ -20,9 +21,19 @@
 	if os.Getenv(runAsCommand) != "" {
 		os.Exit(run())
 	}
+	// Commands inherit an ignored SIGHUP, for example from nohup.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	os.Exit(m.Run())
 }
 
+const (
+	// signalPause separates the signals of a series, so that each is handled
+	// before the next.
+	signalPause = 50 * time.Millisecond
+	// commandTimeout ends a command that does not stop.
+	commandTimeout = 30 * time.Second
+)
+
 // Guards against a deployment that is killed in the middle of its requests when
 // the terminal of its command is closed or the command is told to stop twice.
 func TestSignalsStopDeployment(t *testing.T) {
@@ -33,7 +44,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			cmd := exec.Command(os.Args[0], "dev", "--config", "../../../examples/cabina-norte.json", "--any-ports")
+			ctx, cancel := context.WithTimeout(t.Context(), commandTimeout)
+			defer cancel()
+			cmd := exec.CommandContext(ctx, os.Args[0], "dev", "--config", "../../../examples/cabina-norte.json", "--any-ports")
 			cmd.Env = append(os.Environ(), runAsCommand+"=1")
 			out, err := cmd.StdoutPipe()
 			require.NoError(t, err)
@@ -45,6 +58,7 @@
 			require.True(t, strings.HasPrefix(lines.Text(), "running"), "the deployment did not start")
 			for _, sig := range series {
 				require.NoError(t, cmd.Process.Signal(sig))
+				time.Sleep(signalPause)
 			}
 			for lines.Scan() {
 			}
@@ -53,6 +67,24 @@
 	}
 }
 
+// Guards against a deployment that ends at its first line of output after the reader
+// of its output has gone away.
+func TestClosedOutputDoesNotEndDeployment(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), commandTimeout)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, os.Args[0], "dev", "--config", "../../../examples/cabina-norte.json", "--any-ports")
+	cmd.Env = append(os.Environ(), runAsCommand+"=1")
+	out, err := cmd.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, cmd.Start())
+	lines := bufio.NewScanner(out)
+	for lines.Scan() && !strings.HasPrefix(lines.Text(), "running") {
+	}
+	require.NoError(t, out.Close())
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+}
+
 // Guards against a command that cannot be ended because it does not watch its
 // context.
 func TestCommandThatIgnoresSignalsEnds(t *testing.T) {
--- a/ctl/command/dev.go
+++ b/ctl/command/dev.go
@@ -12,13 +12,16 @@
 
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/ctl/dev"
+	"github.com/skylarkstep/skylarkstep/daemon/signals"
 )
 
 const (
 	// readyTimeout limits the wait for a dev deployment to become ready.
 	readyTimeout = 20 * time.Second
-	// devStopTimeout limits the planned stop of a dev deployment.
-	devStopTimeout = 5 * time.Second
+	// processStopTimeout limits the planned stop of an entry or a target of a dev
+	// deployment, and devStopTimeout that of the entries and then the targets.
+	processStopTimeout = 3 * time.Second
+	devStopTimeout     = 2*processStopTimeout + time.Second
 )
 
 func devCommand() *cobra.Command {
@@ -48,6 +51,7 @@
 // runDev starts a dev deployment, sends the sample requests and, unless once is
 // set, runs until ctx ends.
 func runDev(ctx context.Context, out io.Writer, file, logFile string, once, anyPorts bool) error {
+	signals.SurviveClosedOutput() // callers use the deployment, whoever reads the output
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return errors.Wrap(err, "read configuration")
@@ -65,7 +69,7 @@
 		defer func() { _ = f.Close() }()
 		logs = f
 	}
-	d, err := dev.Start(ctx, dev.Options{Config: c, LogOutput: logs, AnyPorts: anyPorts})
+	d, err := dev.Start(ctx, dev.Options{Config: c, LogOutput: logs, AnyPorts: anyPorts, StopTimeout: processStopTimeout})
 	if err != nil {
 		return err
 	}
@@ -81,7 +85,7 @@
 	_, _ = fmt.Fprintf(out, "running; entry %s, customer key %q, operator token %q; interrupt to stop\n",
 		d.EntryURL(), d.CustomerKey(c.Inventory.Customers[0].Name), dev.OperatorToken)
 	<-ctx.Done()
-	_, _ = fmt.Fprintf(out, "stopping; requests in progress have %v to complete\n", devStopTimeout)
+	_, _ = fmt.Fprintf(out, "stopping; requests in progress have %v to complete\n", processStopTimeout)
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), devStopTimeout)
 	defer cancel()
 	d.Shutdown(stopCtx)
--- a/daemon/signals/signals.go
+++ b/daemon/signals/signals.go
@@ -23,11 +23,8 @@
 
 // Register registers the signals of the process. It must be called before any
 // other work.
-//
-// SIGPIPE is registered although nothing handles it: by default, a log line
-// written to a closed pipe would end the process.
 func Register() *Signals {
-	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
+	SurviveClosedOutput()
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	stops := make(chan os.Signal, 1)
@@ -46,6 +43,10 @@
 	return &Signals{Reloads: reloads, RepeatedStops: repeated, stop: ctx}
 }
 
+// SurviveClosedOutput makes writes to a closed standard output or standard error
+// fail. By default, the first one ends the process by SIGPIPE.
+func SurviveClosedOutput() { signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE) }
+
 // StopContext returns a context that ends at the first SIGTERM or interrupt. Its
 // cause names the signal. The planned stop begins then, so work that must go on
 // during the stop needs another context.
