gateway: a stop closes no connection whose request waits to be read

Cause: a connection of which the process has read nothing for 500 ms counted as idle, also if it had got no processor time to read it. The socket tells whether bytes have arrived; such a connection stays open now. TestConnectionWithUnreadRequestIsNotClosed failed before. What remains is a request that arrives while the connection is being closed.

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -52,6 +53,25 @@
 	return c.busy.Load()
 }
 
+// hasUnreadData reports whether bytes of the caller have arrived that the server has
+// not read yet, because this process got too little processor time.
+func (c *callerConn) hasUnreadData() bool {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	var first [1]byte
+	controlErr := raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return controlErr == nil && err == nil && n > 0
+}
+
 // callerConns holds the open connections of callers.
 type callerConns struct {
 	mu   sync.Mutex
@@ -102,7 +122,7 @@
 	defer s.mu.Unlock()
 	n := 0
 	for c := range s.open {
-		if c.mayCarryRequest(now) {
+		if c.mayCarryRequest(now) || c.hasUnreadData() {
 			n++
 			continue
 		}
