--- a/ctl/dev/dev.go
+++ b/ctl/dev/dev.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -54,12 +55,14 @@
 	Models    map[string]*enginestandin.Model   // by target
 	Services  map[string]*enginestandin.Service // by target
 
-	options   Options
-	kvURL     string
-	listURL   string
-	mu        sync.Mutex
-	processes map[string]*process
-	closers   []func()
+	options Options
+	kvURL   string
+	listURL string
+	// targetURLs holds the base URLs of the stand-ins by target.
+	targetURLs map[string]string
+	mu         sync.Mutex
+	processes  map[string]*process
+	closers    []func()
 	// reserved holds the listeners of AnyPorts until their process starts. They
 	// are opened before any address is published, so that no other socket can
 	// bind to one of the ports in the meantime.
@@ -87,6 +90,8 @@
 		options:   o,
 		processes: map[string]*process{},
 		reserved:  map[string]net.Listener{},
+
+		targetURLs: map[string]string{},
 	}
 	if err := d.start(ctx); err != nil {
 		d.Close()
@@ -163,7 +168,7 @@
 		m = enginestandin.NewModel(d.options.Model)
 		d.Models[target] = m
 	}
-	url, err := d.serve(m)
+	url, err := d.serveTarget(target, m)
 	if err != nil {
 		return nil, err
 	}
@@ -177,13 +182,26 @@
 		v = enginestandin.NewService(d.options.Service)
 		d.Services[target] = v
 	}
-	url, err := d.serve(v)
+	url, err := d.serveTarget(target, v)
 	if err != nil {
 		return nil, err
 	}
 	return service.New(url), nil
 }
 
+// serveTarget returns the base URL of the stand-in of a target. A restarted target
+// uses the server of its earlier start.
+func (d *Deployment) serveTarget(target string, h http.Handler) (string, error) {
+	if url := d.targetURLs[target]; url != "" {
+		return url, nil
+	}
+	url, err := d.serve(h)
+	if err == nil {
+		d.targetURLs[target] = url
+	}
+	return url, err
+}
+
 // StartEntry starts an entry with all other entries as its peers.
 func (d *Deployment) StartEntry(e config.Entry) error {
 	s := d.settings(config.RoleEntry, e.Name, e.DataCentre, e.PeerAddr, e.HTTPAddr)
@@ -293,6 +311,30 @@
 	}
 }
 
+// Shutdown runs the planned stop of all entries, then that of all targets, since
+// entries finish their requests at targets, and closes the stand-ins. When ctx
+// ends, it closes them at once.
+func (d *Deployment) Shutdown(ctx context.Context) {
+	defer d.Close()
+	d.stopAll(ctx, func(name string) bool {
+		return slices.ContainsFunc(d.Config.Inventory.Entries, func(e config.Entry) bool { return e.Name == name })
+	})
+	d.stopAll(ctx, func(string) bool { return true })
+}
+
+// stopAll stops the processes that match and waits until they have exited or ctx
+// ends.
+func (d *Deployment) stopAll(ctx context.Context, match func(name string) bool) {
+	d.mu.Lock()
+	names := slices.DeleteFunc(slices.Collect(maps.Keys(d.processes)), func(name string) bool { return !match(name) })
+	d.mu.Unlock()
+	var stops sync.WaitGroup
+	for _, name := range names {
+		stops.Go(func() { _ = d.Stop(ctx, name) })
+	}
+	stops.Wait()
+}
+
 // Close closes the stand-ins and starts the planned stop of every entry and
 // target, without waiting for it.
 func (d *Deployment) Close() {
