--- a/ranks/ranks.go
+++ b/ranks/ranks.go
@@ -21,9 +21,10 @@
 	// is polled.
 	joinPollInterval = 500 * time.Millisecond
 	// recordTTL and recordRenewInterval are the lease times of an agent's
-	// record.
+	// record. A renewal also shows that the store was restored and lacks the
+	// record, which must be back within 2 s.
 	recordTTL           = 8 * time.Second
-	recordRenewInterval = 2500 * time.Millisecond
+	recordRenewInterval = 1500 * time.Millisecond
 	// memberCheckInterval is the interval of checks whether the rank still has
 	// the same group, number and group size.
 	memberCheckInterval = 2 * time.Second
@@ -86,7 +87,11 @@
 	if err != nil {
 		panic(err) // a struct of numbers and strings always encodes
 	}
-	record := lease.Record{KV: o.KV, Key: groupPrefix(r.Group) + fmt.Sprint(r.Rank), Value: value, TTL: recordTTL, RenewInterval: recordRenewInterval}
+	key := groupPrefix(r.Group) + fmt.Sprint(r.Rank)
+	record := lease.Record{
+		KV: o.KV, Key: key, Value: value, TTL: recordTTL, RenewInterval: recordRenewInterval,
+		OnLost: func() { o.Log.Warn("own record lost, writing it again", "key", key) },
+	}
 	wg.Go(func() { record.Run(ctx) })
 	wg.Go(func() { recoverSwitch(ctx, o, a, r) })
 	for ctx.Err() == nil {
