--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -59,8 +59,11 @@
 	return live
 }
 
-// instanceCount returns the number of instances including this one.
-func (c *control) instanceCount(now time.Time) int { return len(c.liveInstances(now)) + 1 }
+// instanceCount returns the number of instances that send requests, including
+// this one. Peers that are leaving still do.
+func (c *control) instanceCount(now time.Time) int {
+	return len(c.liveInstances(now)) + c.peers.leavingCount(now) + 1
+}
 
 // ProcessExited reports whether a process of another instance is presumed to
 // have exited: its heartbeats have stopped although those of others arrive, or
@@ -193,11 +196,17 @@
 	id := session.Peer().GetInstance()
 	go func() {
 		defer cancel()
+		stopBegan := g.stops.began.Done()
 		for ctx.Err() == nil {
 			if err := g.sendHeartbeat(ctx, session); err != nil {
 				return
 			}
-			ctxtime.Sleep(ctx, heartbeatInterval)
+			select {
+			case <-time.After(heartbeatInterval):
+			case <-stopBegan: // the peer must not name this instance any longer
+				stopBegan = nil
+			case <-ctx.Done():
+			}
 		}
 	}()
 	go func() {
@@ -232,7 +241,7 @@
 	b := &wirepb.PeerBeat{
 		Instance: c.g.id, StoreAgeMs: neverConfirmedAgeMs,
 		StoreRevision: infra.RevisionNumber(c.mirror.Revision()), StoreEra: infra.Era(c.mirror.Revision()),
-		Leaving: c.g.leaving.Load(), StoreReachable: c.storeReachable && !c.following, StoreResting: c.following, Process: c.g.opts.Process,
+		Leaving: c.g.isLeaving(), StoreReachable: c.storeReachable && !c.following, StoreResting: c.following, Process: c.g.opts.Process,
 	}
 	if !c.confirmedAt.IsZero() {
 		b.StoreAgeMs = uint64(now.Sub(c.confirmedAt).Milliseconds())
@@ -312,6 +321,9 @@
 	if r, ok := c.instanceRecords()[id]; ok {
 		p.record = r
 	}
+	if b.GetLeaving() && !p.leaving && !p.lastHeartbeatAt.IsZero() {
+		p.leavingSince = now
+	}
 	p.session, p.process = session, b.GetProcess()
 	p.lastHeartbeatAt, p.leaving, p.storeReachable, p.following = now, b.GetLeaving(), b.GetStoreReachable(), b.GetStoreResting()
 	p.slowdowns = make(map[string]float64, len(b.GetSlow()))
