gateway: an estimate without samples of the back end does not panic

The samples of a back end may be discarded before those of a route, to bound the memory. TestWorkTimeWithoutSamplesOfBackend failed before (nil dereference, from the last change).

--- a/gateway/streamwork.go
+++ b/gateway/streamwork.go
@@ -29,6 +29,9 @@
 // that long are rare, so that few samples, or none, show their time; all samples show
 // how long an event takes.
 func (s *workSamples) longestStream(size float64) time.Duration {
+	if s == nil {
+		return 0
+	}
 	var first, perEvent []time.Duration
 	for _, sample := range s.samples {
 		if sample.events < 2 {
--- a/gateway/worktime_test.go
+++ b/gateway/worktime_test.go
@@ -113,6 +113,19 @@
 	require.Less(t, work, 4200*time.Millisecond, "streams would be rejected in vain")
 }
 
+// Guards against a panic when the samples of a back end were discarded to bound the
+// memory, and those of a route were not.
+func TestWorkTimeWithoutSamplesOfBackend(t *testing.T) {
+	w := newWorkTimes()
+	for range fullWorkSamples {
+		w.record(chatGroup, workSample{size: 345, took: time.Second})
+	}
+	delete(w.groups, workGroup{backend: "b", kind: routing.Stream})
+	work, known := w.estimate(chatGroup, 345)
+	require.True(t, known)
+	require.GreaterOrEqual(t, work, time.Second)
+}
+
 // Guards against an estimate that fails without expected lengths, without maxima, or
 // for streams of a single event.
 func TestWorkTimeOfStreamsWithoutSizes(t *testing.T) {
