gateway: acquireTarget in shorter functions

The slot request and the error of a request without a slot have functions of their own. A request that got a slot too late in a stop still gives it back.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -204,35 +204,49 @@
 		return nil, x.attemptsFailedError()
 	}
 	queuedAt := time.Now()
-	t, err := x.g.queues.forBackend(x.backend).acquire(ctx, slotRequest{
-		backend: x.backend, priority: routing.Priority(x.route, x.customer), isAllowed: x.mayUseTarget, latencyGoalAt: x.startedAt.Add(x.route.LatencyGoal), stopLimit: x.latestSend,
-		waitUntil: x.limitToCallerIdleTimeout(x.afterShare(queuedAt, queueTimeShare)), outageWaitUntil: x.afterShare(queuedAt, outageQueueTimeShare), outageRetryAfter: time.Duration(outageRetryAfterShare * float64(x.deadline.Sub(queuedAt))),
-	})
+	q := x.g.queues.forBackend(x.backend)
+	t, err := q.acquire(ctx, x.slotRequest(queuedAt))
 	now := time.Now()
 	x.queueTime += now.Sub(queuedAt)
-	if stopErr := x.checkStop(now); stopErr != nil {
-		if err == nil {
-			x.g.queues.forBackend(x.backend).releaseSlot(t, 0)
-		}
-		return nil, stopErr
+	if err != nil {
+		return nil, x.noSlotError(err)
 	}
-	if err == nil {
-		x.triedTargets[t.ID] = true
-		if x.firstSentAt.IsZero() {
-			x.firstSentAt = now
-		}
-		return t, nil
+	if err := x.checkStop(now); err != nil {
+		q.releaseSlot(t, 0)
+		return nil, err
 	}
-	if errkind.KindOf(err) == errkind.Leaving && !x.mayHaveRun {
-		return nil, x.leavingError()
+	x.triedTargets[t.ID] = true
+	if x.firstSentAt.IsZero() {
+		x.firstSentAt = now
 	}
-	if x.timesSent > 0 {
-		return nil, x.attemptsFailedError()
+	return t, nil
+}
+
+// slotRequest returns what the request needs from a target and how long it may wait.
+func (x *exchange) slotRequest(now time.Time) slotRequest {
+	return slotRequest{
+		backend: x.backend, priority: routing.Priority(x.route, x.customer), isAllowed: x.mayUseTarget,
+		latencyGoalAt: x.startedAt.Add(x.route.LatencyGoal), stopLimit: x.latestSend,
+		waitUntil:        x.limitToCallerIdleTimeout(x.afterShare(now, queueTimeShare)),
+		outageWaitUntil:  x.afterShare(now, outageQueueTimeShare),
+		outageRetryAfter: time.Duration(outageRetryAfterShare * float64(x.deadline.Sub(now))),
+	}
+}
+
+// noSlotError returns the error of the request after it got no slot.
+func (x *exchange) noSlotError(err error) error {
+	if stopErr := x.checkStop(time.Now()); stopErr != nil {
+		return stopErr
 	}
-	if errkind.KindOf(err) == errkind.Canceled && x.r.Context().Err() == nil {
-		return nil, errkind.New(errkind.Overloaded, "no free slot at a target of back end %s in time", x.backend).WithRetryAfter(jitter(minRetryAfter))
+	switch kind := errkind.KindOf(err); {
+	case kind == errkind.Leaving && !x.mayHaveRun:
+		return x.leavingError()
+	case x.timesSent > 0:
+		return x.attemptsFailedError()
+	case kind == errkind.Canceled && x.r.Context().Err() == nil:
+		return errkind.New(errkind.Overloaded, "no free slot at a target of back end %s in time", x.backend).WithRetryAfter(jitter(minRetryAfter))
 	}
-	return nil, err
+	return err
 }
 
 const (
