--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// restoredEvacuationGrace is how long a data centre stays out of service if the
+	// restoredOutGrace is how long a data centre stays out of service if the
 	// restored store does not hold its mark. Operators write lost marks again within
 	// seconds. Requests to a data centre that is out of service do more harm than a
 	// data centre that returns late, so this is longer than expiryGrace.
-	restoredEvacuationGrace = 10 * time.Second
+	restoredOutGrace = 10 * time.Second
 	// restoredEntryGrace is how long a restored entry of a target is not applied if
 	// it contradicts a later one. A target that runs writes its entry again sooner,
 	// and that of one that has exited expires after three heartbeats of 1.2 s.
@@ -99,7 +99,7 @@
 	}
 	dc, ok := c.g.decoder.DataCentreOut(key)
 	if ok && !exists {
-		c.keptOut[dc] = now.Add(restoredEvacuationGrace)
+		c.keptOut[dc] = now.Add(restoredOutGrace)
 	}
 	return ok && !exists
 }
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -101,7 +101,7 @@
 	i.waitForEra(t, 1)
 	i.tickAt(t, expiryGrace+time.Second)
 	require.False(t, i.receives("x"), "the operator has not brought the data centre back")
-	i.tickAt(t, restoredEvacuationGrace+time.Second)
+	i.tickAt(t, restoredOutGrace+time.Second)
 	require.True(t, i.receives("x"), "the operator did not write the evacuation again")
 
 	d.put("out/dc2", 1)
