gateway: log lines name the parts of a prompt and whether a lost response had begun

The log names the requests that were in progress at each crash, but not what they have in common, so a part of a prompt that crashes targets cannot be told from an overload of cold targets. The lines "attempt failed" and "request" have prompt_parts now, and "attempt failed" has began and events. No decision changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -63,7 +63,15 @@
 	resp      *upstream.Response
 	body      []byte
 	truncated bool // the response continues after body
-	err       error
+	// began is set once the target has sent a response that is no refusal, even
+	// if it broke off.
+	began bool
+	err   error
+}
+
+// lostWith returns the result of an attempt whose response has broken off.
+func (r attemptResult) lostWith(err error) attemptResult {
+	return attemptResult{verdict: lost, target: r.target, began: r.began, err: err}
 }
 
 // send makes one attempt. It does not read the body of the response.
@@ -95,7 +103,7 @@
 // the response.
 func (x *exchange) classify(t *target, resp *upstream.Response) attemptResult {
 	m := x.g.headers.Response(resp.StatusCode, resp.Header)
-	res := attemptResult{target: t, resp: resp}
+	res := attemptResult{target: t, resp: resp, began: !m.NotRun}
 	switch {
 	case m.NotRun:
 		pause := refusedTargetPause
@@ -149,7 +157,8 @@
 		x.lastErr = res.err
 		x.g.log.Info("attempt failed", "request", x.meta.ID, "target", res.target.ID, "back_end", x.backend,
 			"verdict", verdictNames[res.verdict], "sent", x.timesSent, "of", x.route.MaxAttempts, "repeatable", x.route.Retryable(),
-			"target_load", res.target.ownRequests.Load()+res.target.peerRequests.Load(), "revision", x.snapshot.revision, "error", res.err.Error())
+			"target_load", res.target.ownRequests.Load()+res.target.peerRequests.Load(), "revision", x.snapshot.revision,
+			"began", res.began, "events", x.eventCount, "prompt_parts", x.meta.PromptParts, "error", res.err.Error())
 	}
 	switch res.verdict {
 	case notSent:
@@ -303,7 +312,7 @@
 		if !errors.Is(context.Cause(ctx), context.Canceled) { // the caller is still there
 			res.target.recordOutcome(true)
 		}
-		return attemptResult{verdict: lost, target: res.target, err: errors.Wrapf(err, "response of target %s was interrupted", res.target.ID)}
+		return res.lostWith(errors.Wrapf(err, "response of target %s was interrupted", res.target.ID))
 	case len(body) > maxBufferedBytes:
 		res.truncated = true
 	default:
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -46,7 +46,11 @@
 
 func (testHeaders) Request(h http.Header) RequestMeta {
 	d, _ := time.ParseDuration(h.Get("X-Deadline"))
-	return RequestMeta{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Deadline: d, LastEventID: h.Get("Last-Event-Id")}
+	m := RequestMeta{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Deadline: d, LastEventID: h.Get("Last-Event-Id")}
+	if parts := h.Get("X-Parts"); parts != "" {
+		m.PromptParts = strings.Split(parts, ",")
+	}
+	return m
 }
 
 func (testHeaders) Forward(h http.Header, f ForwardMeta) {
@@ -315,14 +319,22 @@
 }
 
 func (i *instance) requestWithin(ctx context.Context, deadline time.Duration, method, path, key string) response {
+	return i.send(ctx, method, path, http.Header{"X-Key": {key}, "X-Deadline": {deadline.String()}})
+}
+
+// requestWithParts sends a request with a prompt of the given parts.
+func (i *instance) requestWithParts(ctx context.Context, path string, parts ...string) response {
+	return i.send(ctx, http.MethodPost, path, http.Header{"X-Parts": {strings.Join(parts, ",")}, "X-Deadline": {"4s"}})
+}
+
+// send sends a request with the given headers on a connection of its own.
+func (i *instance) send(ctx context.Context, method, path string, header http.Header) response {
 	req, err := http.NewRequestWithContext(ctx, method, i.url+path, strings.NewReader("x"))
 	if err != nil {
 		return response{err: err}
 	}
-	req.Host = "h"
+	req.Host, req.Header = "h", header
 	req.Header.Set("X-Id", "id-"+path)
-	req.Header.Set("X-Key", key)
-	req.Header.Set("X-Deadline", deadline.String())
 	httpResp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
 		return response{err: err}
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -76,6 +76,27 @@
 	require.GreaterOrEqual(t, line["longest_gap_ms"], float64(pause.Milliseconds()-20))
 }
 
+// Guards against a log from which it cannot be told what requests had in common
+// that were in progress when a target crashed.
+func TestLogShowsPromptPartsOfLostRequest(t *testing.T) {
+	fake := startFakeTarget(t, "r", func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("X-Id"))
+		reset(w)
+	})
+	d := newDeployment(t, config(), fake)
+	log := d.keepLog()
+	g := d.start("g1")
+	g.requestWithParts(t.Context(), "/chat/1", "shared", "bad", "own")
+	for _, msg := range []string{"attempt failed", "request"} {
+		var line map[string]any
+		require.Eventually(t, func() bool { line = log.find(t, msg); return line != nil }, time.Second, time.Millisecond)
+		require.Equal(t, []any{"shared", "bad", "own"}, line["prompt_parts"])
+		if msg == "attempt failed" {
+			require.Equal(t, true, line["began"])
+		}
+	}
+}
+
 // Guards against a line that names a peer in the field "instance": skylarkctl
 // explain would attribute the line to that peer.
 func TestLogNamesOwnInstanceOnce(t *testing.T) {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -92,6 +92,9 @@
 	if x.meta.PromptTokens > 0 {
 		attrs = append(attrs, slog.Int("prompt_tokens", x.meta.PromptTokens), slog.Int("max_output_tokens", x.meta.MaxOutputTokens))
 	}
+	if len(x.meta.PromptParts) > 0 {
+		attrs = append(attrs, slog.Any("prompt_parts", x.meta.PromptParts))
+	}
 	if x.eventCount > 0 {
 		attrs = append(attrs, slog.Int("events", x.eventCount), slog.Int64("first_event_ms", x.timing.firstEventAt.Sub(x.startedAt).Milliseconds()),
 			slog.Int64("longest_gap_ms", x.timing.longestGap.Milliseconds()))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -80,8 +80,8 @@
 	case res.verdict == succeeded || res.verdict == failed:
 		res = readResponseBody(ctx, res)
 	}
-	x.recordAttempt(res)
 	x.eventCount = events.Events()
+	x.recordAttempt(res)
 	slotTime := time.Duration(0)
 	if res.verdict == succeeded {
 		slotTime = time.Since(startedAt)
@@ -202,17 +202,17 @@
 		select {
 		case chunk := <-chunks:
 			if err := x.relayChunk(res, chunk, &progress, events, headerSent); err != nil {
-				return attemptResult{verdict: lost, target: res.target, err: err}
+				return res.lostWith(err)
 			}
 		case err := <-readErr:
 			return x.finishStream(res, err, events, headerSent)
 		case now := <-ticker.C:
 			if err := x.checkProgress(res.target, progress, now); err != nil {
 				res.target.recordOutcome(true)
-				return attemptResult{verdict: lost, target: res.target, err: err}
+				return res.lostWith(err)
 			}
 		case <-ctx.Done():
-			return attemptResult{verdict: lost, target: res.target, err: errors.WithStack(ctx.Err())}
+			return res.lostWith(errors.WithStack(ctx.Err()))
 		}
 	}
 }
@@ -296,7 +296,7 @@
 func (x *exchange) finishStream(res attemptResult, err error, events *sse.Splitter, headerSent *bool) attemptResult {
 	if !errors.Is(err, io.EOF) || events.Incomplete() {
 		res.target.recordOutcome(true)
-		return attemptResult{verdict: lost, target: res.target, err: errors.Wrapf(err, "stream of target %s was interrupted after event %q", res.target.ID, events.LastID())}
+		return res.lostWith(errors.Wrapf(err, "stream of target %s was interrupted after event %q", res.target.ID, events.LastID()))
 	}
 	if !*headerSent {
 		*headerSent = true
