--- a/errkind/kind.go
+++ b/errkind/kind.go
@@ -40,6 +40,7 @@
 	Fenced                  // the fencing number is lower than one already seen
 	ProtocolMismatch        // the peer speaks another protocol version
 	Internal                // an unexpected error in this process
+	Quarantined             // a part of the prompt has crashed targets
 
 	kindCount
 )
@@ -113,6 +114,7 @@
 	Fenced:             {"fenced", http.StatusConflict, false, NotRun, false},
 	ProtocolMismatch:   {"protocol_mismatch", http.StatusBadGateway, false, NotRun, true},
 	Internal:           {"internal", http.StatusInternalServerError, false, Unknown, false},
+	Quarantined:        {"quarantined", http.StatusServiceUnavailable, false, NotRun, false},
 }
 
 // Response returns the response of the kind, or that of Unspecified for an
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -63,15 +63,15 @@
 	resp      *upstream.Response
 	body      []byte
 	truncated bool // the response continues after body
-	// began is set once the target has sent a response that is no refusal, even
-	// if it broke off.
-	began bool
-	err   error
+	// beganAt is when the head of a response arrived that is no refusal, even if
+	// the response broke off; zero if none has.
+	beganAt time.Time
+	err     error
 }
 
 // lostWith returns the result of an attempt whose response has broken off.
 func (r attemptResult) lostWith(err error) attemptResult {
-	return attemptResult{verdict: lost, target: r.target, began: r.began, err: err}
+	return attemptResult{verdict: lost, target: r.target, beganAt: r.beganAt, err: err}
 }
 
 // send makes one attempt. It does not read the body of the response.
@@ -103,7 +103,10 @@
 // the response.
 func (x *exchange) classify(t *target, resp *upstream.Response) attemptResult {
 	m := x.g.headers.Response(resp.StatusCode, resp.Header)
-	res := attemptResult{target: t, resp: resp, began: !m.NotRun}
+	res := attemptResult{target: t, resp: resp}
+	if !m.NotRun {
+		res.beganAt = time.Now()
+	}
 	switch {
 	case m.NotRun:
 		pause := refusedTargetPause
@@ -158,7 +161,7 @@
 		x.g.log.Info("attempt failed", "request", x.meta.ID, "target", res.target.ID, "back_end", x.backend,
 			"verdict", verdictNames[res.verdict], "sent", x.timesSent, "of", x.route.MaxAttempts, "repeatable", x.route.Retryable(),
 			"target_load", res.target.ownRequests.Load()+res.target.peerRequests.Load(), "revision", x.snapshot.revision,
-			"began", res.began, "events", x.eventCount, "prompt_parts", x.meta.PromptParts, "error", res.err.Error())
+			"began", !res.beganAt.IsZero(), "events", x.eventCount, "prompt_parts", x.meta.PromptParts, "error", res.err.Error())
 	}
 	switch res.verdict {
 	case notSent:
@@ -201,7 +204,7 @@
 	case refused:
 		return x.countedAttempts < x.route.MaxAttempts
 	case failed, lost:
-		return x.route.Retryable() && x.countedAttempts < x.route.MaxAttempts
+		return x.route.Retryable() && x.countedAttempts < x.route.MaxAttempts && !x.mayCrashAgain()
 	default:
 		return false
 	}
@@ -252,7 +255,7 @@
 				}
 			}
 		case <-hedge.C:
-			if x.route.Kind == routing.Idempotent && running == 1 && x.countedAttempts+running < x.route.MaxAttempts && x.takeHedge() {
+			if x.route.Kind == routing.Idempotent && running == 1 && x.countedAttempts+running < x.route.MaxAttempts && !x.hasSuspect() && x.takeHedge() {
 				_ = startAttempt() // if it fails, the first attempt continues alone
 			}
 		case <-ctx.Done():
@@ -283,6 +286,7 @@
 	if res.verdict == succeeded || res.verdict == failed {
 		res = readResponseBody(ctx, res)
 	}
+	x.recordEvidence(ctx, res)
 	q := x.g.queues.forBackend(x.backend)
 	slotTime := time.Since(startedAt)
 	if res.verdict != succeeded {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/mirror"
 	"github.com/skylarkstep/skylarkstep/routing"
+	"github.com/skylarkstep/skylarkstep/routing/quarantine"
 )
 
 const (
@@ -50,6 +51,7 @@
 	reachablePeers   int                           // as of the last tick; the snapshot depends on it
 	slowdownsByGroup map[string]map[string]float64 // by rank group and address of a target
 	restoreState
+	quarantineState
 
 	// confirmedAt is when the cached copy was last known to be up to date.
 	confirmedAt    time.Time
@@ -84,6 +86,7 @@
 		g: g, log: g.log, inbox: make(chan func(), 256), ended: make(chan struct{}), mirror: mirror.New(),
 		targets: map[string]*target{}, expired: map[string]time.Time{}, peers: newPeerTable(),
 		slowdownsByGroup: map[string]map[string]float64{}, restoreState: newRestoreState(),
+		quarantineState: quarantineState{ledger: quarantine.New()},
 	}
 }
 
@@ -154,6 +157,7 @@
 	}
 	c.updateFreshness(now)
 	c.updateIsolation(now)
+	c.updateQuarantine(now)
 	for _, t := range c.targets {
 		t.pool.CloseExpired(now)
 		t.peerRequests.Store(c.peers.requestCount(t.ID, now))
@@ -246,6 +250,8 @@
 				c.log.Info("data centre changed", "data_centre", dc, "out", exists, "revision", infra.RevisionNumber(it.ModRevision), "source", source)
 			} else if isInstanceKey(key) {
 				c.needsPublish = true
+			} else if isQuarantineKey(key) && exists {
+				c.mergeRecord(it, now)
 			}
 		}
 	}
@@ -323,6 +329,7 @@
 		return
 	}
 	delete(c.targets, id)
+	c.confirmLosses(t, time.Now())
 	c.rememberRemoved(id, t.Incarnation, time.Now())
 	t.pool.Close()
 	c.log.Info("target removed", "target", id, "back_end", t.Backend, "reason", reason)
--- /dev/null
+++ b/gateway/crash.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/routing/quarantine"
+)
+
+const (
+	// beginningTime is how long after the first byte of its response a request
+	// may still have crashed its target. A part that crashes targets does so as
+	// soon as they begin to write.
+	beginningTime = time.Second
+	// exitCheckTimeout limits the check whether a target has crashed. A crashed
+	// one refuses connections at once.
+	exitCheckTimeout = 200 * time.Millisecond
+	// trialRetryAfter is the Retry-After of a request whose suspect is being tried
+	// by another request.
+	trialRetryAfter = time.Second
+)
+
+// sharedParts returns the parts of a prompt that other requests may have too:
+// all but the last.
+func sharedParts(parts []string) []string { return parts[:max(0, len(parts)-1)] }
+
+// admitParts returns an error if the request must not be sent to a target because
+// a part of its prompt crashes targets, or is suspected to and is just being tried
+// by another request.
+func (x *exchange) admitParts(now time.Time) error {
+	v := x.g.parts.view.Load()
+	for _, part := range x.sharedParts {
+		e, decided := v.entries[part]
+		phase := quarantine.Cleared
+		if decided {
+			phase = e.Phase(now)
+		}
+		switch {
+		case phase == quarantine.Quarantined:
+			return x.quarantinedError(&e, now)
+		case phase == quarantine.Trial && x.snapshot.position != 0:
+			return x.suspectError(part, "is tried at another instance")
+		case phase == quarantine.Trial || v.crashCounts[part] >= quarantine.TrialCrashes:
+			if !x.g.parts.beginTrial(part, x) {
+				return x.suspectError(part, "has crashed targets and is being tried by another request")
+			}
+		}
+	}
+	return nil
+}
+
+// quarantinedError returns the final error of a request with a quarantined part.
+func (x *exchange) quarantinedError(e *quarantine.Entry, now time.Time) error {
+	x.g.metrics.quarantineRefusals.Inc(1)
+	x.quarantinedPart = e.Part
+	return x.partError(e.Ends().Sub(now), "part %s of the prompt has crashed %d targets", e.Part, len(e.Crashes))
+}
+
+func (x *exchange) suspectError(part, reason string) error {
+	x.g.metrics.quarantineRefusals.Inc(1)
+	x.quarantinedPart = part
+	return x.partError(jitter(trialRetryAfter), "part %s of the prompt %s", part, reason)
+}
+
+func (x *exchange) partError(retryAfter time.Duration, format string, args ...any) error {
+	if x.mayHaveRun {
+		return errkind.New(errkind.TargetLost, format, args...)
+	}
+	return errkind.New(errkind.Quarantined, format, args...).WithRetryAfter(retryAfter)
+}
+
+// cancelIfQuarantined makes the request end at once if a part of its prompt is
+// quarantined while it is in progress.
+func (x *exchange) cancelIfQuarantined(cancel context.CancelFunc) (done func()) {
+	return x.g.parts.register(x, func(e quarantine.Entry) {
+		x.quarantinedBy.Store(&e)
+		cancel()
+	})
+}
+
+// isConnectionEnd reports whether the target, or the network, has ended the
+// connection.
+func isConnectionEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// endsWithConnection reports whether only the end of the connection shows the end
+// of the response.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// recordEvidence records what the result of an attempt says about the parts of the
+// prompt.
+func (x *exchange) recordEvidence(ctx context.Context, res attemptResult) {
+	if len(x.sharedParts) == 0 {
+		return
+	}
+	switch now := time.Now(); {
+	case res.verdict == succeeded && !endsWithConnection(res.resp.Response):
+		v := x.g.parts.view.Load()
+		report := x.g.parts.tracker.recordCompletion(x.sharedParts, func(part string) bool { return v.suspects[part] }, now)
+		if len(report) > 0 {
+			x.g.control.post(ctx, func() { x.g.control.recordCompletions(report, now) })
+		}
+	case res.verdict == lost && ctx.Err() == nil && isConnectionEnd(res.err) && res.isBeginning(now):
+		x.recordLoss(ctx, res.target, now)
+	}
+}
+
+// isBeginning reports whether the target had at most just begun to respond.
+func (r *attemptResult) isBeginning(now time.Time) bool {
+	return r.beganAt.IsZero() || now.Sub(r.beganAt) < beginningTime
+}
+
+// recordLoss records that the connection to a target ended when it had at most
+// just begun to respond. If the target has crashed, that is evidence against the
+// parts of the prompt.
+func (x *exchange) recordLoss(ctx context.Context, t *target, now time.Time) {
+	if t.Leaving {
+		return
+	}
+	crashed := t.hasExited(ctx)
+	x.g.control.call(ctx, func() {
+		if crashed {
+			x.g.control.recordCrash(t.crashID(), x.sharedParts, now)
+		} else {
+			x.g.control.recordLoss(t.crashID(), x.sharedParts, now)
+		}
+	})
+	x.crashedTarget = x.crashedTarget || crashed
+}
+
+// hasExited reports whether the target refuses connections.
+func (t *target) hasExited(ctx context.Context) bool {
+	if t.exited.Load() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, exitCheckTimeout)
+	defer cancel()
+	if errors.Is(t.pool.Check(ctx), syscall.ECONNREFUSED) {
+		t.exited.Store(true)
+	}
+	return t.exited.Load()
+}
+
+func (t *target) crashID() quarantine.CrashID {
+	return quarantine.CrashID{Target: t.ID, Incarnation: t.Incarnation}
+}
+
+// mayCrashAgain reports whether the request was in progress when a target crashed,
+// and one of its parts was at several crashes.
+func (x *exchange) mayCrashAgain() bool {
+	return x.crashedTarget && x.hasSuspect()
+}
+
+// hasSuspect reports whether a part of the prompt was in progress at several
+// crashes and no request with it has completed.
+func (x *exchange) hasSuspect() bool {
+	v := x.g.parts.view.Load()
+	for _, part := range x.sharedParts {
+		if _, decided := v.entries[part]; decided || v.crashCounts[part] >= quarantine.TrialCrashes {
+			return true
+		}
+	}
+	return false
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	inFlight   atomic.Int64
 	workTimes  workTimes
 	stops      *stopState
+	parts      *partGuard
 
 	limits atomic.Pointer[Limits]
 
@@ -92,7 +93,7 @@
 	g := &Gateway{
 		opts: o, id: o.Instance, log: o.Log, kv: o.KV, decoder: o.ItemDecoder, headers: o.Headers,
 		metrics: newMetrics(o.Registry, o.Log), peerSessions: &sessionTable{claimed: map[string]bool{}},
-		configured: make(chan struct{}), workTimes: workTimes{groups: map[workGroup]*workSamples{}}, stops: newStopState(),
+		configured: make(chan struct{}), workTimes: workTimes{groups: map[workGroup]*workSamples{}}, stops: newStopState(), parts: newPartGuard(),
 		retryBudgets: map[string]*routing.RetryBudget{},
 	}
 	g.limits.Store(&o.Limits)
@@ -241,6 +242,7 @@
 	group.Go(func() { g.dialPeers(runCtx) })
 	group.Go(func() { g.acceptPeers(runCtx, l.Peers) })
 	group.Go(func() { g.ownRecord.Run(ctx) })
+	group.Go(func() { g.keepRecord(runCtx) })
 	failed := make(chan error, 1)
 	go func() { failed <- g.callers.serve(l.Callers) }()
 	var err error
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -5,12 +5,14 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/routing"
+	"github.com/skylarkstep/skylarkstep/routing/quarantine"
 )
 
 const (
@@ -57,7 +59,16 @@
 	// to.
 	triedTargets map[string]bool
 	lastErr      error
-	firstSentAt  time.Time // when a slot for the first attempt was granted
+	// sharedParts holds the parts of the prompt that other requests may have too.
+	sharedParts []string
+	// crashedTarget is set if a target crashed when it had just begun to work on
+	// the request.
+	crashedTarget bool
+	// quarantinedPart is the part for which the request was refused, and
+	// quarantinedBy the decision that ended it while it was in progress.
+	quarantinedPart string
+	quarantinedBy   atomic.Pointer[quarantine.Entry]
+	firstSentAt     time.Time // when a slot for the first attempt was granted
 	// stopDecision is the last decision on the request in a planned stop, or nil.
 	stopDecision *stopDecision
 	// otherAddresses are instances that the caller may use, if the request was
@@ -72,6 +83,7 @@
 // ServeHTTP implements http.Handler. It serves the requests of callers.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{g: g, w: w, r: r, startedAt: time.Now(), meta: g.headers.Request(r.Header), triedTargets: map[string]bool{}}
+	x.sharedParts = sharedParts(x.meta.PromptParts)
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x.closeConnectionIfLeaving()
@@ -99,6 +111,13 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.g.stops.cut, cancel)()
+	if len(x.sharedParts) > 0 {
+		x.g.parts.tracker.recordRequest(x.sharedParts, time.Now())
+		defer x.cancelIfQuarantined(cancel)()
+		if err := x.admitParts(time.Now()); err != nil {
+			return err
+		}
+	}
 	x.g.countFirstAttempt(x.backend)
 	if x.route.Kind == routing.Stream {
 		return x.serveStream(ctx)
@@ -199,6 +218,9 @@
 	if err := x.checkStop(time.Now()); err != nil {
 		return nil, err
 	}
+	if err := x.admitParts(time.Now()); err != nil {
+		return nil, err
+	}
 	if x.timesSent > 0 && !x.g.takeRetry(x.backend) {
 		x.g.metrics.retriesRefused.Inc(1)
 		return nil, x.attemptsFailedError()
@@ -211,7 +233,11 @@
 	if err != nil {
 		return nil, x.noSlotError(err)
 	}
-	if err := x.checkStop(now); err != nil {
+	err = x.checkStop(now)
+	if err == nil {
+		err = x.admitParts(now)
+	}
+	if err != nil {
 		q.releaseSlot(t, 0)
 		return nil, err
 	}
@@ -238,6 +264,9 @@
 	if stopErr := x.checkStop(time.Now()); stopErr != nil {
 		return stopErr
 	}
+	if e := x.quarantinedBy.Load(); e != nil {
+		return x.quarantinedError(e, time.Now())
+	}
 	switch kind := errkind.KindOf(err); {
 	case kind == errkind.Leaving && !x.mayHaveRun:
 		return x.leavingError()
@@ -303,6 +332,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		return errkind.Wrap(x.r.Context().Err(), errkind.Canceled, "the caller disconnected")
+	case x.quarantinedBy.Load() != nil:
+		return x.quarantinedError(x.quarantinedBy.Load(), time.Now())
 	case x.g.stops.cut.Err() != nil:
 		return x.cutError()
 	case x.mayHaveRun:
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,6 +21,11 @@
 	retriesRefused metrics.Counter
 	// storeRestores counts how often the store came back from an older copy.
 	storeRestores metrics.Counter
+	// targetCrashes counts the crashes of targets that this instance has reported,
+	// quarantineRefusals the requests that were refused for a part of their
+	// prompt, and quarantinedParts is the number of such parts.
+	targetCrashes, quarantineRefusals metrics.Counter
+	quarantinedParts                  metrics.Gauge
 }
 
 func newMetrics(r metrics.Registry, log *slog.Logger) *gatewayMetrics {
@@ -39,6 +44,10 @@
 		retries:        metrics.NewRegisteredCounter("request.retries", r),
 		retriesRefused: metrics.NewRegisteredCounter("request.retries_refused", r),
 		storeRestores:  metrics.NewRegisteredCounter("store.restores", r),
+
+		targetCrashes:      metrics.NewRegisteredCounter("target.crashes", r),
+		quarantineRefusals: metrics.NewRegisteredCounter("quarantine.refusals", r),
+		quarantinedParts:   metrics.NewRegisteredGauge("quarantine.parts", r),
 	}
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -272,6 +272,7 @@
 		Instance: c.g.id, StoreAgeMs: neverConfirmedAgeMs,
 		StoreRevision: infra.RevisionNumber(c.mirror.Revision()), StoreEra: infra.Era(c.mirror.Revision()),
 		Leaving: c.g.isLeaving(), StoreReachable: c.storeReachable && !c.following, StoreResting: c.following, Process: c.g.opts.Process,
+		QuarantineDigest: c.evidenceDigest,
 	}
 	if !c.confirmedAt.IsZero() {
 		b.StoreAgeMs = uint64(now.Sub(c.confirmedAt).Milliseconds())
@@ -300,6 +301,8 @@
 		c.sendAsync(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Delta{Delta: encodeDelta(d)}})
 	case *wirepb.PeerFrame_Delta:
 		c.updateCopy("instance "+id, now, func() []string { return c.mirror.Merge(decodeDelta(body.Delta)) })
+	case *wirepb.PeerFrame_Quarantine:
+		c.mergeEvidence(decodeEvidence(body.Quarantine, 0), "instance "+id, now)
 	case *wirepb.PeerFrame_Handover:
 		c.receiveTerm(id, Term{Group: body.Handover.GetGroup(), Fencing: body.Handover.GetFencing(), Maps: body.Handover.GetMaps()}, now)
 	}
@@ -337,6 +340,7 @@
 	for _, l := range b.GetLoads() {
 		p.requestsByTarget[l.GetTarget()] = l.GetRequests()
 	}
+	c.compareEvidence(p, session, b.GetQuarantineDigest(), now)
 	own := c.mirror.Revision()
 	switch peerRevision := infra.NewRevision(b.GetStoreEra(), b.GetStoreRevision()); {
 	case peerRevision > own:
--- a/gateway/peertable.go
+++ b/gateway/peertable.go
@@ -22,6 +22,9 @@
 	// slowdowns holds the slowdown factors of slow targets, by address.
 	slowdowns map[string]float64
 	session   *wire.Session
+	// evidenceSentAt is when the peer was last sent the evidence on parts that
+	// crash targets.
+	evidenceSentAt time.Time
 	// handedOver is set if the process has handed a term over, which a process
 	// does only when it stops. receivedTerms holds the terms that were handed
 	// over to it.
--- a/gateway/promptcrash_test.go
+++ b/gateway/promptcrash_test.go
@@ -105,7 +105,7 @@
 // crash ends a target with all its connections, and starts a successor.
 func (f *crashFleet) crash(id string, process *processListener) {
 	f.crashes.Add(1)
-	_ = process.Listener.Close()
+	_ = process.Close()
 	process.exit()
 	go func() {
 		_, _ = f.d.kv.Direct().Commit(context.Background(), infra.Txn{Deletes: []string{"target/" + id}})
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -95,6 +95,9 @@
 	if len(x.meta.PromptParts) > 0 {
 		attrs = append(attrs, slog.Any("prompt_parts", x.meta.PromptParts))
 	}
+	if x.quarantinedPart != "" {
+		attrs = append(attrs, slog.String("quarantined_part", x.quarantinedPart))
+	}
 	if x.eventCount > 0 {
 		attrs = append(attrs, slog.Int("events", x.eventCount), slog.Int64("first_event_ms", x.timing.firstEventAt.Sub(x.startedAt).Milliseconds()),
 			slog.Int64("longest_gap_ms", x.timing.longestGap.Milliseconds()))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -80,6 +80,7 @@
 	case res.verdict == succeeded || res.verdict == failed:
 		res = readResponseBody(ctx, res)
 	}
+	x.recordEvidence(ctx, res)
 	x.eventCount = events.Events()
 	x.recordAttempt(res)
 	slotTime := time.Duration(0)
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -23,6 +23,9 @@
 	// ownRequests is the number of requests of this instance at the target, and
 	// peerRequests the number that the other instances have reported.
 	ownRequests, peerRequests atomic.Int64
+	// exited is set once the target was found to refuse connections after a lost
+	// request.
+	exited atomic.Bool
 	// warmUpUntil is the end of the warm-up, as returned by monotonic.
 	warmUpUntil atomic.Int64
 
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -124,6 +124,17 @@
 	return dial(ctx, p.addr, dialTimeout)
 }
 
+// Check opens a connection, which is kept for later requests. The error tells
+// whether the target refuses connections.
+func (p *Pool) Check(ctx context.Context) error {
+	c, err := dial(ctx, p.addr, dialTimeout)
+	if err != nil {
+		return err
+	}
+	p.release(c, defaultIdleTimeout)
+	return nil
+}
+
 func (p *Pool) release(c *conn, keep time.Duration) {
 	c.idleUntil = time.Now().Add(keep)
 	_ = c.SetReadDeadline(time.Time{})
--- /dev/null
+++ b/routing/quarantine/decide.go
@@ -0,0 +1,302 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// newPartCrashes is how many crashes are needed to quarantine a part with
+	// which no request has completed lately.
+	newPartCrashes = 3
+	// newPartWeight is the least weight of these crashes. A crash counts fully if
+	// the part was in progress at all crashes within sameFailureGap, and less if it was
+	// not: a failure that ends many targets at once finds any part at some of them.
+	newPartWeight  = 2.5
+	sameFailureGap = 100 * time.Millisecond
+	// tieCrashes is how many are needed if several such parts were in progress
+	// at the same crashes and are about equally frequent.
+	tieCrashes = 4
+	// soundPartCrashes is how many crashes are needed, without a completion in
+	// between, for a part with which requests have completed before. They must
+	// lie at soundPartMoments moments that are momentGap apart: a failure that
+	// ends many targets at once says nothing about such a part.
+	soundPartCrashes = 5
+	soundPartMoments = 3
+	momentGap        = time.Second
+	// soundPartMaxShare is the share of all requests above which such a part is
+	// not quarantined. In a failure of the whole back end, frequent parts are in
+	// progress at every crash.
+	soundPartMaxShare = 0.2
+	// soundPartCoverage is the share of the crashes since its first one at which
+	// such a part must have been in progress.
+	soundPartCoverage = 0.9
+	// settleTime is how long the evidence must have been complete, so that other
+	// instances have reported the requests that completed.
+	settleTime = 300 * time.Millisecond
+	// clearlyRarer is the ratio of two frequencies from which on the rarer one of
+	// two parts is blamed alone.
+	clearlyRarer = 0.5
+	// TrialCrashes is the number of crashes from which on a part with which no
+	// request has completed is tried by one request at a time only.
+	TrialCrashes = 2
+)
+
+// Frequency returns the share of the recent requests that have a part, 0 to 1.
+type Frequency func(part string) float64
+
+// suspicion is the evidence against a part.
+type suspicion struct {
+	part string
+	// crashes since the last completion, by time.
+	crashes []CrashID
+	times   []time.Time
+	// isNew is set if no request with the part has completed lately.
+	isNew bool
+	// weight is the number of crashes, as newPartWeight counts them.
+	weight float64
+}
+
+// suspicions returns the evidence against all parts, except for crashes that a
+// quarantined part explains.
+func (l *Ledger) suspicions(now time.Time) map[string]*suspicion {
+	found := map[string]*suspicion{}
+	for id, c := range l.crashes {
+		if l.isExplained(c, now) {
+			continue
+		}
+		for part := range c.suspects {
+			if !c.at.After(l.acquittedAt(part)) {
+				continue
+			}
+			s := found[part]
+			if s == nil {
+				_, completed := l.completed[part]
+				s = &suspicion{part: part, isNew: !completed}
+				found[part] = s
+			}
+			s.crashes, s.times = append(s.crashes, id), append(s.times, c.at)
+		}
+	}
+	for _, s := range found {
+		for _, at := range s.times {
+			s.weight += float64(countNear(s.times, at)) / float64(l.crashesNear(at, now))
+		}
+	}
+	return found
+}
+
+// crashesNear returns the number of unexplained crashes within sameFailureGap.
+func (l *Ledger) crashesNear(at, now time.Time) int {
+	n := 0
+	for _, c := range l.crashes {
+		if c.at.Sub(at).Abs() < sameFailureGap && !l.isExplained(c, now) {
+			n++
+		}
+	}
+	return n
+}
+
+func countNear(times []time.Time, at time.Time) int {
+	n := 0
+	for _, other := range times {
+		if other.Sub(at).Abs() < sameFailureGap {
+			n++
+		}
+	}
+	return n
+}
+
+// acquittedAt returns the time up to which crashes do not count against a part.
+func (l *Ledger) acquittedAt(part string) time.Time {
+	at := l.completed[part]
+	if e := l.entries[part]; e != nil && e.At.After(at) {
+		at = e.At
+	}
+	return at
+}
+
+// isExplained reports whether a part that was in progress at the crash is known
+// to crash targets.
+func (l *Ledger) isExplained(c *crash, now time.Time) bool {
+	for part := range c.suspects {
+		if e := l.entries[part]; e != nil && e.Phase(now) != Cleared {
+			return true
+		}
+	}
+	return false
+}
+
+// CrashCounts returns the number of unexplained crashes of each part with which
+// no request has completed lately.
+func (l *Ledger) CrashCounts(now time.Time) map[string]int {
+	counts := map[string]int{}
+	for part, s := range l.suspicions(now) {
+		if s.isNew {
+			counts[part] = len(s.crashes)
+		}
+	}
+	return counts
+}
+
+// Decide quarantines the parts against which the evidence suffices, ends the
+// trials that have a result, and returns the new decisions.
+func (l *Ledger) Decide(now time.Time, by string, frequency Frequency) []Entry {
+	decided := l.endTrials(now, by)
+	for {
+		found := l.suspicions(now)
+		blamed := blameNewParts(found, now, frequency)
+		if blamed == nil {
+			blamed = l.blameSoundPart(found, now, frequency)
+		}
+		if blamed == nil {
+			return decided
+		}
+		for _, s := range blamed {
+			decided = append(decided, l.quarantine(s.part, s.crashes, Retention, now, by))
+		}
+	}
+}
+
+// endTrials decides on the parts in trial: a crash quarantines the part again for
+// twice the time, a completion clears it.
+func (l *Ledger) endTrials(now time.Time, by string) []Entry {
+	var decided []Entry
+	for _, e := range l.Entries() {
+		if e.Phase(now) == Cleared {
+			continue
+		}
+		crashes := l.crashesSince(e.Part, e.Ends())
+		switch completed := l.completed[e.Part]; {
+		case len(crashes) > 0:
+			decided = append(decided, l.quarantine(e.Part, crashes, min(2*e.Duration, maxDuration), now, by))
+		case completed.After(e.Ends()):
+			decided = append(decided, l.decide(Entry{Part: e.Part, At: now, Duration: Retention, DecidedBy: by}))
+		}
+	}
+	return decided
+}
+
+func (l *Ledger) crashesSince(part string, since time.Time) []CrashID {
+	var found []CrashID
+	for id, c := range l.crashes {
+		if c.suspects[part] && c.at.After(since) {
+			found = append(found, id)
+		}
+	}
+	return found
+}
+
+func (l *Ledger) quarantine(part string, crashes []CrashID, duration time.Duration, now time.Time, by string) Entry {
+	e := Entry{Part: part, Quarantined: true, At: now, Duration: duration, Crashes: crashes, DecidedBy: by}
+	for _, id := range crashes {
+		for reporter := range l.crashes[id].reporters {
+			if !slices.Contains(e.Reporters, reporter) {
+				e.Reporters = append(e.Reporters, reporter)
+			}
+		}
+	}
+	slices.Sort(e.Reporters)
+	return l.decide(e)
+}
+
+// blameNewParts returns the parts that were in progress at the most crashes, if
+// no request with them has ever completed. Parts that come with the guilty one
+// were in progress at the same crashes; the rarest of them is blamed, since the
+// frequent ones would also be in requests that crash nothing.
+func blameNewParts(found map[string]*suspicion, now time.Time, frequency Frequency) []*suspicion {
+	var tied []*suspicion
+	most := newPartCrashes
+	for _, s := range found {
+		if !s.isNew || len(s.crashes) < most || s.weight < newPartWeight || !s.isSettled(newPartCrashes, now) {
+			continue
+		}
+		if len(s.crashes) > most {
+			most, tied = len(s.crashes), nil
+		}
+		tied = append(tied, s)
+	}
+	if len(tied) <= 1 {
+		return tied
+	}
+	slices.SortFunc(tied, func(a, b *suspicion) int {
+		if fa, fb := frequency(a.part), frequency(b.part); fa != fb {
+			if fa < fb {
+				return -1
+			}
+			return 1
+		}
+		return compareStrings(a.part, b.part)
+	})
+	rarest := frequency(tied[0].part)
+	similar := slices.IndexFunc(tied, func(s *suspicion) bool { return rarest < clearlyRarer*frequency(s.part) })
+	if similar < 0 {
+		similar = len(tied)
+	}
+	if similar > 1 && most < tieCrashes {
+		return nil
+	}
+	return tied[:similar]
+}
+
+func compareStrings(a, b string) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
+
+// isSettled reports whether the crash that reaches the count lies far enough in
+// the past.
+func (s *suspicion) isSettled(count int, now time.Time) bool {
+	times := slices.Clone(s.times)
+	slices.SortFunc(times, time.Time.Compare)
+	return len(times) >= count && now.Sub(times[count-1]) >= settleTime
+}
+
+// moments returns the number of moments, momentGap apart, at which crashes lie.
+func (s *suspicion) moments() int {
+	times := slices.Clone(s.times)
+	slices.SortFunc(times, time.Time.Compare)
+	n, last := 0, time.Time{}
+	for _, at := range times {
+		if n == 0 || at.Sub(last) >= momentGap {
+			n, last = n+1, at
+		}
+	}
+	return n
+}
+
+// blameSoundPart returns a part with which requests completed before, but none
+// since the first of several crashes at all of which it was in progress.
+func (l *Ledger) blameSoundPart(found map[string]*suspicion, now time.Time, frequency Frequency) []*suspicion {
+	var best *suspicion
+	for _, s := range found {
+		if s.isNew || !s.isSettled(soundPartCrashes, now) || s.moments() < soundPartMoments {
+			continue
+		}
+		if frequency(s.part) > soundPartMaxShare || l.coverage(s, now) < soundPartCoverage {
+			continue
+		}
+		if best == nil || frequency(s.part) < frequency(best.part) {
+			best = s
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []*suspicion{best}
+}
+
+// coverage returns the share of the unexplained crashes since the first one of
+// the part at which it was in progress.
+func (l *Ledger) coverage(s *suspicion, now time.Time) float64 {
+	first := slices.MinFunc(s.times, time.Time.Compare)
+	total := 0
+	for _, c := range l.crashes {
+		if !c.at.Before(first) && !l.isExplained(c, now) {
+			total++
+		}
+	}
+	return float64(len(s.crashes)) / float64(total)
+}
