gateway: of parts that were always together, only one is blamed for crashes

Found by TestQuarantineSurvivesRestart and TestInstanceLearnsOfCrashesOfOthers, which failed: if only requests with the guilty part had been sent, the first part of their prompts was quarantined too, and sound callers were refused. Parts that were in progress at the same crashes are equally suspect, but one of them is enough to keep these requests from the targets. The rarest is blamed, and of about equally rare ones the deepest in the prompt. Instances tell each other the depth.

Tests for instances that saw no crash, without the store, after a restart of all, during a stop, beside crashes for other reasons, for queued, hedged, resumed and running requests, and for the last part.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -127,11 +127,12 @@
 		return
 	}
 	crashed := t.hasExited(ctx)
+	suspects := quarantine.SuspectsOf(x.sharedParts)
 	x.g.control.call(ctx, func() {
 		if crashed {
-			x.g.control.recordCrash(t.crashID(), x.sharedParts, now)
+			x.g.control.recordCrash(t.crashID(), suspects, now)
 		} else {
-			x.g.control.recordLoss(t.crashID(), x.sharedParts, now)
+			x.g.control.recordLoss(t.crashID(), suspects, now)
 		}
 	})
 	x.crashedTarget = x.crashedTarget || crashed
--- a/gateway/promptcrash_test.go
+++ b/gateway/promptcrash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -37,17 +38,20 @@
 	d *deployment
 	// beginsHead is set if a crashing target first sends the head of its response.
 	beginsHead bool
-	// holdCrash, if it is set, delays a crash until the channel is closed.
+	// holdCrash, if it is set, delays crashes until the channel is closed.
 	holdCrash chan struct{}
+	mu        sync.Mutex
+	running   map[string]func() // crashes the target, by id
 	crashes   atomic.Int64
 	// arrivals counts the requests with crashingPart that reached targets.
 	arrivals atomic.Int64
 	started  atomic.Int64
 	pause    time.Duration
+	slots    int
 }
 
 func startCrashFleet(t *testing.T, targets int) *crashFleet {
-	f := &crashFleet{t: t, d: newDeployment(t, config()), beginsHead: true, pause: 20 * time.Millisecond}
+	f := &crashFleet{t: t, d: newDeployment(t, config()), beginsHead: true, pause: 20 * time.Millisecond, running: map[string]func(){}, slots: 12}
 	for range targets {
 		f.startTarget()
 	}
@@ -56,24 +60,31 @@
 
 // startTarget starts a target under a new id.
 func (f *crashFleet) startTarget() {
-	f.startTargetAs(fmt.Sprintf("t%d", f.started.Add(1)), 1)
-}
-
-func (f *crashFleet) startTargetAs(id string, incarnation int64) {
+	id := fmt.Sprintf("t%d", f.started.Add(1))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return // the test has ended
 	}
 	process := &processListener{Listener: listener}
 	fake := &fakeTarget{id: id, listener: process, closed: make(chan struct{}, 1000)}
-	var crash sync.Once
-	fake.handle = func(w net.Conn, r *http.Request) {
-		f.handle(w, r, func() { crash.Do(func() { f.crash(id, process) }) })
-	}
+	crash := sync.OnceFunc(func() { f.crash(id, process) })
+	fake.handle = func(w net.Conn, r *http.Request) { f.handle(w, r, crash) }
+	f.mu.Lock()
+	f.running[id] = crash
+	f.mu.Unlock()
 	f.t.Cleanup(func() { _ = listener.Close() })
 	go fake.serve()
-	entry := routing.Target{ID: id, Backend: "b", Addr: listener.Addr().String(), DataCentre: "dc1", Slots: 12, Incarnation: incarnation}
-	f.d.put("target/"+id, entry)
+	entry := routing.Target{ID: id, Backend: "b", Addr: listener.Addr().String(), DataCentre: "dc1", Slots: f.slots, Incarnation: 1}
+	value, err := json.Marshal(entry)
+	require.NoError(f.t, err)
+	f.commit(infra.Txn{Puts: []infra.Put{{Key: "target/" + id, Value: value}}})
+}
+
+// commit writes to the store. Successors may start when the test has ended.
+func (f *crashFleet) commit(txn infra.Txn) {
+	if _, err := f.d.kv.Direct().Commit(context.Background(), txn); err != nil && f.t.Context().Err() == nil {
+		f.t.Errorf("write of the entry of a target: %v", err)
+	}
 }
 
 func (f *crashFleet) handle(w net.Conn, r *http.Request, crash func()) {
@@ -105,14 +116,32 @@
 // crash ends a target with all its connections, and starts a successor.
 func (f *crashFleet) crash(id string, process *processListener) {
 	f.crashes.Add(1)
+	f.mu.Lock()
+	delete(f.running, id)
+	f.mu.Unlock()
 	_ = process.Close()
 	process.exit()
 	go func() {
-		_, _ = f.d.kv.Direct().Commit(context.Background(), infra.Txn{Deletes: []string{"target/" + id}})
+		f.commit(infra.Txn{Deletes: []string{"target/" + id}})
 		f.startTarget()
 	}()
 }
 
+// crashAny crashes a number of targets for a reason that no request has.
+func (f *crashFleet) crashAny(n int) {
+	f.mu.Lock()
+	var crashes []func()
+	for _, crash := range f.running {
+		if crashes = append(crashes, crash); len(crashes) == n {
+			break
+		}
+	}
+	f.mu.Unlock()
+	for _, crash := range crashes {
+		crash()
+	}
+}
+
 // sendCrashing sends requests with crashingPart to the instances in turn, with
 // other first and last parts each, until the targets have crashed often enough or
 // no request reaches them any longer.
@@ -161,3 +190,224 @@
 	f.requireKeptFromTargets("/chat/", instances...)
 	f.requireServed("/chat/", instances...)
 }
+
+// Guards against an instance that saw no crash itself and sends the part on.
+func TestInstanceLearnsOfCrashesOfOthers(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	saw, others := f.d.start("g1"), []*instance{f.d.start("g2"), f.d.start("g3")}
+	f.sendCrashing("/chat/", saw)
+	time.Sleep(contactTime)
+	f.requireKeptFromTargets("/chat/", others...)
+	f.requireServed("/chat/", others...)
+}
+
+// Guards against crashes that are too few at each of two instances, and against
+// instances that agree through the store only.
+func TestInstancesAddUpTheirCrashes(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	instances := []*instance{f.d.start("g1"), f.d.start("g2")}
+	for k, i := range []*instance{instances[0], instances[1], instances[0], instances[1]} {
+		i.requestWithParts(t.Context(), fmt.Sprintf("/book/%d", k), "shared", crashingPart, fmt.Sprintf("own%d", k))
+	}
+	time.Sleep(contactTime)
+	f.requireKeptFromTargets("/book/", instances...)
+}
+
+// Guards against evidence that spreads through the store only: instances that
+// reach each other must agree while it is away.
+func TestCrashesAreSharedWithoutStore(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	saw, other := f.d.start("g1"), f.d.start("g2")
+	require.Eventually(t, func() bool { return saw.reachablePeers(t) == 1 && other.reachablePeers(t) == 1 }, 3*time.Second, 5*time.Millisecond)
+	saw.kv.refuse.Store(true)
+	other.kv.refuse.Store(true)
+	f.sendCrashing("/chat/", saw)
+	time.Sleep(contactTime)
+	f.requireKeptFromTargets("/chat/", other)
+}
+
+func (i *instance) reachablePeers(t *testing.T) int {
+	n, _ := query(t.Context(), i.control, func() int { return i.control.peers.reachableCount(time.Now()) })
+	return n
+}
+
+// Guards against instances that forget the part when they all restart, and against
+// one that has just started and saw no crash.
+func TestQuarantineSurvivesRestart(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	first := []*instance{f.d.start("g1"), f.d.start("g2")}
+	f.sendCrashing("/chat/", first...)
+	time.Sleep(contactTime)
+	for _, i := range first {
+		i.stop()
+	}
+	restarted := []*instance{f.d.start("g1"), f.d.start("g3")}
+	f.requireKeptFromTargets("/chat/", restarted...)
+	f.requireServed("/chat/", restarted...)
+}
+
+// Guards against a stopping instance that takes requests with the part.
+func TestStoppingInstanceKeepsPartFromTargets(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	f.d.stopTimeout = 5 * time.Second
+	saw, stopping := f.d.start("g1"), f.d.start("g2")
+	go stopping.stop()
+	require.Eventually(t, stopping.isLeaving, time.Second, time.Millisecond)
+	f.sendCrashing("/chat/", saw)
+	time.Sleep(contactTime)
+	f.requireKeptFromTargets("/chat/", stopping)
+}
+
+// Guards against sound parts that are blamed when targets crash for another reason
+// again and again, and against targets that are held back afterwards.
+func TestCrashesForOtherReasonsBlameNoPart(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	f.pause = 200 * time.Millisecond
+	instances := []*instance{f.d.start("g1"), f.d.start("g2")}
+	var callers sync.WaitGroup
+	end := time.Now().Add(4 * time.Second)
+	for k := range 24 {
+		callers.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				i := instances[(k+n)%len(instances)]
+				i.requestWithParts(t.Context(), fmt.Sprintf("/chat/%d-%d", k, n), "shared", fmt.Sprintf("session%d", k), "own")
+			}
+		})
+	}
+	for time.Now().Before(end) {
+		time.Sleep(400 * time.Millisecond)
+		f.crashAny(3)
+	}
+	callers.Wait()
+	for _, i := range instances {
+		require.Empty(t, i.parts.view.Load().entries, "a sound part was blamed")
+	}
+	f.requireServed("/chat/", instances...)
+}
+
+// Guards against requests that wait for a slot with the part and are sent, or
+// wait on, although it has been quarantined meanwhile.
+func TestQueuedRequestEndsWithQuarantine(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 1)
+	f.slots, f.pause = 1, 3*time.Second
+	f.crashAny(1) // the successor has one slot
+	g := f.d.start("g1")
+	require.Eventually(t, func() bool { return len(g.snapshot.Load().targets["b"]) == 1 }, 3*time.Second, 5*time.Millisecond)
+	go g.requestWithParts(t.Context(), "/chat/1", "shared", "own")
+	require.Eventually(t, func() bool { return g.inFlight.Load() == 1 }, time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond) // it has the slot
+	queued := make(chan response, 1)
+	go func() { queued <- g.requestWithParts(t.Context(), "/chat/2", "shared", crashingPart, "own") }()
+	require.Eventually(t, func() bool { return g.inFlight.Load() == 2 }, time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	g.SetQuarantined(t.Context(), crashingPart, true)
+	select {
+	case resp := <-queued:
+		require.Equal(t, http.StatusServiceUnavailable, resp.status)
+		require.Contains(t, resp.body, `"not_run"`)
+		require.Contains(t, resp.body, `"quarantined"`)
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("a queued request with a quarantined part waits on")
+	}
+	require.Zero(t, f.arrivals.Load())
+}
+
+// Guards against requests that are at a target and crash it, or another one, after
+// their part has been quarantined, and against "not run" for one that may have run.
+func TestRequestInProgressEndsWithQuarantine(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/chat/", "/read/", "/book/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f := startCrashFleet(t, 3)
+			f.holdCrash = make(chan struct{})
+			t.Cleanup(func() { close(f.holdCrash) })
+			g := f.d.start("g1")
+			inProgress := make(chan response, 1)
+			go func() { inProgress <- g.requestWithParts(t.Context(), path+"1", "shared", crashingPart, "own") }()
+			require.Eventually(t, func() bool { return f.arrivals.Load() == 1 }, time.Second, time.Millisecond)
+			g.SetQuarantined(t.Context(), crashingPart, true)
+			select {
+			case resp := <-inProgress:
+				require.Equal(t, http.StatusBadGateway, resp.status)
+				require.NotContains(t, resp.body, `"not_run"`)
+			case <-time.After(500 * time.Millisecond):
+				t.Fatal("a request with a quarantined part goes on")
+			}
+			require.EqualValues(t, 1, f.arrivals.Load())
+		})
+	}
+}
+
+// Guards against a suspect that is hedged, sent by several requests at once, or
+// sent again after its second crash.
+func TestSuspectIsTriedByOneRequestOnce(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	g := f.d.start("g1")
+	first := g.requestWithParts(t.Context(), "/read/1", "shared", crashingPart, "own")
+	require.Equal(t, http.StatusBadGateway, first.status)
+	require.EqualValues(t, 2, f.arrivals.Load(), "a request was sent again after its second crash")
+	f.holdCrash = make(chan struct{})
+	results := make(chan response, 10)
+	for k := range 10 {
+		go func() {
+			results <- g.requestWithParts(t.Context(), fmt.Sprintf("/read/held%d", k), "shared", crashingPart, fmt.Sprint(k))
+		}()
+	}
+	for range 9 {
+		resp := <-results
+		require.Equal(t, http.StatusServiceUnavailable, resp.status)
+		require.Contains(t, resp.body, `"not_run"`)
+	}
+	time.Sleep(2 * hedgeDelay)
+	require.EqualValues(t, 3, f.arrivals.Load(), "a suspect was sent by several requests at once, or hedged")
+	close(f.holdCrash)
+	require.Equal(t, http.StatusBadGateway, (<-results).status)
+}
+
+// Guards against a stream with the part that goes on from target to target.
+func TestStreamWithCrashingPartIsNotResumedAgain(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	cfg := config()
+	cfg.Version, cfg.Routes[3].MaxAttempts = 2, 6
+	f.d.put("config", cfg)
+	g := f.d.start("g1")
+	require.Eventually(t, func() bool { return g.snapshot.Load().table.Config.Version == 2 }, 3*time.Second, 5*time.Millisecond)
+	resp := g.requestWithParts(t.Context(), "/chat/1", "shared", crashingPart, "own")
+	require.Equal(t, http.StatusBadGateway, resp.status)
+	require.EqualValues(t, 2, f.arrivals.Load())
+}
+
+// Guards against a response that a crash ends before its head.
+func TestCrashBeforeHeadIsEvidence(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	f.beginsHead = false
+	g := f.d.start("g1")
+	f.sendCrashing("/book/", g)
+	time.Sleep(contactTime)
+	f.requireKeptFromTargets("/book/", g)
+}
+
+// Guards against the last part of a prompt being blamed, which no other request
+// has, and against other requests that have it in another place.
+func TestLastPartIsNeverBlamed(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	g := f.d.start("g1")
+	for k := range 6 {
+		g.requestWithParts(t.Context(), fmt.Sprintf("/book/%d", k), fmt.Sprintf("session%d", k), crashingPart)
+	}
+	time.Sleep(time.Second)
+	require.NotContains(t, g.parts.view.Load().entries, crashingPart)
+	require.Empty(t, g.parts.view.Load().entries)
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -106,9 +107,9 @@
 // pendingLoss is a loss at a target of which it is not known yet whether the
 // target has crashed.
 type pendingLoss struct {
-	id    quarantine.CrashID
-	parts []string
-	at    time.Time
+	id       quarantine.CrashID
+	suspects []quarantine.Suspect
+	at       time.Time
 }
 
 // quarantineState is the evidence on parts that crash targets.
@@ -125,41 +126,41 @@
 
 // recordCrash records that a target has crashed while it began to work on
 // requests of this instance.
-func (c *control) recordCrash(id quarantine.CrashID, parts []string, now time.Time) {
-	isNew := c.ledger.RecordCrash(quarantine.Crash{ID: id, At: now, Suspects: parts, Reporters: []string{c.g.id}})
+func (c *control) recordCrash(id quarantine.CrashID, suspects []quarantine.Suspect, now time.Time) {
+	isNew := c.ledger.RecordCrash(quarantine.Crash{ID: id, At: now, Suspects: suspects, Reporters: []string{c.g.id}})
 	if !isNew {
 		return
 	}
 	c.g.metrics.targetCrashes.Inc(1)
-	c.log.Info("target crashed", "target", id.Target, "prompt_parts", parts, "new_parts", c.ledger.CrashCounts(now))
+	c.log.Info("target crashed", "target", id.Target, "prompt_parts", partsOf(suspects), "new_parts", c.ledger.CrashCounts(now))
 	c.evidenceChanged(now)
 }
 
 // recordLoss keeps the loss of a request until it is known whether the target has
 // crashed.
-func (c *control) recordLoss(id quarantine.CrashID, parts []string, now time.Time) {
+func (c *control) recordLoss(id quarantine.CrashID, suspects []quarantine.Suspect, now time.Time) {
 	c.pending = slices.DeleteFunc(c.pending, func(p pendingLoss) bool { return now.Sub(p.at) > lossMemory })
 	if len(c.pending) < maxPendingLosses {
-		c.pending = append(c.pending, pendingLoss{id, parts, now})
+		c.pending = append(c.pending, pendingLoss{id, suspects, now})
 	}
 }
 
 // confirmLosses takes the losses at a target as a crash, since the target has
 // gone without notice.
 func (c *control) confirmLosses(t *target, now time.Time) {
-	var parts []string
+	var suspects []quarantine.Suspect
 	id := t.crashID()
 	c.pending = slices.DeleteFunc(c.pending, func(p pendingLoss) bool {
 		if p.id != id {
 			return false
 		}
 		if now.Sub(p.at) <= lossMemory {
-			parts = append(parts, p.parts...)
+			suspects = append(suspects, p.suspects...)
 		}
 		return true
 	})
-	if len(parts) > 0 && !t.Leaving {
-		c.recordCrash(id, parts, now)
+	if len(suspects) > 0 && !t.Leaving {
+		c.recordCrash(id, suspects, now)
 	}
 }
 
@@ -192,8 +193,7 @@
 	changed := c.ledger.Expire(now)
 	for _, e := range c.ledger.Decide(now, c.g.id, c.g.parts.tracker.frequency) {
 		changed = true
-		c.log.Warn("decision on a part of prompts", "part", e.Part, "quarantined", e.Quarantined, "duration_ms", e.Duration.Milliseconds(),
-			"crashes", targetsOf(e.Crashes), "reporters", e.Reporters, "frequency", c.g.parts.tracker.frequency(e.Part), "decided_by", e.DecidedBy)
+		c.logDecision(e, "evidence")
 	}
 	if changed {
 		c.publishQuarantine(now)
@@ -201,6 +201,14 @@
 	}
 }
 
+func partsOf(suspects []quarantine.Suspect) []string {
+	parts := make([]string, 0, len(suspects))
+	for _, s := range suspects {
+		parts = append(parts, s.Part)
+	}
+	return parts
+}
+
 func targetsOf(crashes []quarantine.CrashID) []string {
 	targets := make([]string, 0, len(crashes))
 	for _, id := range crashes {
@@ -282,7 +290,7 @@
 	for _, crash := range s.Crashes {
 		w.Crashes = append(w.Crashes, &wirepb.TargetCrash{
 			Target: crash.ID.Target, Incarnation: crash.ID.Incarnation, AgeMs: uint64(crash.Age.Milliseconds()),
-			Suspects: crash.Suspects, Reporters: crash.Reporters,
+			Suspects: encodeSuspects(crash.Suspects), Reporters: crash.Reporters,
 		})
 	}
 	for _, completion := range s.Completions {
@@ -301,6 +309,22 @@
 	return w
 }
 
+func encodeSuspects(suspects []quarantine.Suspect) []*wirepb.PromptPart {
+	var encoded []*wirepb.PromptPart
+	for _, s := range suspects {
+		encoded = append(encoded, &wirepb.PromptPart{Part: s.Part, Depth: uint32(s.Depth)})
+	}
+	return encoded
+}
+
+func decodeSuspects(encoded []*wirepb.PromptPart) []quarantine.Suspect {
+	var suspects []quarantine.Suspect
+	for _, p := range encoded {
+		suspects = append(suspects, quarantine.Suspect{Part: p.GetPart(), Depth: int(p.GetDepth())})
+	}
+	return suspects
+}
+
 // decodeEvidence decodes evidence that is older by delay than when it was sent.
 func decodeEvidence(w *wirepb.QuarantineState, delay time.Duration) quarantine.State {
 	age := func(ms uint64) time.Duration { return time.Duration(ms)*time.Millisecond + delay }
@@ -308,7 +332,7 @@
 	for _, crash := range w.GetCrashes() {
 		s.Crashes = append(s.Crashes, quarantine.CrashState{
 			ID: quarantine.CrashID{Target: crash.GetTarget(), Incarnation: crash.GetIncarnation()}, Age: age(crash.GetAgeMs()),
-			Suspects: crash.GetSuspects(), Reporters: crash.GetReporters(),
+			Suspects: decodeSuspects(crash.GetSuspects()), Reporters: crash.GetReporters(),
 		})
 	}
 	for _, completion := range w.GetCompletions() {
@@ -326,3 +350,22 @@
 	}
 	return s
 }
+
+// SetQuarantined quarantines or clears a part on behalf of an operator. It reports
+// whether the decision was made.
+func (g *Gateway) SetQuarantined(ctx context.Context, part string, quarantined bool) bool {
+	_, ok := query(ctx, g.control, func() struct{} {
+		now := time.Now()
+		e := g.control.ledger.Set(part, quarantined, g.id, now)
+		g.control.logDecision(e, "operator")
+		g.control.publishQuarantine(now)
+		g.control.sendEvidence(now)
+		return struct{}{}
+	})
+	return ok
+}
+
+func (c *control) logDecision(e quarantine.Entry, reason string) {
+	c.log.Warn("decision on a part of prompts", "part", e.Part, "quarantined", e.Quarantined, "duration_ms", e.Duration.Milliseconds(),
+		"crashes", targetsOf(e.Crashes), "reporters", e.Reporters, "frequency", c.g.parts.tracker.frequency(e.Part), "reason", reason)
+}
--- a/routing/quarantine/decide.go
+++ b/routing/quarantine/decide.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -14,9 +16,6 @@
 	// not: a failure that ends many targets at once finds any part at some of them.
 	newPartWeight  = 2.5
 	sameFailureGap = 100 * time.Millisecond
-	// tieCrashes is how many are needed if several such parts were in progress
-	// at the same crashes and are about equally frequent.
-	tieCrashes = 4
 	// soundPartCrashes is how many crashes are needed, without a completion in
 	// between, for a part with which requests have completed before. They must
 	// lie at soundPartMoments moments that are momentGap apart: a failure that
@@ -34,9 +33,9 @@
 	// settleTime is how long the evidence must have been complete, so that other
 	// instances have reported the requests that completed.
 	settleTime = 300 * time.Millisecond
-	// clearlyRarer is the ratio of two frequencies from which on the rarer one of
-	// two parts is blamed alone.
-	clearlyRarer = 0.5
+	// similarFrequency is the ratio of two frequencies up to which they do not
+	// tell which of two parts is guilty.
+	similarFrequency = 2
 	// TrialCrashes is the number of crashes from which on a part with which no
 	// request has completed is tried by one request at a time only.
 	TrialCrashes = 2
@@ -47,7 +46,8 @@
 
 // suspicion is the evidence against a part.
 type suspicion struct {
-	part string
+	part  string
+	depth int
 	// crashes since the last completion, by time.
 	crashes []CrashID
 	times   []time.Time
@@ -65,7 +65,7 @@
 		if l.isExplained(c, now) {
 			continue
 		}
-		for part := range c.suspects {
+		for part, depth := range c.suspects {
 			if !c.at.After(l.acquittedAt(part)) {
 				continue
 			}
@@ -75,6 +75,7 @@
 				s = &suspicion{part: part, isNew: !completed}
 				found[part] = s
 			}
+			s.depth = max(s.depth, depth)
 			s.crashes, s.times = append(s.crashes, id), append(s.times, c.at)
 		}
 	}
@@ -145,16 +146,14 @@
 	decided := l.endTrials(now, by)
 	for {
 		found := l.suspicions(now)
-		blamed := blameNewParts(found, now, frequency)
+		blamed := blameNewPart(found, now, frequency)
 		if blamed == nil {
 			blamed = l.blameSoundPart(found, now, frequency)
 		}
 		if blamed == nil {
 			return decided
 		}
-		for _, s := range blamed {
-			decided = append(decided, l.quarantine(s.part, s.crashes, Retention, now, by))
-		}
+		decided = append(decided, l.quarantine(blamed.part, blamed.crashes, Retention, now, by))
 	}
 }
 
@@ -180,7 +179,7 @@
 func (l *Ledger) crashesSince(part string, since time.Time) []CrashID {
 	var found []CrashID
 	for id, c := range l.crashes {
-		if c.suspects[part] && c.at.After(since) {
+		if c.has(part) && c.at.After(since) {
 			found = append(found, id)
 		}
 	}
@@ -200,11 +199,12 @@
 	return l.decide(e)
 }
 
-// blameNewParts returns the parts that were in progress at the most crashes, if
-// no request with them has ever completed. Parts that come with the guilty one
-// were in progress at the same crashes; the rarest of them is blamed, since the
-// frequent ones would also be in requests that crash nothing.
-func blameNewParts(found map[string]*suspicion, now time.Time, frequency Frequency) []*suspicion {
+// blameNewPart returns the part that was in progress at the most crashes, if no
+// request with it has completed lately. Parts that always come with the guilty one
+// were in progress at the same crashes. One of them is enough to keep those
+// requests from the targets: the rarest, and of about equally rare ones the
+// deepest, which the fewest other requests share.
+func blameNewPart(found map[string]*suspicion, now time.Time, frequency Frequency) *suspicion {
 	var tied []*suspicion
 	most := newPartCrashes
 	for _, s := range found {
@@ -216,34 +216,17 @@
 		}
 		tied = append(tied, s)
 	}
-	if len(tied) <= 1 {
-		return tied
-	}
-	slices.SortFunc(tied, func(a, b *suspicion) int {
-		if fa, fb := frequency(a.part), frequency(b.part); fa != fb {
-			if fa < fb {
-				return -1
-			}
-			return 1
-		}
-		return compareStrings(a.part, b.part)
-	})
-	rarest := frequency(tied[0].part)
-	similar := slices.IndexFunc(tied, func(s *suspicion) bool { return rarest < clearlyRarer*frequency(s.part) })
-	if similar < 0 {
-		similar = len(tied)
-	}
-	if similar > 1 && most < tieCrashes {
+	if len(tied) == 0 {
 		return nil
 	}
-	return tied[:similar]
-}
-
-func compareStrings(a, b string) int {
-	if a < b {
-		return -1
+	rarest := math.Inf(1)
+	for _, s := range tied {
+		rarest = min(rarest, frequency(s.part))
 	}
-	return 1
+	tied = slices.DeleteFunc(tied, func(s *suspicion) bool { return frequency(s.part) > similarFrequency*rarest })
+	return slices.MaxFunc(tied, func(a, b *suspicion) int {
+		return cmp.Or(cmp.Compare(a.depth, b.depth), cmp.Compare(a.part, b.part))
+	})
 }
 
 // isSettled reports whether the crash that reaches the count lies far enough in
@@ -269,7 +252,7 @@
 
 // blameSoundPart returns a part with which requests completed before, but none
 // since the first of several crashes at all of which it was in progress.
-func (l *Ledger) blameSoundPart(found map[string]*suspicion, now time.Time, frequency Frequency) []*suspicion {
+func (l *Ledger) blameSoundPart(found map[string]*suspicion, now time.Time, frequency Frequency) *suspicion {
 	var best *suspicion
 	for _, s := range found {
 		if s.isNew || !s.isSettled(soundPartCrashes, now) || s.moments() < soundPartMoments {
@@ -282,10 +265,7 @@
 			best = s
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return []*suspicion{best}
+	return best
 }
 
 // coverage returns the share of the unexplained crashes since the first one of
--- a/routing/quarantine/ledger.go
+++ b/routing/quarantine/ledger.go
@@ -36,11 +36,29 @@
 	At time.Time
 	// Suspects holds the parts of the requests that the target had just begun to
 	// work on, without the last part of each, which no other request has.
-	Suspects []string
+	Suspects []Suspect
 	// Reporters holds the instances that lost such requests.
 	Reporters []string
 }
 
+// Suspect is a part that was in progress at a crash.
+type Suspect struct {
+	Part string
+	// Depth is its position in the prompt, from 0. The first parts are those that
+	// most requests share.
+	Depth int
+}
+
+// SuspectsOf returns the suspects of one request, whose prompt begins with the
+// given parts.
+func SuspectsOf(parts []string) []Suspect {
+	found := make([]Suspect, 0, len(parts))
+	for depth, part := range parts {
+		found = append(found, Suspect{part, depth})
+	}
+	return found
+}
+
 // Phase is the phase of an entry.
 type Phase uint8
 
@@ -97,10 +115,15 @@
 
 type crash struct {
 	at        time.Time
-	suspects  map[string]bool
+	suspects  map[string]int // with their depth
 	reporters map[string]bool
 }
 
+func (c *crash) has(part string) bool {
+	_, ok := c.suspects[part]
+	return ok
+}
+
 // Ledger holds the evidence and the decisions. It is not safe for concurrent
 // use.
 type Ledger struct {
@@ -135,13 +158,13 @@
 		if len(l.crashes) >= maxCrashes {
 			l.forgetOldestCrash()
 		}
-		known = &crash{at: c.At, suspects: map[string]bool{}, reporters: map[string]bool{}}
+		known = &crash{at: c.At, suspects: map[string]int{}, reporters: map[string]bool{}}
 		l.crashes[c.ID] = known
 	}
 	before := len(known.suspects) + len(known.reporters)
-	for _, part := range c.Suspects {
+	for _, s := range c.Suspects {
 		if len(known.suspects) < maxSuspects {
-			known.suspects[part] = true
+			known.suspects[s.Part] = max(s.Depth, known.suspects[s.Part])
 		}
 	}
 	for _, reporter := range c.Reporters {
@@ -188,7 +211,7 @@
 func (l *Ledger) isSuspect(part string) bool {
 	acquittedAt := l.acquittedAt(part)
 	for _, c := range l.crashes {
-		if c.suspects[part] && c.at.After(acquittedAt) {
+		if c.has(part) && c.at.After(acquittedAt) {
 			return true
 		}
 	}
--- a/routing/quarantine/ledger_test.go
+++ b/routing/quarantine/ledger_test.go
@@ -17,7 +17,7 @@
 // progress.
 func crashAt(l *Ledger, s float64, reporter string, suspects ...string) {
 	id := CrashID{Target: fmt.Sprintf("t%.3f", s), Incarnation: 1}
-	l.RecordCrash(Crash{ID: id, At: at(s), Suspects: suspects, Reporters: []string{reporter}})
+	l.RecordCrash(Crash{ID: id, At: at(s), Suspects: SuspectsOf(suspects), Reporters: []string{reporter}})
 }
 
 // frequencies returns a Frequency with the given shares; others are 0.001.
@@ -68,6 +68,21 @@
 	require.Equal(t, []string{"bad"}, parts(l.Decide(at(20), "a", usual)))
 }
 
+// Guards against all parts being blamed that were always in progress together:
+// one keeps these requests from the targets, and the first part is in all others.
+func TestOnlyOneOfTiedPartsIsBlamed(t *testing.T) {
+	equal := func(string) float64 { return 1 }
+	l := New()
+	for k := range 8 {
+		crashAt(l, float64(2*k), "a", "first", "bad")
+	}
+	require.Equal(t, []string{"bad"}, parts(l.Decide(at(20), "a", equal)))
+	for k := range 4 {
+		crashAt(l, 30+float64(2*k), "a", "first", fmt.Sprint("other", k))
+	}
+	require.Equal(t, []string{"first"}, parts(l.Decide(at(50), "a", equal)), "the first part crashes targets without the other one")
+}
+
 // Guards against a sound part that is blamed although a request with it has
 // completed since the crashes.
 func TestCompletionAcquits(t *testing.T) {
@@ -203,7 +218,7 @@
 	}
 	l, trial := newQuarantined()
 	require.Equal(t, Trial, l.Entries()[0].Phase(trial))
-	l.RecordCrash(Crash{ID: CrashID{"again", 1}, At: trial, Suspects: []string{"bad"}, Reporters: []string{"a"}})
+	l.RecordCrash(Crash{ID: CrashID{"again", 1}, At: trial, Suspects: SuspectsOf([]string{"bad"}), Reporters: []string{"a"}})
 	again := l.Decide(trial.Add(time.Second), "a", usual)
 	require.Equal(t, []string{"bad"}, parts(again))
 	require.True(t, again[0].Quarantined)
--- a/routing/quarantine/state.go
+++ b/routing/quarantine/state.go
@@ -21,7 +21,7 @@
 type CrashState struct {
 	ID        CrashID
 	Age       time.Duration
-	Suspects  []string
+	Suspects  []Suspect
 	Reporters []string
 }
 
@@ -93,7 +93,7 @@
 	for id, c := range l.crashes {
 		if include.crash(id, c) {
 			s.Crashes = append(s.Crashes, CrashState{
-				ID: id, Age: now.Sub(c.at), Suspects: slices.Sorted(maps.Keys(c.suspects)), Reporters: slices.Sorted(maps.Keys(c.reporters)),
+				ID: id, Age: now.Sub(c.at), Suspects: c.sortedSuspects(), Reporters: slices.Sorted(maps.Keys(c.reporters)),
 			})
 		}
 	}
@@ -114,6 +114,14 @@
 	return s
 }
 
+func (c *crash) sortedSuspects() []Suspect {
+	found := make([]Suspect, 0, len(c.suspects))
+	for _, part := range slices.Sorted(maps.Keys(c.suspects)) {
+		found = append(found, Suspect{part, c.suspects[part]})
+	}
+	return found
+}
+
 func compareIDs(a, b CrashID) int {
 	return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Incarnation, b.Incarnation))
 }
@@ -179,7 +187,9 @@
 	}
 	for _, c := range s.Crashes {
 		write(c.ID.Target, strconv.FormatInt(c.ID.Incarnation, 10))
-		write(c.Suspects...)
+		for _, s := range c.Suspects {
+			write(s.Part)
+		}
 		write(c.Reporters...)
 	}
 	for _, e := range s.Entries {
