gateway, skylarkctl: operators see, add and clear quarantined parts

The list is on the metrics address of each gateway, at /quarantine, with the crashes, their reporters and ages; skylarkctl quarantine list, add and clear use it.

--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -27,7 +27,7 @@
 	}
 	root.AddCommand(
 		overviewCommand(), configCommand(), inventoryCommand(), zoneCommand(), groupsCommand(),
-		timelineCommand(), explainCommand(),
+		timelineCommand(), explainCommand(), quarantineCommand(),
 		devCommand(), loadCommand(), experimentCommand(), benchCommand(), benchServeCommand(), docsCommand(),
 	)
 	return root
--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -58,7 +58,7 @@
 	closeServers, err := serveAll(log, map[string]http.Handler{
 		s.ReadyAddr:   platform.ReadyHandler(g.Ready),
 		s.LookupAddr:  platform.DirectoryHandler(g.Addresses),
-		s.MetricsAddr: telemetry.ServePrometheus(registry),
+		s.MetricsAddr: operatorHandler(g, registry),
 	})
 	if err != nil {
 		return err
@@ -92,6 +92,14 @@
 	return err
 }
 
+// operatorHandler serves the metrics and the list of quarantined parts.
+func operatorHandler(g *gateway.Gateway, registry metrics.Registry) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", telemetry.ServePrometheus(registry))
+	mux.Handle(gateway.QuarantinePath, g.QuarantineHandler())
+	return mux
+}
+
 func gatewayLimits(s *platform.Settings) gateway.Limits {
 	return gateway.Limits{
 		MaxIsolatedStaleness: s.ConfigApplyTimeout + s.DisturbedApplyExtension - refuseMargin,
--- a/gateway/promptcrash_test.go
+++ b/gateway/promptcrash_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -411,3 +412,40 @@
 	require.NotContains(t, g.parts.view.Load().entries, crashingPart)
 	require.Empty(t, g.parts.view.Load().entries)
 }
+
+// Guards against an operator who cannot see, add or clear a part, or whose decision
+// reaches one instance only.
+func TestOperatorDecidesOnParts(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	g1, g2 := f.d.start("g1"), f.d.start("g2")
+	operator := func(method, part string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		g1.QuarantineHandler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), method, QuarantinePath+"?part="+part, nil))
+		return w
+	}
+	f.sendCrashing("/chat/", g1)
+	var list QuarantineList
+	require.Eventually(t, func() bool {
+		require.NoError(t, json.Unmarshal(operator(http.MethodGet, "").Body.Bytes(), &list))
+		return len(list.Parts) == 1
+	}, contactTime, 10*time.Millisecond)
+	require.Equal(t, crashingPart, list.Parts[0].Part)
+	require.Equal(t, "quarantined", list.Parts[0].State)
+	require.GreaterOrEqual(t, len(list.Parts[0].Crashes), 3)
+	require.Equal(t, []string{"g1"}, list.Parts[0].Reporters)
+
+	require.Equal(t, http.StatusNoContent, operator(http.MethodDelete, crashingPart).Code)
+	require.Equal(t, http.StatusNoContent, operator(http.MethodPost, "session1").Code)
+	require.Eventually(t, func() bool {
+		entries := g2.parts.view.Load().entries
+		_, added := entries["session1"]
+		_, cleared := entries[crashingPart]
+		return added && !cleared
+	}, contactTime, 10*time.Millisecond)
+	resp := g2.requestWithParts(t.Context(), "/chat/1", "shared", "session1", "own")
+	require.Equal(t, http.StatusServiceUnavailable, resp.status)
+	require.Contains(t, resp.body, "session1")
+	require.Equal(t, http.StatusBadRequest, operator(http.MethodPost, "").Code)
+	require.Equal(t, http.StatusBadRequest, operator(http.MethodPost, strings.Repeat("a", maxPartBytes+1)).Code)
+}
