--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -62,7 +63,11 @@
 }
 
 func (testHeaders) Response(status int, h http.Header) ResponseMeta {
-	return ResponseMeta{ID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest, Sealed: h.Get("X-Seal") != ""}
+	m := ResponseMeta{ID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest, Sealed: h.Get("X-Seal") != ""}
+	if limit, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
+		m.RateLimit, m.HasRateLimit = limit, true
+	}
+	return m
 }
 
 func (testHeaders) SetRetryAfter(h http.Header, d time.Duration) {
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -49,6 +49,10 @@
 	// the requests at the target.
 	HasLoad          bool
 	Running, Waiting int
+	// HasRateLimit is set if the target names the number of requests per second
+	// that it takes from all instances together.
+	HasRateLimit bool
+	RateLimit    float64
 }
 
 // Headers reads and writes the headers of requests and responses.
