--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -103,6 +103,9 @@
 // the response.
 func (x *exchange) classify(t *target, resp *upstream.Response) attemptResult {
 	m := x.g.headers.Response(resp.StatusCode, resp.Header)
+	if resp.StatusCode != http.StatusMisdirectedRequest {
+		x.recordLimit(t, m)
+	}
 	res := attemptResult{target: t, resp: resp}
 	if !m.NotRun {
 		res.beganAt = time.Now()
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -163,6 +163,7 @@
 		t.peerRequests.Store(c.peers.requestCount(t.ID, now))
 		t.setSlowdown(c.slowdown(t.Addr, now))
 	}
+	c.distributeLimits(now)
 	c.g.queues.grantAll()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,7 @@
 	workTimes  workTimes
 	stops      *stopState
 	parts      *partGuard
+	demands    demandTable
 
 	limits atomic.Pointer[Limits]
 
@@ -93,7 +94,7 @@
 	g := &Gateway{
 		opts: o, id: o.Instance, log: o.Log, kv: o.KV, decoder: o.ItemDecoder, headers: o.Headers,
 		metrics: newMetrics(o.Registry, o.Log), peerSessions: &sessionTable{claimed: map[string]bool{}},
-		configured: make(chan struct{}), workTimes: workTimes{groups: map[workGroup]*workSamples{}}, stops: newStopState(), parts: newPartGuard(),
+		configured: make(chan struct{}), workTimes: workTimes{groups: map[workGroup]*workSamples{}}, stops: newStopState(), parts: newPartGuard(), demands: demandTable{byBackend: map[string]*decayingCount{}},
 		retryBudgets: map[string]*routing.RetryBudget{},
 	}
 	g.limits.Store(&o.Limits)
@@ -187,9 +188,10 @@
 }
 
 func (g *Gateway) countFirstAttempt(backend string) {
+	now := time.Now()
+	g.demands.recordRequest(backend, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
 	g.retryBudget(backend, now).RecordFirstAttempt(now)
 }
 
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"math"
 	"sync"
 	"time"
 )
@@ -16,18 +15,6 @@
 	frequencyHalfLife = 30 * time.Second
 )
 
-// decayingCount counts events, of which older ones count less.
-type decayingCount struct {
-	value float64
-	at    time.Time
-}
-
-func (c *decayingCount) valueAt(now time.Time) float64 {
-	return c.value * math.Exp2(-float64(now.Sub(c.at))/float64(frequencyHalfLife))
-}
-
-func (c *decayingCount) increment(now time.Time) { c.value, c.at = c.valueAt(now)+1, now }
-
 // trackedPart is what this instance knows of requests with one part.
 type trackedPart struct {
 	part        string
@@ -54,9 +41,9 @@
 func (t *partTracker) recordRequest(parts []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.requests.increment(now)
+	t.requests.increment(now, frequencyHalfLife)
 	for _, part := range parts {
-		t.use(part).requests.increment(now)
+		t.use(part).requests.increment(now, frequencyHalfLife)
 	}
 }
 
@@ -113,8 +100,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, now := t.byPart[part], time.Now()
-	if total := t.requests.valueAt(now); e != nil && total > 0 {
-		return e.Value.(*trackedPart).requests.valueAt(now) / total
+	if total := t.requests.valueAt(now, frequencyHalfLife); e != nil && total > 0 {
+		return e.Value.(*trackedPart).requests.valueAt(now, frequencyHalfLife) / total
 	}
 	return 0
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -282,6 +282,7 @@
 			b.Slow = append(b.Slow, &wirepb.SlowTarget{Addr: addr, Percent: uint32(100 * slowdown)})
 		}
 	}
+	c.addLimits(b, now)
 	for id, t := range c.targets {
 		if n := t.ownRequests.Load(); n > 0 {
 			b.Loads = append(b.Loads, &wirepb.TargetLoad{Target: id, Requests: uint32(n)})
@@ -340,6 +341,11 @@
 	for _, l := range b.GetLoads() {
 		p.requestsByTarget[l.GetTarget()] = l.GetRequests()
 	}
+	p.demands = make(map[string]float64, len(b.GetDemands()))
+	for _, d := range b.GetDemands() {
+		p.demands[d.GetBackend()] = d.GetRequestsPerS()
+	}
+	c.mergeLimits(b.GetLimits(), now)
 	c.compareEvidence(p, session, b.GetQuarantineDigest(), now)
 	own := c.mirror.Revision()
 	switch peerRevision := infra.NewRevision(b.GetStoreEra(), b.GetStoreRevision()); {
--- a/gateway/peertable.go
+++ b/gateway/peertable.go
@@ -21,7 +21,9 @@
 	requestsByTarget map[string]uint32
 	// slowdowns holds the slowdown factors of slow targets, by address.
 	slowdowns map[string]float64
-	session   *wire.Session
+	// demands holds the rates of the requests of the peer's callers, by back end.
+	demands map[string]float64
+	session *wire.Session
 	// evidenceSentAt is when the peer was last sent the evidence on parts that
 	// crash targets.
 	evidenceSentAt time.Time
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -259,9 +259,8 @@
 // caller holds q.mu.
 func (q *queue) admissionError(req *slotRequest, now time.Time) error {
 	s := q.g.snapshot.Load()
-	slots, allowed := 0, 0
+	allowed := 0
 	for _, t := range s.targets[q.backend] {
-		slots += t.Slots
 		if req.isAllowed(t) {
 			allowed++
 		}
@@ -275,7 +274,7 @@
 	if q.outage.isOngoing(now) {
 		return nil // waits for a short time: other requests probe the back end
 	}
-	if now.Add(q.estimateWait(q.waitersAhead(req.priority)+1, slots, s.instanceCount)).After(req.waitUntil) {
+	if now.Add(q.estimateWait(q.waitersAhead(req.priority)+1, s)).After(req.waitUntil) {
 		return q.overloadedError()
 	}
 	return nil
@@ -296,11 +295,28 @@
 
 // estimateWait estimates how long the waiter at a position waits. The waiters
 // of all instances compete for the slots.
-func (q *queue) estimateWait(position, slots, instances int) time.Duration {
-	if slots == 0 {
+func (q *queue) estimateWait(position int, s *snapshot) time.Duration {
+	rate := q.capacity(s)
+	if rate == 0 {
 		return noTargetRetryAfter
 	}
-	return time.Duration(float64(position*instances) / float64(slots) * float64(q.meanSlotTime))
+	return time.Duration(float64(position*s.instanceCount) / rate * float64(time.Second))
+}
+
+// capacity returns the number of requests per second that the targets take from all
+// instances: as many as their slots allow, or less if they have named a limit.
+func (q *queue) capacity(s *snapshot) float64 {
+	total := 0.0
+	for _, t := range s.targets[q.backend] {
+		rate := float64(t.Slots) / q.meanSlotTime.Seconds()
+		t.mu.Lock()
+		if t.rateLimit.named {
+			rate = min(rate, max(t.rateLimit.limit, routing.MinRateLimit))
+		}
+		t.mu.Unlock()
+		total += rate
+	}
+	return total
 }
 
 // isDown reports whether the back end refuses all requests, or all its targets
@@ -322,12 +338,7 @@
 // Its Retry-After is the estimated time until the present waiters have been
 // served. The caller holds q.mu.
 func (q *queue) overloadedError() error {
-	s := q.g.snapshot.Load()
-	slots := 0
-	for _, t := range s.targets[q.backend] {
-		slots += t.Slots
-	}
-	retryAfter := max(minRetryAfter, q.estimateWait(len(q.waiters)+1, slots, s.instanceCount))
+	retryAfter := max(minRetryAfter, q.estimateWait(len(q.waiters)+1, q.g.snapshot.Load()))
 	return errkind.New(errkind.Overloaded, "all targets of back end %s are full, %d requests are queued", q.backend, len(q.waiters)).
 		WithRetryAfter(jitter(retryAfter))
 }
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -135,3 +135,107 @@
 	limited.requireLimitKept(t, 2.5, start.Add(contactTime))
 	require.Equal(t, sent, served, "requests beyond the limit go to another target")
 }
+
+// Guards against a limit that is half unused because one instance has all the load.
+func TestLimitIsUsedAtUnevenLoad(t *testing.T) {
+	t.Parallel()
+	limited := startLimitedTarget(t, "limited", 8)
+	d := startLimited(t, limited, startLimitedTarget(t, "free", -1))
+	busy := d.start("g1")
+	d.start("g2")
+	d.start("g3")
+	start := time.Now()
+	sendFor(t, contactTime+8*time.Second, 40, busy)
+	limited.requireLimitKept(t, 8, start.Add(contactTime))
+}
+
+// Guards against limits that are mixed up, against decimals that are cut off, and
+// against limits that apply no longer when they rise or fall, or are named in some
+// responses only.
+func TestLimitsOfSeveralTargets(t *testing.T) {
+	t.Parallel()
+	slow, half, changing := startLimitedTarget(t, "slow", 0.5), startLimitedTarget(t, "half", 3), startLimitedTarget(t, "changing", 6)
+	half.hides = 1
+	d := startLimited(t, slow, half, changing, startLimitedTarget(t, "free", -1))
+	instances := []*instance{d.start("g1"), d.start("g2"), d.start("g3")}
+	start := time.Now()
+	changed := start.Add(contactTime + 5*time.Second)
+	time.AfterFunc(time.Until(changed), func() { changing.limit.Store(2.0) })
+	sendFor(t, 2*contactTime+13*time.Second, 15, instances...)
+	slow.requireLimitKept(t, 0.5, start.Add(contactTime))
+	half.requireLimitKept(t, 3, start.Add(contactTime))
+	changing.requireLimitKept(t, 2, changed.Add(contactTime))
+	require.GreaterOrEqual(t, changing.count(start.Add(contactTime), changed), 15, "half of 6 a second in 5 s")
+}
+
+// Guards against a limit that stays after the target has ceased to name it.
+func TestLimitEnds(t *testing.T) {
+	t.Parallel()
+	limited := startLimitedTarget(t, "limited", 3)
+	d := startLimited(t, limited, startLimitedTarget(t, "free", -1))
+	instances := []*instance{d.start("g1"), d.start("g2")}
+	ends := time.Now().Add(contactTime)
+	time.AfterFunc(contactTime, func() { limited.limit.Store(-1.0) })
+	sendFor(t, contactTime+12*time.Second, 20, instances...)
+	require.Greater(t, limited.count(ends.Add(10*time.Second), ends.Add(12*time.Second)), 20, "10 of the 20 requests a second go to each target")
+}
+
+// Guards against an instance that has just started and sends more than the limit
+// until a response tells it of the limit.
+func TestStartedInstanceKnowsLimit(t *testing.T) {
+	t.Parallel()
+	limited := startLimitedTarget(t, "limited", 2)
+	d := startLimited(t, limited, startLimitedTarget(t, "free", -1))
+	first := d.start("g1")
+	sendFor(t, 2*time.Second, 10, first)
+	second := d.start("g2")
+	require.Eventually(t, func() bool {
+		target := second.target("limited")
+		target.mu.Lock()
+		defer target.mu.Unlock()
+		return target.rateLimit.named
+	}, contactTime, 10*time.Millisecond)
+	start := time.Now()
+	sendFor(t, limitWindow, 20, second)
+	require.LessOrEqual(t, limited.count(start, start.Add(limitWindow)), 17)
+}
+
+// Guards against requests that wait in vain if all targets have named a limit: those
+// beyond it are refused soon, with a time after which there is room.
+func TestRequestsBeyondAllLimitsAreRefused(t *testing.T) {
+	t.Parallel()
+	a, b := startLimitedTarget(t, "a", 2), startLimitedTarget(t, "b", 2)
+	d := startLimited(t, a, b)
+	instances := []*instance{d.start("g1"), d.start("g2")}
+	start := time.Now()
+	served, sent := sendFor(t, contactTime+8*time.Second, 10, instances...)
+	a.requireLimitKept(t, 2, start.Add(contactTime))
+	b.requireLimitKept(t, 2, start.Add(contactTime))
+	require.Less(t, served, sent)
+	for range 10 {
+		before := time.Now()
+		resp := instances[0].request(t.Context(), http.MethodPost, "/read/last", "")
+		if resp.status == http.StatusOK {
+			continue
+		}
+		require.Contains(t, []int{http.StatusTooManyRequests, http.StatusServiceUnavailable}, resp.status)
+		require.NotEmpty(t, resp.header.Get("Retry-After"))
+		require.Less(t, time.Since(before), 2*time.Second, "it was held although it could not be served")
+	}
+}
+
+// Guards against retries and hedges that are not counted at a limited target.
+func TestRetriesCountTowardsLimit(t *testing.T) {
+	t.Parallel()
+	limited := startLimitedTarget(t, "limited", 2)
+	failing := startFakeTarget(t, "failing", func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 500 E\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+	})
+	cfg := config()
+	cfg.Backends = []routing.Backend{{Name: "b", MaxConns: 100}}
+	d := newDeployment(t, cfg, limited.fakeTarget, failing)
+	instances := []*instance{d.start("g1"), d.start("g2"), d.start("g3")}
+	start := time.Now()
+	sendFor(t, contactTime+6*time.Second, 10, instances...)
+	limited.requireLimitKept(t, 2, start.Add(contactTime))
+}
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -34,6 +34,7 @@
 	slowdown      float64
 	failureRate   float64
 	warmUpLimiter routing.WarmUpLimiter
+	rateLimit     targetLimit
 	// pausedUntil is the end of the pause after a refused or undeliverable
 	// request, during which the target gets no new ones.
 	pausedUntil time.Time
@@ -59,11 +60,14 @@
 const verificationTimeout = 250 * time.Millisecond
 
 // canAccept reports whether the target may receive a request now, regardless of
-// its load. The caller holds t.mu.
+// its load. It may not if it has used up the limit that it has named. The caller holds t.mu.
 func (t *targetState) canAccept(now time.Time) bool {
 	if now.Before(t.pausedUntil) {
 		return false
 	}
+	if !t.rateLimit.allows(now) {
+		return false
+	}
 	return t.verified || t.ownRequests.Load() == 0 || now.Sub(t.firstSentAt) > verificationTimeout
 }
 
@@ -73,6 +77,7 @@
 		t.firstSentAt = now
 	}
 	t.ownRequests.Add(1)
+	t.rateLimit.take(now)
 }
 
 func (t *targetState) isWarmingUp(now time.Time) bool { return monotonic(now) < t.warmUpUntil.Load() }
@@ -134,5 +139,5 @@
 // instance now. The caller holds t.mu.
 func (s *snapshot) allowsWarmUp(t *target, rate float64, now time.Time) bool {
 	senders := routing.WarmUpSenders(rate, s.instanceCount)
-	return routing.IsWarmUpSender(t.ID, s.position, s.instanceCount, senders) && t.warmUpLimiter.CanTakeRequest(rate, senders, now)
+	return routing.IsSender(t.ID, s.position, s.instanceCount, senders) && t.warmUpLimiter.CanTakeRequest(rate, senders, now)
 }
--- a/routing/limits_test.go
+++ b/routing/limits_test.go
@@ -53,7 +53,7 @@
 	for position := range instances {
 		mine := 0
 		for n := range targets {
-			if IsWarmUpSender(fmt.Sprintf("i-%d", n), position, instances, WarmUpSenders(14, instances)) {
+			if IsSender(fmt.Sprintf("i-%d", n), position, instances, WarmUpSenders(14, instances)) {
 				mine++
 			}
 		}
@@ -72,7 +72,7 @@
 	for at := time.Duration(0); at < warmUpLength; at += 5 * time.Millisecond {
 		now := time.Unix(0, 0).Add(at)
 		for i := range limiters {
-			if IsWarmUpSender("i-1", i, instances, senders) && limiters[i].TakeRequest(rate, senders, now) {
+			if IsSender("i-1", i, instances, senders) && limiters[i].TakeRequest(rate, senders, now) {
 				sent = append(sent, now)
 			}
 		}
