skylarkctl load: gateways against targets that crash on a part or name a limit

A scenario with the field fleet starts them in this process, with stand-in targets that crash on a part of a prompt, name a limit, send responses without a length or break off in an event, in a rank group that stalls if one crashes; beside crashes for other reasons, cuts, planned stops and an outage of the store. It checks what targets and callers saw: late sends, limits, sound requests, wrong blame, whole streams, true refusals.

--- a/ctl/command/load.go
+++ b/ctl/command/load.go
@@ -12,6 +12,7 @@
 
 	"github.com/skylarkstep/skylarkstep/config"
 	"github.com/skylarkstep/skylarkstep/ctl/dev"
+	"github.com/skylarkstep/skylarkstep/ctl/fleet"
 	"github.com/skylarkstep/skylarkstep/ctl/load"
 	enginestandin "github.com/skylarkstep/skylarkstep/engine/standin"
 	"github.com/skylarkstep/skylarkstep/errkind"
@@ -37,6 +38,8 @@
 	report   string
 	plot     string
 	strict   bool
+	seeds    uint64
+	log      string
 }
 
 func loadCommand() *cobra.Command {
@@ -47,7 +50,8 @@
 		Long: "Runs a scenario against a dev deployment of a configuration file, or against the entries of a real\n" +
 			"deployment. Arrivals are open-loop and generated from the seed of the scenario; latencies are measured\n" +
 			"from the scheduled arrival. With --strict the command fails if a call ran twice, was lost or interrupted,\n" +
-			"or was wrongly reported as not run.",
+			"or was wrongly reported as not run. A scenario with the field\n" +
+			"fleet starts gateways of the users' platform in this process instead, against targets that misbehave.",
 		Example: "  skylarkctl load --scenario scenarios/zone-out.json --config examples/cabina-norte.json\n" +
 			"  skylarkctl load --scenario scenarios/steady.json --entry http://10.0.0.1:8080 --key KEY --report r.json",
 		Args: cobra.NoArgs,
@@ -62,6 +66,8 @@
 	cmd.Flags().StringVar(&o.report, "report", "", "file for the report in JSON")
 	cmd.Flags().StringVar(&o.plot, "plot", "", "file for the plot (.png or .svg)")
 	cmd.Flags().BoolVar(&o.strict, "strict", false, "fail if a call ran twice, was lost or interrupted, or was wrongly reported as not run")
+	cmd.Flags().Uint64Var(&o.seeds, "seeds", 1, "with gateways of the users' platform: number of seeds to play, from that of the scenario")
+	cmd.Flags().StringVar(&o.log, "log", "", "with gateways of the users' platform: file for their log")
 	_ = cmd.MarkFlagRequired("scenario")
 	return cmd
 }
@@ -71,6 +77,9 @@
 	if err != nil {
 		return errors.Wrap(err, "read scenario")
 	}
+	if fleet.IsScenario(data) {
+		return runFleet(ctx, out, data, o)
+	}
 	s, err := load.ParseScenario(data)
 	if err != nil {
 		return errors.Wrap(err, o.scenario)
@@ -103,6 +112,41 @@
 	return nil
 }
 
+// runFleet plays a scenario with gateways of the users' platform, for each seed.
+func runFleet(ctx context.Context, out io.Writer, data []byte, o loadOptions) error {
+	s, err := fleet.ParseScenario(data)
+	if err != nil {
+		return errors.Wrap(err, o.scenario)
+	}
+	var logOutput io.Writer
+	if o.log != "" {
+		file, err := os.Create(o.log)
+		if err != nil {
+			return errors.Wrap(err, "create the log")
+		}
+		defer func() { _ = file.Close() }()
+		logOutput = file
+	}
+	var failed []uint64
+	for range o.seeds {
+		rep, err := fleet.Run(ctx, s, logOutput)
+		if err != nil {
+			return errors.Wrapf(err, "seed %d", s.Seed)
+		}
+		if err := rep.WriteText(out); err != nil {
+			return err
+		}
+		if !rep.Held() {
+			failed = append(failed, s.Seed)
+		}
+		s.Seed++
+	}
+	if o.strict && len(failed) > 0 {
+		return errors.Errorf("promises were broken with the seeds %v", failed)
+	}
+	return nil
+}
+
 // saveReport writes the report and the plot to the files that the options name.
 func saveReport(rep *load.Report, o loadOptions) error {
 	if o.report != "" {
--- /dev/null
+++ b/ctl/fleet/check.go
@@ -0,0 +1,223 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// toleratedCrashes is how many crashes a part may cause until it must be kept
+	// from targets, and toleratedSends how many requests with it may reach them
+	// later than the contact time after that.
+	toleratedCrashes = 5
+	toleratedSends   = 3
+	// limitWindow, limitExcess and limitSlack describe what a target with a limit
+	// may get: in each window limitExcess times the limit, and limitSlack more.
+	limitWindow = 4 * time.Second
+	limitExcess = 1.5
+	limitSlack  = 5
+	// informedAfter is how long after a response with the limit a gateway is
+	// expected to keep to it.
+	informedAfter = 500 * time.Millisecond
+)
+
+// Report is the result of a run.
+type Report struct {
+	Scenario string `json:"scenario"`
+	Seed     uint64 `json:"seed"`
+	Requests int    `json:"requests"`
+	// Crashes counts the crashes of targets, by the part that caused them; those
+	// for other reasons are under the empty part.
+	Crashes map[string]int `json:"crashes"`
+	// LateSends counts, by part, the requests that reached targets too late.
+	LateSends map[string]int `json:"late_sends"`
+	// SoundBefore and SoundAfter are the shares of sound requests that were served
+	// at the first attempt before the first crash and after the quarantine.
+	SoundBefore float64 `json:"sound_before"`
+	SoundAfter  float64 `json:"sound_after"`
+	// WronglyBlamed holds the sound parts that were quarantined.
+	WronglyBlamed []string `json:"wrongly_blamed"`
+	// Violations holds the promises that were broken.
+	Violations []string `json:"violations"`
+}
+
+// report compares what callers and targets have seen with what was promised.
+func (f *Fleet) report() *Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := &Report{
+		Scenario: f.scenario.Name, Seed: f.scenario.Seed, Requests: len(f.outcomes), Crashes: map[string]int{}, LateSends: map[string]int{},
+		WronglyBlamed: []string{}, Violations: slices.Clone(f.failures),
+	}
+	for _, c := range f.crashes {
+		r.Crashes[c.part]++
+	}
+	f.checkParts(r)
+	f.checkLimits(r)
+	f.checkNotRun(r)
+	return r
+}
+
+// isExcused reports whether a gateway need not know what others do.
+func (f *Fleet) isExcused(gateway string, at time.Time) bool {
+	return slices.ContainsFunc(f.excused, func(e excuse) bool { return e.gateway == gateway && !at.Before(e.from) && at.Before(e.to) })
+}
+
+// checkParts checks that parts that crash targets are kept from them, and others
+// are not.
+func (f *Fleet) checkParts(r *Report) {
+	first, settled := time.Time{}, time.Time{}
+	for _, part := range f.scenario.crashingParts() {
+		var times []time.Time
+		for _, c := range f.crashes {
+			if c.part == part {
+				times = append(times, c.at)
+			}
+		}
+		if len(times) == 0 {
+			continue
+		}
+		if first.IsZero() || times[0].Before(first) {
+			first = times[0]
+		}
+		last := times[min(len(times), toleratedCrashes)-1]
+		if last.After(settled) {
+			settled = last
+		}
+		if len(times) < toleratedCrashes {
+			continue
+		}
+		if n := f.countSends(part, last.Add(f.scenario.contact())); n > 0 {
+			r.LateSends[part] = n
+			if n > toleratedSends {
+				r.Violations = append(r.Violations, fmt.Sprintf("part %s: %d requests reached targets after %d crashes, %d crashes in all", part, n, toleratedCrashes, len(times)))
+			}
+		}
+	}
+	f.checkSound(r, first, settled)
+	f.checkBlame(r)
+}
+
+func (f *Fleet) countSends(part string, after time.Time) int {
+	n := 0
+	for _, t := range f.targets {
+		t.mu.Lock()
+		for _, a := range t.arrivals {
+			if a.part == part && a.at.After(after) && !f.isExcused(a.gateway, a.at) {
+				n++
+			}
+		}
+		t.mu.Unlock()
+	}
+	return n
+}
+
+// minSoundRequests is the number of requests from which on shares are compared.
+const minSoundRequests = 20
+
+// checkSound compares how often sound requests are served at the first attempt.
+func (f *Fleet) checkSound(r *Report, first, settled time.Time) {
+	if first.IsZero() {
+		return
+	}
+	share := func(from, to time.Time) (float64, int) {
+		served, all := 0, 0
+		for _, o := range f.outcomes {
+			if at := f.start.Add(o.at); o.crashing || o.retry || at.Before(from) || !at.Before(to) || f.isExcused(o.gateway, at) {
+				continue
+			}
+			all++
+			if o.complete {
+				served++
+			}
+		}
+		return float64(served) / float64(max(1, all)), all
+	}
+	var before, after int
+	r.SoundBefore, before = share(f.start, first)
+	r.SoundAfter, after = share(settled.Add(2*f.scenario.contact()), f.start.Add(f.scenario.duration()))
+	if before >= minSoundRequests && after >= minSoundRequests && r.SoundAfter < r.SoundBefore/2 {
+		r.Violations = append(r.Violations, fmt.Sprintf("sound requests: %.2f served at the first attempt, %.2f before the crashes", r.SoundAfter, r.SoundBefore))
+	}
+}
+
+// checkBlame lists the sound parts that were quarantined. One that all requests
+// share must never be.
+func (f *Fleet) checkBlame(r *Report) {
+	guilty := f.scenario.crashingParts()
+	for _, m := range f.members {
+		for _, p := range m.gateway.QuarantineList(f.ctx).Parts {
+			if p.State == "cleared" || slices.Contains(guilty, p.Part) || slices.Contains(r.WronglyBlamed, p.Part) {
+				continue
+			}
+			r.WronglyBlamed = append(r.WronglyBlamed, p.Part)
+			if p.Part == "first" {
+				r.Violations = append(r.Violations, "the part that all requests share was quarantined")
+			}
+		}
+	}
+}
+
+// checkLimits checks that targets with a limit got no more than it allows from
+// gateways that they had told.
+func (f *Fleet) checkLimits(r *Report) {
+	for _, t := range f.targets {
+		limit := t.limit.Load()
+		if limit == nil {
+			continue
+		}
+		t.mu.Lock()
+		var counted []time.Time
+		for _, a := range t.arrivals {
+			told := t.told[a.gateway]
+			if a.at.After(t.limitedAt.Add(f.scenario.contact())) && !told.IsZero() && a.at.Sub(told) >= informedAfter && !f.isExcused(a.gateway, a.at) {
+				counted = append(counted, a.at)
+			}
+		}
+		t.mu.Unlock()
+		slices.SortFunc(counted, time.Time.Compare)
+		allowed := limitExcess**limit*limitWindow.Seconds() + limitSlack
+		if most := mostWithin(counted, limitWindow); float64(most) > allowed {
+			r.Violations = append(r.Violations, fmt.Sprintf("target %s with a limit of %g a second got %d requests in %s", t.id, *limit, most, limitWindow))
+		}
+	}
+}
+
+func mostWithin(sorted []time.Time, window time.Duration) int {
+	most, from := 0, 0
+	for to := range sorted {
+		for sorted[to].Sub(sorted[from]) >= window {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
+// checkNotRun checks that requests that were refused as not run did not run.
+func (f *Fleet) checkNotRun(r *Report) {
+	for _, o := range f.outcomes {
+		if _, ran := f.ran.Load(o.id); ran && o.notRun {
+			r.Violations = append(r.Violations, fmt.Sprintf("request %s was reported as not run (%s), and ran", o.id, o.kind))
+		}
+	}
+}
+
+// Held reports whether all promises were kept.
+func (r *Report) Held() bool { return len(r.Violations) == 0 }
+
+// WriteText writes the report for a person to read.
+func (r *Report) WriteText(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "%s, seed %d:\t%d requests, crashes by part %v, late sends %v, sound requests at the first attempt %.3f before and %.3f after, wrongly blamed %d\n",
+		r.Scenario, r.Seed, r.Requests, r.Crashes, r.LateSends, r.SoundBefore, r.SoundAfter, len(r.WronglyBlamed))
+	for _, v := range r.Violations {
+		_, _ = fmt.Fprintf(w, "  violated:\t%s\n", v)
+	}
+	return errors.WithStack(w.Flush())
+}
--- /dev/null
+++ b/ctl/fleet/target.go
@@ -0,0 +1,263 @@
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+const (
+	// eventCount and eventInterval describe a stream; a target reads a prompt for
+	// prefillTime, and crashes up to maxCrashDelay after it has begun to write.
+	eventCount    = 8
+	eventInterval = 25 * time.Millisecond
+	prefillTime   = 30 * time.Millisecond
+	maxCrashDelay = 80 * time.Millisecond
+)
+
+// event returns one event of a stream.
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id) }
+
+// arrivalAt is a request that reached a target.
+type arrivalAt struct {
+	at      time.Time
+	gateway string
+	request string
+	part    string // the part that crashes targets, or empty
+}
+
+// target is one incarnation of a stand-in target.
+type target struct {
+	fleet    *Fleet
+	id       string
+	listener net.Listener
+	limit    atomic.Pointer[float64]
+	// limitedAt is when it first named its limit.
+	limitedAt time.Time
+
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	crashed  bool
+	arrivals []arrivalAt
+	// told holds when each gateway first got a response with the limit.
+	told map[string]time.Time
+}
+
+// startTarget starts a target and writes its entry.
+func (f *Fleet) startTarget() {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.fail("listen for a target: %v", err)
+		return
+	}
+	t := &target{fleet: f, id: fmt.Sprintf("t%d", f.processes.Add(1)), listener: listener, conns: map[net.Conn]bool{}, told: map[string]time.Time{}}
+	f.mu.Lock()
+	f.targets = append(f.targets, t)
+	f.mu.Unlock()
+	go t.serve()
+	entry := routing.Target{ID: t.id, Backend: backend, Addr: listener.Addr().String(), DataCentre: dataCentre, Slots: f.scenario.Fleet.Slots, Incarnation: 1}
+	value, err := json.Marshal(entry)
+	if err != nil {
+		f.fail("encode the entry of a target: %v", err)
+		return
+	}
+	f.put(targetPrefix+t.id, value)
+}
+
+func (t *target) serve() {
+	for {
+		c, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.mu.Lock()
+		t.conns[c] = true
+		t.mu.Unlock()
+		go t.serveConn(c)
+	}
+}
+
+func (t *target) serveConn(c net.Conn) {
+	defer func() {
+		t.mu.Lock()
+		delete(t.conns, c)
+		t.mu.Unlock()
+		_ = c.Close()
+	}()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if !t.handle(c, r) {
+			return
+		}
+	}
+}
+
+// handle responds to a request. It returns false if the connection ends.
+func (t *target) handle(c net.Conn, r *http.Request) (keep bool) {
+	part := t.fleet.crashingPart(r)
+	a := arrivalAt{at: time.Now(), gateway: r.Header.Get(headerGateway), request: r.Header.Get(headerID), part: part}
+	t.mu.Lock()
+	t.arrivals = append(t.arrivals, a)
+	t.mu.Unlock()
+	group := t.fleet.group.state()
+	if group.broken {
+		time.Sleep(time.Until(group.stallUntil))
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Broken\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerID, a.request, headerNotRun)
+		return err == nil
+	}
+	time.Sleep(prefillTime)
+	t.fleet.ran.Store(a.request, true)
+	if part != "" {
+		t.writeHead(c, r, false)
+		time.Sleep(rand.N(maxCrashDelay))
+		t.crash(part)
+		return false
+	}
+	return t.stream(c, r, group.epoch)
+}
+
+// crashingPart returns the part of a request that crashes targets, if it has one.
+func (f *Fleet) crashingPart(r *http.Request) string {
+	for _, part := range strings.Split(r.Header.Get(headerParts), ",") {
+		if slices.Contains(f.scenario.crashingParts(), part) {
+			return part
+		}
+	}
+	return ""
+}
+
+func (t *target) writeHead(c net.Conn, r *http.Request, unframed bool) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: s\r\n", headerID, r.Header.Get(headerID), headerSeal)
+	if limit := t.limit.Load(); limit != nil {
+		head += fmt.Sprintf("%s: %g\r\n", headerLimit, *limit)
+		t.mu.Lock()
+		if gatewayID := r.Header.Get(headerGateway); t.told[gatewayID].IsZero() {
+			t.told[gatewayID] = time.Now()
+		}
+		t.mu.Unlock()
+	}
+	if !unframed {
+		head += "Transfer-Encoding: chunked\r\n"
+	}
+	_, _ = io.WriteString(c, head+"\r\n")
+}
+
+// stream sends the events after the one that the caller has.
+func (t *target) stream(c net.Conn, r *http.Request, epoch int) (keep bool) {
+	unframed := rand.N(100) < int(t.fleet.unframedPercent.Load())
+	breaks := rand.N(100) < int(t.fleet.breakPercent.Load())
+	t.writeHead(c, r, unframed)
+	first, _ := strconv.Atoi(r.Header.Get(headerLastEvent))
+	for id := first + 1; id <= eventCount; id++ {
+		time.Sleep(eventInterval)
+		if group := t.fleet.group.state(); group.broken || group.epoch != epoch {
+			time.Sleep(time.Until(group.stallUntil))
+			resetConn(c)
+			return false
+		}
+		text := event(id)
+		if breaks && id == eventCount/2 {
+			text = text[:len(text)/2]
+		}
+		if !unframed {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+		}
+		if _, err := io.WriteString(c, text); err != nil || breaks && id == eventCount/2 {
+			return false
+		}
+	}
+	if unframed {
+		return false
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// crash ends the target with all its connections. A successor starts later.
+func (t *target) crash(part string) {
+	t.mu.Lock()
+	if t.crashed {
+		t.mu.Unlock()
+		return
+	}
+	t.crashed = true
+	conns := t.conns
+	t.conns = map[net.Conn]bool{}
+	t.mu.Unlock()
+	f := t.fleet
+	f.recordCrash(part)
+	_ = t.listener.Close()
+	for c := range conns {
+		_ = c.Close()
+	}
+	restart := milliseconds(f.scenario.Fleet.RestartMs)
+	f.group.breakOff(milliseconds(f.scenario.Fleet.StallMs), restart)
+	time.AfterFunc(restart, func() {
+		f.remove(targetPrefix + t.id)
+		if f.ctx.Err() == nil {
+			f.startTarget()
+		}
+	})
+}
+
+// group is the rank group that all targets form; it never breaks if it is not
+// used.
+type group struct {
+	mu sync.Mutex
+	groupState
+	openAt time.Time
+}
+
+type groupState struct {
+	broken     bool
+	stallUntil time.Time
+	// epoch rises when the group forms again.
+	epoch int
+}
+
+func (g *group) state() groupState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.broken && time.Now().After(g.openAt) {
+		g.broken = false
+		g.epoch++
+	}
+	return g.groupState
+}
+
+func (g *group) breakOff(stall, restart time.Duration) {
+	if stall == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if !g.broken {
+		g.broken, g.stallUntil = true, now.Add(stall)
+	}
+	g.openAt = now.Add(restart + stall)
+}
--- a/gateway/quarantineapi.go
+++ b/gateway/quarantineapi.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -48,11 +49,7 @@
 func (g *Gateway) QuarantineHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+QuarantinePath, func(w http.ResponseWriter, r *http.Request) {
-		list, ok := query(r.Context(), g.control, func() QuarantineList { return g.control.quarantineList(time.Now()) })
-		if !ok {
-			http.Error(w, "the instance is stopping", http.StatusServiceUnavailable)
-			return
-		}
+		list := g.QuarantineList(r.Context())
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(list); err != nil {
 			g.log.Debug("quarantine list not written", "error", err.Error())
@@ -63,6 +60,13 @@
 	return mux
 }
 
+// QuarantineList returns the list of parts of prompts that are kept from targets.
+// It is empty if the instance has ended.
+func (g *Gateway) QuarantineList(ctx context.Context) QuarantineList {
+	list, _ := query(ctx, g.control, func() QuarantineList { return g.control.quarantineList(time.Now()) })
+	return list
+}
+
 func (g *Gateway) serveDecision(w http.ResponseWriter, r *http.Request, quarantined bool) {
 	part := r.URL.Query().Get("part")
 	switch {
