gateway/upstream: one goroutine waits for the next response on a checked connection

Check, which came with the quarantine, let a second goroutine wait for the first byte of a new connection, so that two of them read from one buffer and bytes were lost. The log shows a response that is not valid HTTP after event 2 of a stream with one event. TestCheckedConnectionIsUsedForRequest hung without the fix, and passes.

--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -131,20 +131,26 @@
 	if err != nil {
 		return err
 	}
-	p.release(c, defaultIdleTimeout)
+	p.keep(c, defaultIdleTimeout)
 	return nil
 }
 
+// release keeps a connection whose response was read to its end.
 func (p *Pool) release(c *conn, keep time.Duration) {
-	c.idleUntil = time.Now().Add(keep)
 	_ = c.SetReadDeadline(time.Time{})
+	c.awaitFirstByte()
+	p.keep(c, keep)
+}
+
+// keep adds an idle connection, which already waits for its next byte.
+func (p *Pool) keep(c *conn, keep time.Duration) {
+	c.idleUntil = time.Now().Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		_ = c.Close()
 		return
 	}
-	c.awaitFirstByte()
 	p.idle = append(p.idle, c)
 }
 
