gateway: a response without a length that ends with the crash of its target is lost

If only the end of the connection ends a response, the gateway checks whether the target refuses connections; if so the attempt is lost and resumed or retried. TestResponseWithoutLengthOfCrashedTarget failed and passes.

--- a/ctl/fleet/faults.go
+++ b/ctl/fleet/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -55,11 +56,10 @@
 }
 
 func (f *Fleet) limitTargets(rng *rand.Rand, fault Fault) {
-	for _, t := range f.pickTargets(rng, fault.Count) {
+	free := slices.DeleteFunc(f.pickTargets(rng, f.scenario.Fleet.Targets), func(t *target) bool { return t.limit.Load() != nil })
+	for _, t := range free[:min(fault.Count, len(free))] {
 		t.mu.Lock()
-		if t.limitedAt.IsZero() {
-			t.limitedAt = time.Now()
-		}
+		t.limitedAt = time.Now()
 		t.mu.Unlock()
 		t.limit.Store(&fault.Rate)
 	}
--- a/ctl/fleet/run.go
+++ b/ctl/fleet/run.go
@@ -156,7 +156,7 @@
 	members, targets := f.members, f.targets
 	f.mu.Unlock()
 	for _, t := range targets {
-		_ = t.listener.Close()
+		t.close()
 	}
 	for _, m := range members {
 		m.callers.closeAll()
--- a/ctl/fleet/target.go
+++ b/ctl/fleet/target.go
@@ -205,15 +205,10 @@
 		return
 	}
 	t.crashed = true
-	conns := t.conns
-	t.conns = map[net.Conn]bool{}
 	t.mu.Unlock()
 	f := t.fleet
 	f.recordCrash(part)
-	_ = t.listener.Close()
-	for c := range conns {
-		_ = c.Close()
-	}
+	t.close()
 	restart := milliseconds(f.scenario.Fleet.RestartMs)
 	f.group.breakOff(milliseconds(f.scenario.Fleet.StallMs), restart)
 	time.AfterFunc(restart, func() {
@@ -224,6 +219,18 @@
 	})
 }
 
+// close closes the listener and all connections.
+func (t *target) close() {
+	_ = t.listener.Close()
+	t.mu.Lock()
+	conns := t.conns
+	t.conns = map[net.Conn]bool{}
+	t.mu.Unlock()
+	for c := range conns {
+		_ = c.Close()
+	}
+}
+
 // group is the rank group that all targets form; it never breaks if it is not
 // used.
 type group struct {
--- a/ctl/fleet/traffic.go
+++ b/ctl/fleet/traffic.go
@@ -99,13 +99,12 @@
 	o := outcome{at: time.Since(f.start), crashing: crashing, gateway: m.id, id: id, retry: retry}
 	status, body, err := m.post(f.ctx, id, parts)
 	o.status = status
-	switch {
-	case status == http.StatusOK:
+	if status == http.StatusOK {
 		o.complete = err == nil && isCompleteStream(body)
 		if err == nil && !o.complete && f.ctx.Err() == nil {
 			f.fail("request %s: a success with an incomplete stream: %q", id, body)
 		}
-	default:
+	} else {
 		var e struct {
 			Kind   string `json:"kind"`
 			DidRun string `json:"did_run"`
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -313,6 +313,9 @@
 	if err == nil && len(body) > maxBufferedBytes && isShort {
 		err = errors.Errorf("body of a response with status %d exceeds %d bytes", res.resp.StatusCode, maxBufferedBytes)
 	}
+	if err == nil && len(body) <= maxBufferedBytes && res.endedByCrash(ctx) {
+		err = io.ErrUnexpectedEOF
+	}
 	switch {
 	case err != nil:
 		res.resp.Close()
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -96,6 +96,12 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// endedByCrash reports whether a response that only the end of its connection ends
+// did so because its target crashed.
+func (r *attemptResult) endedByCrash(ctx context.Context) bool {
+	return endsWithConnection(r.resp.Response) && !r.target.Leaving && r.target.hasExited(ctx)
+}
+
 // recordEvidence records what the result of an attempt says about the parts of the
 // prompt.
 func (x *exchange) recordEvidence(ctx context.Context, res attemptResult) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -206,7 +206,7 @@
 				return res.lostWith(err)
 			}
 		case err := <-readErr:
-			return x.finishStream(res, err, progress, events, headerSent)
+			return x.finishStream(ctx, res, err, progress, events, headerSent)
 		case now := <-ticker.C:
 			if err := x.checkProgress(res.target, progress, now); err != nil {
 				res.target.recordOutcome(true)
@@ -293,11 +293,11 @@
 	return nil
 }
 
-// finishStream determines whether a stream ended completely. One without an event
-// that only the end of its connection ends did not: the target crashed.
-func (x *exchange) finishStream(res attemptResult, err error, progress streamProgress, events *sse.Splitter, headerSent *bool) attemptResult {
+// finishStream determines whether a stream ended completely. One that only the end
+// of its connection ends did not if it has no event or its target has crashed.
+func (x *exchange) finishStream(ctx context.Context, res attemptResult, err error, progress streamProgress, events *sse.Splitter, headerSent *bool) attemptResult {
 	isEmpty := progress.lastEventAt.IsZero() && endsWithConnection(res.resp.Response)
-	if !errors.Is(err, io.EOF) || events.Incomplete() || isEmpty {
+	if !errors.Is(err, io.EOF) || events.Incomplete() || isEmpty || res.endedByCrash(ctx) {
 		res.target.recordOutcome(true)
 		return res.lostWith(errors.Wrapf(err, "stream of target %s was interrupted after event %q", res.target.ID, events.LastID()))
 	}
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -68,3 +68,26 @@
 		})
 	}
 }
+
+// Guards against a response without a length that looks complete because its target
+// crashed between two events, or before the whole body was sent: such a connection
+// may end in order.
+func TestResponseWithoutLengthOfCrashedTarget(t *testing.T) {
+	const second = "id: 2\ndata: second\n\n"
+	for path, body := range map[string]string{"/chat/1": firstEvent + second, "/read/1": "whole"} {
+		t.Run(path, func(t *testing.T) {
+			rest := map[string]string{"/chat/1": second, "/read/1": "whole"}[path]
+			sent := map[string]string{"/chat/1": firstEvent, "/read/1": "wh"}[path]
+			var listener net.Listener
+			g, bad, good := startBadAndGood(t, func(w net.Conn, r *http.Request) {
+				_ = listener.Close()
+				unframed(sent, inOrder)(w, r)
+			}, rest)
+			listener = bad.listener
+			resp := g.request(t.Context(), http.MethodPost, path, "")
+			require.NoError(t, resp.err)
+			require.Equal(t, body, resp.body)
+			require.EqualValues(t, 1, good.requests.Load())
+		})
+	}
+}
