--- a/daemon/e2e/handover_test.go
+++ b/daemon/e2e/handover_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/platform/platformtest"
 )
 
 // handOverTime limits the time from a SIGTERM to the first round of the next
@@ -40,8 +42,8 @@
 // taken the term over.
 func TestTermSurvivesStopsInOutage(t *testing.T) {
 	d := newPlatformDeployment(t)
-	require.NoError(t, d.store.Put(t.Context(), "op/config", json.RawMessage(
-		`{"version":2,"services":[{"name":"s","maxConnections":100,"engine":{"sets":1,"experts":4,"placements":4,"spare":1}}]}`)))
+	experts := &platformtest.Experts{Sets: 1, Experts: 4, Placements: 4, Spare: 1}
+	require.NoError(t, platformtest.PutConfig(t.Context(), d.store, 2, platformtest.Service{Name: "s", Experts: experts}))
 	d.start("rank").waitForLog("rank joined")
 	var gateways []*platformProcess
 	for range 4 {
--- a/daemon/e2e/platform_test.go
+++ b/daemon/e2e/platform_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -22,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/platform"
+	"github.com/skylarkstep/skylarkstep/platform/platformtest"
 	"github.com/skylarkstep/skylarkstep/platform/storetest"
 )
 
@@ -77,27 +77,28 @@
 	})
 	d.storeURL = strings.TrimPrefix(storeServer.URL, "http://")
 	d.target = strings.TrimPrefix(target.URL, "http://")
-	require.NoError(t, d.store.Put(t.Context(), "op/config", json.RawMessage(`{"version":1,"routes":[
-		{"name":"chat","host":"h","prefix":"/chat/","kind":"streaming","timeoutMs":9000,"targetLatencyMs":400,"targetGapMs":120,"service":"s","maxAttempts":2,"streamResume":true}],
-		"services":[{"name":"s","maxConnections":100}]}`)))
-	require.NoError(t, d.store.Put(t.Context(), "servers/i-1", map[string]any{
-		"service": "s", "address": d.target, "zone": "dc1", "slots": 12, "state": "ready", "born": 1,
-	}))
+	chat := platformtest.Route{Name: "chat", Timeout: 9 * time.Second, MaxAttempts: 2, Stream: true}
+	require.NoError(t, platformtest.PutConfig(t.Context(), d.store, 1, platformtest.Service{Name: "s"}, chat))
+	d.putTarget(12)
 	return d
 }
 
+// putTarget writes the entry of the target.
+func (d *platformDeployment) putTarget(slots int) {
+	entry := platformtest.Target{ID: "i-1", Service: "s", Addr: d.target, DataCentre: "dc1", Slots: slots}
+	require.NoError(d.t, platformtest.PutTarget(d.t.Context(), d.store, entry))
+}
+
 // serveTarget sends as many events as the path says, and reports the state of a
 // rank that belongs to a group of one.
 func serveTarget(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/api/report" {
-		_, _ = io.WriteString(w, `{"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":1,"born":1,"pace":1}`)
+	if platformtest.ServeRankReport(w, r) {
 		return
 	}
 	var events int
 	_, _ = fmt.Sscanf(r.URL.Path, "/chat/%d", &events)
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Skylarkstep-Attempt-Id", r.Header.Get("Skylarkstep-Attempt-Id"))
-	w.Header().Set("Skylarkstep-Response-Seal", "s")
+	platformtest.MarkResponse(w, r)
 	for i := range events {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1); err != nil {
 			return
@@ -125,17 +126,11 @@
 		t: d.t, ip: ip, settings: filepath.Join(d.t.TempDir(), "local.json"),
 		cmd: exec.Command(bin, role), out: &lockedBuffer{}, done: make(chan struct{}),
 	}
-	settings := map[string]any{
-		"node": role + "-" + ip, "ip": ip, "zone": "dc1", "region": "r1", "zones": map[string]string{"dc1": "r1"},
-		"internalPorts": []int{7340, 7355}, "platform": map[string]any{"address": d.storeURL, "ttlMinMs": 1000},
-		"bounds": map[string]any{"graceS": 8, "configApplyMs": 2000, "maxStretchMs": 5000, "budgetWindowS": 10, "retryBudgetRatio": 0.2, "budgetSlack": 90},
+	process := platformtest.Process{Name: role + "-" + ip, IP: ip, DataCentre: "dc1", StoreAddr: d.storeURL}
+	if role != "gateway" {
+		process.RankAddr, process.RankService = d.target, "s"
 	}
-	if role == "gateway" {
-		settings["listen"] = map[string]string{"front": ip + ":8227", "ready": ip + ":8220", "directory": ip + ":8224"}
-	} else {
-		settings["app"], settings["service"] = d.target, "s"
-	}
-	data, err := json.Marshal(settings)
+	data, err := platformtest.Settings(process)
 	require.NoError(d.t, err)
 	require.NoError(d.t, os.WriteFile(p.settings, data, 0o600))
 	p.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
@@ -178,6 +173,9 @@
 	require.Equal(p.t, 0, p.cmd.ProcessState.ExitCode(), "the process ended with %v", p.cmd.ProcessState)
 }
 
+// callerAddr returns the address for callers of a gateway.
+func (p *platformProcess) callerAddr() string { return platformtest.CallerAddr(p.ip) }
+
 // callerStream is a stream of a caller.
 type callerStream struct {
 	response *http.Response
@@ -186,11 +184,10 @@
 
 // openStream requests a stream and waits for its first event.
 func (p *platformProcess) openStream(ctx context.Context, events int) *callerStream {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:8227/chat/%d", p.ip, events), strings.NewReader("x"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/chat/%d", p.callerAddr(), events), strings.NewReader("x"))
 	require.NoError(p.t, err)
-	req.Host = "h"
-	req.Header.Set("Skylarkstep-Attempt-Id", fmt.Sprint(rand.Uint64()))
-	req.Header.Set("Skylarkstep-Deadline-Ms", "8000")
+	req.Host = platformtest.Host
+	req.Header = platformtest.CallerHeader(fmt.Sprint(rand.Uint64()), 8*time.Second)
 	resp, err := http.DefaultClient.Do(req)
 	require.NoError(p.t, err)
 	require.Equal(p.t, http.StatusOK, resp.StatusCode)
@@ -211,7 +208,7 @@
 // waitReady waits until the gateway accepts callers.
 func (p *platformProcess) waitReady() {
 	require.Eventually(p.t, func() bool {
-		resp, err := http.Get("http://" + p.ip + ":8220/api/readiness")
+		resp, err := http.Get(platformtest.ReadyURL(p.ip))
 		if err != nil {
 			return false
 		}
--- a/daemon/e2e/restore_test.go
+++ b/daemon/e2e/restore_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -17,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/infra/standin"
+	"github.com/skylarkstep/skylarkstep/platform/platformtest"
 )
 
 const (
@@ -76,8 +76,7 @@
 		count := &atomic.Int64{}
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			count.Add(1)
-			w.Header().Set("Skylarkstep-Attempt-Id", r.Header.Get("Skylarkstep-Attempt-Id"))
-			w.Header().Set("Skylarkstep-Response-Seal", "s")
+			platformtest.MarkResponse(w, r)
 			_, _ = io.WriteString(w, "ok")
 		}))
 		t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
@@ -98,21 +97,17 @@
 
 // putConfig writes a configuration with one route for each name.
 func (s *restoreTest) putConfig(version int, routes ...string) {
-	list := make([]map[string]any, 0, len(routes))
+	list := make([]platformtest.Route, 0, len(routes))
 	for _, name := range routes {
-		list = append(list, map[string]any{
-			"name": name, "host": "h", "prefix": "/" + name + "/", "kind": "safe", "timeoutMs": 3000, "targetLatencyMs": 400, "service": "plain", "maxAttempts": 2,
-		})
+		list = append(list, platformtest.Route{Name: name, Timeout: 3 * time.Second, MaxAttempts: 2})
 	}
-	require.NoError(s.t, s.store.Put(s.t.Context(), "op/config", map[string]any{
-		"version": version, "routes": list, "services": []map[string]any{{"name": "plain", "maxConnections": 100}},
-	}))
+	require.NoError(s.t, platformtest.PutConfig(s.t.Context(), s.store, version, platformtest.Service{Name: "plain"}, list...))
 }
 
 // putTarget writes the entry of a target, as it does itself.
 func (s *restoreTest) putTarget(i int) {
-	require.NoError(s.t, s.store.Put(s.t.Context(), fmt.Sprintf("servers/p-%d", i), map[string]any{
-		"service": "plain", "address": s.addrs[i], "zone": fmt.Sprintf("dc%d", i+1), "slots": 12, "state": "ready", "born": 1,
+	require.NoError(s.t, platformtest.PutTarget(s.t.Context(), s.store, platformtest.Target{
+		ID: fmt.Sprintf("p-%d", i), Service: "plain", Addr: s.addrs[i], DataCentre: fmt.Sprintf("dc%d", i+1), Slots: 12,
 	}))
 }
 
@@ -124,32 +119,24 @@
 	}, limit, 5*time.Millisecond, "the entries are not in the store")
 }
 
-// countItems returns the number of items with the prefix. It asks as a process
-// does.
+// countItems returns the number of items with the prefix, or -1 if the store does
+// not tell.
 func (s *restoreTest) countItems(prefix string) int {
-	resp, err := http.Get("http://" + s.storeURL + "/api/kv-range?prefix=" + prefix)
+	n, err := platformtest.CountItems(s.t.Context(), s.storeURL, prefix)
 	if err != nil {
 		return -1
 	}
-	defer func() { _ = resp.Body.Close() }()
-	var page struct {
-		Items []json.RawMessage `json:"items"`
-	}
-	if json.NewDecoder(resp.Body).Decode(&page) != nil {
-		return -1
-	}
-	return len(page.Items)
+	return n
 }
 
 // send sends a request on a route and returns the status of the response.
 func (s *restoreTest) send(ctx context.Context, g *platformProcess, route string) (int, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:8227/%s/x", g.ip, route), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/%s/x", g.callerAddr(), route), nil)
 	if err != nil {
 		return 0, err
 	}
-	req.Host = "h"
-	req.Header.Set("Skylarkstep-Attempt-Id", fmt.Sprint(rand.Uint64()))
-	req.Header.Set("Skylarkstep-Deadline-Ms", "3000")
+	req.Host = platformtest.Host
+	req.Header = platformtest.CallerHeader(fmt.Sprint(rand.Uint64()), 3*time.Second)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err
@@ -215,7 +202,7 @@
 		s.putConfig(version+1, "first", changed)
 		s.requireRoute(changed)
 
-		require.NoError(t, s.store.Put(t.Context(), "op/evacuate/dc1", map[string]any{}))
+		require.NoError(t, platformtest.SetDataCentreOut(t.Context(), s.store, "dc1", true))
 		time.Sleep(restoreApplyTime)
 		before := s.counts[0].Load()
 		elsewhere := s.counts[1].Load()
@@ -223,12 +210,12 @@
 		time.Sleep(time.Second)
 		require.Equal(t, before, s.counts[0].Load(), "requests reached a data centre that is out of service")
 		require.Greater(t, s.counts[1].Load(), elsewhere)
-		require.NoError(t, s.store.Put(t.Context(), "op/evacuate/dc1", map[string]any{}))
+		require.NoError(t, platformtest.SetDataCentreOut(t.Context(), s.store, "dc1", true))
 		s.putConfig(version+1, "first", changed)
 		s.putTarget(0)
 		s.putTarget(1)
 		s.requireRegistered(registryReturn)
-		require.NoError(t, s.store.Remove(t.Context(), "op/evacuate/dc1"))
+		require.NoError(t, platformtest.SetDataCentreOut(t.Context(), s.store, "dc1", false))
 		require.Eventually(t, func() bool { return s.counts[0].Load() > before }, restoreApplyTime, 5*time.Millisecond, "the data centre was brought back")
 		require.Empty(t, stopFirst(), "traffic was interrupted")
 	}
--- a/daemon/e2e/stop_test.go
+++ b/daemon/e2e/stop_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/platform/platformtest"
 )
 
 const (
@@ -37,7 +39,9 @@
 		return connClosed
 	}
 	_ = conn.SetDeadline(time.Now().Add(2 * stopBound))
-	if _, err := fmt.Fprintf(conn, "GET /chat/%d HTTP/1.1\r\nHost: h\r\nSkylarkstep-Attempt-Id: %s\r\nSkylarkstep-Deadline-Ms: 8900\r\n\r\n", events, id); err != nil {
+	head := strings.Builder{}
+	_ = platformtest.CallerHeader(id, 8900*time.Millisecond).Write(&head) // cannot fail
+	if _, err := fmt.Fprintf(conn, "GET /chat/%d HTTP/1.1\r\nHost: %s\r\n%s\r\n", events, platformtest.Host, head.String()); err != nil {
 		return "connection closed: " + err.Error()
 	}
 	resp, err := http.ReadResponse(reader, nil)
@@ -81,12 +85,10 @@
 		servedAtLeast = 4 * time.Second
 	)
 	d := newPlatformDeployment(t)
-	require.NoError(t, d.store.Put(t.Context(), "servers/i-1", map[string]any{
-		"service": "s", "address": d.target, "zone": "dc1", "slots": 1000, "state": "ready", "born": 1,
-	}))
+	d.putTarget(1000)
 	p := d.start("gateway")
 	p.waitReady()
-	addr := p.ip + ":8227"
+	addr := p.callerAddr()
 	dial := func() (net.Conn, *bufio.Reader, error) {
 		conn, err := net.Dial("tcp", addr)
 		if err != nil {
@@ -160,7 +162,7 @@
 	d.store.SetLatency(time.Minute) // no call to the store gets a reply
 	p := d.start("gateway")
 	p.waitForLog("started")
-	conn, err := net.Dial("tcp", p.ip+":8227")
+	conn, err := net.Dial("tcp", p.callerAddr())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	waiting := make(chan string, 1)
