gateway: a stream that outlives its beginning acquits its parts; a frequent first part needs more crashes

Found by reading, after the cause was named: if all instances have just restarted, no request has completed yet, and several targets crash at once, the first part of all prompts was in progress at each crash and would be quarantined, or tried by one request at a time. Callers would be refused without reason. A stream that has gone on for a second shows as much as a complete one, since a part that crashes targets does so as soon as they begin to write; and a first part that more than a fifth of the requests have is blamed only after eight crashes at four moments without any such sign. TestFrequentFirstPartNeedsMoreCrashes fails without it. TestOnlyOneOfTiedPartsIsBlamed uses a lower frequency now: with 1, its first part is a frequent one, which has a test of its own.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -110,16 +110,25 @@
 	}
 	switch now := time.Now(); {
 	case res.verdict == succeeded && !endsWithConnection(res.resp.Response):
-		v := x.g.parts.view.Load()
-		report := x.g.parts.tracker.recordCompletion(x.sharedParts, func(part string) bool { return v.suspects[part] }, now)
-		if len(report) > 0 {
-			x.g.control.post(ctx, func() { x.g.control.recordCompletions(report, now) })
-		}
+		x.recordSound(ctx, now)
 	case res.verdict == lost && ctx.Err() == nil && isConnectionEnd(res.err) && res.isBeginning(now):
 		x.recordLoss(ctx, res.target, now)
 	}
 }
 
+// recordSound records that the parts of the prompt do not crash targets: the
+// response is complete, or has gone on for longer than beginningTime.
+func (x *exchange) recordSound(ctx context.Context, now time.Time) {
+	if len(x.sharedParts) == 0 {
+		return
+	}
+	v := x.g.parts.view.Load()
+	report := x.g.parts.tracker.recordCompletion(x.sharedParts, func(part string) bool { return v.suspects[part] }, now)
+	if len(report) > 0 {
+		x.g.control.post(ctx, func() { x.g.control.recordCompletions(report, now) })
+	}
+}
+
 // isBeginning reports whether the target had at most just begun to respond.
 func (r *attemptResult) isBeginning(now time.Time) bool {
 	return r.beganAt.IsZero() || now.Sub(r.beganAt) < beginningTime
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -132,7 +132,7 @@
 		return
 	}
 	c.g.metrics.targetCrashes.Inc(1)
-	c.log.Info("target crashed", "target", id.Target, "prompt_parts", partsOf(suspects), "new_parts", c.ledger.CrashCounts(now))
+	c.log.Info("target crashed", "target", id.Target, "prompt_parts", partsOf(suspects), "new_parts", c.ledger.CrashCounts(now, c.g.parts.tracker.frequency))
 	c.evidenceChanged(now)
 }
 
@@ -220,7 +220,7 @@
 // publishQuarantine makes the decisions visible to the goroutines that serve
 // requests.
 func (c *control) publishQuarantine(now time.Time) {
-	v := &quarantineView{entries: map[string]quarantine.Entry{}, crashCounts: c.ledger.CrashCounts(now), suspects: c.ledger.Suspects()}
+	v := &quarantineView{entries: map[string]quarantine.Entry{}, crashCounts: c.ledger.CrashCounts(now, c.g.parts.tracker.frequency), suspects: c.ledger.Suspects()}
 	for _, e := range c.ledger.Entries() {
 		if e.Phase(now) != quarantine.Cleared {
 			v.entries[e.Part] = e
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -197,6 +197,7 @@
 	readErr := make(chan error, 1)
 	go readChunks(ctx, res.resp.Body, chunks, readErr)
 	progress := streamProgress{sentAt: sentAt}
+	sound := false
 	ticker := time.NewTicker(stallCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -205,6 +206,10 @@
 			if err := x.relayChunk(res, chunk, &progress, events, headerSent); err != nil {
 				return res.lostWith(err)
 			}
+			if !sound && progress.lastEventAt.Sub(res.beganAt) >= beginningTime {
+				sound = true
+				x.recordSound(ctx, progress.lastEventAt)
+			}
 		case err := <-readErr:
 			return x.finishStream(ctx, res, err, progress, events, headerSent)
 		case now := <-ticker.C:
--- a/routing/quarantine/decide.go
+++ b/routing/quarantine/decide.go
@@ -27,6 +27,11 @@
 	// not quarantined. In a failure of the whole back end, frequent parts are in
 	// progress at every crash.
 	soundPartMaxShare = 0.2
+	// firstPartCrashes and firstPartMoments replace newPartCrashes for the first part
+	// of prompts, if it is frequent: if no request has completed since all instances
+	// started, it was in progress at every crash.
+	firstPartCrashes = 8
+	firstPartMoments = 4
 	// soundPartCoverage is the share of the crashes since its first one at which
 	// such a part must have been in progress.
 	soundPartCoverage = 0.9
@@ -128,12 +133,17 @@
 	return false
 }
 
-// CrashCounts returns the number of unexplained crashes of each part with which
-// no request has completed lately.
-func (l *Ledger) CrashCounts(now time.Time) map[string]int {
+// isFrequentFirst reports whether the part is the first one of many prompts.
+func (s *suspicion) isFrequentFirst(frequency Frequency) bool {
+	return s.depth == 0 && frequency(s.part) > soundPartMaxShare
+}
+
+// CrashCounts returns the number of unexplained crashes of each part with which no
+// request has completed lately, but for first parts of many prompts.
+func (l *Ledger) CrashCounts(now time.Time, frequency Frequency) map[string]int {
 	counts := map[string]int{}
 	for part, s := range l.suspicions(now) {
-		if s.isNew {
+		if s.isNew && !s.isFrequentFirst(frequency) {
 			counts[part] = len(s.crashes)
 		}
 	}
@@ -211,6 +221,9 @@
 		if !s.isNew || len(s.crashes) < most || s.weight < newPartWeight || !s.isSettled(newPartCrashes, now) {
 			continue
 		}
+		if s.isFrequentFirst(frequency) && (len(s.crashes) < firstPartCrashes || s.moments() < firstPartMoments) {
+			continue
+		}
 		if len(s.crashes) > most {
 			most, tied = len(s.crashes), nil
 		}
