--- a/ctl/load/sender.go
+++ b/ctl/load/sender.go
@@ -39,8 +39,6 @@
 	arrival          arrival
 	result           result
 	errorKind        string
-	requestID        string
-	started          time.Duration // after the start of the load
 	firstByteLatency time.Duration // after the scheduled arrival
 	latency          time.Duration // after the scheduled arrival
 	retries          int
@@ -72,7 +70,7 @@
 // send sends one request and retries it at the next entry as long as canRetry
 // allows.
 func (s *sender) send(ctx context.Context, a arrival) outcome {
-	o := outcome{arrival: a, started: time.Since(s.start)}
+	o := outcome{arrival: a}
 	ctx, cancel := context.WithTimeout(ctx, a.flow.deadline())
 	defer cancel()
 	header := http.Header{}
@@ -123,7 +121,6 @@
 		return
 	}
 	defer func() { _ = res.Body.Close() }()
-	o.requestID = res.Header.Get("X-Request-Id")
 	s.readResponse(a, res, o)
 }
 
