--- /dev/null
+++ b/gateway/partguard.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/skylarkstep/skylarkstep/routing/quarantine"
+)
+
+// quarantineView is the state by which requests are admitted. It is immutable
+// once it is published.
+type quarantineView struct {
+	// entries holds the parts that are quarantined or in trial.
+	entries map[string]quarantine.Entry
+	// crashCounts holds the number of crashes of each suspect with which no
+	// request has completed.
+	crashCounts map[string]int
+	// suspects holds the parts that were in progress at a crash, and whether a
+	// completion would be evidence for them.
+	suspects map[string]bool
+}
+
+// partGuard keeps the parts of prompts that crash targets away from them.
+type partGuard struct {
+	view    atomic.Pointer[quarantineView]
+	tracker *partTracker
+
+	mu sync.Mutex
+	// trials holds the exchange that may send a suspect to a target, by part.
+	trials map[string]*exchange
+	// inProgress holds the exchanges whose prompts have parts that others share.
+	inProgress map[*exchange]func(quarantine.Entry)
+}
+
+func newPartGuard() *partGuard {
+	g := &partGuard{tracker: newPartTracker(), trials: map[string]*exchange{}, inProgress: map[*exchange]func(quarantine.Entry){}}
+	g.view.Store(&quarantineView{})
+	return g
+}
+
+// register makes cancel be called if a part of the request is quarantined. The
+// returned function ends that.
+func (g *partGuard) register(x *exchange, cancel func(quarantine.Entry)) (done func()) {
+	g.mu.Lock()
+	g.inProgress[x] = cancel
+	g.mu.Unlock()
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.inProgress, x)
+		for _, part := range x.sharedParts {
+			if g.trials[part] == x {
+				delete(g.trials, part)
+			}
+		}
+	}
+}
+
+// beginTrial reports whether the exchange is the only one here that sends the
+// part to a target.
+func (g *partGuard) beginTrial(part string, x *exchange) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if holder := g.trials[part]; holder != nil && holder != x {
+		return false
+	}
+	g.trials[part] = x
+	return true
+}
+
+// publish makes a view visible, and cancels the requests in progress that have a
+// quarantined part.
+func (g *partGuard) publish(v *quarantineView, now time.Time) {
+	g.view.Store(v)
+	if len(v.entries) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for x, cancel := range g.inProgress {
+		for _, part := range x.sharedParts {
+			if e, ok := v.entries[part]; ok && e.Phase(now) == quarantine.Quarantined {
+				cancel(e)
+			}
+		}
+	}
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/routing/quarantine"
@@ -25,85 +23,6 @@
 	maxPendingLosses = 256
 )
 
-// quarantineView is the state by which requests are admitted. It is immutable
-// once it is published.
-type quarantineView struct {
-	// entries holds the parts that are quarantined or in trial.
-	entries map[string]quarantine.Entry
-	// crashCounts holds the number of crashes of each suspect with which no
-	// request has completed.
-	crashCounts map[string]int
-	// suspects holds the parts that were in progress at a crash, and whether a
-	// completion would be evidence for them.
-	suspects map[string]bool
-}
-
-// partGuard keeps the parts of prompts that crash targets away from them.
-type partGuard struct {
-	view    atomic.Pointer[quarantineView]
-	tracker *partTracker
-
-	mu sync.Mutex
-	// trials holds the exchange that may send a suspect to a target, by part.
-	trials map[string]*exchange
-	// inProgress holds the exchanges whose prompts have parts that others share.
-	inProgress map[*exchange]func(quarantine.Entry)
-}
-
-func newPartGuard() *partGuard {
-	g := &partGuard{tracker: newPartTracker(), trials: map[string]*exchange{}, inProgress: map[*exchange]func(quarantine.Entry){}}
-	g.view.Store(&quarantineView{})
-	return g
-}
-
-// register makes cancel be called if a part of the request is quarantined. The
-// returned function ends that.
-func (g *partGuard) register(x *exchange, cancel func(quarantine.Entry)) (done func()) {
-	g.mu.Lock()
-	g.inProgress[x] = cancel
-	g.mu.Unlock()
-	return func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		delete(g.inProgress, x)
-		for _, part := range x.sharedParts {
-			if g.trials[part] == x {
-				delete(g.trials, part)
-			}
-		}
-	}
-}
-
-// beginTrial reports whether the exchange is the only one here that sends the
-// part to a target.
-func (g *partGuard) beginTrial(part string, x *exchange) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if holder := g.trials[part]; holder != nil && holder != x {
-		return false
-	}
-	g.trials[part] = x
-	return true
-}
-
-// publish makes a view visible, and cancels the requests in progress that have a
-// quarantined part.
-func (g *partGuard) publish(v *quarantineView, now time.Time) {
-	g.view.Store(v)
-	if len(v.entries) == 0 {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for x, cancel := range g.inProgress {
-		for _, part := range x.sharedParts {
-			if e, ok := v.entries[part]; ok && e.Phase(now) == quarantine.Quarantined {
-				cancel(e)
-			}
-		}
-	}
-}
-
 // pendingLoss is a loss at a target of which it is not known yet whether the
 // target has crashed.
 type pendingLoss struct {
@@ -285,72 +204,6 @@
 	c.evidenceChanged(now)
 }
 
-func encodeEvidence(s quarantine.State) *wirepb.QuarantineState {
-	w := &wirepb.QuarantineState{}
-	for _, crash := range s.Crashes {
-		w.Crashes = append(w.Crashes, &wirepb.TargetCrash{
-			Target: crash.ID.Target, Incarnation: crash.ID.Incarnation, AgeMs: uint64(crash.Age.Milliseconds()),
-			Suspects: encodeSuspects(crash.Suspects), Reporters: crash.Reporters,
-		})
-	}
-	for _, completion := range s.Completions {
-		w.Completions = append(w.Completions, &wirepb.PartCompletion{Part: completion.Part, AgeMs: uint64(completion.Age.Milliseconds())})
-	}
-	for _, e := range s.Entries {
-		d := &wirepb.PartDecision{
-			Part: e.Part, Version: e.Version, Quarantined: e.Quarantined, AgeMs: uint64(e.Age.Milliseconds()),
-			DurationMs: uint64(e.Duration.Milliseconds()), Reporters: e.Reporters, DecidedBy: e.DecidedBy,
-		}
-		for _, id := range e.Crashes {
-			d.Crashes = append(d.Crashes, &wirepb.TargetCrash{Target: id.Target, Incarnation: id.Incarnation})
-		}
-		w.Decisions = append(w.Decisions, d)
-	}
-	return w
-}
-
-func encodeSuspects(suspects []quarantine.Suspect) []*wirepb.PromptPart {
-	var encoded []*wirepb.PromptPart
-	for _, s := range suspects {
-		encoded = append(encoded, &wirepb.PromptPart{Part: s.Part, Depth: uint32(s.Depth)})
-	}
-	return encoded
-}
-
-func decodeSuspects(encoded []*wirepb.PromptPart) []quarantine.Suspect {
-	var suspects []quarantine.Suspect
-	for _, p := range encoded {
-		suspects = append(suspects, quarantine.Suspect{Part: p.GetPart(), Depth: int(p.GetDepth())})
-	}
-	return suspects
-}
-
-// decodeEvidence decodes evidence that is older by delay than when it was sent.
-func decodeEvidence(w *wirepb.QuarantineState, delay time.Duration) quarantine.State {
-	age := func(ms uint64) time.Duration { return time.Duration(ms)*time.Millisecond + delay }
-	var s quarantine.State
-	for _, crash := range w.GetCrashes() {
-		s.Crashes = append(s.Crashes, quarantine.CrashState{
-			ID: quarantine.CrashID{Target: crash.GetTarget(), Incarnation: crash.GetIncarnation()}, Age: age(crash.GetAgeMs()),
-			Suspects: decodeSuspects(crash.GetSuspects()), Reporters: crash.GetReporters(),
-		})
-	}
-	for _, completion := range w.GetCompletions() {
-		s.Completions = append(s.Completions, quarantine.CompletionState{Part: completion.GetPart(), Age: age(completion.GetAgeMs())})
-	}
-	for _, d := range w.GetDecisions() {
-		e := quarantine.Entry{
-			Part: d.GetPart(), Version: d.GetVersion(), Quarantined: d.GetQuarantined(),
-			Duration: time.Duration(d.GetDurationMs()) * time.Millisecond, Reporters: d.GetReporters(), DecidedBy: d.GetDecidedBy(),
-		}
-		for _, crash := range d.GetCrashes() {
-			e.Crashes = append(e.Crashes, quarantine.CrashID{Target: crash.GetTarget(), Incarnation: crash.GetIncarnation()})
-		}
-		s.Entries = append(s.Entries, quarantine.EntryState{Entry: e, Age: age(d.GetAgeMs())})
-	}
-	return s
-}
-
 // SetQuarantined quarantines or clears a part on behalf of an operator. It reports
 // whether the decision was made.
 func (g *Gateway) SetQuarantined(ctx context.Context, part string, quarantined bool) bool {
