gateway: a target that refused a connection once is checked again after a second

Found by reading: if the network refuses connections to a target for a moment, all its later losses would count as crashes, and its responses without a length as broken off. One check still serves all requests that a crash ends at once.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -21,6 +21,10 @@
 	// exitCheckTimeout limits the check whether a target has crashed. A crashed
 	// one refuses connections at once.
 	exitCheckTimeout = 200 * time.Millisecond
+	// exitCheckValidity is how long a target that refused a connection counts as
+	// crashed without another check: all requests at it are lost at once. It may
+	// accept connections again later, if the network had refused them.
+	exitCheckValidity = time.Second
 	// trialRetryAfter is the Retry-After of a request whose suspect is being tried
 	// by another request.
 	trialRetryAfter = time.Second
@@ -155,15 +159,17 @@
 
 // hasExited reports whether the target refuses connections.
 func (t *target) hasExited(ctx context.Context) bool {
-	if t.exited.Load() {
+	refusedAt := t.refusedAt.Load()
+	if refusedAt != 0 && monotonic(time.Now())-refusedAt < int64(exitCheckValidity) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, exitCheckTimeout)
 	defer cancel()
-	if errors.Is(t.pool.Check(ctx), syscall.ECONNREFUSED) {
-		t.exited.Store(true)
+	if !errors.Is(t.pool.Check(ctx), syscall.ECONNREFUSED) {
+		return false
 	}
-	return t.exited.Load()
+	t.refusedAt.Store(monotonic(time.Now()))
+	return true
 }
 
 func (t *target) crashID() quarantine.CrashID {
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -23,9 +23,9 @@
 	// ownRequests is the number of requests of this instance at the target, and
 	// peerRequests the number that the other instances have reported.
 	ownRequests, peerRequests atomic.Int64
-	// exited is set once the target was found to refuse connections after a lost
-	// request.
-	exited atomic.Bool
+	// refusedAt is when the target was last found to refuse connections after a lost
+	// request, as returned by monotonic; 0 if never.
+	refusedAt atomic.Int64
 	// warmUpUntil is the end of the warm-up, as returned by monotonic.
 	warmUpUntil atomic.Int64
 
