--- a/daemon/entry/link_test.go
+++ b/daemon/entry/link_test.go
@@ -21,14 +21,17 @@
 func TestLinkToAnotherInstanceEndsAtOnce(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		near, far := net.Pipe()
+		accepted := make(chan struct{})
 		go func() {
 			s, err := wire.Server(far, testKey, &wirepb.Hello{Instance: "another"})
+			close(accepted)
 			if assert.NoError(t, err) {
 				<-s.Done()
 			}
 		}()
 		session, err := wire.Client(near, testKey, &wirepb.Hello{Instance: "entry-burgos"})
 		require.NoError(t, err)
+		<-accepted // the link may end before its control stream is accepted
 		ctx, cancel := context.WithCancel(t.Context())
 		l := &link{entry: newFixture(t).entry, target: config.Target{Name: "a"}, outstanding: &balancer.Counter{}, stop: cancel}
 		startedAt := time.Now()
