--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -164,7 +164,7 @@
 		x.g.log.Info("attempt failed", "request", x.meta.ID, "target", res.target.ID, "back_end", x.backend,
 			"verdict", verdictNames[res.verdict], "sent", x.timesSent, "of", x.route.MaxAttempts, "repeatable", x.route.Retryable(),
 			"target_load", res.target.ownRequests.Load()+res.target.peerRequests.Load(), "revision", x.snapshot.revision,
-			"began", !res.beganAt.IsZero(), "events", x.eventCount, "prompt_parts", x.meta.PromptParts, "error", res.err.Error())
+			"began", !res.beganAt.IsZero(), "events", x.eventCount, "prompt_parts", x.meta.PromptParts, "fingerprint", x.requestHash, "error", res.err.Error())
 	}
 	switch res.verdict {
 	case notSent:
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -61,6 +61,8 @@
 	lastErr      error
 	// sharedParts holds the parts of the prompt that other requests may have too.
 	sharedParts []string
+	// requestHash is the fingerprint of the request; empty until its body was read.
+	requestHash string
 	// crashedTarget is set if a target crashed when it had just begun to work on
 	// the request.
 	crashedTarget bool
@@ -108,6 +110,7 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
+	x.requestHash = x.fingerprint()
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.g.stops.cut, cancel)()
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -28,12 +28,20 @@
 	return l.buf.Write(p)
 }
 
-// find returns the first line with a message. It fails the test on a line that
-// has a field twice, of which JSON readers keep only one value.
+// find returns the first line with a message, or nil.
 func (l *logBuffer) find(t *testing.T, msg string) map[string]any {
+	if found := l.lines(t, msg); len(found) > 0 {
+		return found[0]
+	}
+	return nil
+}
+
+// lines returns the lines with a message. It fails the test on a line that has a
+// field twice, of which JSON readers keep only one value.
+func (l *logBuffer) lines(t *testing.T, msg string) []map[string]any {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var found map[string]any
+	var found []map[string]any
 	s := bufio.NewScanner(bytes.NewReader(l.buf.Bytes()))
 	for s.Scan() {
 		var fields map[string]any
@@ -41,8 +49,8 @@
 		for name := range fields {
 			require.Equal(t, 1, strings.Count(s.Text(), `"`+name+`":`), "field %q in %s", name, s.Text())
 		}
-		if found == nil && fields["msg"] == msg {
-			found = fields
+		if fields["msg"] == msg {
+			found = append(found, fields)
 		}
 	}
 	return found
@@ -97,6 +105,42 @@
 	}
 }
 
+// fingerprintsOf returns the fingerprints in the lines with a message.
+func (l *logBuffer) fingerprintsOf(t *testing.T, msg string) []any {
+	var found []any
+	for _, line := range l.lines(t, msg) {
+		found = append(found, line["fingerprint"])
+	}
+	return found
+}
+
+// Guards against a log from which it cannot be told whether two lost requests are
+// the same one, sent again.
+func TestLogShowsWhetherRequestsAreTheSame(t *testing.T) {
+	fake := startFakeTarget(t, "r", func(w net.Conn, _ *http.Request) { reset(w) })
+	d := newDeployment(t, config(), fake)
+	log := d.keepLog()
+	g1, g2 := d.start("g1"), d.start("g2")
+	send := func(i *instance, path, key string) {
+		lines := len(log.fingerprintsOf(t, "request"))
+		i.request(t.Context(), http.MethodPost, path, key)
+		require.Eventually(t, func() bool { return len(log.fingerprintsOf(t, "request")) > lines }, time.Second, time.Millisecond)
+	}
+	send(g1, "/book/1", "")
+	send(g2, "/book/1", "")
+	send(g1, "/keyed/1", "k1")
+	send(g1, "/keyed/1", "k2") // another key of the same customer
+	send(g1, "/book/1?again", "")
+	found := log.fingerprintsOf(t, "request")
+	require.Len(t, found, 5)
+	require.NotEmpty(t, found[0])
+	require.Equal(t, found[0], found[1])
+	require.Equal(t, found[2], found[3])
+	require.NotEqual(t, found[0], found[2])
+	require.NotEqual(t, found[0], found[4])
+	require.Contains(t, log.fingerprintsOf(t, "attempt failed"), found[0])
+}
+
 // Guards against a line that names a peer in the field "instance": skylarkctl
 // explain would attribute the line to that peer.
 func TestLogNamesOwnInstanceOnce(t *testing.T) {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -95,6 +95,9 @@
 	if len(x.meta.PromptParts) > 0 {
 		attrs = append(attrs, slog.Any("prompt_parts", x.meta.PromptParts))
 	}
+	if x.requestHash != "" {
+		attrs = append(attrs, slog.String("fingerprint", x.requestHash))
+	}
 	if x.quarantinedPart != "" {
 		attrs = append(attrs, slog.String("quarantined_part", x.quarantinedPart))
 	}
