--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -81,7 +82,8 @@
 	listener net.Listener
 	requests atomic.Int64
 	closed   chan struct{} // receives a value when the gateway closes a connection
-	handle   func(w net.Conn, r *http.Request)
+	// handle responds to a request, whose body it can read.
+	handle func(w net.Conn, r *http.Request)
 }
 
 func startFakeTarget(t *testing.T, id string, handle func(w net.Conn, r *http.Request)) *fakeTarget {
@@ -108,7 +110,8 @@
 					f.closed <- struct{}{}
 					return
 				}
-				_, _ = io.Copy(io.Discard, req.Body)
+				body, _ := io.ReadAll(req.Body)
+				req.Body = io.NopCloser(bytes.NewReader(body))
 				f.requests.Add(1)
 				f.handle(c, req)
 			}
@@ -334,7 +337,11 @@
 
 // send sends a request with the given headers on a connection of its own.
 func (i *instance) send(ctx context.Context, method, path string, header http.Header) response {
-	req, err := http.NewRequestWithContext(ctx, method, i.url+path, strings.NewReader("x"))
+	return i.sendWithBody(ctx, method, path, header, "x")
+}
+
+func (i *instance) sendWithBody(ctx context.Context, method, path string, header http.Header, body string) response {
+	req, err := http.NewRequestWithContext(ctx, method, i.url+path, strings.NewReader(body))
 	if err != nil {
 		return response{err: err}
 	}
@@ -345,8 +352,8 @@
 		return response{err: err}
 	}
 	defer func() { _ = httpResp.Body.Close() }()
-	body, err := io.ReadAll(httpResp.Body)
-	return response{httpResp.StatusCode, headerWithClose(httpResp), string(body), err}
+	received, err := io.ReadAll(httpResp.Body)
+	return response{httpResp.StatusCode, headerWithClose(httpResp), string(received), err}
 }
 
 // headerWithClose returns the header of a response with "Connection: close",
--- a/gateway/promptcrash_test.go
+++ b/gateway/promptcrash_test.go
@@ -27,6 +27,9 @@
 	// it must no longer be sent, and contactTime how long instances then have to
 	// agree on it.
 	toleratedCrashes = 5
+	// crashesOfRequest is how many targets a single request may crash before it
+	// must no longer be sent.
+	crashesOfRequest = 3
 	contactTime      = 3 * time.Second
 	// toleratedSends is how many requests may still be sent after that.
 	toleratedSends = 3
@@ -37,6 +40,10 @@
 type crashFleet struct {
 	t *testing.T
 	d *deployment
+	// crashesOn reports whether a request crashes its target.
+	crashesOn func(r *http.Request, body string) bool
+	// restartPause is the time until the successor of a crashed target starts.
+	restartPause time.Duration
 	// beginsHead is set if a crashing target first sends the head of its response.
 	beginsHead bool
 	// holdCrash, if it is set, delays crashes until the channel is closed.
@@ -44,7 +51,7 @@
 	mu        sync.Mutex
 	running   map[string]func() // crashes the target, by id
 	crashes   atomic.Int64
-	// arrivals counts the requests with crashingPart that reached targets.
+	// arrivals counts the requests that crash targets and have reached one.
 	arrivals atomic.Int64
 	started  atomic.Int64
 	pause    time.Duration
@@ -52,13 +59,17 @@
 }
 
 func startCrashFleet(t *testing.T, targets int) *crashFleet {
-	f := &crashFleet{t: t, d: newDeployment(t, config()), beginsHead: true, pause: 20 * time.Millisecond, running: map[string]func(){}, slots: 12}
+	f := &crashFleet{t: t, d: newDeployment(t, config()), crashesOn: hasCrashingPart, beginsHead: true, pause: 20 * time.Millisecond, running: map[string]func(){}, slots: 12}
 	for range targets {
 		f.startTarget()
 	}
 	return f
 }
 
+func hasCrashingPart(r *http.Request, _ string) bool {
+	return slices.Contains(strings.Split(r.Header.Get("X-Parts"), ","), crashingPart)
+}
+
 // startTarget starts a target under a new id.
 func (f *crashFleet) startTarget() {
 	id := fmt.Sprintf("t%d", f.started.Add(1))
@@ -89,7 +100,8 @@
 }
 
 func (f *crashFleet) handle(w net.Conn, r *http.Request, crash func()) {
-	if !slices.Contains(strings.Split(r.Header.Get("X-Parts"), ","), crashingPart) {
+	body, _ := io.ReadAll(r.Body)
+	if !f.crashesOn(r, string(body)) {
 		f.respond(w, r)
 		return
 	}
@@ -124,6 +136,7 @@
 	process.exit()
 	go func() {
 		f.commit(infra.Txn{Deletes: []string{"target/" + id}})
+		time.Sleep(f.restartPause)
 		f.startTarget()
 	}()
 }
--- /dev/null
+++ b/gateway/requestcrash_test.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// crashingBody is the body of a request that crashes each target that begins to
+// run it.
+const crashingBody = "poison"
+
+// sendBody sends a request whose caller, path and body are always the same.
+func (i *instance) sendBody(ctx context.Context, path, key, body string) response {
+	return i.sendWithBody(ctx, http.MethodPost, path, http.Header{"X-Key": {key}, "X-Deadline": {"4s"}}, body)
+}
+
+// sendUntilCrashes repeats a request that crashes targets, at the instances in
+// turn, until it has crashed three or no target begins to run it any longer.
+func (f *crashFleet) sendUntilCrashes(path string, instances ...*instance) {
+	for k := 0; f.crashes.Load() < crashesOfRequest && k < 4*crashesOfRequest; k++ {
+		instances[k%len(instances)].sendBody(f.t.Context(), path, "k1", crashingBody)
+	}
+	require.GreaterOrEqual(f.t, f.crashes.Load(), int64(crashesOfRequest))
+}
+
+// requireNotRepeated repeats the request at each instance, contactTime after it
+// has crashed three targets.
+func (f *crashFleet) requireNotRepeated(path string, instances ...*instance) {
+	before := f.arrivals.Load()
+	for range 5 {
+		for _, i := range instances {
+			resp := i.sendBody(f.t.Context(), path, "k1", crashingBody)
+			require.NotEqual(f.t, http.StatusOK, resp.status)
+		}
+	}
+	require.LessOrEqual(f.t, f.arrivals.Load()-before, int64(toleratedSends), "the request was sent again after it had crashed %d targets", f.crashes.Load())
+}
+
+// requireOthersServed sends requests that differ from the crashing one in the
+// body, the path or the customer.
+func (f *crashFleet) requireOthersServed(path string, instances ...*instance) {
+	for k := range 3 {
+		for _, i := range instances {
+			for _, other := range []struct{ path, body string }{{path, fmt.Sprintf("sound%d", k)}, {fmt.Sprintf("%s/%d", path, k), "sound"}} {
+				resp := i.sendBody(f.t.Context(), other.path, "k1", other.body)
+				require.NoError(f.t, resp.err)
+				require.Equal(f.t, http.StatusOK, resp.status, "a sound request was refused: %s", resp.body)
+			}
+		}
+	}
+}
+
+// requestPaths holds a path of each kind of route.
+var requestPaths = map[string]string{"idempotent": "/read/1", "non-idempotent": "/book/1", "two attempts": "/swap/1", "stream": "/chat/1", "keyed": "/keyed/1"}
+
+// Guards against targets that crash one after the other because a request that has
+// crashed targets is sent on each time its caller sends it again, to any instance.
+func TestRequestThatCrashesTargetsIsNotRepeated(t *testing.T) {
+	t.Parallel()
+	for name, path := range requestPaths {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startCrashFleet(t, 12)
+			f.crashesOn = func(_ *http.Request, body string) bool { return body == crashingBody }
+			f.beginsHead = false
+			instances := []*instance{f.d.start("g1"), f.d.start("g2"), f.d.start("g3")}
+			f.sendUntilCrashes(path, instances...)
+			time.Sleep(contactTime)
+			f.requireNotRepeated(path, instances...)
+			f.requireOthersServed(path, instances...)
+		})
+	}
+}
+
+// Guards against a service of three targets, all of which are down at the same
+// time, at which the request is repeated by several instances at once as soon as
+// they are back, while sound requests are in progress beside it and are lost with it.
+func TestRequestIsNotRepeatedAtServiceOfThreeTargets(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 3)
+	f.crashesOn = func(_ *http.Request, body string) bool { return body == crashingBody }
+	f.beginsHead, f.slots, f.restartPause, f.pause = false, 6, time.Second, 60*time.Millisecond
+	instances := []*instance{f.d.start("g1"), f.d.start("g2"), f.d.start("g3")}
+	f.requireOthersServed("/read/1", instances...)
+	var callers sync.WaitGroup
+	end := time.Now().Add(12 * time.Second)
+	repeat := func(i *instance, path string, body func(n int) string, pause time.Duration) {
+		callers.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				i.sendBody(t.Context(), path, "k1", body(n))
+				time.Sleep(pause)
+			}
+		})
+	}
+	var allowedArrivals atomic.Int64
+	callers.Go(func() {
+		for f.crashes.Load() < crashesOfRequest && time.Now().Before(end) {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(contactTime)
+		allowedArrivals.Store(f.arrivals.Load())
+	})
+	for k, i := range instances {
+		repeat(i, "/read/1", func(int) string { return crashingBody }, 150*time.Millisecond)
+		repeat(i, "/read/sound", func(n int) string { return fmt.Sprintf("%d of %d", n, k) }, 20*time.Millisecond)
+		repeat(i, "/book/sound", func(n int) string { return fmt.Sprintf("%d of %d", n/4, k) }, 20*time.Millisecond)
+	}
+	callers.Wait()
+	require.LessOrEqual(t, f.arrivals.Load()-allowedArrivals.Load(), int64(toleratedSends), "%d targets crashed", f.crashes.Load())
+	f.requireOthersServed("/read/1", instances...)
+	for _, i := range instances {
+		require.LessOrEqual(t, len(i.parts.view.Load().entries), 1, "a sound request was blamed")
+	}
+}
+
+// Guards against evidence that counts at the instance only that saw the crash.
+func TestInstanceThatSawNoCrashDoesNotRepeatRequest(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	f.crashesOn = func(_ *http.Request, body string) bool { return body == crashingBody }
+	saw := []*instance{f.d.start("g1"), f.d.start("g2"), f.d.start("g3")}
+	other := f.d.start("g4")
+	for _, i := range saw { // one crash at each
+		i.sendBody(t.Context(), "/book/1", "k1", crashingBody)
+	}
+	time.Sleep(contactTime)
+	f.requireNotRepeated("/book/1", other)
+	f.requireOthersServed("/book/1", other)
+}
+
+// Guards against instances that forget the request when they all restart.
+func TestRequestIsNotRepeatedAfterRestart(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	f.crashesOn = func(_ *http.Request, body string) bool { return body == crashingBody }
+	first := []*instance{f.d.start("g1"), f.d.start("g2")}
+	f.sendUntilCrashes("/swap/1", first...)
+	time.Sleep(contactTime)
+	for _, i := range first {
+		i.stop()
+	}
+	restarted := []*instance{f.d.start("g1"), f.d.start("g3")}
+	f.requireNotRepeated("/swap/1", restarted...)
+	f.requireOthersServed("/swap/1", restarted...)
+}
+
+// Guards against a request of which repeats run at the same time, are queued or are
+// hedged while it crashes targets.
+func TestRepeatsInProgressEndWithRequest(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 12)
+	f.crashesOn = func(_ *http.Request, body string) bool { return body == crashingBody }
+	f.beginsHead, f.slots = false, 1
+	instances := []*instance{f.d.start("g1"), f.d.start("g2")}
+	var callers sync.WaitGroup
+	for k := range 40 {
+		callers.Go(func() { instances[k%2].sendBody(t.Context(), "/read/1", "k1", crashingBody) })
+	}
+	callers.Wait()
+	time.Sleep(contactTime)
+	f.requireNotRepeated("/read/1", instances...)
+	f.requireOthersServed("/read/1", instances...)
+}
+
+// Guards against requests that are blamed for crashes of their targets for other
+// reasons, although each of them is sent again with the same body.
+func TestCrashesForOtherReasonsBlameNoRequest(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 3)
+	f.crashesOn = func(*http.Request, string) bool { return false }
+	f.pause, f.restartPause = 200*time.Millisecond, 300*time.Millisecond
+	instances := []*instance{f.d.start("g1"), f.d.start("g2")}
+	var callers sync.WaitGroup
+	end := time.Now().Add(8 * time.Second)
+	for k := range 12 {
+		callers.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				instances[(k+n)%2].sendBody(t.Context(), "/read/1", "k1", strings.Repeat("a", k+n/3))
+			}
+		})
+	}
+	for time.Now().Before(end) {
+		time.Sleep(700 * time.Millisecond)
+		f.crashAny(1 + int(f.crashes.Load())%3)
+	}
+	callers.Wait()
+	for _, i := range instances {
+		require.Empty(t, i.parts.view.Load().entries, "a sound request was blamed")
+	}
+	f.requireOthersServed("/read/1", instances...)
+}
