routing/quarantine, gateway: names from circuit breakers and poison messages

Suspect, culprit, crash report, cleared, probe, half-open and false positive in place of guilty, blamed, acquitted, sound, trial and evidence. No change of behaviour: identifiers and comments only.

--- a/ctl/fleet/check.go
+++ b/ctl/fleet/check.go
@@ -36,12 +36,12 @@
 	Crashes map[string]int `json:"crashes"`
 	// LateSends counts, by part, the requests that reached targets too late.
 	LateSends map[string]int `json:"late_sends"`
-	// SoundBefore and SoundAfter are the shares of sound requests that were served
+	// HarmlessBefore and HarmlessAfter are the shares of harmless requests that were served
 	// at the first attempt before the first crash and after the quarantine.
-	SoundBefore float64 `json:"sound_before"`
-	SoundAfter  float64 `json:"sound_after"`
-	// WronglyBlamed holds the sound parts that were quarantined.
-	WronglyBlamed []string `json:"wrongly_blamed"`
+	HarmlessBefore float64 `json:"sound_before"`
+	HarmlessAfter  float64 `json:"sound_after"`
+	// FalsePositives holds the harmless parts that were quarantined.
+	FalsePositives []string `json:"wrongly_blamed"`
 	// Violations holds the promises that were broken.
 	Violations []string `json:"violations"`
 }
@@ -52,7 +52,7 @@
 	defer f.mu.Unlock()
 	r := &Report{
 		Scenario: f.scenario.Name, Seed: f.scenario.Seed, Requests: len(f.outcomes), Crashes: map[string]int{}, LateSends: map[string]int{},
-		WronglyBlamed: []string{}, Violations: slices.Clone(f.failures),
+		FalsePositives: []string{}, Violations: slices.Clone(f.failures),
 	}
 	for _, c := range f.crashes {
 		r.Crashes[c.part]++
@@ -99,8 +99,8 @@
 			}
 		}
 	}
-	f.checkSound(r, first, settled)
-	f.checkBlame(r)
+	f.checkHarmless(r, first, settled)
+	f.checkFalsePositives(r)
 }
 
 func (f *Fleet) countSends(part string, after time.Time) int {
@@ -117,11 +117,11 @@
 	return n
 }
 
-// minSoundRequests is the number of requests from which on shares are compared.
-const minSoundRequests = 20
+// minHarmlessRequests is the number of requests from which on shares are compared.
+const minHarmlessRequests = 20
 
-// checkSound compares how often sound requests are served at the first attempt.
-func (f *Fleet) checkSound(r *Report, first, settled time.Time) {
+// checkHarmless compares how often harmless requests are served at the first attempt.
+func (f *Fleet) checkHarmless(r *Report, first, settled time.Time) {
 	if first.IsZero() {
 		return
 	}
@@ -139,23 +139,23 @@
 		return float64(served) / float64(max(1, all)), all
 	}
 	var before, after int
-	r.SoundBefore, before = share(f.start, first)
-	r.SoundAfter, after = share(settled.Add(2*f.scenario.contact()), f.start.Add(f.scenario.duration()))
-	if before >= minSoundRequests && after >= minSoundRequests && r.SoundAfter < r.SoundBefore/2 {
-		r.Violations = append(r.Violations, fmt.Sprintf("sound requests: %.2f served at the first attempt, %.2f before the crashes", r.SoundAfter, r.SoundBefore))
+	r.HarmlessBefore, before = share(f.start, first)
+	r.HarmlessAfter, after = share(settled.Add(2*f.scenario.contact()), f.start.Add(f.scenario.duration()))
+	if before >= minHarmlessRequests && after >= minHarmlessRequests && r.HarmlessAfter < r.HarmlessBefore/2 {
+		r.Violations = append(r.Violations, fmt.Sprintf("sound requests: %.2f served at the first attempt, %.2f before the crashes", r.HarmlessAfter, r.HarmlessBefore))
 	}
 }
 
-// checkBlame lists the sound parts that were quarantined. One that all requests
+// checkFalsePositives lists the harmless parts that were quarantined. One that all requests
 // share must never be.
-func (f *Fleet) checkBlame(r *Report) {
+func (f *Fleet) checkFalsePositives(r *Report) {
 	guilty := f.scenario.crashingParts()
 	for _, m := range f.members {
 		for _, p := range m.gateway.QuarantineList(f.ctx).Parts {
-			if p.State == "cleared" || slices.Contains(guilty, p.Part) || slices.Contains(r.WronglyBlamed, p.Part) {
+			if p.State == "cleared" || slices.Contains(guilty, p.Part) || slices.Contains(r.FalsePositives, p.Part) {
 				continue
 			}
-			r.WronglyBlamed = append(r.WronglyBlamed, p.Part)
+			r.FalsePositives = append(r.FalsePositives, p.Part)
 			if p.Part == "first" {
 				r.Violations = append(r.Violations, "the part that all requests share was quarantined")
 			}
@@ -215,7 +215,7 @@
 func (r *Report) WriteText(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(w, "%s, seed %d:\t%d requests, crashes by part %v, late sends %v, sound requests at the first attempt %.3f before and %.3f after, wrongly blamed %d\n",
-		r.Scenario, r.Seed, r.Requests, r.Crashes, r.LateSends, r.SoundBefore, r.SoundAfter, len(r.WronglyBlamed))
+		r.Scenario, r.Seed, r.Requests, r.Crashes, r.LateSends, r.HarmlessBefore, r.HarmlessAfter, len(r.FalsePositives))
 	for _, v := range r.Violations {
 		_, _ = fmt.Fprintf(w, "  violated:\t%s\n", v)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -289,7 +289,7 @@
 	if res.verdict == succeeded || res.verdict == failed {
 		res = readResponseBody(ctx, res)
 	}
-	x.recordEvidence(ctx, res)
+	x.reportAttempt(ctx, res)
 	q := x.g.queues.forBackend(x.backend)
 	slotTime := time.Since(startedAt)
 	if res.verdict != succeeded {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -25,9 +25,9 @@
 	// crashed without another check: all requests at it are lost at once. It may
 	// accept connections again later, if the network had refused them.
 	exitCheckValidity = time.Second
-	// trialRetryAfter is the Retry-After of a request whose suspect is being tried
+	// probeRetryAfter is the Retry-After of a request whose suspect is being probed
 	// by another request.
-	trialRetryAfter = time.Second
+	probeRetryAfter = time.Second
 )
 
 // sharedParts returns the parts of a prompt that other requests may have too:
@@ -35,7 +35,7 @@
 func sharedParts(parts []string) []string { return parts[:max(0, len(parts)-1)] }
 
 // admitParts returns an error if the request must not be sent to a target because
-// a part of its prompt crashes targets, or is suspected to and is just being tried
+// a part of its prompt crashes targets, or is suspected to and is just being probed
 // by another request.
 func (x *exchange) admitParts(now time.Time) error {
 	v := x.g.parts.view.Load()
@@ -48,10 +48,10 @@
 		switch {
 		case phase == quarantine.Quarantined:
 			return x.quarantinedError(&e, now)
-		case phase == quarantine.Trial && x.snapshot.position != 0:
+		case phase == quarantine.HalfOpen && x.snapshot.position != 0:
 			return x.suspectError(part, "is tried at another instance")
-		case phase == quarantine.Trial || v.crashCounts[part] >= quarantine.TrialCrashes:
-			if !x.g.parts.beginTrial(part, x) {
+		case phase == quarantine.HalfOpen || v.crashCounts[part] >= quarantine.ProbeCrashes:
+			if !x.g.parts.beginProbe(part, x) {
 				return x.suspectError(part, "has crashed targets and is being tried by another request")
 			}
 		}
@@ -69,7 +69,7 @@
 func (x *exchange) suspectError(part, reason string) error {
 	x.g.metrics.quarantineRefusals.Inc(1)
 	x.quarantinedPart = part
-	return x.partError(jitter(trialRetryAfter), "part %s of the prompt %s", part, reason)
+	return x.partError(jitter(probeRetryAfter), "part %s of the prompt %s", part, reason)
 }
 
 func (x *exchange) partError(retryAfter time.Duration, format string, args ...any) error {
@@ -106,23 +106,23 @@
 	return endsWithConnection(r.resp.Response) && !r.target.Leaving && r.target.hasExited(ctx)
 }
 
-// recordEvidence records what the result of an attempt says about the parts of the
+// reportAttempt records what the result of an attempt says about the parts of the
 // prompt.
-func (x *exchange) recordEvidence(ctx context.Context, res attemptResult) {
+func (x *exchange) reportAttempt(ctx context.Context, res attemptResult) {
 	if len(x.sharedParts) == 0 {
 		return
 	}
 	switch now := time.Now(); {
 	case res.verdict == succeeded && !endsWithConnection(res.resp.Response):
-		x.recordSound(ctx, now)
+		x.recordHarmless(ctx, now)
 	case res.verdict == lost && ctx.Err() == nil && isConnectionEnd(res.err) && res.isBeginning(now):
 		x.recordLoss(ctx, res.target, now)
 	}
 }
 
-// recordSound records that the parts of the prompt do not crash targets: the
+// recordHarmless records that the parts of the prompt do not crash targets: the
 // response is complete, or has gone on for longer than beginningTime.
-func (x *exchange) recordSound(ctx context.Context, now time.Time) {
+func (x *exchange) recordHarmless(ctx context.Context, now time.Time) {
 	if len(x.sharedParts) == 0 {
 		return
 	}
@@ -139,7 +139,7 @@
 }
 
 // recordLoss records that the connection to a target ended when it had at most
-// just begun to respond. If the target has crashed, that is evidence against the
+// just begun to respond. If the target has crashed, that counts against the
 // parts of the prompt.
 func (x *exchange) recordLoss(ctx context.Context, t *target, now time.Time) {
 	if t.Leaving {
@@ -187,7 +187,7 @@
 func (x *exchange) hasSuspect() bool {
 	v := x.g.parts.view.Load()
 	for _, part := range x.sharedParts {
-		if _, decided := v.entries[part]; decided || v.crashCounts[part] >= quarantine.TrialCrashes {
+		if _, decided := v.entries[part]; decided || v.crashCounts[part] >= quarantine.ProbeCrashes {
 			return true
 		}
 	}
--- a/gateway/partguard.go
+++ b/gateway/partguard.go
@@ -11,13 +11,13 @@
 // quarantineView is the state by which requests are admitted. It is immutable
 // once it is published.
 type quarantineView struct {
-	// entries holds the parts that are quarantined or in trial.
+	// entries holds the parts that are quarantined or half-open.
 	entries map[string]quarantine.Entry
 	// crashCounts holds the number of crashes of each suspect with which no
 	// request has completed.
 	crashCounts map[string]int
 	// suspects holds the parts that were in progress at a crash, and whether a
-	// completion would be evidence for them.
+	// completion would clear them.
 	suspects map[string]bool
 }
 
@@ -27,14 +27,14 @@
 	tracker *partTracker
 
 	mu sync.Mutex
-	// trials holds the exchange that may send a suspect to a target, by part.
-	trials map[string]*exchange
+	// probes holds the exchange that may send a suspect to a target, by part.
+	probes map[string]*exchange
 	// inProgress holds the exchanges whose prompts have parts that others share.
 	inProgress map[*exchange]func(quarantine.Entry)
 }
 
 func newPartGuard() *partGuard {
-	g := &partGuard{tracker: newPartTracker(), trials: map[string]*exchange{}, inProgress: map[*exchange]func(quarantine.Entry){}}
+	g := &partGuard{tracker: newPartTracker(), probes: map[string]*exchange{}, inProgress: map[*exchange]func(quarantine.Entry){}}
 	g.view.Store(&quarantineView{})
 	return g
 }
@@ -50,22 +50,22 @@
 		defer g.mu.Unlock()
 		delete(g.inProgress, x)
 		for _, part := range x.sharedParts {
-			if g.trials[part] == x {
-				delete(g.trials, part)
+			if g.probes[part] == x {
+				delete(g.probes, part)
 			}
 		}
 	}
 }
 
-// beginTrial reports whether the exchange is the only one here that sends the
+// beginProbe reports whether the exchange is the only one here that sends the
 // part to a target.
-func (g *partGuard) beginTrial(part string, x *exchange) bool {
+func (g *partGuard) beginProbe(part string, x *exchange) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if holder := g.trials[part]; holder != nil && holder != x {
+	if holder := g.probes[part]; holder != nil && holder != x {
 		return false
 	}
-	g.trials[part] = x
+	g.probes[part] = x
 	return true
 }
 
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -20,7 +20,7 @@
 	part        string
 	requests    decayingCount
 	completedAt time.Time // zero if none has completed
-	// reportedAt is the completion that was last reported as evidence.
+	// reportedAt is the completion that was last reported to other instances.
 	reportedAt time.Time
 }
 
@@ -68,7 +68,7 @@
 const completionReportInterval = time.Second
 
 // recordCompletion records that a request with the given parts has completed. It
-// returns those whose completion should be reported as evidence.
+// returns those whose completion should be reported to other instances.
 func (t *partTracker) recordCompletion(parts []string, isSuspect func(string) bool, now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -272,7 +272,7 @@
 		Instance: c.g.id, StoreAgeMs: neverConfirmedAgeMs,
 		StoreRevision: infra.RevisionNumber(c.mirror.Revision()), StoreEra: infra.Era(c.mirror.Revision()),
 		Leaving: c.g.isLeaving(), StoreReachable: c.storeReachable && !c.following, StoreResting: c.following, Process: c.g.opts.Process,
-		QuarantineDigest: c.evidenceDigest,
+		QuarantineDigest: c.reportsDigest,
 	}
 	if !c.confirmedAt.IsZero() {
 		b.StoreAgeMs = uint64(now.Sub(c.confirmedAt).Milliseconds())
@@ -303,7 +303,7 @@
 	case *wirepb.PeerFrame_Delta:
 		c.updateCopy("instance "+id, now, func() []string { return c.mirror.Merge(decodeDelta(body.Delta)) })
 	case *wirepb.PeerFrame_Quarantine:
-		c.mergeEvidence(decodeEvidence(body.Quarantine, 0), "instance "+id, now)
+		c.mergeReports(decodeReports(body.Quarantine, 0), "instance "+id, now)
 	case *wirepb.PeerFrame_Handover:
 		c.receiveTerm(id, Term{Group: body.Handover.GetGroup(), Fencing: body.Handover.GetFencing(), Maps: body.Handover.GetMaps()}, now)
 	}
@@ -346,7 +346,7 @@
 		p.demands[d.GetBackend()] = d.GetRequestsPerS()
 	}
 	c.mergeLimits(b.GetLimits(), now)
-	c.compareEvidence(p, session, b.GetQuarantineDigest(), now)
+	c.compareReports(p, session, b.GetQuarantineDigest(), now)
 	own := c.mirror.Revision()
 	switch peerRevision := infra.NewRevision(b.GetStoreEra(), b.GetStoreRevision()); {
 	case peerRevision > own:
--- a/gateway/peertable.go
+++ b/gateway/peertable.go
@@ -24,9 +24,9 @@
 	// demands holds the rates of the requests of the peer's callers, by back end.
 	demands map[string]float64
 	session *wire.Session
-	// evidenceSentAt is when the peer was last sent the evidence on parts that
+	// reportsSentAt is when the peer was last sent the crash reports on parts that
 	// crash targets.
-	evidenceSentAt time.Time
+	reportsSentAt time.Time
 	// handedOver is set if the process has handed a term over, which a process
 	// does only when it stops. receivedTerms holds the terms that were handed
 	// over to it.
--- a/gateway/promptcrash_test.go
+++ b/gateway/promptcrash_test.go
@@ -181,7 +181,7 @@
 	require.LessOrEqual(f.t, f.arrivals.Load()-before, int64(toleratedSends), "requests with the part were sent after %d crashes", f.crashes.Load())
 }
 
-// requireServed sends sound requests with the same first part to each instance.
+// requireServed sends harmless requests with the same first part to each instance.
 func (f *crashFleet) requireServed(path string, instances ...*instance) {
 	for k := range 10 {
 		for _, i := range instances {
@@ -229,7 +229,7 @@
 	f.requireKeptFromTargets("/book/", instances...)
 }
 
-// Guards against evidence that spreads through the store only: instances that
+// Guards against crash reports that spread through the store only: instances that
 // reach each other must agree while it is away.
 func TestCrashesAreSharedWithoutStore(t *testing.T) {
 	t.Parallel()
@@ -277,7 +277,7 @@
 	f.requireKeptFromTargets("/chat/", stopping)
 }
 
-// Guards against sound parts that are blamed when targets crash for another reason
+// Guards against harmless parts that are quarantined when targets crash for another reason
 // again and again, and against targets that are held back afterwards.
 func TestCrashesForOtherReasonsBlameNoPart(t *testing.T) {
 	t.Parallel()
@@ -412,7 +412,7 @@
 	f.requireKeptFromTargets("/book/", g)
 }
 
-// Guards against the last part of a prompt being blamed, which no other request
+// Guards against the last part of a prompt being quarantined, which no other request
 // has, and against other requests that have it in another place.
 func TestLastPartIsNeverBlamed(t *testing.T) {
 	t.Parallel()
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// evidenceInterval is the shortest time between two messages with evidence to
-	// all peers, and evidenceResend that between two to a peer whose heartbeats
-	// show other evidence.
-	evidenceInterval = 50 * time.Millisecond
-	evidenceResend   = time.Second
-	// lossMemory is how long a lost request is kept as evidence for a crash that
+	// reportInterval is the shortest time between two messages with crash reports to
+	// all peers, and reportResend that between two to a peer whose heartbeats
+	// show other crash reports.
+	reportInterval = 50 * time.Millisecond
+	reportResend   = time.Second
+	// lossMemory is how long a lost request is kept in case of a crash that
 	// only the removal of the target's entry confirms.
 	lossMemory = 10 * time.Second
 	// maxPendingLosses bounds them.
@@ -31,16 +31,16 @@
 	at       time.Time
 }
 
-// quarantineState is the evidence on parts that crash targets.
+// quarantineState holds the crash reports on parts that crash targets.
 type quarantineState struct {
 	ledger  *quarantine.Ledger
 	pending []pendingLoss
-	// evidenceSentAt is when all peers were last sent the evidence, and
-	// evidenceDue is set while another message is scheduled.
-	evidenceSentAt time.Time
-	evidenceDue    bool
-	evidenceDigest uint64
-	record         quarantineRecord
+	// reportsSentAt is when all peers were last sent the crash reports, and
+	// reportsDue is set while another message is scheduled.
+	reportsSentAt time.Time
+	reportsDue    bool
+	reportsDigest uint64
+	record        quarantineRecord
 }
 
 // recordCrash records that a target has crashed while it began to work on
@@ -52,7 +52,7 @@
 	}
 	c.g.metrics.targetCrashes.Inc(1)
 	c.log.Info("target crashed", "target", id.Target, "prompt_parts", partsOf(suspects), "new_parts", c.ledger.CrashCounts(now, c.g.parts.tracker.frequency))
-	c.evidenceChanged(now)
+	c.reportsChanged(now)
 }
 
 // recordLoss keeps the loss of a request until it is known whether the target has
@@ -83,16 +83,16 @@
 	}
 }
 
-// evidenceChanged adds what this instance knows of the suspects, and passes the
-// evidence on.
-func (c *control) evidenceChanged(now time.Time) {
+// reportsChanged adds what this instance knows of the suspects, and passes the
+// crash reports on.
+func (c *control) reportsChanged(now time.Time) {
 	for part := range c.ledger.Suspects() {
 		if at := c.g.parts.tracker.completedAt(part); !at.IsZero() {
 			c.ledger.RecordCompletion(part, at)
 		}
 	}
 	c.publishQuarantine(now)
-	c.sendEvidence(now)
+	c.sendReports(now)
 }
 
 // recordCompletions records that requests with suspects have completed.
@@ -103,11 +103,11 @@
 	}
 	if isNew {
 		c.publishQuarantine(now)
-		c.sendEvidence(now)
+		c.sendReports(now)
 	}
 }
 
-// updateQuarantine decides on parts, and forgets old evidence.
+// updateQuarantine decides on parts, and forgets old crash reports.
 func (c *control) updateQuarantine(now time.Time) {
 	changed := c.ledger.Expire(now)
 	for _, e := range c.ledger.Decide(now, c.g.id, c.g.parts.tracker.frequency) {
@@ -116,7 +116,7 @@
 	}
 	if changed {
 		c.publishQuarantine(now)
-		c.sendEvidence(now)
+		c.sendReports(now)
 	}
 }
 
@@ -145,35 +145,35 @@
 			v.entries[e.Part] = e
 		}
 	}
-	c.evidenceDigest = c.ledger.Digest()
+	c.reportsDigest = c.ledger.Digest()
 	c.g.metrics.quarantinedParts.Update(int64(len(v.entries)))
 	c.g.parts.publish(v, now)
 }
 
-// sendEvidence sends the evidence to all peers, which pass it on if it is new to
+// sendReports sends the crash reports to all peers, which pass them on if they are new to
 // them. Messages that follow one another closely are combined.
-func (c *control) sendEvidence(now time.Time) {
-	if c.evidenceDue {
+func (c *control) sendReports(now time.Time) {
+	if c.reportsDue {
 		return
 	}
-	c.evidenceDue = true
-	delay := max(0, evidenceInterval-now.Sub(c.evidenceSentAt))
+	c.reportsDue = true
+	delay := max(0, reportInterval-now.Sub(c.reportsSentAt))
 	time.AfterFunc(delay, func() {
 		select {
-		case c.inbox <- c.sendEvidenceNow:
+		case c.inbox <- c.sendReportsNow:
 		case <-c.ended:
 		}
 	})
 }
 
-func (c *control) sendEvidenceNow() {
+func (c *control) sendReportsNow() {
 	now := time.Now()
-	c.evidenceDue, c.evidenceSentAt = false, now
+	c.reportsDue, c.reportsSentAt = false, now
 	changes := c.ledger.TakeChanges(now)
 	if changes.IsEmpty() {
 		return
 	}
-	frame := &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Quarantine{Quarantine: encodeEvidence(changes)}}
+	frame := &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Quarantine{Quarantine: encodeReports(changes)}}
 	for _, p := range c.peers.byID {
 		if p.hasSession() && now.Sub(p.lastHeartbeatAt) < peerTimeout {
 			c.sendAsync(p.session, frame)
@@ -181,19 +181,19 @@
 	}
 }
 
-// compareEvidence sends the evidence to a peer whose heartbeat shows that it has
-// other evidence: it has just started, or messages were lost.
-func (c *control) compareEvidence(p *peer, session *wire.Session, digest uint64, now time.Time) {
-	if c.evidenceDigest == 0 || c.evidenceDigest == digest || now.Sub(p.evidenceSentAt) < evidenceResend {
+// compareReports sends the crash reports to a peer whose heartbeat shows that it has
+// other crash reports: it has just started, or messages were lost.
+func (c *control) compareReports(p *peer, session *wire.Session, digest uint64, now time.Time) {
+	if c.reportsDigest == 0 || c.reportsDigest == digest || now.Sub(p.reportsSentAt) < reportResend {
 		return
 	}
-	p.evidenceSentAt = now
-	state := encodeEvidence(c.ledger.State(now))
+	p.reportsSentAt = now
+	state := encodeReports(c.ledger.State(now))
 	c.sendAsync(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Quarantine{Quarantine: state}})
 }
 
-// mergeEvidence adds the evidence of another instance, or of the store.
-func (c *control) mergeEvidence(s quarantine.State, source string, now time.Time) {
+// mergeReports adds the crash reports of another instance, or of the store.
+func (c *control) mergeReports(s quarantine.State, source string, now time.Time) {
 	known := len(c.ledger.Entries())
 	if !c.ledger.Merge(s, now) {
 		return
@@ -201,7 +201,7 @@
 	if entries := c.ledger.Entries(); len(entries) != known {
 		c.log.Info("decisions on parts of prompts received", "source", source, "decisions", len(entries))
 	}
-	c.evidenceChanged(now)
+	c.reportsChanged(now)
 }
 
 // SetQuarantined quarantines or clears a part on behalf of an operator. It reports
@@ -212,7 +212,7 @@
 		e := g.control.ledger.Set(part, quarantined, g.id, now)
 		g.control.logDecision(e, "operator")
 		g.control.publishQuarantine(now)
-		g.control.sendEvidence(now)
+		g.control.sendReports(now)
 		return struct{}{}
 	})
 	return ok
--- a/gateway/quarantineapi.go
+++ b/gateway/quarantineapi.go
@@ -25,11 +25,11 @@
 // QuarantinedPart is the latest decision on a part.
 type QuarantinedPart struct {
 	Part string `json:"part"`
-	// State is quarantined, trial or cleared.
+	// State is quarantined, trial (half-open) or cleared.
 	State     string `json:"state"`
 	DecidedBy string `json:"decided_by"`
 	AgeMs     int64  `json:"age_ms"`
-	// EndsInMs is the time until the end of the quarantine; negative in a trial.
+	// EndsInMs is the time until the end of the quarantine; negative while it is half-open.
 	EndsInMs int64 `json:"ends_in_ms"`
 	// Crashes holds the targets that crashed, and Reporters the instances that
 	// reported them.
--- a/gateway/quarantinerecord.go
+++ b/gateway/quarantinerecord.go
@@ -21,7 +21,7 @@
 	quarantinePrefix = "skylarkstep/quarantine/"
 	// recordInterval is the pause between checks whether the record in the store
 	// is up to date, and at least that between two writes. It also lets the other
-	// instances report which suspects are sound before anything is written.
+	// instances report which suspects are harmless before anything is written.
 	recordInterval = time.Second
 	// recordCheckAge is how long after a write the cached copy must show it.
 	recordCheckAge = 4 * time.Second
@@ -40,24 +40,24 @@
 	writtenAt time.Time
 }
 
-// storedEvidence is the value of the record. The clocks of instances may differ by
+// storedReports is the value of the record. The clocks of instances may differ by
 // seconds, which matters little against quarantine.Retention.
-type storedEvidence struct {
+type storedReports struct {
 	WrittenUnixMs int64           `json:"written_unix_ms"`
 	State         json.RawMessage `json:"state"`
 }
 
 func encodeRecord(s quarantine.State, now time.Time) ([]byte, error) {
-	state, err := protojson.Marshal(encodeEvidence(s))
+	state, err := protojson.Marshal(encodeReports(s))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	value, err := json.Marshal(storedEvidence{now.UnixMilli(), state})
+	value, err := json.Marshal(storedReports{now.UnixMilli(), state})
 	return value, errors.WithStack(err)
 }
 
 func decodeRecord(value []byte, now time.Time) (quarantine.State, error) {
-	var stored storedEvidence
+	var stored storedReports
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return quarantine.State{}, errors.WithStack(err)
 	}
@@ -65,17 +65,17 @@
 	if err := protojson.Unmarshal(stored.State, &w); err != nil {
 		return quarantine.State{}, errors.WithStack(err)
 	}
-	return decodeEvidence(&w, max(0, now.Sub(time.UnixMilli(stored.WrittenUnixMs)))), nil
+	return decodeReports(&w, max(0, now.Sub(time.UnixMilli(stored.WrittenUnixMs)))), nil
 }
 
-// mergeRecord adds the evidence in a record of an instance.
+// mergeRecord adds the crash reports in a record of an instance.
 func (c *control) mergeRecord(it infra.Item, now time.Time) {
 	s, err := decodeRecord(it.Value, now)
 	if err != nil {
 		c.log.Warn("quarantine record not readable", "key", it.Key, "error", err.Error())
 		return
 	}
-	c.mergeEvidence(s, "store", now)
+	c.mergeReports(s, "store", now)
 }
 
 // recordUpdate is a write of the record that is due. It deletes the record if the
--- a/gateway/requestcrash_test.go
+++ b/gateway/requestcrash_test.go
@@ -82,7 +82,7 @@
 
 // Guards against a service of three targets, all of which are down at the same
 // time, at which the request is repeated by several instances at once as soon as
-// they are back, while sound requests are in progress beside it and are lost with it.
+// they are back, while harmless requests are in progress beside it and are lost with it.
 func TestRequestIsNotRepeatedAtServiceOfThreeTargets(t *testing.T) {
 	t.Parallel()
 	f := startCrashFleet(t, 3)
@@ -121,7 +121,7 @@
 	}
 }
 
-// Guards against evidence that counts at the instance only that saw the crash.
+// Guards against crash reports that count only at the instance that saw the crash.
 func TestInstanceThatSawNoCrashDoesNotRepeatRequest(t *testing.T) {
 	t.Parallel()
 	f := startCrashFleet(t, 12)
@@ -170,7 +170,7 @@
 	f.requireOthersServed("/read/1", instances...)
 }
 
-// Guards against requests that are blamed for crashes of their targets for other
+// Guards against requests that are quarantined for crashes of their targets for other
 // reasons, although each of them is sent again with the same body.
 func TestCrashesForOtherReasonsBlameNoRequest(t *testing.T) {
 	t.Parallel()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -80,7 +80,7 @@
 	case res.verdict == succeeded || res.verdict == failed:
 		res = readResponseBody(ctx, res)
 	}
-	x.recordEvidence(ctx, res)
+	x.reportAttempt(ctx, res)
 	x.eventCount = events.Events()
 	x.recordAttempt(res)
 	slotTime := time.Duration(0)
@@ -197,7 +197,7 @@
 	readErr := make(chan error, 1)
 	go readChunks(ctx, res.resp.Body, chunks, readErr)
 	progress := streamProgress{sentAt: sentAt}
-	sound := false
+	harmless := false
 	ticker := time.NewTicker(stallCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -206,9 +206,9 @@
 			if err := x.relayChunk(res, chunk, &progress, events, headerSent); err != nil {
 				return res.lostWith(err)
 			}
-			if !sound && progress.lastEventAt.Sub(res.beganAt) >= beginningTime {
-				sound = true
-				x.recordSound(ctx, progress.lastEventAt)
+			if !harmless && progress.lastEventAt.Sub(res.beganAt) >= beginningTime {
+				harmless = true
+				x.recordHarmless(ctx, progress.lastEventAt)
 			}
 		case err := <-readErr:
 			return x.finishStream(ctx, res, err, progress, events, headerSent)
--- a/routing/quarantine/decide.go
+++ b/routing/quarantine/decide.go
@@ -16,41 +16,41 @@
 	// not: a failure that ends many targets at once finds any part at some of them.
 	newPartWeight  = 2.5
 	sameFailureGap = 100 * time.Millisecond
-	// soundPartCrashes is how many crashes are needed, without a completion in
+	// changedPartCrashes is how many crashes are needed, without a completion in
 	// between, for a part with which requests have completed before. They must
-	// lie at soundPartMoments moments that are momentGap apart: a failure that
+	// lie at changedPartMoments moments that are momentGap apart: a failure that
 	// ends many targets at once says nothing about such a part.
-	soundPartCrashes = 5
-	soundPartMoments = 3
-	momentGap        = time.Second
-	// soundPartMaxShare is the share of all requests above which such a part is
+	changedPartCrashes = 5
+	changedPartMoments = 3
+	momentGap          = time.Second
+	// changedPartMaxShare is the share of all requests above which such a part is
 	// not quarantined. In a failure of the whole back end, frequent parts are in
 	// progress at every crash.
-	soundPartMaxShare = 0.2
+	changedPartMaxShare = 0.2
 	// firstPartCrashes and firstPartMoments replace newPartCrashes for the first part
 	// of prompts, if it is frequent: if no request has completed since all instances
 	// started, it was in progress at every crash.
 	firstPartCrashes = 8
 	firstPartMoments = 4
-	// soundPartCoverage is the share of the crashes since its first one at which
+	// changedPartCoverage is the share of the crashes since its first one at which
 	// such a part must have been in progress.
-	soundPartCoverage = 0.9
-	// settleTime is how long the evidence must have been complete, so that other
+	changedPartCoverage = 0.9
+	// settleTime is how long the crash reports must have been complete, so that other
 	// instances have reported the requests that completed.
 	settleTime = 300 * time.Millisecond
 	// similarFrequency is the ratio of two frequencies up to which they do not
-	// tell which of two parts is guilty.
+	// tell which of two parts is the culprit.
 	similarFrequency = 2
-	// TrialCrashes is the number of crashes from which on a part with which no
-	// request has completed is tried by one request at a time only.
-	TrialCrashes = 2
+	// ProbeCrashes is the number of crashes from which on a part with which no
+	// request has completed is probed by one request at a time only.
+	ProbeCrashes = 2
 )
 
 // Frequency returns the share of the recent requests that have a part, 0 to 1.
 type Frequency func(part string) float64
 
-// suspicion is the evidence against a part.
-type suspicion struct {
+// crashRecord holds the crashes that count against a part.
+type crashRecord struct {
 	part  string
 	depth int
 	// crashes since the last completion, by time.
@@ -62,22 +62,22 @@
 	weight float64
 }
 
-// suspicions returns the evidence against all parts, except for crashes that a
+// crashRecords returns the crashes that count against all parts, except for crashes that a
 // quarantined part explains.
-func (l *Ledger) suspicions(now time.Time) map[string]*suspicion {
-	found := map[string]*suspicion{}
+func (l *Ledger) crashRecords(now time.Time) map[string]*crashRecord {
+	found := map[string]*crashRecord{}
 	for id, c := range l.crashes {
 		if l.isExplained(c, now) {
 			continue
 		}
 		for part, depth := range c.suspects {
-			if !c.at.After(l.acquittedAt(part)) {
+			if !c.at.After(l.clearedAt(part)) {
 				continue
 			}
 			s := found[part]
 			if s == nil {
 				_, completed := l.completed[part]
-				s = &suspicion{part: part, isNew: !completed}
+				s = &crashRecord{part: part, isNew: !completed}
 				found[part] = s
 			}
 			s.depth = max(s.depth, depth)
@@ -113,8 +113,8 @@
 	return n
 }
 
-// acquittedAt returns the time up to which crashes do not count against a part.
-func (l *Ledger) acquittedAt(part string) time.Time {
+// clearedAt returns the time up to which crashes do not count against a part.
+func (l *Ledger) clearedAt(part string) time.Time {
 	at := l.completed[part]
 	if e := l.entries[part]; e != nil && e.At.After(at) {
 		at = e.At
@@ -134,15 +134,15 @@
 }
 
 // isFrequentFirst reports whether the part is the first one of many prompts.
-func (s *suspicion) isFrequentFirst(frequency Frequency) bool {
-	return s.depth == 0 && frequency(s.part) > soundPartMaxShare
+func (s *crashRecord) isFrequentFirst(frequency Frequency) bool {
+	return s.depth == 0 && frequency(s.part) > changedPartMaxShare
 }
 
 // CrashCounts returns the number of unexplained crashes of each part with which no
 // request has completed lately, but for first parts of many prompts.
 func (l *Ledger) CrashCounts(now time.Time, frequency Frequency) map[string]int {
 	counts := map[string]int{}
-	for part, s := range l.suspicions(now) {
+	for part, s := range l.crashRecords(now) {
 		if s.isNew && !s.isFrequentFirst(frequency) {
 			counts[part] = len(s.crashes)
 		}
@@ -150,26 +150,26 @@
 	return counts
 }
 
-// Decide quarantines the parts against which the evidence suffices, ends the
-// trials that have a result, and returns the new decisions.
+// Decide quarantines the parts against which the crashes suffice, ends the
+// probes that have a result, and returns the new decisions.
 func (l *Ledger) Decide(now time.Time, by string, frequency Frequency) []Entry {
-	decided := l.endTrials(now, by)
+	decided := l.endProbes(now, by)
 	for {
-		found := l.suspicions(now)
-		blamed := blameNewPart(found, now, frequency)
-		if blamed == nil {
-			blamed = l.blameSoundPart(found, now, frequency)
+		found := l.crashRecords(now)
+		culprit := newCulprit(found, now, frequency)
+		if culprit == nil {
+			culprit = l.changedCulprit(found, now, frequency)
 		}
-		if blamed == nil {
+		if culprit == nil {
 			return decided
 		}
-		decided = append(decided, l.quarantine(blamed.part, blamed.crashes, Retention, now, by))
+		decided = append(decided, l.quarantine(culprit.part, culprit.crashes, Retention, now, by))
 	}
 }
 
-// endTrials decides on the parts in trial: a crash quarantines the part again for
+// endProbes decides on the half-open parts: a crash quarantines the part again for
 // twice the time, a completion clears it.
-func (l *Ledger) endTrials(now time.Time, by string) []Entry {
+func (l *Ledger) endProbes(now time.Time, by string) []Entry {
 	var decided []Entry
 	for _, e := range l.Entries() {
 		if e.Phase(now) == Cleared {
@@ -209,13 +209,13 @@
 	return l.decide(e)
 }
 
-// blameNewPart returns the part that was in progress at the most crashes, if no
-// request with it has completed lately. Parts that always come with the guilty one
+// newCulprit returns the part that was in progress at the most crashes, if no
+// request with it has completed lately. Parts that always come with the culprit
 // were in progress at the same crashes. One of them is enough to keep those
 // requests from the targets: the rarest, and of about equally rare ones the
 // deepest, which the fewest other requests share.
-func blameNewPart(found map[string]*suspicion, now time.Time, frequency Frequency) *suspicion {
-	var tied []*suspicion
+func newCulprit(found map[string]*crashRecord, now time.Time, frequency Frequency) *crashRecord {
+	var tied []*crashRecord
 	most := newPartCrashes
 	for _, s := range found {
 		if !s.isNew || len(s.crashes) < most || s.weight < newPartWeight || !s.isSettled(newPartCrashes, now) {
@@ -236,22 +236,22 @@
 	for _, s := range tied {
 		rarest = min(rarest, frequency(s.part))
 	}
-	tied = slices.DeleteFunc(tied, func(s *suspicion) bool { return frequency(s.part) > similarFrequency*rarest })
-	return slices.MaxFunc(tied, func(a, b *suspicion) int {
+	tied = slices.DeleteFunc(tied, func(s *crashRecord) bool { return frequency(s.part) > similarFrequency*rarest })
+	return slices.MaxFunc(tied, func(a, b *crashRecord) int {
 		return cmp.Or(cmp.Compare(a.depth, b.depth), cmp.Compare(a.part, b.part))
 	})
 }
 
 // isSettled reports whether the crash that reaches the count lies far enough in
 // the past.
-func (s *suspicion) isSettled(count int, now time.Time) bool {
+func (s *crashRecord) isSettled(count int, now time.Time) bool {
 	times := slices.Clone(s.times)
 	slices.SortFunc(times, time.Time.Compare)
 	return len(times) >= count && now.Sub(times[count-1]) >= settleTime
 }
 
 // moments returns the number of moments, momentGap apart, at which crashes lie.
-func (s *suspicion) moments() int {
+func (s *crashRecord) moments() int {
 	times := slices.Clone(s.times)
 	slices.SortFunc(times, time.Time.Compare)
 	n, last := 0, time.Time{}
@@ -263,15 +263,15 @@
 	return n
 }
 
-// blameSoundPart returns a part with which requests completed before, but none
+// changedCulprit returns a part with which requests completed before, but none
 // since the first of several crashes at all of which it was in progress.
-func (l *Ledger) blameSoundPart(found map[string]*suspicion, now time.Time, frequency Frequency) *suspicion {
-	var best *suspicion
+func (l *Ledger) changedCulprit(found map[string]*crashRecord, now time.Time, frequency Frequency) *crashRecord {
+	var best *crashRecord
 	for _, s := range found {
-		if s.isNew || !s.isSettled(soundPartCrashes, now) || s.moments() < soundPartMoments {
+		if s.isNew || !s.isSettled(changedPartCrashes, now) || s.moments() < changedPartMoments {
 			continue
 		}
-		if frequency(s.part) > soundPartMaxShare || l.coverage(s, now) < soundPartCoverage {
+		if frequency(s.part) > changedPartMaxShare || l.coverage(s, now) < changedPartCoverage {
 			continue
 		}
 		if best == nil || frequency(s.part) < frequency(best.part) {
@@ -283,7 +283,7 @@
 
 // coverage returns the share of the unexplained crashes since the first one of
 // the part at which it was in progress.
-func (l *Ledger) coverage(s *suspicion, now time.Time) float64 {
+func (l *Ledger) coverage(s *crashRecord, now time.Time) float64 {
 	first := slices.MinFunc(s.times, time.Time.Compare)
 	total := 0
 	for _, c := range l.crashes {
--- a/routing/quarantine/doc.go
+++ b/routing/quarantine/doc.go
@@ -5,9 +5,9 @@
 // the parts of the requests that the target had just begun to work on. A part
 // that is merely frequent is among them too, but requests with it complete
 // elsewhere, which a part that crashes every target never sees. decide.go
-// chooses the parts to quarantine, and state.go exchanges the evidence between
+// chooses the parts to quarantine, and state.go exchanges the crash reports between
 // instances: merging is commutative and idempotent, so that every instance
-// reaches the same evidence whatever way it takes.
+// reaches the same crash reports whatever way it takes.
 //
 // The package does no input or output and reads no clock.
 package quarantine
--- a/routing/quarantine/ledger.go
+++ b/routing/quarantine/ledger.go
@@ -11,11 +11,11 @@
 	// remembered.
 	Retention = 10 * time.Minute
 	// maxDuration limits the quarantine of a part that crashes targets again
-	// after each trial.
+	// after each probe.
 	maxDuration = 2 * time.Hour
-	// trialPeriod is how long a part may be tried after its quarantine. If no
+	// halfOpenPeriod is how long a part may be probed after its quarantine. If no
 	// request with it completes or crashes a target, it is forgotten.
-	trialPeriod = 10 * time.Minute
+	halfOpenPeriod = 10 * time.Minute
 
 	// maxCrashes, maxSuspects and maxEntries bound the ledger.
 	maxCrashes     = 256
@@ -62,18 +62,18 @@
 // Phase is the phase of an entry.
 type Phase uint8
 
-// The values of Phase. A part in trial may be sent by one instance, one request
+// The values of Phase. A half-open part may be sent by one instance, one request
 // at a time: it is cleared if a request completes, and quarantined again if a
 // target crashes.
 const (
 	Cleared Phase = iota
 	Quarantined
-	Trial
+	HalfOpen
 )
 
 // String returns the name of the phase in logs and responses.
 func (p Phase) String() string {
-	return [...]string{Cleared: "cleared", Quarantined: "quarantined", Trial: "trial"}[p]
+	return [...]string{Cleared: "cleared", Quarantined: "quarantined", HalfOpen: "trial"}[p]
 }
 
 // Entry is the latest decision on a part.
@@ -97,10 +97,10 @@
 // Phase returns the phase of the entry at a time.
 func (e *Entry) Phase(now time.Time) Phase {
 	switch age := now.Sub(e.At); {
-	case !e.Quarantined || age >= e.Duration+trialPeriod:
+	case !e.Quarantined || age >= e.Duration+halfOpenPeriod:
 		return Cleared
 	case age >= e.Duration:
-		return Trial
+		return HalfOpen
 	default:
 		return Quarantined
 	}
@@ -110,7 +110,7 @@
 func (e *Entry) Ends() time.Time { return e.At.Add(e.Duration) }
 
 func (e *Entry) isObsolete(now time.Time) bool {
-	return now.Sub(e.At) >= max(Retention, e.Duration+trialPeriod)
+	return now.Sub(e.At) >= max(Retention, e.Duration+halfOpenPeriod)
 }
 
 type crash struct {
@@ -124,7 +124,7 @@
 	return ok
 }
 
-// Ledger holds the evidence and the decisions. It is not safe for concurrent
+// Ledger holds the crash reports and the decisions. It is not safe for concurrent
 // use.
 type Ledger struct {
 	crashes map[CrashID]*crash
@@ -191,7 +191,7 @@
 
 // RecordCompletion records that a request with a part has got its complete
 // response, which a part that crashes targets never does. It reports whether
-// that is evidence: the first completion of the part that is known, or one after
+// that is news: the first completion of the part that is known, or one after
 // a crash at which it was in progress.
 func (l *Ledger) RecordCompletion(part string, at time.Time) bool {
 	_, exists := l.completed[part]
@@ -209,9 +209,9 @@
 // isSuspect reports whether the part was in progress at a crash that a completion
 // or a decision has not answered yet.
 func (l *Ledger) isSuspect(part string) bool {
-	acquittedAt := l.acquittedAt(part)
+	clearedAt := l.clearedAt(part)
 	for _, c := range l.crashes {
-		if c.has(part) && c.at.After(acquittedAt) {
+		if c.has(part) && c.at.After(clearedAt) {
 			return true
 		}
 	}
@@ -224,7 +224,7 @@
 	parts := map[string]bool{}
 	for _, c := range l.crashes {
 		for part := range c.suspects {
-			parts[part] = parts[part] || c.at.After(l.acquittedAt(part))
+			parts[part] = parts[part] || c.at.After(l.clearedAt(part))
 		}
 	}
 	return parts
@@ -240,7 +240,7 @@
 }
 
 // Set decides on a part by hand: an operator adds or clears it. A decision to
-// clear also discards the evidence against the part.
+// clear also discards the crash reports against the part.
 func (l *Ledger) Set(part string, quarantined bool, by string, now time.Time) Entry {
 	e := Entry{Part: part, Quarantined: quarantined, At: now, Duration: Retention, DecidedBy: by}
 	return l.decide(e)
--- a/routing/quarantine/ledger_test.go
+++ b/routing/quarantine/ledger_test.go
@@ -58,7 +58,7 @@
 	require.Empty(t, l.Decide(at(20), "a", usual))
 }
 
-// Guards against a part that is blamed because it is in every request, also if no
+// Guards against a part that is quarantined because it is in every request, also if no
 // request has completed since the process started.
 func TestPopularPartIsNotBlamed(t *testing.T) {
 	l := New()
@@ -68,7 +68,7 @@
 	require.Equal(t, []string{"bad"}, parts(l.Decide(at(20), "a", usual)))
 }
 
-// Guards against all parts being blamed that were always in progress together:
+// Guards against all parts being quarantined that were always in progress together:
 // one keeps these requests from the targets, and the first part is in all others.
 func TestOnlyOneOfTiedPartsIsBlamed(t *testing.T) {
 	equal := func(string) float64 { return 0.1 }
@@ -83,7 +83,7 @@
 	require.Equal(t, []string{"first"}, parts(l.Decide(at(50), "a", equal)), "the first part crashes targets without the other one")
 }
 
-// Guards against a first part that is blamed when several targets crash at once
+// Guards against a first part that is quarantined when several targets crash at once
 // before any request has completed.
 func TestFrequentFirstPartNeedsMoreCrashes(t *testing.T) {
 	l := New()
@@ -98,7 +98,7 @@
 	require.Equal(t, []string{"popular"}, parts(l.Decide(at(20), "a", usual)), "a first part that crashes targets again and again is found")
 }
 
-// Guards against a sound part that is blamed although a request with it has
+// Guards against a harmless part that is quarantined although a request with it has
 // completed since the crashes.
 func TestCompletionAcquits(t *testing.T) {
 	l := New()
@@ -125,7 +125,7 @@
 }
 
 // Guards against the loss of many targets at once, or several times, that is
-// blamed on the parts of the requests that were in progress.
+// attributed to the parts of the requests that were in progress.
 func TestMassCrashesBlameNoFrequentPart(t *testing.T) {
 	const seeds = 200
 	wrong := 0
@@ -153,9 +153,9 @@
 	require.LessOrEqual(t, wrong, seeds/100, "rare sessions were blamed although nothing else completed")
 }
 
-// Guards against both errors beside crashes for other reasons: a guilty part that
-// is not found after five crashes, and a sound one that is blamed. Targets crash
-// alone and in groups all the time; requests with sound parts complete elsewhere.
+// Guards against both errors beside crashes for other reasons: a culprit part that
+// is not found after five crashes, and a harmless one that is quarantined. Targets crash
+// alone and in groups all the time; requests with harmless parts complete elsewhere.
 func TestBlameBesideOtherCrashes(t *testing.T) {
 	const seeds = 300
 	missed, wrong := 0, 0
@@ -232,7 +232,7 @@
 		return l, e.Ends().Add(time.Second)
 	}
 	l, trial := newQuarantined()
-	require.Equal(t, Trial, l.Entries()[0].Phase(trial))
+	require.Equal(t, HalfOpen, l.Entries()[0].Phase(trial))
 	l.RecordCrash(Crash{ID: CrashID{"again", 1}, At: trial, Suspects: SuspectsOf([]string{"bad"}), Reporters: []string{"a"}})
 	again := l.Decide(trial.Add(time.Second), "a", usual)
 	require.Equal(t, []string{"bad"}, parts(again))
@@ -270,7 +270,7 @@
 	require.Empty(t, l.entries)
 }
 
-// Guards against instances that keep different evidence although every message
+// Guards against instances that keep different crash reports, although every message
 // has reached them, in whatever order and however often.
 func TestEvidenceConverges(t *testing.T) {
 	for seed := range uint64(50) {
@@ -306,7 +306,7 @@
 }
 
 // Guards against a decision that an operator has taken back and that comes back
-// with the evidence of another instance.
+// with the crash reports of another instance.
 func TestClearedPartStaysCleared(t *testing.T) {
 	a, b := New(), New()
 	for k := range 4 {
