--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -62,8 +62,8 @@
 // quarantinedError returns the final error of a request with a quarantined part.
 func (x *exchange) quarantinedError(e *quarantine.Entry, now time.Time) error {
 	x.g.metrics.quarantineRefusals.Inc(1)
-	x.quarantinedPart = e.Part
-	return x.partError(e.Ends().Sub(now), "part %s of the prompt has crashed %d targets", e.Part, len(e.Crashes))
+	x.quarantinedPart = e.Subject
+	return x.partError(e.Ends().Sub(now), "part %s of the prompt has crashed %d targets", e.Subject, len(e.Crashes))
 }
 
 func (x *exchange) suspectError(part, reason string) error {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -123,7 +123,7 @@
 func partsOf(suspects []quarantine.Suspect) []string {
 	parts := make([]string, 0, len(suspects))
 	for _, s := range suspects {
-		parts = append(parts, s.Part)
+		parts = append(parts, s.Subject)
 	}
 	return parts
 }
@@ -142,7 +142,7 @@
 	v := &quarantineView{entries: map[string]quarantine.Entry{}, crashCounts: c.ledger.CrashCounts(now, c.g.parts.tracker.frequency), suspects: c.ledger.Suspects()}
 	for _, e := range c.ledger.Entries() {
 		if e.Phase(now) != quarantine.Cleared {
-			v.entries[e.Part] = e
+			v.entries[e.Subject] = e
 		}
 	}
 	c.reportsDigest = c.ledger.Digest()
@@ -219,6 +219,6 @@
 }
 
 func (c *control) logDecision(e quarantine.Entry, reason string) {
-	c.log.Warn("decision on a part of prompts", "part", e.Part, "quarantined", e.Quarantined, "duration_ms", e.Duration.Milliseconds(),
-		"crashes", targetsOf(e.Crashes), "reporters", e.Reporters, "frequency", c.g.parts.tracker.frequency(e.Part), "reason", reason)
+	c.log.Warn("decision on a part of prompts", "part", e.Subject, "quarantined", e.Quarantined, "duration_ms", e.Duration.Milliseconds(),
+		"crashes", targetsOf(e.Crashes), "reporters", e.Reporters, "frequency", c.g.parts.tracker.frequency(e.Subject), "reason", reason)
 }
--- a/gateway/quarantineapi.go
+++ b/gateway/quarantineapi.go
@@ -83,7 +83,7 @@
 	list := QuarantineList{Instance: c.g.id, Parts: []QuarantinedPart{}, Suspects: []QuarantineSuspect{}}
 	for _, e := range c.ledger.Entries() {
 		list.Parts = append(list.Parts, QuarantinedPart{
-			Part: e.Part, State: e.Phase(now).String(), DecidedBy: e.DecidedBy, AgeMs: now.Sub(e.At).Milliseconds(),
+			Part: e.Subject, State: e.Phase(now).String(), DecidedBy: e.DecidedBy, AgeMs: now.Sub(e.At).Milliseconds(),
 			EndsInMs: e.Ends().Sub(now).Milliseconds(), Crashes: targetsOf(e.Crashes), Reporters: e.Reporters,
 		})
 	}
--- a/gateway/quarantinewire.go
+++ b/gateway/quarantinewire.go
@@ -17,11 +17,11 @@
 		})
 	}
 	for _, completion := range s.Completions {
-		w.Completions = append(w.Completions, &wirepb.PartCompletion{Part: completion.Part, AgeMs: uint64(completion.Age.Milliseconds())})
+		w.Completions = append(w.Completions, &wirepb.PartCompletion{Part: completion.Subject, AgeMs: uint64(completion.Age.Milliseconds())})
 	}
 	for _, e := range s.Entries {
 		d := &wirepb.PartDecision{
-			Part: e.Part, Version: e.Version, Quarantined: e.Quarantined, AgeMs: uint64(e.Age.Milliseconds()),
+			Part: e.Subject, Version: e.Version, Quarantined: e.Quarantined, AgeMs: uint64(e.Age.Milliseconds()),
 			DurationMs: uint64(e.Duration.Milliseconds()), Reporters: e.Reporters, DecidedBy: e.DecidedBy,
 		}
 		for _, id := range e.Crashes {
@@ -35,7 +35,7 @@
 func encodeSuspects(suspects []quarantine.Suspect) []*wirepb.PromptPart {
 	var encoded []*wirepb.PromptPart
 	for _, s := range suspects {
-		encoded = append(encoded, &wirepb.PromptPart{Part: s.Part, Depth: uint32(s.Depth)})
+		encoded = append(encoded, &wirepb.PromptPart{Part: s.Subject, Depth: uint32(s.Depth)})
 	}
 	return encoded
 }
@@ -43,7 +43,7 @@
 func decodeSuspects(encoded []*wirepb.PromptPart) []quarantine.Suspect {
 	var suspects []quarantine.Suspect
 	for _, p := range encoded {
-		suspects = append(suspects, quarantine.Suspect{Part: p.GetPart(), Depth: int(p.GetDepth())})
+		suspects = append(suspects, quarantine.Suspect{Subject: p.GetPart(), Depth: int(p.GetDepth())})
 	}
 	return suspects
 }
@@ -59,11 +59,11 @@
 		})
 	}
 	for _, completion := range w.GetCompletions() {
-		s.Completions = append(s.Completions, quarantine.CompletionState{Part: completion.GetPart(), Age: age(completion.GetAgeMs())})
+		s.Completions = append(s.Completions, quarantine.CompletionState{Subject: completion.GetPart(), Age: age(completion.GetAgeMs())})
 	}
 	for _, d := range w.GetDecisions() {
 		e := quarantine.Entry{
-			Part: d.GetPart(), Version: d.GetVersion(), Quarantined: d.GetQuarantined(),
+			Subject: d.GetPart(), Version: d.GetVersion(), Quarantined: d.GetQuarantined(),
 			Duration: time.Duration(d.GetDurationMs()) * time.Millisecond, Reporters: d.GetReporters(), DecidedBy: d.GetDecidedBy(),
 		}
 		for _, crash := range d.GetCrashes() {
--- a/routing/quarantine/decide.go
+++ b/routing/quarantine/decide.go
@@ -175,12 +175,12 @@
 		if e.Phase(now) == Cleared {
 			continue
 		}
-		crashes := l.crashesSince(e.Part, e.Ends())
-		switch completed := l.completed[e.Part]; {
+		crashes := l.crashesSince(e.Subject, e.Ends())
+		switch completed := l.completed[e.Subject]; {
 		case len(crashes) > 0:
-			decided = append(decided, l.quarantine(e.Part, crashes, min(2*e.Duration, maxDuration), now, by))
+			decided = append(decided, l.quarantine(e.Subject, crashes, min(2*e.Duration, maxDuration), now, by))
 		case completed.After(e.Ends()):
-			decided = append(decided, l.decide(Entry{Part: e.Part, At: now, Duration: Retention, DecidedBy: by}))
+			decided = append(decided, l.decide(Entry{Subject: e.Subject, At: now, Duration: Retention, DecidedBy: by}))
 		}
 	}
 	return decided
@@ -197,7 +197,7 @@
 }
 
 func (l *Ledger) quarantine(part string, crashes []CrashID, duration time.Duration, now time.Time, by string) Entry {
-	e := Entry{Part: part, Quarantined: true, At: now, Duration: duration, Crashes: crashes, DecidedBy: by}
+	e := Entry{Subject: part, Quarantined: true, At: now, Duration: duration, Crashes: crashes, DecidedBy: by}
 	for _, id := range crashes {
 		for reporter := range l.crashes[id].reporters {
 			if !slices.Contains(e.Reporters, reporter) {
--- a/routing/quarantine/ledger.go
+++ b/routing/quarantine/ledger.go
@@ -43,7 +43,7 @@
 
 // Suspect is a part that was in progress at a crash.
 type Suspect struct {
-	Part string
+	Subject string
 	// Depth is its position in the prompt, from 0. The first parts are those that
 	// most requests share.
 	Depth int
@@ -78,7 +78,7 @@
 
 // Entry is the latest decision on a part.
 type Entry struct {
-	Part string
+	Subject string
 	// Version rises with each decision on the part.
 	Version     uint64
 	Quarantined bool
@@ -164,7 +164,7 @@
 	before := len(known.suspects) + len(known.reporters)
 	for _, s := range c.Suspects {
 		if len(known.suspects) < maxSuspects {
-			known.suspects[s.Part] = max(s.Depth, known.suspects[s.Part])
+			known.suspects[s.Subject] = max(s.Depth, known.suspects[s.Subject])
 		}
 	}
 	for _, reporter := range c.Reporters {
@@ -242,13 +242,13 @@
 // Set decides on a part by hand: an operator adds or clears it. A decision to
 // clear also discards the crash reports against the part.
 func (l *Ledger) Set(part string, quarantined bool, by string, now time.Time) Entry {
-	e := Entry{Part: part, Quarantined: quarantined, At: now, Duration: Retention, DecidedBy: by}
+	e := Entry{Subject: part, Quarantined: quarantined, At: now, Duration: Retention, DecidedBy: by}
 	return l.decide(e)
 }
 
 // decide stores a decision as the latest one on its part.
 func (l *Ledger) decide(e Entry) Entry {
-	if known := l.entries[e.Part]; known != nil {
+	if known := l.entries[e.Subject]; known != nil {
 		e.Version = known.Version
 	}
 	e.Version++
@@ -257,11 +257,11 @@
 }
 
 func (l *Ledger) store(e Entry) {
-	if l.entries[e.Part] == nil && len(l.entries) >= maxEntries {
+	if l.entries[e.Subject] == nil && len(l.entries) >= maxEntries {
 		l.forgetOldestEntry()
 	}
-	l.entries[e.Part] = &e
-	l.changes.entries[e.Part] = true
+	l.entries[e.Subject] = &e
+	l.changes.entries[e.Subject] = true
 }
 
 func (l *Ledger) forgetOldestEntry() {
--- a/routing/quarantine/ledger_test.go
+++ b/routing/quarantine/ledger_test.go
@@ -33,7 +33,7 @@
 func parts(entries []Entry) []string {
 	found := []string{}
 	for _, e := range entries {
-		found = append(found, e.Part)
+		found = append(found, e.Subject)
 	}
 	return found
 }
@@ -146,7 +146,7 @@
 			}
 		}
 		for _, e := range l.Decide(at(30), "a", frequencies(shares)) {
-			require.NotContains(t, shares, e.Part, "seed %d", seed)
+			require.NotContains(t, shares, e.Subject, "seed %d", seed)
 			wrong++
 		}
 	}
@@ -190,7 +190,7 @@
 				}
 			}
 			for _, e := range l.Decide(at(now+0.05), "a", frequencies(map[string]float64{"kind0": 0.4, "bad": 0.05})) {
-				if e.Part == "bad" {
+				if e.Subject == "bad" {
 					found = true
 				} else {
 					wrong++
@@ -198,7 +198,7 @@
 			}
 		}
 		for _, e := range l.Decide(at(50), "a", usual) {
-			found = found || e.Part == "bad"
+			found = found || e.Subject == "bad"
 		}
 		if !found {
 			missed++
--- a/routing/quarantine/state.go
+++ b/routing/quarantine/state.go
@@ -27,8 +27,8 @@
 
 // CompletionState tells how long ago a request with a suspect completed.
 type CompletionState struct {
-	Part string
-	Age  time.Duration
+	Subject string
+	Age     time.Duration
 }
 
 // EntryState is a decision as part of a State. Its field At is not set.
@@ -58,7 +58,7 @@
 	return l.state(now, selection{
 		crash:      func(id CrashID, _ *crash) bool { return changed.crashes[id] },
 		completion: func(part string) bool { return changed.completions[part] },
-		entry:      func(e *Entry) bool { return changed.entries[e.Part] },
+		entry:      func(e *Entry) bool { return changed.entries[e.Subject] },
 	})
 }
 
@@ -103,7 +103,7 @@
 			s.Completions = append(s.Completions, CompletionState{part, now.Sub(at)})
 		}
 	}
-	slices.SortFunc(s.Completions, func(a, b CompletionState) int { return cmp.Compare(a.Part, b.Part) })
+	slices.SortFunc(s.Completions, func(a, b CompletionState) int { return cmp.Compare(a.Subject, b.Subject) })
 	for _, e := range l.Entries() {
 		if include.entry(&e) {
 			age := now.Sub(e.At)
@@ -137,14 +137,14 @@
 	}
 	for _, c := range s.Completions {
 		if c.Age < Retention {
-			isNew := l.RecordCompletion(c.Part, now.Add(-max(0, c.Age)))
+			isNew := l.RecordCompletion(c.Subject, now.Add(-max(0, c.Age)))
 			changed = changed || isNew
 		}
 	}
 	for _, e := range s.Entries {
 		entry := e.Entry
 		entry.At = now.Add(-max(0, e.Age))
-		if known := l.entries[e.Part]; !entry.isObsolete(now) && (known == nil || entry.isAfter(known)) {
+		if known := l.entries[e.Subject]; !entry.isObsolete(now) && (known == nil || entry.isAfter(known)) {
 			l.store(entry)
 			changed = true
 		}
@@ -188,12 +188,12 @@
 	for _, c := range s.Crashes {
 		write(c.ID.Target, strconv.FormatInt(c.ID.Incarnation, 10))
 		for _, s := range c.Suspects {
-			write(s.Part)
+			write(s.Subject)
 		}
 		write(c.Reporters...)
 	}
 	for _, e := range s.Entries {
-		write(e.Part, strconv.FormatUint(e.Version, 10), strconv.FormatBool(e.Quarantined), e.DecidedBy)
+		write(e.Subject, strconv.FormatUint(e.Version, 10), strconv.FormatBool(e.Quarantined), e.DecidedBy)
 	}
 	return h.Sum64()
 }
