--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -30,57 +32,71 @@
 	probeRetryAfter = time.Second
 )
 
-// sharedParts returns the parts of a prompt that other requests may have too:
-// all but the last.
-func sharedParts(parts []string) []string { return parts[:max(0, len(parts)-1)] }
-
-// admitParts returns an error if the request must not be sent to a target because
-// a part of its prompt crashes targets, or is suspected to and is just being probed
-// by another request.
-func (x *exchange) admitParts(now time.Time) error {
+// admitSubjects returns an error if the request must not be sent to a target: it, or
+// a part of its prompt, crashes targets, or is suspected to and is being probed by
+// another request.
+func (x *exchange) admitSubjects(now time.Time) error {
 	v := x.g.parts.view.Load()
-	for _, part := range x.sharedParts {
-		e, decided := v.entries[part]
+	for _, subject := range x.subjects {
+		e, decided := v.entries[subject]
 		phase := quarantine.Cleared
 		if decided {
 			phase = e.Phase(now)
 		}
+		crashes := v.crashCounts[subject]
+		oneInstance := phase == quarantine.HalfOpen || quarantine.IsRequest(subject) && crashes >= quarantine.OwnerCrashes
 		switch {
 		case phase == quarantine.Quarantined:
 			return x.quarantinedError(&e, now)
-		case phase == quarantine.HalfOpen && x.snapshot.position != 0:
-			return x.suspectError(part, "is tried at another instance")
-		case phase == quarantine.HalfOpen || v.crashCounts[part] >= quarantine.ProbeCrashes:
-			if !x.g.parts.beginProbe(part, x) {
-				return x.suspectError(part, "has crashed targets and is being tried by another request")
+		case oneInstance && !x.snapshot.probes(subject):
+			return x.suspectError(subject, "is probed at another instance")
+		case oneInstance || crashes >= quarantine.ProbeCrashes:
+			if !x.g.parts.beginProbe(subject, x) {
+				return x.suspectError(subject, "has crashed targets and is being probed by another request")
 			}
 		}
 	}
 	return nil
 }
 
-// quarantinedError returns the final error of a request with a quarantined part.
+// probes reports whether this instance is the one that probes a subject if only one
+// may.
+func (s *snapshot) probes(subject string) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(subject))
+	return int(h.Sum32()%uint32(max(1, s.instanceCount))) == s.position
+}
+
+// quarantinedError returns the final error of a request that is quarantined, or
+// has a quarantined part.
 func (x *exchange) quarantinedError(e *quarantine.Entry, now time.Time) error {
 	x.g.metrics.quarantineRefusals.Inc(1)
-	x.quarantinedPart = e.Subject
-	return x.partError(e.Ends().Sub(now), "part %s of the prompt has crashed %d targets", e.Subject, len(e.Crashes))
+	x.quarantinedSubject = e.Subject
+	return x.subjectError(e.Ends().Sub(now), "%s has crashed %d targets", describeSubject(e.Subject), len(e.Crashes))
 }
 
-func (x *exchange) suspectError(part, reason string) error {
+func (x *exchange) suspectError(subject, reason string) error {
 	x.g.metrics.quarantineRefusals.Inc(1)
-	x.quarantinedPart = part
-	return x.partError(jitter(probeRetryAfter), "part %s of the prompt %s", part, reason)
+	x.quarantinedSubject = subject
+	return x.subjectError(jitter(probeRetryAfter), "%s %s", describeSubject(subject), reason)
 }
 
-func (x *exchange) partError(retryAfter time.Duration, format string, args ...any) error {
+func describeSubject(subject string) string {
+	if quarantine.IsRequest(subject) {
+		return "this request (" + subject + ")"
+	}
+	return "part " + subject + " of the prompt"
+}
+
+func (x *exchange) subjectError(retryAfter time.Duration, format string, args ...any) error {
 	if x.mayHaveRun {
 		return errkind.New(errkind.TargetLost, format, args...)
 	}
 	return errkind.New(errkind.Quarantined, format, args...).WithRetryAfter(retryAfter)
 }
 
-// cancelIfQuarantined makes the request end at once if a part of its prompt is
-// quarantined while it is in progress.
+// cancelIfQuarantined makes the request end at once if it, or a part of its prompt,
+// is quarantined while it is in progress.
 func (x *exchange) cancelIfQuarantined(cancel context.CancelFunc) (done func()) {
 	return x.g.parts.register(x, func(e quarantine.Entry) {
 		x.quarantinedBy.Store(&e)
@@ -106,12 +122,9 @@
 	return endsWithConnection(r.resp.Response) && !r.target.Leaving && r.target.hasExited(ctx)
 }
 
-// reportAttempt records what the result of an attempt says about the parts of the
-// prompt.
+// reportAttempt records what the result of an attempt says about the request and
+// the parts of its prompt.
 func (x *exchange) reportAttempt(ctx context.Context, res attemptResult) {
-	if len(x.sharedParts) == 0 {
-		return
-	}
 	switch now := time.Now(); {
 	case res.verdict == succeeded && !endsWithConnection(res.resp.Response):
 		x.recordHarmless(ctx, now)
@@ -120,14 +133,10 @@
 	}
 }
 
-// recordHarmless records that the parts of the prompt do not crash targets: the
-// response is complete, or has gone on for longer than beginningTime.
+// recordHarmless records that the request and the parts of its prompt do not crash
+// targets: the response is complete, or has gone on for longer than beginningTime.
 func (x *exchange) recordHarmless(ctx context.Context, now time.Time) {
-	if len(x.sharedParts) == 0 {
-		return
-	}
-	v := x.g.parts.view.Load()
-	report := x.g.parts.tracker.recordCompletion(x.sharedParts, func(part string) bool { return v.suspects[part] }, now)
+	report := x.g.parts.recordCompletion(x.subjects, now)
 	if len(report) > 0 {
 		x.g.control.post(ctx, func() { x.g.control.recordCompletions(report, now) })
 	}
@@ -140,13 +149,13 @@
 
 // recordLoss records that the connection to a target ended when it had at most
 // just begun to respond. If the target has crashed, that counts against the
-// parts of the prompt.
+// request and the parts of its prompt.
 func (x *exchange) recordLoss(ctx context.Context, t *target, now time.Time) {
 	if t.Leaving {
 		return
 	}
 	crashed := t.hasExited(ctx)
-	suspects := quarantine.SuspectsOf(x.sharedParts)
+	suspects := quarantine.SuspectsOf(x.sharedParts, quarantine.RequestSubject(x.requestHash))
 	x.g.control.call(ctx, func() {
 		if crashed {
 			x.g.control.recordCrash(t.crashID(), suspects, now)
@@ -177,19 +186,17 @@
 }
 
 // mayCrashAgain reports whether the request was in progress when a target crashed,
-// and one of its parts was at several crashes.
+// and it or one of its parts was at several crashes.
 func (x *exchange) mayCrashAgain() bool {
 	return x.crashedTarget && x.hasSuspect()
 }
 
-// hasSuspect reports whether a part of the prompt was in progress at several
-// crashes and no request with it has completed.
+// hasSuspect reports whether the request or a part of its prompt was in progress at
+// several crashes and no request with it has completed.
 func (x *exchange) hasSuspect() bool {
 	v := x.g.parts.view.Load()
-	for _, part := range x.sharedParts {
-		if _, decided := v.entries[part]; decided || v.crashCounts[part] >= quarantine.ProbeCrashes {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(x.subjects, func(subject string) bool {
+		_, decided := v.entries[subject]
+		return decided || v.crashCounts[subject] >= quarantine.ProbeCrashes
+	})
 }
--- a/gateway/fingerprint.go
+++ b/gateway/fingerprint.go
@@ -4,6 +4,9 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
+
+	"github.com/skylarkstep/skylarkstep/routing/quarantine"
 )
 
 // fingerprintBytes is the size of a fingerprint. It is a cryptographic hash, so
@@ -33,3 +36,19 @@
 	_, _ = h.Write(x.body)
 	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
 }
+
+// identify determines what of the request may crash targets: the shared parts of
+// its prompt, and the request itself.
+func (x *exchange) identify() {
+	x.requestHash = x.fingerprint()
+	x.sharedParts = sharedParts(x.meta.PromptParts)
+	x.subjects = append(slices.Clone(x.sharedParts), quarantine.RequestSubject(x.requestHash))
+}
+
+// sharedParts returns the parts of a prompt that other requests may have too: all
+// but the last. A caller that sends the name of a request as a part is not
+// believed: it could have the requests of others turned away.
+func sharedParts(parts []string) []string {
+	shared := slices.Clone(parts[:max(0, len(parts)-1)])
+	return slices.DeleteFunc(shared, quarantine.IsRequest)
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -63,14 +63,17 @@
 	sharedParts []string
 	// requestHash is the fingerprint of the request; empty until its body was read.
 	requestHash string
+	// subjects holds what of the request may crash targets: its shared parts, and
+	// the request itself.
+	subjects []string
 	// crashedTarget is set if a target crashed when it had just begun to work on
 	// the request.
 	crashedTarget bool
-	// quarantinedPart is the part for which the request was refused, and
-	// quarantinedBy the decision that ended it while it was in progress.
-	quarantinedPart string
-	quarantinedBy   atomic.Pointer[quarantine.Entry]
-	firstSentAt     time.Time // when a slot for the first attempt was granted
+	// quarantinedSubject is the part, or the request, for which the request was
+	// refused, and quarantinedBy the decision that ended it while it was in progress.
+	quarantinedSubject string
+	quarantinedBy      atomic.Pointer[quarantine.Entry]
+	firstSentAt        time.Time // when a slot for the first attempt was granted
 	// stopDecision is the last decision on the request in a planned stop, or nil.
 	stopDecision *stopDecision
 	// otherAddresses are instances that the caller may use, if the request was
@@ -85,7 +88,6 @@
 // ServeHTTP implements http.Handler. It serves the requests of callers.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{g: g, w: w, r: r, startedAt: time.Now(), meta: g.headers.Request(r.Header), triedTargets: map[string]bool{}}
-	x.sharedParts = sharedParts(x.meta.PromptParts)
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x.closeConnectionIfLeaving()
@@ -110,16 +112,14 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
-	x.requestHash = x.fingerprint()
+	x.identify()
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.g.stops.cut, cancel)()
-	if len(x.sharedParts) > 0 {
-		x.g.parts.tracker.recordRequest(x.sharedParts, time.Now())
-		defer x.cancelIfQuarantined(cancel)()
-		if err := x.admitParts(time.Now()); err != nil {
-			return err
-		}
+	x.g.parts.recordRequest(x.sharedParts, time.Now())
+	defer x.cancelIfQuarantined(cancel)()
+	if err := x.admitSubjects(time.Now()); err != nil {
+		return err
 	}
 	x.g.countFirstAttempt(x.backend)
 	if x.route.Kind == routing.Stream {
@@ -221,7 +221,7 @@
 	if err := x.checkStop(time.Now()); err != nil {
 		return nil, err
 	}
-	if err := x.admitParts(time.Now()); err != nil {
+	if err := x.admitSubjects(time.Now()); err != nil {
 		return nil, err
 	}
 	if x.timesSent > 0 && !x.g.takeRetry(x.backend) {
@@ -238,7 +238,7 @@
 	}
 	err = x.checkStop(now)
 	if err == nil {
-		err = x.admitParts(now)
+		err = x.admitSubjects(now)
 	}
 	if err != nil {
 		q.releaseSlot(t, 0)
--- a/gateway/promptcrash_test.go
+++ b/gateway/promptcrash_test.go
@@ -44,6 +44,8 @@
 	crashesOn func(r *http.Request, body string) bool
 	// restartPause is the time until the successor of a crashed target starts.
 	restartPause time.Duration
+	// keepsPort is set if connections to a crashed target are accepted, and closed.
+	keepsPort bool
 	// beginsHead is set if a crashing target first sends the head of its response.
 	beginsHead bool
 	// holdCrash, if it is set, delays crashes until the channel is closed.
@@ -132,7 +134,9 @@
 	f.mu.Lock()
 	delete(f.running, id)
 	f.mu.Unlock()
-	_ = process.Close()
+	if !f.keepsPort {
+		_ = process.Close()
+	}
 	process.exit()
 	go func() {
 		f.commit(infra.Txn{Deletes: []string{"target/" + id}})
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -51,7 +51,7 @@
 		return
 	}
 	c.g.metrics.targetCrashes.Inc(1)
-	c.log.Info("target crashed", "target", id.Target, "prompt_parts", partsOf(suspects), "new_parts", c.ledger.CrashCounts(now, c.g.parts.tracker.frequency))
+	c.log.Info("target crashed", "target", id.Target, "prompt_parts", partsOf(suspects), "new_parts", c.ledger.CrashCounts(now, c.g.parts.frequency))
 	c.reportsChanged(now)
 }
 
@@ -87,7 +87,7 @@
 // crash reports on.
 func (c *control) reportsChanged(now time.Time) {
 	for part := range c.ledger.Suspects() {
-		if at := c.g.parts.tracker.completedAt(part); !at.IsZero() {
+		if at := c.g.parts.completedAt(part); !at.IsZero() {
 			c.ledger.RecordCompletion(part, at)
 		}
 	}
@@ -110,7 +110,7 @@
 // updateQuarantine decides on parts, and forgets old crash reports.
 func (c *control) updateQuarantine(now time.Time) {
 	changed := c.ledger.Expire(now)
-	for _, e := range c.ledger.Decide(now, c.g.id, c.g.parts.tracker.frequency) {
+	for _, e := range c.ledger.Decide(now, c.g.id, c.g.parts.frequency) {
 		changed = true
 		c.logDecision(e, "evidence")
 	}
@@ -139,7 +139,7 @@
 // publishQuarantine makes the decisions visible to the goroutines that serve
 // requests.
 func (c *control) publishQuarantine(now time.Time) {
-	v := &quarantineView{entries: map[string]quarantine.Entry{}, crashCounts: c.ledger.CrashCounts(now, c.g.parts.tracker.frequency), suspects: c.ledger.Suspects()}
+	v := &quarantineView{entries: map[string]quarantine.Entry{}, crashCounts: c.ledger.CrashCounts(now, c.g.parts.frequency), suspects: c.ledger.Suspects()}
 	for _, e := range c.ledger.Entries() {
 		if e.Phase(now) != quarantine.Cleared {
 			v.entries[e.Subject] = e
@@ -220,5 +220,5 @@
 
 func (c *control) logDecision(e quarantine.Entry, reason string) {
 	c.log.Warn("decision on a part of prompts", "part", e.Subject, "quarantined", e.Quarantined, "duration_ms", e.Duration.Milliseconds(),
-		"crashes", targetsOf(e.Crashes), "reporters", e.Reporters, "frequency", c.g.parts.tracker.frequency(e.Subject), "reason", reason)
+		"crashes", targetsOf(e.Crashes), "reporters", e.Reporters, "frequency", c.g.parts.frequency(e.Subject), "reason", reason)
 }
--- a/gateway/quarantineapi.go
+++ b/gateway/quarantineapi.go
@@ -87,7 +87,7 @@
 			EndsInMs: e.Ends().Sub(now).Milliseconds(), Crashes: targetsOf(e.Crashes), Reporters: e.Reporters,
 		})
 	}
-	for part, crashes := range c.ledger.CrashCounts(now, c.g.parts.tracker.frequency) {
+	for part, crashes := range c.ledger.CrashCounts(now, c.g.parts.frequency) {
 		list.Suspects = append(list.Suspects, QuarantineSuspect{part, crashes})
 	}
 	slices.SortFunc(list.Suspects, func(a, b QuarantineSuspect) int {
--- a/gateway/quarantinewire.go
+++ b/gateway/quarantinewire.go
@@ -35,7 +35,7 @@
 func encodeSuspects(suspects []quarantine.Suspect) []*wirepb.PromptPart {
 	var encoded []*wirepb.PromptPart
 	for _, s := range suspects {
-		encoded = append(encoded, &wirepb.PromptPart{Part: s.Subject, Depth: uint32(s.Depth)})
+		encoded = append(encoded, &wirepb.PromptPart{Part: s.Subject, Depth: uint32(s.Depth), Requests: s.Requests})
 	}
 	return encoded
 }
@@ -43,7 +43,7 @@
 func decodeSuspects(encoded []*wirepb.PromptPart) []quarantine.Suspect {
 	var suspects []quarantine.Suspect
 	for _, p := range encoded {
-		suspects = append(suspects, quarantine.Suspect{Subject: p.GetPart(), Depth: int(p.GetDepth())})
+		suspects = append(suspects, quarantine.Suspect{Subject: p.GetPart(), Depth: int(p.GetDepth()), Requests: p.GetRequests()})
 	}
 	return suspects
 }
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -98,8 +98,8 @@
 	if x.requestHash != "" {
 		attrs = append(attrs, slog.String("fingerprint", x.requestHash))
 	}
-	if x.quarantinedPart != "" {
-		attrs = append(attrs, slog.String("quarantined_part", x.quarantinedPart))
+	if x.quarantinedSubject != "" {
+		attrs = append(attrs, slog.String("quarantined_part", x.quarantinedSubject))
 	}
 	if x.eventCount > 0 {
 		attrs = append(attrs, slog.Int("events", x.eventCount), slog.Int64("first_event_ms", x.timing.firstEventAt.Sub(x.startedAt).Milliseconds()),
--- a/gateway/requestcrash_test.go
+++ b/gateway/requestcrash_test.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/routing"
+	"github.com/skylarkstep/skylarkstep/routing/quarantine"
 )
 
 // crashingBody is the body of a request that crashes each target that begins to
@@ -197,3 +200,139 @@
 	}
 	f.requireOthersServed("/read/1", instances...)
 }
+
+// startRequestFleet starts targets that crash on crashingBody, and instances that
+// have served other requests.
+func startRequestFleet(t *testing.T, targets int, ids ...string) (*crashFleet, []*instance) {
+	f := startCrashFleet(t, targets)
+	f.crashesOn = func(_ *http.Request, body string) bool { return strings.HasPrefix(body, crashingBody) }
+	f.beginsHead = false
+	var instances []*instance
+	for _, id := range ids {
+		instances = append(instances, f.d.start(id))
+	}
+	return f, instances
+}
+
+// Guards against parts of a prompt that are quarantined for one request with them.
+func TestPartsOfCrashingRequestAreServed(t *testing.T) {
+	t.Parallel()
+	f, instances := startRequestFleet(t, 12, "g1", "g2")
+	send := func(i *instance, body string) response {
+		return i.sendWithBody(t.Context(), http.MethodPost, "/chat/1", http.Header{"X-Parts": {"shared,session,own"}, "X-Deadline": {"4s"}}, body)
+	}
+	for k := 0; f.crashes.Load() < crashesOfRequest; k++ {
+		send(instances[k%2], crashingBody)
+	}
+	time.Sleep(contactTime)
+	before := f.arrivals.Load()
+	for k := range 6 {
+		require.NotEqual(t, http.StatusOK, send(instances[k%2], crashingBody).status)
+		require.Equal(t, http.StatusOK, send(instances[k%2], "harmless").status)
+	}
+	require.LessOrEqual(t, f.arrivals.Load()-before, int64(toleratedSends))
+}
+
+// Guards against repeats that are taken for other requests, and against others that
+// are taken for repeats.
+func TestWhichRequestsAreTheSame(t *testing.T) {
+	t.Parallel()
+	f, instances := startRequestFleet(t, 12, "g1")
+	cfg := config()
+	cfg.Version, cfg.Routes[4].MaxAttempts = 2, 2
+	cfg.Customers = append(cfg.Customers, routing.Customer{Name: "d", Keys: []string{"k3"}})
+	f.d.put("config", cfg)
+	g := instances[0]
+	require.Eventually(t, func() bool { return g.snapshot.Load().table.Config.Version == 2 }, 3*time.Second, 5*time.Millisecond)
+	large := crashingBody + strings.Repeat("a", 1<<20)
+	send := func(method, path, key, body string, more http.Header) response {
+		header := http.Header{"X-Key": {key}, "X-Deadline": {"4s"}}
+		for name, values := range more {
+			header[name] = values
+		}
+		return g.sendWithBody(t.Context(), method, path, header, body)
+	}
+	for range crashesOfRequest {
+		send(http.MethodPost, "/keyed/1?q=1", "k1", large, nil)
+	}
+	time.Sleep(time.Second)
+	before := f.arrivals.Load()
+	for name, resp := range map[string]response{
+		"again":              send(http.MethodPost, "/keyed/1?q=1", "k1", large, nil),
+		"another key":        send(http.MethodPost, "/keyed/1?q=1", "k2", large, nil),
+		"another deadline":   send(http.MethodPost, "/keyed/1?q=1", "k1", large, http.Header{"X-Deadline": {"1500ms"}}),
+		"other parts":        send(http.MethodPost, "/keyed/1?q=1", "k1", large, http.Header{"X-Parts": {"first,own"}}),
+		"resumes":            send(http.MethodPost, "/keyed/1?q=1", "k1", large, http.Header{"Last-Event-Id": {"3"}}),
+		"a trace of its own": send(http.MethodPost, "/keyed/1?q=1", "k1", large, http.Header{"Traceparent": {"00-1-2-01"}}),
+	} {
+		require.Equal(t, http.StatusServiceUnavailable, resp.status, name)
+		require.Contains(t, resp.body, `"quarantined"`, name)
+		require.Contains(t, resp.body, `"not_run"`, name)
+		require.NotEmpty(t, resp.header.Get("Retry-After"), name)
+	}
+	require.Equal(t, before, f.arrivals.Load())
+	f.crashesOn = func(*http.Request, string) bool { return false }
+	for name, resp := range map[string]response{
+		"another customer": send(http.MethodPost, "/keyed/1?q=1", "k3", large, nil),
+		"another query":    send(http.MethodPost, "/keyed/1?q=2", "k1", large, nil),
+		"another body":     send(http.MethodPost, "/keyed/1?q=1", "k1", large+"b", nil),
+		"another method":   send(http.MethodPut, "/keyed/1?q=1", "k1", large, nil),
+	} {
+		require.Equal(t, http.StatusOK, resp.status, name)
+	}
+}
+
+// Guards against a caller that has the requests of others turned away by naming
+// them as parts of prompts that crash targets.
+func TestPartNamedLikeRequestIsIgnored(t *testing.T) {
+	t.Parallel()
+	f, instances := startRequestFleet(t, 12, "g1")
+	g := instances[0]
+	const other = "request:0123456789abcdef0123456789abcdef"
+	for k := range 4 {
+		header := http.Header{"X-Parts": {other + ",own"}, "X-Deadline": {"4s"}}
+		g.sendWithBody(t.Context(), http.MethodPost, fmt.Sprintf("/book/%d", k), header, crashingBody)
+	}
+	time.Sleep(time.Second)
+	require.NotContains(t, g.parts.view.Load().crashCounts, other)
+	require.NotContains(t, g.parts.view.Load().entries, other)
+	require.EqualValues(t, 4, f.crashes.Load())
+}
+
+// Guards against repeats that reach targets through an instance that stops, has
+// just started while the store is away, or was cut off.
+func TestEachInstanceKeepsRequestFromTargets(t *testing.T) {
+	t.Parallel()
+	f, instances := startRequestFleet(t, 12, "g1", "g2", "g3")
+	f.d.stopTimeout = 8 * time.Second
+	saw, stopping, cut := instances[0], instances[1], instances[2]
+	cut.kv.refuse.Store(true)
+	go stopping.stop()
+	require.Eventually(t, stopping.isLeaving, time.Second, time.Millisecond)
+	f.sendUntilCrashes("/book/1", saw)
+	time.Sleep(contactTime)
+	started := f.d.start("g4")
+	f.requireNotRepeated("/book/1", saw, stopping, cut, started)
+}
+
+// Guards against an operator who cannot see or clear a request that is turned away.
+func TestOperatorSeesAndClearsRequest(t *testing.T) {
+	t.Parallel()
+	f, instances := startRequestFleet(t, 12, "g1", "g2")
+	f.sendUntilCrashes("/book/1", instances...)
+	var list QuarantineList
+	require.Eventually(t, func() bool {
+		list = instances[1].QuarantineList(t.Context())
+		return len(list.Parts) == 1
+	}, contactTime, 10*time.Millisecond)
+	require.True(t, quarantine.IsRequest(list.Parts[0].Part))
+	require.Equal(t, []string{"g1", "g2"}, list.Parts[0].Reporters)
+	require.Len(t, list.Parts[0].Crashes, crashesOfRequest)
+	resp := instances[1].sendBody(t.Context(), "/book/1", "k1", crashingBody)
+	require.Contains(t, resp.body, list.Parts[0].Part, "the response does not name what the operator must look for")
+	f.crashesOn = func(*http.Request, string) bool { return false }
+	instances[0].SetQuarantined(t.Context(), list.Parts[0].Part, false)
+	require.Eventually(t, func() bool {
+		return instances[1].sendBody(t.Context(), "/book/1", "k1", crashingBody).status == http.StatusOK
+	}, contactTime, 10*time.Millisecond)
+}
--- a/routing/quarantine/decide.go
+++ b/routing/quarantine/decide.go
@@ -41,6 +41,20 @@
 	// similarFrequency is the ratio of two frequencies up to which they do not
 	// tell which of two parts is the culprit.
 	similarFrequency = 2
+	// otherRequestCrashes is how many crashes of a part must be left without those of
+	// the request with it that was at most. If one request crashes the targets, its
+	// parts are in progress at the same crashes.
+	otherRequestCrashes = 2
+	// requestCrashes is how many crashes are needed to quarantine a request. Of one
+	// that completed before, they must lie at changedRequestMoments moments.
+	requestCrashes        = 3
+	changedRequestMoments = 2
+	// ambiguousCrashes is how many crashes are needed if another request was in
+	// progress at all of them.
+	ambiguousCrashes = 5
+	// OwnerCrashes is the number of crashes from which on a request that is not
+	// quarantined yet is probed by one instance only.
+	OwnerCrashes = requestCrashes
 	// ProbeCrashes is the number of crashes from which on a part with which no
 	// request has completed is probed by one request at a time only.
 	ProbeCrashes = 2
@@ -49,54 +63,110 @@
 // Frequency returns the share of the recent requests that have a part, 0 to 1.
 type Frequency func(part string) float64
 
-// crashRecord holds the crashes that count against a part.
+// crashRecord holds the crashes that count against a subject.
 type crashRecord struct {
-	part  string
-	depth int
+	subject string
+	depth   int
 	// crashes since the last completion, by time.
 	crashes []CrashID
 	times   []time.Time
-	// isNew is set if no request with the part has completed lately.
+	// byRequest counts, for a part, the crashes at which each request with it was
+	// in progress.
+	byRequest map[string]int
+	// isNew is set if no request with the subject has completed lately.
 	isNew bool
 	// weight is the number of crashes, as newPartWeight counts them.
 	weight float64
 }
 
-// crashRecords returns the crashes that count against all parts, except for crashes that a
-// quarantined part explains.
-func (l *Ledger) crashRecords(now time.Time) map[string]*crashRecord {
-	found := map[string]*crashRecord{}
-	for id, c := range l.crashes {
-		if l.isExplained(c, now) {
-			continue
+// unexplained is a crash with the subjects that are known to crash targets and
+// were in progress at it.
+type unexplained struct {
+	id CrashID
+	*crash
+	culprits []string
+}
+
+// counts reports whether the crash counts against a subject. It does not if a
+// culprit explains it. A request that is one does not explain it for the parts of its
+// own prompt: one of these may be why the request crashes targets.
+func (c *unexplained) counts(subject string) bool {
+	for _, culprit := range c.culprits {
+		known := c.suspects[subject]
+		if !IsRequest(culprit) || known == nil || !known.requests[culprit] {
+			return false
 		}
-		for part, depth := range c.suspects {
-			if !c.at.After(l.clearedAt(part)) {
-				continue
+	}
+	return true
+}
+
+func (l *Ledger) crashesWithCulprits(now time.Time) []unexplained {
+	found := make([]unexplained, 0, len(l.crashes))
+	for id, c := range l.crashes {
+		u := unexplained{id: id, crash: c}
+		for subject, e := range l.entries {
+			if c.has(subject) && e.Phase(now) != Cleared {
+				u.culprits = append(u.culprits, subject)
 			}
-			s := found[part]
-			if s == nil {
-				_, completed := l.completed[part]
-				s = &crashRecord{part: part, isNew: !completed}
-				found[part] = s
+		}
+		found = append(found, u)
+	}
+	return found
+}
+
+// crashRecords returns the crashes that count against all subjects.
+func (l *Ledger) crashRecords(now time.Time) map[string]*crashRecord {
+	found := map[string]*crashRecord{}
+	crashes := l.crashesWithCulprits(now)
+	for _, c := range crashes {
+		for subject, known := range c.suspects {
+			if c.at.After(l.clearedAt(subject)) && c.counts(subject) {
+				l.recordOf(found, subject).add(c, known)
 			}
-			s.depth = max(s.depth, depth)
-			s.crashes, s.times = append(s.crashes, id), append(s.times, c.at)
 		}
 	}
 	for _, s := range found {
 		for _, at := range s.times {
-			s.weight += float64(countNear(s.times, at)) / float64(l.crashesNear(at, now))
+			s.weight += float64(countNear(s.times, at)) / float64(crashesNear(crashes, s.subject, at))
 		}
 	}
 	return found
 }
 
-// crashesNear returns the number of unexplained crashes within sameFailureGap.
-func (l *Ledger) crashesNear(at, now time.Time) int {
+func (l *Ledger) recordOf(found map[string]*crashRecord, subject string) *crashRecord {
+	s := found[subject]
+	if s == nil {
+		_, completed := l.completed[subject]
+		s = &crashRecord{subject: subject, isNew: !completed, byRequest: map[string]int{}}
+		found[subject] = s
+	}
+	return s
+}
+
+func (s *crashRecord) add(c unexplained, known *inProgress) {
+	s.depth = max(s.depth, known.depth)
+	s.crashes, s.times = append(s.crashes, c.id), append(s.times, c.at)
+	for request := range known.requests {
+		s.byRequest[request]++
+	}
+}
+
+// otherRequests returns the number of crashes of a part at which the request with it
+// that was at most crashes was not in progress.
+func (s *crashRecord) otherRequests() int {
+	most := 0
+	for _, n := range s.byRequest {
+		most = max(most, n)
+	}
+	return len(s.crashes) - most
+}
+
+// crashesNear returns the number of crashes within sameFailureGap that count
+// against a subject, or would if it had been in progress.
+func crashesNear(crashes []unexplained, subject string, at time.Time) int {
 	n := 0
-	for _, c := range l.crashes {
-		if c.at.Sub(at).Abs() < sameFailureGap && !l.isExplained(c, now) {
+	for _, c := range crashes {
+		if c.at.Sub(at).Abs() < sameFailureGap && c.counts(subject) {
 			n++
 		}
 	}
@@ -113,62 +183,55 @@
 	return n
 }
 
-// clearedAt returns the time up to which crashes do not count against a part.
-func (l *Ledger) clearedAt(part string) time.Time {
-	at := l.completed[part]
-	if e := l.entries[part]; e != nil && e.At.After(at) {
+// clearedAt returns the time up to which crashes do not count against a subject.
+func (l *Ledger) clearedAt(subject string) time.Time {
+	at := l.completed[subject]
+	if e := l.entries[subject]; e != nil && e.At.After(at) {
 		at = e.At
 	}
 	return at
 }
 
-// isExplained reports whether a part that was in progress at the crash is known
-// to crash targets.
-func (l *Ledger) isExplained(c *crash, now time.Time) bool {
-	for part := range c.suspects {
-		if e := l.entries[part]; e != nil && e.Phase(now) != Cleared {
-			return true
-		}
-	}
-	return false
-}
-
 // isFrequentFirst reports whether the part is the first one of many prompts.
 func (s *crashRecord) isFrequentFirst(frequency Frequency) bool {
-	return s.depth == 0 && frequency(s.part) > changedPartMaxShare
+	return s.depth == 0 && !IsRequest(s.subject) && frequency(s.subject) > changedPartMaxShare
 }
 
-// CrashCounts returns the number of unexplained crashes of each part with which no
-// request has completed lately, but for first parts of many prompts.
+// CrashCounts returns the number of crashes that count against each subject with
+// which no request has completed since, but for parts that completed lately and for
+// first parts of many prompts.
 func (l *Ledger) CrashCounts(now time.Time, frequency Frequency) map[string]int {
 	counts := map[string]int{}
-	for part, s := range l.crashRecords(now) {
-		if s.isNew && !s.isFrequentFirst(frequency) {
-			counts[part] = len(s.crashes)
+	for subject, s := range l.crashRecords(now) {
+		if IsRequest(subject) || s.isNew && !s.isFrequentFirst(frequency) {
+			counts[subject] = len(s.crashes)
 		}
 	}
 	return counts
 }
 
-// Decide quarantines the parts against which the crashes suffice, ends the
+// Decide quarantines the subjects against which the crashes suffice, ends the
 // probes that have a result, and returns the new decisions.
 func (l *Ledger) Decide(now time.Time, by string, frequency Frequency) []Entry {
 	decided := l.endProbes(now, by)
 	for {
 		found := l.crashRecords(now)
-		culprit := newCulprit(found, now, frequency)
+		culprit := requestCulprit(found, now)
+		if culprit == nil {
+			culprit = newCulprit(found, now, frequency)
+		}
 		if culprit == nil {
 			culprit = l.changedCulprit(found, now, frequency)
 		}
 		if culprit == nil {
 			return decided
 		}
-		decided = append(decided, l.quarantine(culprit.part, culprit.crashes, Retention, now, by))
+		decided = append(decided, l.quarantine(culprit.subject, culprit.crashes, Retention, now, by))
 	}
 }
 
-// endProbes decides on the half-open parts: a crash quarantines the part again for
-// twice the time, a completion clears it.
+// endProbes decides on the half-open subjects: a crash quarantines the subject again
+// for longer, a completion clears it.
 func (l *Ledger) endProbes(now time.Time, by string) []Entry {
 	var decided []Entry
 	for _, e := range l.Entries() {
@@ -178,7 +241,7 @@
 		crashes := l.crashesSince(e.Subject, e.Ends())
 		switch completed := l.completed[e.Subject]; {
 		case len(crashes) > 0:
-			decided = append(decided, l.quarantine(e.Subject, crashes, min(2*e.Duration, maxDuration), now, by))
+			decided = append(decided, l.quarantine(e.Subject, crashes, e.nextDuration(), now, by))
 		case completed.After(e.Ends()):
 			decided = append(decided, l.decide(Entry{Subject: e.Subject, At: now, Duration: Retention, DecidedBy: by}))
 		}
@@ -209,6 +272,37 @@
 	return l.decide(e)
 }
 
+// requestCulprit returns the request that was in progress at the most crashes. Of
+// requests that were always in progress together, none is chosen before
+// ambiguousCrashes: until then they are probed one by one.
+func requestCulprit(found map[string]*crashRecord, now time.Time) *crashRecord {
+	var requests []*crashRecord
+	for _, s := range found {
+		if IsRequest(s.subject) {
+			requests = append(requests, s)
+		}
+	}
+	slices.SortFunc(requests, func(a, b *crashRecord) int {
+		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.subject, b.subject))
+	})
+	for _, s := range requests {
+		isCulprit := len(s.crashes) >= requestCrashes && s.weight >= newPartWeight && s.isSettled(requestCrashes, now) &&
+			(s.isNew || s.moments() >= changedRequestMoments)
+		if isCulprit && (len(s.crashes) >= ambiguousCrashes || !s.isAmbiguous(requests)) {
+			return s
+		}
+	}
+	return nil
+}
+
+// isAmbiguous reports whether another request was in progress at all crashes of
+// this one.
+func (s *crashRecord) isAmbiguous(requests []*crashRecord) bool {
+	return slices.ContainsFunc(requests, func(other *crashRecord) bool {
+		return other != s && !slices.ContainsFunc(s.crashes, func(id CrashID) bool { return !slices.Contains(other.crashes, id) })
+	})
+}
+
 // newCulprit returns the part that was in progress at the most crashes, if no
 // request with it has completed lately. Parts that always come with the culprit
 // were in progress at the same crashes. One of them is enough to keep those
@@ -218,7 +312,10 @@
 	var tied []*crashRecord
 	most := newPartCrashes
 	for _, s := range found {
-		if !s.isNew || len(s.crashes) < most || s.weight < newPartWeight || !s.isSettled(newPartCrashes, now) {
+		if IsRequest(s.subject) || !s.isNew || len(s.crashes) < most || s.weight < newPartWeight || !s.isSettled(newPartCrashes, now) {
+			continue
+		}
+		if s.otherRequests() < otherRequestCrashes {
 			continue
 		}
 		if s.isFrequentFirst(frequency) && (len(s.crashes) < firstPartCrashes || s.moments() < firstPartMoments) {
@@ -234,11 +331,11 @@
 	}
 	rarest := math.Inf(1)
 	for _, s := range tied {
-		rarest = min(rarest, frequency(s.part))
+		rarest = min(rarest, frequency(s.subject))
 	}
-	tied = slices.DeleteFunc(tied, func(s *crashRecord) bool { return frequency(s.part) > similarFrequency*rarest })
+	tied = slices.DeleteFunc(tied, func(s *crashRecord) bool { return frequency(s.subject) > similarFrequency*rarest })
 	return slices.MaxFunc(tied, func(a, b *crashRecord) int {
-		return cmp.Or(cmp.Compare(a.depth, b.depth), cmp.Compare(a.part, b.part))
+		return cmp.Or(cmp.Compare(a.depth, b.depth), cmp.Compare(a.subject, b.subject))
 	})
 }
 
@@ -268,13 +365,13 @@
 func (l *Ledger) changedCulprit(found map[string]*crashRecord, now time.Time, frequency Frequency) *crashRecord {
 	var best *crashRecord
 	for _, s := range found {
-		if s.isNew || !s.isSettled(changedPartCrashes, now) || s.moments() < changedPartMoments {
+		if IsRequest(s.subject) || s.isNew || !s.isSettled(changedPartCrashes, now) || s.moments() < changedPartMoments || s.otherRequests() < otherRequestCrashes {
 			continue
 		}
-		if frequency(s.part) > changedPartMaxShare || l.coverage(s, now) < changedPartCoverage {
+		if frequency(s.subject) > changedPartMaxShare || l.coverage(s, now) < changedPartCoverage {
 			continue
 		}
-		if best == nil || frequency(s.part) < frequency(best.part) {
+		if best == nil || frequency(s.subject) < frequency(best.subject) {
 			best = s
 		}
 	}
@@ -286,8 +383,8 @@
 func (l *Ledger) coverage(s *crashRecord, now time.Time) float64 {
 	first := slices.MinFunc(s.times, time.Time.Compare)
 	total := 0
-	for _, c := range l.crashes {
-		if !c.at.Before(first) && !l.isExplained(c, now) {
+	for _, c := range l.crashesWithCulprits(now) {
+		if !c.at.Before(first) && c.counts(s.subject) {
 			total++
 		}
 	}
--- a/routing/quarantine/ledger.go
+++ b/routing/quarantine/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -13,6 +14,11 @@
 	// maxDuration limits the quarantine of a part that crashes targets again
 	// after each probe.
 	maxDuration = 2 * time.Hour
+	// requestBackoff is the factor by which the quarantine of a request grows with
+	// each failed probe, up to maxRequestDuration. Unlike a part, a request that is
+	// turned away affects nobody else, and few of its repeats may reach targets.
+	requestBackoff     = 6
+	maxRequestDuration = 24 * time.Hour
 	// halfOpenPeriod is how long a part may be probed after its quarantine. If no
 	// request with it completes or crashes a target, it is forgotten.
 	halfOpenPeriod = 10 * time.Minute
@@ -22,6 +28,8 @@
 	maxSuspects    = 256 // of one crash
 	maxEntries     = 256
 	maxCompletions = 4096
+	// maxPartRequests limits the requests that are kept for a part at a crash.
+	maxPartRequests = 8
 )
 
 // CrashID identifies the crash of one incarnation of a target.
@@ -34,27 +42,47 @@
 type Crash struct {
 	ID CrashID
 	At time.Time
-	// Suspects holds the parts of the requests that the target had just begun to
-	// work on, without the last part of each, which no other request has.
+	// Suspects holds the requests that the target had just begun to work on, and
+	// the parts of their prompts but for the last part of each, which no other
+	// request has.
 	Suspects []Suspect
 	// Reporters holds the instances that lost such requests.
 	Reporters []string
 }
 
-// Suspect is a part that was in progress at a crash.
+// Suspect is a part of a prompt, or a whole request, that was in progress at a
+// crash.
 type Suspect struct {
 	Subject string
-	// Depth is its position in the prompt, from 0. The first parts are those that
-	// most requests share.
+	// Depth is the position of a part in the prompt, from 0. The first parts are
+	// those that most requests share.
 	Depth int
+	// Requests holds the requests with the part that were in progress.
+	Requests []string
 }
 
-// SuspectsOf returns the suspects of one request, whose prompt begins with the
-// given parts.
-func SuspectsOf(parts []string) []Suspect {
-	found := make([]Suspect, 0, len(parts))
+// requestPrefix distinguishes the names of requests from those of parts.
+const requestPrefix = "request:"
+
+// RequestSubject returns the name of the request with a fingerprint.
+func RequestSubject(fingerprint string) string { return requestPrefix + fingerprint }
+
+// IsRequest reports whether the subject is a whole request.
+func IsRequest(subject string) bool { return strings.HasPrefix(subject, requestPrefix) }
+
+// SuspectsOf returns the suspects of one request: the given parts, with which its
+// prompt begins, and the request itself. The request may be empty.
+func SuspectsOf(parts []string, request string) []Suspect {
+	found := make([]Suspect, 0, len(parts)+1)
 	for depth, part := range parts {
-		found = append(found, Suspect{part, depth})
+		s := Suspect{Subject: part, Depth: depth}
+		if request != "" {
+			s.Requests = []string{request}
+		}
+		found = append(found, s)
+	}
+	if request != "" {
+		found = append(found, Suspect{Subject: request, Depth: len(parts)})
 	}
 	return found
 }
@@ -76,13 +104,13 @@
 	return [...]string{Cleared: "cleared", Quarantined: "quarantined", HalfOpen: "trial"}[p]
 }
 
-// Entry is the latest decision on a part.
+// Entry is the latest decision on a subject.
 type Entry struct {
 	Subject string
-	// Version rises with each decision on the part.
+	// Version rises with each decision on the subject.
 	Version     uint64
 	Quarantined bool
-	// At is when the decision was made, and Duration for how long the part is
+	// At is when the decision was made, and Duration for how long the subject is
 	// quarantined.
 	At       time.Time
 	Duration time.Duration
@@ -97,7 +125,7 @@
 // Phase returns the phase of the entry at a time.
 func (e *Entry) Phase(now time.Time) Phase {
 	switch age := now.Sub(e.At); {
-	case !e.Quarantined || age >= e.Duration+halfOpenPeriod:
+	case !e.Quarantined || age >= e.Duration+e.halfOpenTime():
 		return Cleared
 	case age >= e.Duration:
 		return HalfOpen
@@ -106,19 +134,41 @@
 	}
 }
 
+// halfOpenTime returns how long the subject may be probed after its quarantine.
+func (e *Entry) halfOpenTime() time.Duration {
+	if IsRequest(e.Subject) {
+		return max(halfOpenPeriod, e.Duration)
+	}
+	return halfOpenPeriod
+}
+
+// nextDuration returns the duration of the quarantine after a failed probe.
+func (e *Entry) nextDuration() time.Duration {
+	if IsRequest(e.Subject) {
+		return min(requestBackoff*e.Duration, maxRequestDuration)
+	}
+	return min(2*e.Duration, maxDuration)
+}
+
 // Ends returns when the quarantine ends.
 func (e *Entry) Ends() time.Time { return e.At.Add(e.Duration) }
 
 func (e *Entry) isObsolete(now time.Time) bool {
-	return now.Sub(e.At) >= max(Retention, e.Duration+halfOpenPeriod)
+	return now.Sub(e.At) >= max(Retention, e.Duration+e.halfOpenTime())
 }
 
 type crash struct {
 	at        time.Time
-	suspects  map[string]int // with their depth
+	suspects  map[string]*inProgress // by subject
 	reporters map[string]bool
 }
 
+// inProgress is what is known of a subject that was in progress at a crash.
+type inProgress struct {
+	depth    int
+	requests map[string]bool
+}
+
 func (c *crash) has(part string) bool {
 	_, ok := c.suspects[part]
 	return ok
@@ -158,27 +208,46 @@
 		if len(l.crashes) >= maxCrashes {
 			l.forgetOldestCrash()
 		}
-		known = &crash{at: c.At, suspects: map[string]int{}, reporters: map[string]bool{}}
+		known = &crash{at: c.At, suspects: map[string]*inProgress{}, reporters: map[string]bool{}}
 		l.crashes[c.ID] = known
 	}
-	before := len(known.suspects) + len(known.reporters)
+	isNew := false
 	for _, s := range c.Suspects {
-		if len(known.suspects) < maxSuspects {
-			known.suspects[s.Subject] = max(s.Depth, known.suspects[s.Subject])
-		}
+		isNew = known.addSuspect(s) || isNew
 	}
 	for _, reporter := range c.Reporters {
-		if len(known.reporters) < maxSuspects {
+		if !known.reporters[reporter] && len(known.reporters) < maxSuspects {
 			known.reporters[reporter] = true
+			isNew = true
 		}
 	}
-	isNew := len(known.suspects)+len(known.reporters) > before
 	if isNew {
 		l.changes.crashes[c.ID] = true
 	}
 	return isNew
 }
 
+// addSuspect adds what is known of a subject. It reports whether that is new.
+func (c *crash) addSuspect(s Suspect) bool {
+	known := c.suspects[s.Subject]
+	isNew := known == nil
+	if isNew {
+		if len(c.suspects) >= maxSuspects {
+			return false
+		}
+		known = &inProgress{requests: map[string]bool{}}
+		c.suspects[s.Subject] = known
+	}
+	known.depth = max(s.Depth, known.depth)
+	for _, request := range s.Requests {
+		if !known.requests[request] && len(known.requests) < maxPartRequests {
+			known.requests[request] = true
+			isNew = true
+		}
+	}
+	return isNew
+}
+
 func (l *Ledger) forgetOldestCrash() {
 	var oldest CrashID
 	for id, c := range l.crashes {
--- a/routing/quarantine/ledger_test.go
+++ b/routing/quarantine/ledger_test.go
@@ -17,7 +17,7 @@
 // progress.
 func crashAt(l *Ledger, s float64, reporter string, suspects ...string) {
 	id := CrashID{Target: fmt.Sprintf("t%.3f", s), Incarnation: 1}
-	l.RecordCrash(Crash{ID: id, At: at(s), Suspects: SuspectsOf(suspects), Reporters: []string{reporter}})
+	l.RecordCrash(Crash{ID: id, At: at(s), Suspects: SuspectsOf(suspects, ""), Reporters: []string{reporter}})
 }
 
 // frequencies returns a Frequency with the given shares; others are 0.001.
@@ -233,7 +233,7 @@
 	}
 	l, trial := newQuarantined()
 	require.Equal(t, HalfOpen, l.Entries()[0].Phase(trial))
-	l.RecordCrash(Crash{ID: CrashID{"again", 1}, At: trial, Suspects: SuspectsOf([]string{"bad"}), Reporters: []string{"a"}})
+	l.RecordCrash(Crash{ID: CrashID{"again", 1}, At: trial, Suspects: SuspectsOf([]string{"bad"}, ""), Reporters: []string{"a"}})
 	again := l.Decide(trial.Add(time.Second), "a", usual)
 	require.Equal(t, []string{"bad"}, parts(again))
 	require.True(t, again[0].Quarantined)
--- a/routing/quarantine/state.go
+++ b/routing/quarantine/state.go
@@ -63,19 +63,27 @@
 }
 
 // StateOf returns the decisions that an instance has made and the crashes that it
-// has reported, except for those that may not be due to a part: requests with all
-// their suspects have completed lately.
+// has reported, except for those that are likely to have other causes: requests
+// with all their parts have completed lately, and none of their requests was at
+// another crash.
 func (l *Ledger) StateOf(instance string, now time.Time) State {
-	hasNewSuspect := func(c *crash) bool {
-		for part := range c.suspects {
-			if _, completed := l.completed[part]; !completed {
+	crashesOf := map[string]int{}
+	for _, c := range l.crashes {
+		for subject := range c.suspects {
+			crashesOf[subject]++
+		}
+	}
+	isSuspicious := func(c *crash) bool {
+		for subject := range c.suspects {
+			_, completed := l.completed[subject]
+			if !completed && (!IsRequest(subject) || crashesOf[subject] > 1) {
 				return true
 			}
 		}
 		return false
 	}
 	return l.state(now, selection{
-		crash:      func(_ CrashID, c *crash) bool { return c.reporters[instance] && hasNewSuspect(c) },
+		crash:      func(_ CrashID, c *crash) bool { return c.reporters[instance] && isSuspicious(c) },
 		completion: func(string) bool { return true },
 		entry:      func(e *Entry) bool { return e.DecidedBy == instance },
 	})
@@ -117,7 +125,8 @@
 func (c *crash) sortedSuspects() []Suspect {
 	found := make([]Suspect, 0, len(c.suspects))
 	for _, part := range slices.Sorted(maps.Keys(c.suspects)) {
-		found = append(found, Suspect{part, c.suspects[part]})
+		known := c.suspects[part]
+		found = append(found, Suspect{part, known.depth, slices.Sorted(maps.Keys(known.requests))})
 	}
 	return found
 }
