--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -56,8 +56,12 @@
 }
 
 // recordLoss keeps the loss of a request until it is known whether the target has
-// crashed.
+// crashed. It has if its entry was removed before the loss was noticed.
 func (c *control) recordLoss(id quarantine.CrashID, suspects []quarantine.Suspect, now time.Time) {
+	if t := c.targets[id.Target]; t == nil || t.Incarnation != id.Incarnation {
+		c.recordCrash(id, suspects, now)
+		return
+	}
 	c.pending = slices.DeleteFunc(c.pending, func(p pendingLoss) bool { return now.Sub(p.at) > lossMemory })
 	if len(c.pending) < maxPendingLosses {
 		c.pending = append(c.pending, pendingLoss{id, suspects, now})
--- a/gateway/requestcrash_test.go
+++ b/gateway/requestcrash_test.go
@@ -315,6 +315,20 @@
 	f.requireNotRepeated("/book/1", saw, stopping, cut, started)
 }
 
+// Guards against a crash that no refused connection shows, because the host of the
+// target is gone: the removal of its entry confirms it.
+func TestCrashThatEntryShowsCountsAgainstRequest(t *testing.T) {
+	t.Parallel()
+	f, instances := startRequestFleet(t, 12, "g1")
+	f.keepsPort = true
+	for range crashesOfRequest {
+		instances[0].sendBody(t.Context(), "/book/1", "k1", crashingBody)
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(contactTime)
+	f.requireNotRepeated("/book/1", instances...)
+}
+
 // Guards against an operator who cannot see or clear a request that is turned away.
 func TestOperatorSeesAndClearsRequest(t *testing.T) {
 	t.Parallel()
