--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -68,6 +68,11 @@
 	if limit, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
 		m.RateLimit, m.HasRateLimit = limit, true
 	}
+	m.Leaving = h.Get("X-Leaving") != ""
+	if value := h.Get("Retry-After"); value != "" {
+		seconds, err := strconv.ParseFloat(value, 64)
+		m.HasRest, m.RestInvalid, m.Rest = true, err != nil || seconds < 0, time.Duration(seconds*float64(time.Second))
+	}
 	return m
 }
 
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -53,6 +53,12 @@
 	// that it takes from all instances together.
 	HasRateLimit bool
 	RateLimit    float64
+	// Leaving is set if the target says that it is about to leave.
+	Leaving bool
+	// HasRest is set if the target says for how long it wants no requests from this
+	// instance. The value is not valid if RestInvalid is set.
+	HasRest, RestInvalid bool
+	Rest                 time.Duration
 }
 
 // Headers reads and writes the headers of requests and responses.
