--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -63,6 +63,9 @@
 	resp      *upstream.Response
 	body      []byte
 	truncated bool // the response continues after body
+	// targetUnwilling is set if the target rests or leaves: a refusal says nothing
+	// about the others.
+	targetUnwilling bool
 	// beganAt is when the head of a response arrived that is no refusal, even if
 	// the response broke off; zero if none has.
 	beganAt time.Time
@@ -84,6 +87,7 @@
 			return m.ID == x.meta.ID || m.ID == "" && m.NotRun
 		},
 	}
+	sentAt := time.Now()
 	resp, err := t.pool.Do(ctx, req)
 	if err != nil {
 		var u *upstream.Error
@@ -96,17 +100,15 @@
 		}
 		return attemptResult{verdict: lost, target: t, err: err}
 	}
-	return x.classify(t, resp)
+	return x.classify(t, resp, sentAt)
 }
 
 // classify determines the verdict of an attempt from the status and headers of
 // the response.
-func (x *exchange) classify(t *target, resp *upstream.Response) attemptResult {
+func (x *exchange) classify(t *target, resp *upstream.Response, sentAt time.Time) attemptResult {
 	m := x.g.headers.Response(resp.StatusCode, resp.Header)
-	if resp.StatusCode != http.StatusMisdirectedRequest {
-		x.recordLimit(t, m)
-	}
-	res := attemptResult{target: t, resp: resp}
+	x.recordReport(t, resp.StatusCode, m, sentAt)
+	res := attemptResult{target: t, resp: resp, targetUnwilling: m.Leaving || wantsRest(resp.StatusCode, m)}
 	if !m.NotRun {
 		res.beganAt = time.Now()
 	}
@@ -115,7 +117,7 @@
 		pause := refusedTargetPause
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			pause = unreachableTargetPause
-		} else {
+		} else if !res.targetUnwilling {
 			x.g.queues.forBackend(x.backend).recordRefusal(t.ID, time.Now())
 		}
 		t.pauseUntil(time.Now().Add(pause))
@@ -193,7 +195,7 @@
 // backOff waits if a target refused the request although it was not loaded.
 func (x *exchange) backOff(ctx context.Context, res attemptResult) {
 	load := float64(res.target.ownRequests.Load() + res.target.peerRequests.Load())
-	if res.verdict == refused && load < lowLoadShare*float64(res.target.Slots) {
+	if res.verdict == refused && !res.targetUnwilling && load < lowLoadShare*float64(res.target.Slots) {
 		ctxtime.Sleep(ctx, refusedBackoff/2+rand.N(refusedBackoff))
 	}
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -370,7 +370,7 @@
 	})
 	newest := c.newestByAddr()
 	for _, t := range c.targets {
-		if !t.Leaving && !outOfService[t.DataCentre] && newest[t.Addr] == t {
+		if !t.isLeaving() && !outOfService[t.DataCentre] && newest[t.Addr] == t {
 			s.targets[t.Backend] = append(s.targets[t.Backend], t)
 		}
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -119,7 +119,7 @@
 // endedByCrash reports whether a response that only the end of its connection ends
 // did so because its target crashed.
 func (r *attemptResult) endedByCrash(ctx context.Context) bool {
-	return endsWithConnection(r.resp.Response) && !r.target.Leaving && r.target.hasExited(ctx)
+	return endsWithConnection(r.resp.Response) && !r.target.isLeaving() && r.target.hasExited(ctx)
 }
 
 // reportAttempt records what the result of an attempt says about the request and
@@ -151,7 +151,7 @@
 // just begun to respond. If the target has crashed, that counts against the
 // request and the parts of its prompt.
 func (x *exchange) recordLoss(ctx context.Context, t *target, now time.Time) {
-	if t.Leaving {
+	if t.isLeaving() {
 		return
 	}
 	crashed := t.hasExited(ctx)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -319,16 +319,24 @@
 // have failed.
 func (x *exchange) attemptsFailedError() error {
 	if !x.mayHaveRun {
-		retryAfter := minRetryAfter
-		if x.g.queues.forBackend(x.backend).isDown(time.Now()) {
-			retryAfter = time.Duration(outageRetryAfterShare * float64(time.Until(x.deadline)))
-		}
 		return errkind.New(errkind.NoTarget, "no target accepted the request: %v", x.lastErr).
-			WithRetryAfter(jitter(retryAfter)).WithDidRun(errkind.NotRun)
+			WithRetryAfter(x.refusedRetryAfter(time.Now())).WithDidRun(errkind.NotRun)
 	}
 	return errkind.New(errkind.TargetLost, "all attempts failed: %v", x.lastErr)
 }
 
+// refusedRetryAfter returns the Retry-After of a request that all targets refused.
+func (x *exchange) refusedRetryAfter(now time.Time) time.Duration {
+	q := x.g.queues.forBackend(x.backend)
+	if until := q.allRestUntil(func(*target) bool { return true }, now); !until.IsZero() {
+		return until.Sub(now)
+	}
+	if q.isDown(now) {
+		return jitter(time.Duration(outageRetryAfterShare * float64(x.deadline.Sub(now))))
+	}
+	return jitter(minRetryAfter)
+}
+
 // deadlineError returns the final error of a request whose deadline has passed
 // or whose caller has disconnected.
 func (x *exchange) deadlineError() error {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,7 +25,9 @@
 	// quarantineRefusals the requests that were refused for a part of their
 	// prompt, and quarantinedParts is the number of such parts.
 	targetCrashes, quarantineRefusals metrics.Counter
-	quarantinedParts                  metrics.Gauge
+	// targetRests counts the responses by which targets wanted a rest.
+	targetRests      metrics.Counter
+	quarantinedParts metrics.Gauge
 }
 
 func newMetrics(r metrics.Registry, log *slog.Logger) *gatewayMetrics {
@@ -46,6 +48,7 @@
 		storeRestores:  metrics.NewRegisteredCounter("store.restores", r),
 
 		targetCrashes:      metrics.NewRegisteredCounter("target.crashes", r),
+		targetRests:        metrics.NewRegisteredCounter("targets.rests", r),
 		quarantineRefusals: metrics.NewRegisteredCounter("quarantine.refusals", r),
 		quarantinedParts:   metrics.NewRegisteredGauge("quarantine.parts", r),
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -82,7 +82,7 @@
 		}
 		return true
 	})
-	if len(suspects) > 0 && !t.Leaving {
+	if len(suspects) > 0 && !t.isLeaving() {
 		c.recordCrash(id, suspects, now)
 	}
 }
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -49,8 +49,8 @@
 type waiter struct {
 	slotRequest
 	granted chan *target
-	// rejected is closed when the request is rejected before waitUntil.
-	rejected chan struct{}
+	// rejected receives the error of a request that is rejected before waitUntil.
+	rejected chan error
 }
 
 // missedGoal returns 1 if latencyGoalAt has passed, and otherwise 0.
@@ -195,7 +195,7 @@
 		}
 		return nil, err
 	}
-	w := &waiter{slotRequest: req, granted: make(chan *target, 1), rejected: make(chan struct{})}
+	w := &waiter{slotRequest: req, granted: make(chan *target, 1), rejected: make(chan error, 1)}
 	q.insert(w)
 	q.mu.Unlock()
 	timer := time.NewTimer(time.Until(req.waitUntil))
@@ -204,8 +204,8 @@
 		select {
 		case t := <-w.granted:
 			return t, nil
-		case <-w.rejected:
-			return nil, q.outageError(w.outageRetryAfter)
+		case err := <-w.rejected:
+			return nil, err
 		case <-began:
 			began = nil
 			req.limitToStop()
@@ -226,8 +226,8 @@
 	select {
 	case t := <-w.granted:
 		return t, nil
-	case <-w.rejected:
-		return nil, q.outageError(w.outageRetryAfter)
+	case err := <-w.rejected:
+		return nil, err
 	default:
 	}
 	if i := slices.Index(q.waiters, w); i >= 0 {
@@ -271,6 +271,12 @@
 	if allowed == 0 {
 		return errkind.New(errkind.NoTarget, "back end %s has no target for the request", q.backend).WithRetryAfter(jitter(noTargetRetryAfter))
 	}
+	if until := q.allRestUntil(req.isAllowed, now); !until.IsZero() {
+		if until.After(req.waitUntil) {
+			return q.restError(until.Sub(now))
+		}
+		return nil // waits for the end of the rest
+	}
 	if q.outage.isOngoing(now) {
 		return nil // waits for a short time: other requests probe the back end
 	}
@@ -304,10 +310,15 @@
 }
 
 // capacity returns the number of requests per second that the targets take from all
-// instances: as many as their slots allow, or less if they have named a limit.
+// instances: as many as their slots allow, or less if they have named a limit, and
+// none while they rest.
 func (q *queue) capacity(s *snapshot) float64 {
 	total := 0.0
+	now := time.Now()
 	for _, t := range s.targets[q.backend] {
+		if !t.restUntil(now).IsZero() {
+			continue
+		}
 		rate := float64(t.Slots) / q.meanSlotTime.Seconds()
 		t.mu.Lock()
 		if t.rateLimit.named {
@@ -334,6 +345,12 @@
 	return errkind.New(errkind.NoTarget, "no target of back end %s accepts requests", q.backend).WithRetryAfter(jitter(retryAfter))
 }
 
+// restError returns the error for a request all of whose targets rest for longer
+// than it may wait.
+func (q *queue) restError(untilFirst time.Duration) error {
+	return errkind.New(errkind.NoTarget, "all targets of back end %s want no requests for a time", q.backend).WithRetryAfter(untilFirst)
+}
+
 // overloadedError returns the error for a request that gets no slot in time.
 // Its Retry-After is the estimated time until the present waiters have been
 // served. The caller holds q.mu.
@@ -368,8 +385,8 @@
 	for _, w := range q.waiters {
 		if t := q.assignTarget(&w.slotRequest, now); t != nil {
 			w.granted <- t
-		} else if unavailable && now.After(w.outageWaitUntil) {
-			close(w.rejected)
+		} else if err := q.earlyRejection(w, unavailable, now); err != nil {
+			w.rejected <- err
 		} else {
 			remaining = append(remaining, w)
 		}
@@ -378,6 +395,18 @@
 	q.waiters = remaining
 }
 
+// earlyRejection returns an error if a waiter cannot get a slot before its wait
+// ends. unavailable is set if no target of the back end accepts requests.
+func (q *queue) earlyRejection(w *waiter, unavailable bool, now time.Time) error {
+	if unavailable && now.After(w.outageWaitUntil) {
+		return q.outageError(w.outageRetryAfter)
+	}
+	if until := q.allRestUntil(w.isAllowed, now); until.After(w.waitUntil) {
+		return q.restError(until.Sub(now))
+	}
+	return nil
+}
+
 // assignTarget chooses a target and reserves a slot there for the request. It
 // returns nil if no target can accept the request. The caller holds q.mu.
 func (q *queue) assignTarget(req *slotRequest, now time.Time) *target {
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -146,7 +146,7 @@
 	for backend, targets := range limited {
 		total := 0
 		for _, t := range c.targets {
-			if t.Backend == backend && !t.Leaving {
+			if t.Backend == backend && !t.isLeaving() {
 				total++
 			}
 		}
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -46,10 +46,11 @@
 
 func (r *restingTarget) handle(w net.Conn, req *http.Request) {
 	retryAfter := *r.retryAfter.Load()
+	now := time.Now()
 	r.mu.Lock()
-	r.arrivals = append(r.arrivals, time.Now())
+	r.arrivals = append(r.arrivals, now)
 	if retryAfter != "" && r.firstRefusal.IsZero() {
-		r.firstRefusal = time.Now()
+		r.firstRefusal = now
 	}
 	r.mu.Unlock()
 	more := ""
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -434,8 +434,8 @@
 	d := newDeployment(t, config())
 	g := d.start("g1")
 	q := g.queues.forBackend("b")
-	w := &waiter{slotRequest: slotRequest{outageRetryAfter: time.Minute}, granted: make(chan *target, 1), rejected: make(chan struct{})}
-	close(w.rejected)
+	w := &waiter{slotRequest: slotRequest{outageRetryAfter: time.Minute}, granted: make(chan *target, 1), rejected: make(chan error, 1)}
+	w.rejected <- q.outageError(w.outageRetryAfter)
 	_, err := q.abandon(t.Context(), w)
 	require.Equal(t, errkind.NoTarget, errkind.KindOf(err))
 	require.GreaterOrEqual(t, errkind.From(err).RetryAfter, 30*time.Second)
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -26,6 +26,8 @@
 	// refusedAt is when the target was last found to refuse connections after a lost
 	// request, as returned by monotonic; 0 if never.
 	refusedAt atomic.Int64
+	// saidLeaving is set once a response has said that the target leaves.
+	saidLeaving atomic.Bool
 	// warmUpUntil is the end of the warm-up, as returned by monotonic.
 	warmUpUntil atomic.Int64
 
@@ -35,6 +37,7 @@
 	failureRate   float64
 	warmUpLimiter routing.WarmUpLimiter
 	rateLimit     targetLimit
+	rest          routing.Rest
 	// pausedUntil is the end of the pause after a refused or undeliverable
 	// request, during which the target gets no new ones.
 	pausedUntil time.Time
@@ -60,12 +63,13 @@
 const verificationTimeout = 250 * time.Millisecond
 
 // canAccept reports whether the target may receive a request now, regardless of
-// its load. It may not if it has used up the limit that it has named. The caller holds t.mu.
+// its load. It may not if it leaves, rests or has used up the limit that it has
+// named. The caller holds t.mu.
 func (t *targetState) canAccept(now time.Time) bool {
-	if now.Before(t.pausedUntil) {
+	if t.saidLeaving.Load() || now.Before(t.pausedUntil) {
 		return false
 	}
-	if !t.rateLimit.allows(now) {
+	if !t.rest.Allows(now) || !t.rateLimit.allows(now) {
 		return false
 	}
 	return t.verified || t.ownRequests.Load() == 0 || now.Sub(t.firstSentAt) > verificationTimeout
@@ -78,6 +82,7 @@
 	}
 	t.ownRequests.Add(1)
 	t.rateLimit.take(now)
+	t.rest.RecordRequest(now)
 }
 
 func (t *targetState) isWarmingUp(now time.Time) bool { return monotonic(now) < t.warmUpUntil.Load() }
