--- a/ctl/fleet/check.go
+++ b/ctl/fleet/check.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -11,11 +13,13 @@
 )
 
 const (
-	// toleratedCrashes is how many crashes a part may cause until it must be kept
-	// from targets, and toleratedSends how many requests with it may reach them
-	// later than the contact time after that.
-	toleratedCrashes = 5
-	toleratedSends   = 3
+	// toleratedCrashes is how many crashes a part may cause, and
+	// toleratedRequestCrashes how many a request may, until it must be kept from
+	// targets, and toleratedSends how many requests with it may reach them later than
+	// the contact time after that.
+	toleratedCrashes        = 5
+	toleratedRequestCrashes = 3
+	toleratedSends          = 3
 	// limitWindow, limitExcess and limitSlack describe what a target with a limit
 	// may get: in each window limitExcess times the limit, and limitSlack more.
 	limitWindow = 4 * time.Second
@@ -24,6 +28,10 @@
 	// informedAfter is how long after a response with the limit a gateway is
 	// expected to keep to it.
 	informedAfter = 500 * time.Millisecond
+	// toleratedInRest is how many requests may reach a target in a rest from a
+	// gateway that was told, and drainTime how long they may reach one that leaves.
+	toleratedInRest = 2
+	drainTime       = 2 * time.Second
 )
 
 // Report is the result of a run.
@@ -31,10 +39,10 @@
 	Scenario string `json:"scenario"`
 	Seed     uint64 `json:"seed"`
 	Requests int    `json:"requests"`
-	// Crashes counts the crashes of targets, by the part that caused them; those
-	// for other reasons are under the empty part.
+	// Crashes counts the crashes of targets, by the part or request that caused
+	// them; those for other reasons are under the empty name.
 	Crashes map[string]int `json:"crashes"`
-	// LateSends counts, by part, the requests that reached targets too late.
+	// LateSends counts, by part or request, the requests that reached targets too late.
 	LateSends map[string]int `json:"late_sends"`
 	// HarmlessBefore and HarmlessAfter are the shares of harmless requests that were served
 	// at the first attempt before the first crash and after the quarantine.
@@ -55,10 +63,11 @@
 		FalsePositives: []string{}, Violations: slices.Clone(f.failures),
 	}
 	for _, c := range f.crashes {
-		r.Crashes[c.part]++
+		r.Crashes[c.culprit]++
 	}
-	f.checkParts(r)
+	f.checkCulprits(r)
 	f.checkLimits(r)
+	f.checkWishes(r)
 	f.checkNotRun(r)
 	return r
 }
@@ -68,34 +77,39 @@
 	return slices.ContainsFunc(f.excused, func(e excuse) bool { return e.gateway == gateway && !at.Before(e.from) && at.Before(e.to) })
 }
 
-// checkParts checks that parts that crash targets are kept from them, and others
-// are not.
-func (f *Fleet) checkParts(r *Report) {
+// tolerated returns how many crashes a culprit may cause.
+func tolerated(culprit string) int {
+	if strings.HasPrefix(culprit, crashingBody) {
+		return toleratedRequestCrashes
+	}
+	return toleratedCrashes
+}
+
+// checkCulprits checks that parts and requests that crash targets are kept from
+// them, and others are not.
+func (f *Fleet) checkCulprits(r *Report) {
 	first, settled := time.Time{}, time.Time{}
-	for _, part := range f.scenario.crashingParts() {
-		var times []time.Time
-		for _, c := range f.crashes {
-			if c.part == part {
-				times = append(times, c.at)
-			}
-		}
-		if len(times) == 0 {
-			continue
-		}
+	crashes := map[string][]time.Time{}
+	for _, c := range f.crashes {
+		crashes[c.culprit] = append(crashes[c.culprit], c.at)
+	}
+	delete(crashes, "")
+	for _, culprit := range slices.Sorted(maps.Keys(crashes)) {
+		times := crashes[culprit]
 		if first.IsZero() || times[0].Before(first) {
 			first = times[0]
 		}
-		last := times[min(len(times), toleratedCrashes)-1]
+		last := times[min(len(times), tolerated(culprit))-1]
 		if last.After(settled) {
 			settled = last
 		}
-		if len(times) < toleratedCrashes {
+		if len(times) < tolerated(culprit) {
 			continue
 		}
-		if n := f.countSends(part, last.Add(f.scenario.contact())); n > 0 {
-			r.LateSends[part] = n
+		if n := f.countSends(culprit, last.Add(f.scenario.contact())); n > 0 {
+			r.LateSends[culprit] = n
 			if n > toleratedSends {
-				r.Violations = append(r.Violations, fmt.Sprintf("part %s: %d requests reached targets after %d crashes, %d crashes in all", part, n, toleratedCrashes, len(times)))
+				r.Violations = append(r.Violations, fmt.Sprintf("%s: %d requests reached targets after %d crashes, %d crashes in all", culprit, n, tolerated(culprit), len(times)))
 			}
 		}
 	}
@@ -103,12 +117,12 @@
 	f.checkFalsePositives(r)
 }
 
-func (f *Fleet) countSends(part string, after time.Time) int {
+func (f *Fleet) countSends(culprit string, after time.Time) int {
 	n := 0
 	for _, t := range f.targets {
 		t.mu.Lock()
 		for _, a := range t.arrivals {
-			if a.part == part && a.at.After(after) && !f.isExcused(a.gateway, a.at) {
+			if a.culprit == culprit && a.at.After(after) && !f.isExcused(a.gateway, a.at) {
 				n++
 			}
 		}
@@ -146,17 +160,17 @@
 	}
 }
 
-// checkFalsePositives lists the harmless parts that were quarantined. One that all requests
+// checkFalsePositives lists the harmless parts and requests that were quarantined. One that all requests
 // share must never be.
 func (f *Fleet) checkFalsePositives(r *Report) {
-	guilty := f.scenario.crashingParts()
+	culprits := f.scenario.crashingParts()
 	for _, m := range f.members {
 		for _, p := range m.gateway.QuarantineList(f.ctx).Parts {
-			if p.State == "cleared" || slices.Contains(guilty, p.Part) || slices.Contains(r.FalsePositives, p.Part) {
+			if p.State == "cleared" || slices.Contains(culprits, p.Part) || f.refusedSubjects[p.Part] || slices.Contains(r.FalsePositives, p.Part) {
 				continue
 			}
 			r.FalsePositives = append(r.FalsePositives, p.Part)
-			if p.Part == "first" {
+			if p.Part == firstPart {
 				r.Violations = append(r.Violations, "the part that all requests share was quarantined")
 			}
 		}
@@ -188,6 +202,25 @@
 	}
 }
 
+// checkWishes checks that targets that wanted no requests from a gateway got none.
+func (f *Fleet) checkWishes(r *Report) {
+	for _, t := range f.targets {
+		t.mu.Lock()
+		for _, w := range t.wishes {
+			n := 0
+			for _, a := range t.arrivals {
+				if a.gateway == w.gateway && a.at.After(w.from) && a.at.Before(w.to) && !f.isExcused(a.gateway, a.at) {
+					n++
+				}
+			}
+			if n > w.allowed {
+				r.Violations = append(r.Violations, fmt.Sprintf("target %s got %d requests from %s, which it had told that it wants none", t.id, n, w.gateway))
+			}
+		}
+		t.mu.Unlock()
+	}
+}
+
 func mostWithin(sorted []time.Time, window time.Duration) int {
 	most, from := 0, 0
 	for to := range sorted {
@@ -214,7 +247,7 @@
 // WriteText writes the report for a person to read.
 func (r *Report) WriteText(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintf(w, "%s, seed %d:\t%d requests, crashes by part %v, late sends %v, sound requests at the first attempt %.3f before and %.3f after, wrongly blamed %d\n",
+	_, _ = fmt.Fprintf(w, "%s, seed %d:\t%d requests, crashes by culprit %v, late sends %v, sound requests at the first attempt %.3f before and %.3f after, wrongly blamed %d\n",
 		r.Scenario, r.Seed, r.Requests, r.Crashes, r.LateSends, r.HarmlessBefore, r.HarmlessAfter, len(r.FalsePositives))
 	for _, v := range r.Violations {
 		_, _ = fmt.Fprintf(w, "  violated:\t%s\n", v)
--- a/ctl/fleet/faults.go
+++ b/ctl/fleet/faults.go
@@ -32,6 +32,12 @@
 			f.cutGateways(rng, fault.Count, duration)
 		case StopGateways:
 			f.stopGateways(rng, fault.Count)
+		case RestTargets:
+			f.restTargets(rng, fault.Fault)
+		case LeaveTargets:
+			for _, t := range f.pickTargets(rng, fault.Count) {
+				f.leave(t, duration)
+			}
 		case StoreDown:
 			f.kv.SetStall(true)
 			time.AfterFunc(duration, func() { f.kv.SetStall(false) })
@@ -65,6 +71,28 @@
 	}
 }
 
+// restTargets makes targets refuse all requests for a time.
+func (f *Fleet) restTargets(rng *rand.Rand, fault Fault) {
+	for _, t := range f.pickTargets(rng, fault.Count) {
+		t.rest.Store(int64(milliseconds(fault.RestMs)))
+		time.AfterFunc(milliseconds(fault.DurationMs), func() { t.rest.Store(0) })
+	}
+}
+
+// leave makes a target say that it leaves. It ends after some time, when its
+// successor has started; its entry never says that it leaves.
+func (f *Fleet) leave(t *target, after time.Duration) {
+	t.leaves.Store(true)
+	time.AfterFunc(after/2, f.startTarget)
+	time.AfterFunc(after, func() {
+		f.remove(targetPrefix + t.id)
+		t.mu.Lock()
+		t.crashed = true
+		t.mu.Unlock()
+		t.close()
+	})
+}
+
 func (f *Fleet) excuse(m *member, from, to time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/ctl/fleet/fleet_test.go
+++ b/ctl/fleet/fleet_test.go
@@ -21,7 +21,7 @@
 // against limits that targets name in vain. The long runs are started by hand with
 // skylarkctl load --seeds.
 func TestPromisesBesideFaults(t *testing.T) {
-	for _, name := range []string{"part-crashes", "target-limits"} {
+	for _, name := range []string{"part-crashes", "target-limits", "request-crashes", "request-crashes-streams", "target-rests"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			rep, err := Run(t.Context(), readScenario(t, name), nil)
@@ -41,15 +41,15 @@
 		f.crashes = append(f.crashes, crashAt{at(5 + 0.1*float64(k)), "bad"})
 	}
 	limit := 2.0
-	guilty, limited := &target{id: "guilty"}, &target{id: "limited", limitedAt: at(1), told: map[string]time.Time{"g1": at(1)}}
+	culprit, limited := &target{id: "culprit"}, &target{id: "limited", limitedAt: at(1), told: map[string]time.Time{"g1": at(1)}}
 	limited.limit.Store(&limit)
 	for k := range 2 * toleratedSends {
-		guilty.arrivals = append(guilty.arrivals, arrivalAt{at: at(9 + 0.1*float64(k)), gateway: "g1", part: "bad"})
+		culprit.arrivals = append(culprit.arrivals, arrivalAt{at: at(9 + 0.1*float64(k)), gateway: "g1", culprit: "bad"})
 	}
 	for k := range 18 {
 		limited.arrivals = append(limited.arrivals, arrivalAt{at: at(10 + 0.1*float64(k)), gateway: "g1"})
 	}
-	f.targets = []*target{guilty, limited}
+	f.targets = []*target{culprit, limited}
 	for k := range 30 {
 		f.outcomes = append(f.outcomes, outcome{at: time.Duration(k) * 100 * time.Millisecond, complete: true})
 		f.outcomes = append(f.outcomes, outcome{at: 12*time.Second + time.Duration(k)*100*time.Millisecond})
@@ -57,7 +57,7 @@
 	f.outcomes = append(f.outcomes, outcome{id: "x", notRun: true})
 	f.ran.Store("x", true)
 	violations := f.report().Violations
-	for _, expected := range []string{"part bad: 6 requests", "sound requests: 0.00", "target limited", "request x was reported as not run"} {
+	for _, expected := range []string{"bad: 6 requests", "sound requests: 0.00", "target limited", "request x was reported as not run"} {
 		require.True(t, containsText(violations, expected), "%q in %q", expected, violations)
 	}
 	f.excused = []excuse{{"g1", at(0), at(60)}}
--- a/ctl/fleet/member.go
+++ b/ctl/fleet/member.go
@@ -31,6 +31,9 @@
 	headerSeal      = "X-Seal"
 	headerLimit     = "X-Rate-Limit"
 	headerLastEvent = "Last-Event-Id"
+	headerKey       = "X-Key"
+	headerRest      = "Retry-After"
+	headerLeaving   = "X-Leaving"
 )
 
 // headers implements gateway.Headers. Targets see from which gateway a request
@@ -39,7 +42,7 @@
 
 func (headers) Request(h http.Header) gateway.RequestMeta {
 	deadline, _ := time.ParseDuration(h.Get(headerDeadline))
-	m := gateway.RequestMeta{ID: h.Get(headerID), Deadline: deadline, LastEventID: h.Get(headerLastEvent)}
+	m := gateway.RequestMeta{ID: h.Get(headerID), Key: h.Get(headerKey), Deadline: deadline, LastEventID: h.Get(headerLastEvent)}
 	if parts := h.Get(headerParts); parts != "" {
 		m.PromptParts = strings.Split(parts, ",")
 	}
@@ -58,6 +61,10 @@
 	if limit, err := strconv.ParseFloat(h.Get(headerLimit), 64); err == nil {
 		m.RateLimit, m.HasRateLimit = limit, true
 	}
+	m.Leaving = h.Get(headerLeaving) != ""
+	if seconds, err := strconv.ParseFloat(h.Get(headerRest), 64); err == nil {
+		m.HasRest, m.Rest = true, time.Duration(seconds*float64(time.Second))
+	}
 	return m
 }
 
@@ -203,9 +210,10 @@
 }
 
 const (
-	region     = "r1"
-	backend    = "model"
-	dataCentre = "dc1"
+	customerKey = "k"
+	region      = "r1"
+	backend     = "model"
+	dataCentre  = "dc1"
 	// addressTTL, stopTimeout and maxStaleness are as on the platform.
 	addressTTL   = 2 * time.Second
 	stopTimeout  = 7500 * time.Millisecond
--- a/ctl/fleet/run.go
+++ b/ctl/fleet/run.go
@@ -39,12 +39,15 @@
 	excused  []excuse
 	outcomes []outcome
 	failures []string
+	// refusedSubjects holds the names under which requests that crash targets were
+	// refused.
+	refusedSubjects map[string]bool
 }
 
-// crashAt is a crash of a target, with the part that caused it, if one did.
+// crashAt is a crash of a target, with what caused it, if a request did.
 type crashAt struct {
-	at   time.Time
-	part string
+	at      time.Time
+	culprit string
 }
 
 // excuse is a time in which a gateway is not expected to know what others do.
@@ -59,10 +62,10 @@
 	f.failures = append(f.failures, fmt.Sprintf(format, args...))
 }
 
-func (f *Fleet) recordCrash(part string) {
+func (f *Fleet) recordCrash(culprit string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.crashes = append(f.crashes, crashAt{time.Now(), part})
+	f.crashes = append(f.crashes, crashAt{time.Now(), culprit})
 }
 
 func (f *Fleet) put(key string, value []byte) {
@@ -93,7 +96,7 @@
 func Run(ctx context.Context, s *Scenario, logOutput io.Writer) (*Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f := &Fleet{scenario: s, ctx: ctx, kv: standin.NewKV(), logOutput: logOutput}
+	f := &Fleet{scenario: s, ctx: ctx, kv: standin.NewKV(), logOutput: logOutput, refusedSubjects: map[string]bool{}}
 	defer f.close()
 	if err := f.open(); err != nil {
 		return nil, err
@@ -138,16 +141,26 @@
 	return nil
 }
 
-// config returns a configuration with one route.
+// config returns a configuration with a route of each kind.
 func (f *Fleet) config() routing.Config {
-	return routing.Config{
-		Version: 1,
-		Routes: []routing.Route{{
-			Name: "chat", Host: "h", Prefix: "/chat/", Kind: routing.Stream, Timeout: 8 * time.Second, LatencyGoal: 400 * time.Millisecond,
-			Split: []routing.WeightedBackend{{Backend: backend, Weight: 1}}, MaxAttempts: 2, Public: true, Resumable: true,
-		}},
-		Backends: []routing.Backend{{Name: backend, MaxConns: 1000}},
+	c := routing.Config{
+		Version: 1, Backends: []routing.Backend{{Name: backend, MaxConns: 1000}},
+		Customers: []routing.Customer{{Name: "customer", Keys: []string{customerKey}}},
 	}
+	for _, kind := range []RouteKind{StreamRoute, ReadRoute, BookRoute, KeyedRoute} {
+		r := routing.Route{
+			Name: string(kind), Host: "h", Prefix: "/" + string(kind) + "/", Kind: routing.Idempotent, Timeout: 3 * time.Second, LatencyGoal: 400 * time.Millisecond,
+			Split: []routing.WeightedBackend{{Backend: backend, Weight: 1}}, MaxAttempts: 2, Public: kind != KeyedRoute,
+		}
+		switch kind {
+		case StreamRoute:
+			r.Kind, r.Timeout, r.Resumable = routing.Stream, 8*time.Second, true
+		case BookRoute:
+			r.Kind, r.MaxAttempts = routing.NonIdempotent, 1
+		}
+		c.Routes = append(c.Routes, r)
+	}
+	return c
 }
 
 // close ends all processes at once.
--- a/ctl/fleet/scenario.go
+++ b/ctl/fleet/scenario.go
@@ -41,10 +41,27 @@
 	StallMs   int `json:"stall_ms,omitempty"`
 }
 
+// RouteKind is the kind of a route.
+type RouteKind string
+
+// Kinds of routes.
+const (
+	StreamRoute RouteKind = "stream" // the default
+	ReadRoute   RouteKind = "read"   // idempotent
+	BookRoute   RouteKind = "book"   // may run once only
+	KeyedRoute  RouteKind = "keyed"  // idempotent, for customers with a key
+)
+
 // Flow describes requests of one kind with Poisson arrivals.
 type Flow struct {
-	Name     string  `json:"name"`
-	RatePerS float64 `json:"rate_per_s"`
+	Name     string    `json:"name"`
+	Route    RouteKind `json:"route,omitempty"`
+	RatePerS float64   `json:"rate_per_s"`
+	// CrashingRequests, if it is positive, is the number of different requests of the
+	// flow, each of which comes again and again and crashes targets.
+	CrashingRequests int `json:"crashing_requests,omitempty"`
+	// SessionsOf names the flow whose sessions such requests belong to.
+	SessionsOf string `json:"sessions_of,omitempty"`
 	// Sessions is the number of parts below the first one that requests share.
 	Sessions int `json:"sessions,omitempty"`
 	// CrashingPart, if it is set, is a part that crashes targets, and FromMs when
@@ -65,6 +82,8 @@
 	CutGateways  FaultKind = "cut"           // gateways lose the store and the sessions that others open to them
 	StopGateways FaultKind = "stop"          // planned stop, one after the other, each followed by a start
 	StoreDown    FaultKind = "store_down"    // the store does not respond to anybody
+	RestTargets  FaultKind = "rest"          // targets refuse requests and want none for RestMs, again and again
+	LeaveTargets FaultKind = "leave"         // targets say in responses that they leave, and do so
 )
 
 // Fault is a fault that comes Times times.
@@ -75,6 +94,7 @@
 	Percent    int       `json:"percent,omitempty"`
 	Rate       float64   `json:"rate,omitempty"`
 	DurationMs int       `json:"duration_ms,omitempty"`
+	RestMs     int       `json:"rest_ms,omitempty"`
 }
 
 // IsScenario reports whether a document is a scenario of this package rather than
@@ -112,6 +132,17 @@
 	return parts
 }
 
+// route returns the kind of route of the flow's requests.
+func (flow *Flow) route() RouteKind {
+	if flow.Route == "" {
+		return StreamRoute
+	}
+	return flow.Route
+}
+
+// crashes reports whether the requests of the flow crash targets.
+func (flow *Flow) crashes() bool { return flow.CrashingPart != "" || flow.CrashingRequests > 0 }
+
 // timedFault is a fault with its moment.
 type timedFault struct {
 	Fault
--- a/ctl/fleet/target.go
+++ b/ctl/fleet/target.go
@@ -35,7 +35,7 @@
 	at      time.Time
 	gateway string
 	request string
-	part    string // the part that crashes targets, or empty
+	culprit string // what of the request crashes targets, or empty
 }
 
 // target is one incarnation of a stand-in target.
@@ -53,6 +53,21 @@
 	arrivals []arrivalAt
 	// told holds when each gateway first got a response with the limit.
 	told map[string]time.Time
+	// rest is for how long the target wants no requests, in responses by which it
+	// refuses them; 0 if it accepts them.
+	rest atomic.Int64
+	// leaves is set while the target says that it leaves.
+	leaves atomic.Bool
+	// wishes holds what each gateway was told.
+	wishes []wish
+}
+
+// wish is a time in which a target wants no requests from a gateway.
+type wish struct {
+	gateway  string
+	from, to time.Time
+	// allowed is the number of requests that may reach the target all the same.
+	allowed int
 }
 
 // startTarget starts a target and writes its entry.
@@ -102,20 +117,23 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		if !t.handle(c, r) {
+		body, err := io.ReadAll(io.LimitReader(r.Body, maxResponseBytes))
+		if err != nil || !t.handle(c, r, string(body)) {
 			return
 		}
 	}
 }
 
 // handle responds to a request. It returns false if the connection ends.
-func (t *target) handle(c net.Conn, r *http.Request) (keep bool) {
-	part := t.fleet.crashingPart(r)
-	a := arrivalAt{at: time.Now(), gateway: r.Header.Get(headerGateway), request: r.Header.Get(headerID), part: part}
+func (t *target) handle(c net.Conn, r *http.Request, body string) (keep bool) {
+	culprit := t.fleet.culpritOf(r, body)
+	a := arrivalAt{at: time.Now(), gateway: r.Header.Get(headerGateway), request: r.Header.Get(headerID), culprit: culprit}
 	t.mu.Lock()
 	t.arrivals = append(t.arrivals, a)
 	t.mu.Unlock()
+	if rest := time.Duration(t.rest.Load()); rest > 0 {
+		return t.refuseForRest(c, r, rest)
+	}
 	group := t.fleet.group.state()
 	if group.broken {
 		time.Sleep(time.Until(group.stallUntil))
@@ -124,17 +142,66 @@
 	}
 	time.Sleep(prefillTime)
 	t.fleet.ran.Store(a.request, true)
-	if part != "" {
-		t.writeHead(c, r, false)
+	if culprit != "" {
+		if isStream(r) {
+			t.writeHead(c, r, false)
+		}
 		time.Sleep(rand.N(maxCrashDelay))
-		t.crash(part)
+		t.crash(culprit)
 		return false
 	}
+	if !isStream(r) {
+		return t.respond(c, r)
+	}
 	return t.stream(c, r, group.epoch)
 }
 
-// crashingPart returns the part of a request that crashes targets, if it has one.
-func (f *Fleet) crashingPart(r *http.Request) string {
+func isStream(r *http.Request) bool {
+	return strings.HasPrefix(r.URL.Path, "/"+string(StreamRoute)+"/")
+}
+
+// responseBody is the body of a response that is no stream.
+const responseBody = "ok"
+
+func (t *target) respond(c net.Conn, r *http.Request) (keep bool) {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n%sContent-Length: %d\r\n\r\n%s", headerID, r.Header.Get(headerID), headerSeal, t.leavingHeader(r), len(responseBody), responseBody)
+	return err == nil
+}
+
+// refuseForRest refuses a request, and says for how long the target wants none.
+func (t *target) refuseForRest(c net.Conn, r *http.Request, rest time.Duration) (keep bool) {
+	now := time.Now()
+	t.addWish(wish{r.Header.Get(headerGateway), now.Add(informedAfter), now.Add(rest), toleratedInRest})
+	_, err := fmt.Fprintf(c, "HTTP/1.1 503 Rest\r\n%s: %s\r\n%s: 1\r\n%s: %.3f\r\nContent-Length: 0\r\n\r\n", headerID, r.Header.Get(headerID), headerNotRun, headerRest, rest.Seconds())
+	return err == nil
+}
+
+// leavingHeader returns the header line by which a target says that it leaves, or
+// nothing.
+func (t *target) leavingHeader(r *http.Request) string {
+	if !t.leaves.Load() {
+		return ""
+	}
+	now := time.Now()
+	t.addWish(wish{r.Header.Get(headerGateway), now.Add(drainTime), now.Add(time.Hour), 0})
+	return headerLeaving + ": 1\r\n"
+}
+
+func (t *target) addWish(w wish) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wishes = append(t.wishes, w)
+}
+
+// crashingBody begins the body of a request that crashes targets.
+const crashingBody = "crash "
+
+// culpritOf returns what of a request crashes targets: its body or a part of its
+// prompt. It is empty if nothing does.
+func (f *Fleet) culpritOf(r *http.Request, body string) string {
+	if strings.HasPrefix(body, crashingBody) {
+		return body
+	}
 	for _, part := range strings.Split(r.Header.Get(headerParts), ",") {
 		if slices.Contains(f.scenario.crashingParts(), part) {
 			return part
@@ -145,6 +212,7 @@
 
 func (t *target) writeHead(c net.Conn, r *http.Request, unframed bool) {
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: s\r\n", headerID, r.Header.Get(headerID), headerSeal)
+	head += t.leavingHeader(r)
 	if limit := t.limit.Load(); limit != nil {
 		head += fmt.Sprintf("%s: %g\r\n", headerLimit, *limit)
 		t.mu.Lock()
@@ -198,7 +266,7 @@
 }
 
 // crash ends the target with all its connections. A successor starts later.
-func (t *target) crash(part string) {
+func (t *target) crash(culprit string) {
 	t.mu.Lock()
 	if t.crashed {
 		t.mu.Unlock()
@@ -207,7 +275,7 @@
 	t.crashed = true
 	t.mu.Unlock()
 	f := t.fleet
-	f.recordCrash(part)
+	f.recordCrash(culprit)
 	t.close()
 	restart := milliseconds(f.scenario.Fleet.RestartMs)
 	f.group.breakOff(milliseconds(f.scenario.Fleet.StallMs), restart)
