--- a/routing/quarantine/decide.go
+++ b/routing/quarantine/decide.go
@@ -44,7 +44,7 @@
 	// otherRequestCrashes is how many crashes of a part must be left without those of
 	// the request with it that was at most. If one request crashes the targets, its
 	// parts are in progress at the same crashes.
-	otherRequestCrashes = 2
+	otherRequestCrashes = 3
 	// requestCrashes is how many crashes are needed to quarantine a request. Of one
 	// that completed before, they must lie at changedRequestMoments moments.
 	requestCrashes        = 3
@@ -88,16 +88,21 @@
 }
 
 // counts reports whether the crash counts against a subject. It does not if a
-// culprit explains it. A request that is one does not explain it for the parts of its
-// own prompt: one of these may be why the request crashes targets.
+// culprit explains it.
 func (c *unexplained) counts(subject string) bool {
-	for _, culprit := range c.culprits {
-		known := c.suspects[subject]
-		if !IsRequest(culprit) || known == nil || !known.requests[culprit] {
-			return false
-		}
+	return !slices.ContainsFunc(c.culprits, func(culprit string) bool { return c.isExplained(subject, culprit) })
+}
+
+// isExplained reports whether a culprit explains the crash in place of a subject. A
+// request does not for the parts of its own prompt: one of these may be why the
+// request crashes targets. A part does not for requests: if it is a false positive,
+// requests that crash targets would hide behind it.
+func (c *unexplained) isExplained(subject, culprit string) bool {
+	if IsRequest(subject) {
+		return IsRequest(culprit)
 	}
-	return true
+	known := c.suspects[subject]
+	return !IsRequest(culprit) || known == nil || !known.requests[culprit]
 }
 
 func (l *Ledger) crashesWithCulprits(now time.Time) []unexplained {
