gateway/crashguard: the guard against crashing requests and its owner get a package of their own

partguard.go, parts.go, the messages, the record's encoding, the operator's list and the state of the control goroutine leave package gateway, which keeps what reads requests, peers and the store. Admission replaces the fields of exchange, routing.DecayingCount the counter that two packages need.

--- a/ctl/command/quarantine.go
+++ b/ctl/command/quarantine.go
@@ -16,6 +16,7 @@
 
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/gateway"
+	"github.com/skylarkstep/skylarkstep/gateway/crashguard"
 )
 
 const (
@@ -95,8 +96,8 @@
 	return body, nil
 }
 
-func fetchQuarantine(ctx context.Context, address string) (gateway.QuarantineList, error) {
-	var list gateway.QuarantineList
+func fetchQuarantine(ctx context.Context, address string) (crashguard.List, error) {
+	var list crashguard.List
 	body, err := callQuarantine(ctx, address, http.MethodGet, "")
 	if err != nil {
 		return list, err
@@ -109,7 +110,7 @@
 	return err
 }
 
-func writeQuarantine(out io.Writer, list gateway.QuarantineList) error {
+func writeQuarantine(out io.Writer, list crashguard.List) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	row := func(columns ...any) { _, _ = fmt.Fprintln(w, columns...) }
 	row("PART\tSTATE\tAGE\tENDS IN\tDECIDED BY\tREPORTED BY\tCRASHES")
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -166,7 +166,7 @@
 		x.g.log.Info("attempt failed", "request", x.meta.ID, "target", res.target.ID, "back_end", x.backend,
 			"verdict", verdictNames[res.verdict], "sent", x.timesSent, "of", x.route.MaxAttempts, "repeatable", x.route.Retryable(),
 			"target_load", res.target.ownRequests.Load()+res.target.peerRequests.Load(), "revision", x.snapshot.revision,
-			"began", !res.beganAt.IsZero(), "events", x.eventCount, "prompt_parts", x.meta.PromptParts, "fingerprint", x.requestHash, "error", res.err.Error())
+			"began", !res.beganAt.IsZero(), "events", x.eventCount, "prompt_parts", x.meta.PromptParts, "fingerprint", x.fingerprint, "error", res.err.Error())
 	}
 	switch res.verdict {
 	case notSent:
@@ -260,7 +260,7 @@
 				}
 			}
 		case <-hedge.C:
-			if x.route.Kind == routing.Idempotent && running == 1 && x.countedAttempts+running < x.route.MaxAttempts && !x.hasSuspect() && x.takeHedge() {
+			if x.route.Kind == routing.Idempotent && running == 1 && x.countedAttempts+running < x.route.MaxAttempts && !x.admission.HasSuspect() && x.takeHedge() {
 				_ = startAttempt() // if it fails, the first attempt continues alone
 			}
 		case <-ctx.Done():
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -7,10 +7,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/skylarkstep/skylarkstep/gateway/crashguard"
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/mirror"
 	"github.com/skylarkstep/skylarkstep/routing"
-	"github.com/skylarkstep/skylarkstep/routing/quarantine"
 )
 
 const (
@@ -51,7 +51,8 @@
 	reachablePeers   int                           // as of the last tick; the snapshot depends on it
 	slowdownsByGroup map[string]map[string]float64 // by rank group and address of a target
 	restoreState
-	quarantineState
+	crashes *crashguard.Owner
+	crashExchange
 
 	// confirmedAt is when the cached copy was last known to be up to date.
 	confirmedAt    time.Time
@@ -82,12 +83,13 @@
 }
 
 func newControl(g *Gateway) *control {
-	return &control{
+	c := &control{
 		g: g, log: g.log, inbox: make(chan func(), 256), ended: make(chan struct{}), mirror: mirror.New(),
 		targets: map[string]*target{}, expired: map[string]time.Time{}, peers: newPeerTable(),
 		slowdownsByGroup: map[string]map[string]float64{}, restoreState: newRestoreState(),
-		quarantineState: quarantineState{ledger: quarantine.New()},
 	}
+	c.crashes = crashguard.NewOwner(crashguard.Options{Instance: g.id, Guard: g.guard, Log: g.log, Registry: g.opts.Registry, Changed: c.sendReports})
+	return c
 }
 
 // post queues f for the control goroutine and does not wait until it has run.
@@ -157,7 +159,7 @@
 	}
 	c.updateFreshness(now)
 	c.updateIsolation(now)
-	c.updateQuarantine(now)
+	c.crashes.Update(now)
 	for _, t := range c.targets {
 		t.pool.CloseExpired(now)
 		t.peerRequests.Store(c.peers.requestCount(t.ID, now))
@@ -330,7 +332,7 @@
 		return
 	}
 	delete(c.targets, id)
-	c.confirmLosses(t, time.Now())
+	c.crashes.ConfirmLosses(t.crashID(), t.isLeaving(), time.Now())
 	c.rememberRemoved(id, t.Incarnation, time.Now())
 	t.pool.Close()
 	c.log.Info("target removed", "target", id, "back_end", t.Backend, "reason", reason)
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -5,13 +5,13 @@
 	"hash/fnv"
 	"io"
 	"net/http"
-	"slices"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/gateway/crashguard"
 	"github.com/skylarkstep/skylarkstep/routing/quarantine"
 )
 
@@ -32,31 +32,37 @@
 	probeRetryAfter = time.Second
 )
 
+// enterGuard makes the request known to the guard, and makes it end at once if it,
+// or a part of its prompt, is quarantined while it is in progress. The returned
+// function ends that.
+func (x *exchange) enterGuard(cancel context.CancelFunc) (leave func()) {
+	r := crashguard.Request{Method: x.r.Method, Host: x.r.Host, URI: x.r.RequestURI, Body: x.body}
+	if x.customer != nil {
+		r.Customer = x.customer.Name
+	}
+	x.fingerprint = r.Fingerprint()
+	parts := crashguard.SharedParts(x.meta.PromptParts)
+	x.admission = x.g.guard.Enter(parts, quarantine.RequestSubject(x.fingerprint), time.Now(), func(e quarantine.Entry) {
+		x.quarantinedBy.Store(&e)
+		cancel()
+	})
+	return x.admission.Leave
+}
+
 // admitSubjects returns an error if the request must not be sent to a target: it, or
 // a part of its prompt, crashes targets, or is suspected to and is being probed by
 // another request.
 func (x *exchange) admitSubjects(now time.Time) error {
-	v := x.g.parts.view.Load()
-	for _, subject := range x.subjects {
-		e, decided := v.entries[subject]
-		phase := quarantine.Cleared
-		if decided {
-			phase = e.Phase(now)
-		}
-		crashes := v.crashCounts[subject]
-		oneInstance := phase == quarantine.HalfOpen || quarantine.IsRequest(subject) && crashes >= quarantine.OwnerCrashes
-		switch {
-		case phase == quarantine.Quarantined:
-			return x.quarantinedError(&e, now)
-		case oneInstance && !x.snapshot.probes(subject):
-			return x.suspectError(subject, "is probed at another instance")
-		case oneInstance || crashes >= quarantine.ProbeCrashes:
-			if !x.g.parts.beginProbe(subject, x) {
-				return x.suspectError(subject, "has crashed targets and is being probed by another request")
-			}
-		}
+	switch o := x.admission.Check(now, x.snapshot.probes); {
+	case o == nil:
+		return nil
+	case o.Entry != nil:
+		return x.quarantinedError(o.Entry, now)
+	case o.AtOtherInstance:
+		return x.suspectError(o.Subject, "is probed at another instance")
+	default:
+		return x.suspectError(o.Subject, "has crashed targets and is being probed by another request")
 	}
-	return nil
 }
 
 // probes reports whether this instance is the one that probes a subject if only one
@@ -95,15 +101,6 @@
 	return errkind.New(errkind.Quarantined, format, args...).WithRetryAfter(retryAfter)
 }
 
-// cancelIfQuarantined makes the request end at once if it, or a part of its prompt,
-// is quarantined while it is in progress.
-func (x *exchange) cancelIfQuarantined(cancel context.CancelFunc) (done func()) {
-	return x.g.parts.register(x, func(e quarantine.Entry) {
-		x.quarantinedBy.Store(&e)
-		cancel()
-	})
-}
-
 // isConnectionEnd reports whether the target, or the network, has ended the
 // connection.
 func isConnectionEnd(err error) bool {
@@ -136,9 +133,9 @@
 // recordHarmless records that the request and the parts of its prompt do not crash
 // targets: the response is complete, or has gone on for longer than beginningTime.
 func (x *exchange) recordHarmless(ctx context.Context, now time.Time) {
-	report := x.g.parts.recordCompletion(x.subjects, now)
+	report := x.admission.Complete(now)
 	if len(report) > 0 {
-		x.g.control.post(ctx, func() { x.g.control.recordCompletions(report, now) })
+		x.g.control.post(ctx, func() { x.g.control.crashes.RecordCompletions(report, now) })
 	}
 }
 
@@ -155,13 +152,15 @@
 		return
 	}
 	crashed := t.hasExited(ctx)
-	suspects := quarantine.SuspectsOf(x.sharedParts, quarantine.RequestSubject(x.requestHash))
+	suspects := x.admission.Suspects()
 	x.g.control.call(ctx, func() {
+		c := x.g.control
 		if crashed {
-			x.g.control.recordCrash(t.crashID(), suspects, now)
-		} else {
-			x.g.control.recordLoss(t.crashID(), suspects, now)
+			c.crashes.RecordCrash(t.crashID(), suspects, now)
+			return
 		}
+		known := c.targets[t.ID]
+		c.crashes.RecordLoss(t.crashID(), suspects, known == nil || known.Incarnation != t.Incarnation, now)
 	})
 	x.crashedTarget = x.crashedTarget || crashed
 }
@@ -187,16 +186,4 @@
 
 // mayCrashAgain reports whether the request was in progress when a target crashed,
 // and it or one of its parts was at several crashes.
-func (x *exchange) mayCrashAgain() bool {
-	return x.crashedTarget && x.hasSuspect()
-}
-
-// hasSuspect reports whether the request or a part of its prompt was in progress at
-// several crashes and no request with it has completed.
-func (x *exchange) hasSuspect() bool {
-	v := x.g.parts.view.Load()
-	return slices.ContainsFunc(x.subjects, func(subject string) bool {
-		_, decided := v.entries[subject]
-		return decided || v.crashCounts[subject] >= quarantine.ProbeCrashes
-	})
-}
+func (x *exchange) mayCrashAgain() bool { return x.crashedTarget && x.admission.HasSuspect() }
--- a/gateway/quarantinewire.go
+++ b/gateway/crashguard/wire.go
@@ -1,4 +1,4 @@
-package gateway
+package crashguard
 
 import (
 	"time"
@@ -7,8 +7,8 @@
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
-// encodeReports converts crash reports to their message. Times become ages.
-func encodeReports(s quarantine.State) *wirepb.QuarantineState {
+// Encode converts crash reports to their message. Times become ages.
+func Encode(s quarantine.State) *wirepb.QuarantineState {
 	w := &wirepb.QuarantineState{}
 	for _, crash := range s.Crashes {
 		w.Crashes = append(w.Crashes, &wirepb.TargetCrash{
@@ -48,8 +48,8 @@
 	return suspects
 }
 
-// decodeReports decodes crash reports that are older by delay than when they were sent.
-func decodeReports(w *wirepb.QuarantineState, delay time.Duration) quarantine.State {
+// Decode decodes crash reports that are older by delay than when they were sent.
+func Decode(w *wirepb.QuarantineState, delay time.Duration) quarantine.State {
 	age := func(ms uint64) time.Duration { return time.Duration(ms)*time.Millisecond + delay }
 	var s quarantine.State
 	for _, crash := range w.GetCrashes() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/gateway/crashguard"
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/routing"
@@ -80,7 +81,7 @@
 	inFlight   atomic.Int64
 	workTimes  workTimes
 	stops      *stopState
-	parts      *partGuard
+	guard      *crashguard.Guard
 	demands    demandTable
 
 	limits atomic.Pointer[Limits]
@@ -94,7 +95,7 @@
 	g := &Gateway{
 		opts: o, id: o.Instance, log: o.Log, kv: o.KV, decoder: o.ItemDecoder, headers: o.Headers,
 		metrics: newMetrics(o.Registry, o.Log), peerSessions: &sessionTable{claimed: map[string]bool{}},
-		configured: make(chan struct{}), workTimes: workTimes{groups: map[workGroup]*workSamples{}}, stops: newStopState(), parts: newPartGuard(), demands: demandTable{byBackend: map[string]*decayingCount{}},
+		configured: make(chan struct{}), workTimes: workTimes{groups: map[workGroup]*workSamples{}}, stops: newStopState(), guard: crashguard.NewGuard(), demands: demandTable{byBackend: map[string]*routing.DecayingCount{}},
 		retryBudgets: map[string]*routing.RetryBudget{},
 	}
 	g.limits.Store(&o.Limits)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/gateway/crashguard"
 	"github.com/skylarkstep/skylarkstep/routing"
 	"github.com/skylarkstep/skylarkstep/routing/quarantine"
 )
@@ -59,13 +60,10 @@
 	// to.
 	triedTargets map[string]bool
 	lastErr      error
-	// sharedParts holds the parts of the prompt that other requests may have too.
-	sharedParts []string
-	// requestHash is the fingerprint of the request; empty until its body was read.
-	requestHash string
-	// subjects holds what of the request may crash targets: its shared parts, and
-	// the request itself.
-	subjects []string
+	// admission is how the guard knows the request; nil until its body was read.
+	admission *crashguard.Admission
+	// fingerprint is the same for each repeat of the request.
+	fingerprint string
 	// crashedTarget is set if a target crashed when it had just begun to work on
 	// the request.
 	crashedTarget bool
@@ -112,12 +110,10 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
-	x.identify()
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.g.stops.cut, cancel)()
-	x.g.parts.recordRequest(x.sharedParts, time.Now())
-	defer x.cancelIfQuarantined(cancel)()
+	defer x.enterGuard(cancel)()
 	if err := x.admitSubjects(time.Now()); err != nil {
 		return err
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,13 +21,11 @@
 	retriesRefused metrics.Counter
 	// storeRestores counts how often the store came back from an older copy.
 	storeRestores metrics.Counter
-	// targetCrashes counts the crashes of targets that this instance has reported,
-	// quarantineRefusals the requests that were refused for a part of their
-	// prompt, and quarantinedParts is the number of such parts.
-	targetCrashes, quarantineRefusals metrics.Counter
+	// quarantineRefusals counts the requests that were refused because they, or a part
+	// of their prompt, crash targets.
+	quarantineRefusals metrics.Counter
 	// targetRests counts the responses by which targets wanted a rest.
-	targetRests      metrics.Counter
-	quarantinedParts metrics.Gauge
+	targetRests metrics.Counter
 }
 
 func newMetrics(r metrics.Registry, log *slog.Logger) *gatewayMetrics {
@@ -47,10 +45,8 @@
 		retriesRefused: metrics.NewRegisteredCounter("request.retries_refused", r),
 		storeRestores:  metrics.NewRegisteredCounter("store.restores", r),
 
-		targetCrashes:      metrics.NewRegisteredCounter("target.crashes", r),
-		targetRests:        metrics.NewRegisteredCounter("targets.rests", r),
+		targetRests:        metrics.NewRegisteredCounter("target.rests", r),
 		quarantineRefusals: metrics.NewRegisteredCounter("quarantine.refusals", r),
-		quarantinedParts:   metrics.NewRegisteredGauge("quarantine.parts", r),
 	}
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/skylarkstep/skylarkstep/gateway/crashguard"
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/mirror"
@@ -272,7 +273,7 @@
 		Instance: c.g.id, StoreAgeMs: neverConfirmedAgeMs,
 		StoreRevision: infra.RevisionNumber(c.mirror.Revision()), StoreEra: infra.Era(c.mirror.Revision()),
 		Leaving: c.g.isLeaving(), StoreReachable: c.storeReachable && !c.following, StoreResting: c.following, Process: c.g.opts.Process,
-		QuarantineDigest: c.reportsDigest,
+		QuarantineDigest: c.crashes.Digest(),
 	}
 	if !c.confirmedAt.IsZero() {
 		b.StoreAgeMs = uint64(now.Sub(c.confirmedAt).Milliseconds())
@@ -303,7 +304,7 @@
 	case *wirepb.PeerFrame_Delta:
 		c.updateCopy("instance "+id, now, func() []string { return c.mirror.Merge(decodeDelta(body.Delta)) })
 	case *wirepb.PeerFrame_Quarantine:
-		c.mergeReports(decodeReports(body.Quarantine, 0), "instance "+id, now)
+		c.crashes.Merge(crashguard.Decode(body.Quarantine, 0), "instance "+id, now)
 	case *wirepb.PeerFrame_Handover:
 		c.receiveTerm(id, Term{Group: body.Handover.GetGroup(), Fencing: body.Handover.GetFencing(), Maps: body.Handover.GetMaps()}, now)
 	}
--- a/gateway/promptcrash_test.go
+++ b/gateway/promptcrash_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/skylarkstep/skylarkstep/gateway/crashguard"
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/routing"
 )
@@ -304,7 +305,7 @@
 	}
 	callers.Wait()
 	for _, i := range instances {
-		require.Empty(t, i.parts.view.Load().entries, "a sound part was blamed")
+		require.Empty(t, i.guard.View().Entries, "a sound part was blamed")
 	}
 	f.requireServed("/chat/", instances...)
 }
@@ -426,8 +427,8 @@
 		g.requestWithParts(t.Context(), fmt.Sprintf("/book/%d", k), fmt.Sprintf("session%d", k), crashingPart)
 	}
 	time.Sleep(time.Second)
-	require.NotContains(t, g.parts.view.Load().entries, crashingPart)
-	require.Empty(t, g.parts.view.Load().entries)
+	require.NotContains(t, g.guard.View().Entries, crashingPart)
+	require.Empty(t, g.guard.View().Entries)
 }
 
 // Guards against an operator who cannot see, add or clear a part, or whose decision
@@ -442,7 +443,7 @@
 		return w
 	}
 	f.sendCrashing("/chat/", g1)
-	var list QuarantineList
+	var list crashguard.List
 	require.Eventually(t, func() bool {
 		require.NoError(t, json.Unmarshal(operator(http.MethodGet, "").Body.Bytes(), &list))
 		return len(list.Parts) == 1
@@ -455,7 +456,7 @@
 	require.Equal(t, http.StatusNoContent, operator(http.MethodDelete, crashingPart).Code)
 	require.Equal(t, http.StatusNoContent, operator(http.MethodPost, "session1").Code)
 	require.Eventually(t, func() bool {
-		entries := g2.parts.view.Load().entries
+		entries := g2.guard.View().Entries
 		_, added := entries["session1"]
 		_, cleared := entries[crashingPart]
 		return added && !cleared
--- a/gateway/quarantinerecord.go
+++ b/gateway/quarantinerecord.go
@@ -3,18 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"strings"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protojson"
-
-	"github.com/pkg/errors"
-
+	"github.com/skylarkstep/skylarkstep/gateway/crashguard"
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/routing/quarantine"
-	"github.com/skylarkstep/skylarkstep/wire/wirepb"
 )
 
 const (
@@ -40,42 +35,14 @@
 	writtenAt time.Time
 }
 
-// storedReports is the value of the record. The clocks of instances may differ by
-// seconds, which matters little against quarantine.Retention.
-type storedReports struct {
-	WrittenUnixMs int64           `json:"written_unix_ms"`
-	State         json.RawMessage `json:"state"`
-}
-
-func encodeRecord(s quarantine.State, now time.Time) ([]byte, error) {
-	state, err := protojson.Marshal(encodeReports(s))
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	value, err := json.Marshal(storedReports{now.UnixMilli(), state})
-	return value, errors.WithStack(err)
-}
-
-func decodeRecord(value []byte, now time.Time) (quarantine.State, error) {
-	var stored storedReports
-	if err := json.Unmarshal(value, &stored); err != nil {
-		return quarantine.State{}, errors.WithStack(err)
-	}
-	var w wirepb.QuarantineState
-	if err := protojson.Unmarshal(stored.State, &w); err != nil {
-		return quarantine.State{}, errors.WithStack(err)
-	}
-	return decodeReports(&w, max(0, now.Sub(time.UnixMilli(stored.WrittenUnixMs)))), nil
-}
-
 // mergeRecord adds the crash reports in a record of an instance.
 func (c *control) mergeRecord(it infra.Item, now time.Time) {
-	s, err := decodeRecord(it.Value, now)
+	s, err := crashguard.DecodeRecord(it.Value, now)
 	if err != nil {
 		c.log.Warn("quarantine record not readable", "key", it.Key, "error", err.Error())
 		return
 	}
-	c.mergeReports(s, "store", now)
+	c.crashes.Merge(s, "store", now)
 }
 
 // recordUpdate is a write of the record that is due. It deletes the record if the
@@ -88,7 +55,7 @@
 // dueRecordUpdate returns the write of the record that is due, or nil.
 func (c *control) dueRecordUpdate(now time.Time) *recordUpdate {
 	key := quarantinePrefix + c.g.id
-	s := c.ledger.StateOf(c.g.id, now)
+	s := c.crashes.OwnState(now)
 	digest := s.Digest()
 	it, exists := c.mirror.Get(key)
 	isLost := now.Sub(c.record.writtenAt) > recordCheckAge && digest != 0 && (!exists || !bytes.Equal(it.Value, c.record.value))
@@ -98,7 +65,7 @@
 	if digest == 0 {
 		return &recordUpdate{}
 	}
-	value, err := encodeRecord(s, now)
+	value, err := crashguard.EncodeRecord(s, now)
 	if err != nil {
 		c.log.Error("quarantine record not encoded", "error", err.Error())
 		return nil
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -99,7 +99,7 @@
 // end.
 type demandTable struct {
 	mu        sync.Mutex
-	byBackend map[string]*decayingCount
+	byBackend map[string]*routing.DecayingCount
 }
 
 func (d *demandTable) recordRequest(backend string, now time.Time) {
@@ -107,17 +107,17 @@
 	defer d.mu.Unlock()
 	c := d.byBackend[backend]
 	if c == nil {
-		c = &decayingCount{}
+		c = &routing.DecayingCount{}
 		d.byBackend[backend] = c
 	}
-	c.increment(now, demandHalfLife)
+	c.Increment(now, demandHalfLife)
 }
 
 func (d *demandTable) rate(backend string, now time.Time) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if c := d.byBackend[backend]; c != nil {
-		return c.rate(now, demandHalfLife)
+		return c.Rate(now, demandHalfLife)
 	}
 	return 0
 }
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -95,8 +95,8 @@
 	if len(x.meta.PromptParts) > 0 {
 		attrs = append(attrs, slog.Any("prompt_parts", x.meta.PromptParts))
 	}
-	if x.requestHash != "" {
-		attrs = append(attrs, slog.String("fingerprint", x.requestHash))
+	if x.admission != nil {
+		attrs = append(attrs, slog.String("fingerprint", x.fingerprint))
 	}
 	if x.quarantinedSubject != "" {
 		attrs = append(attrs, slog.String("quarantined_part", x.quarantinedSubject))
--- a/gateway/requestcrash_test.go
+++ b/gateway/requestcrash_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/skylarkstep/skylarkstep/gateway/crashguard"
 	"github.com/skylarkstep/skylarkstep/routing"
 	"github.com/skylarkstep/skylarkstep/routing/quarantine"
 )
@@ -120,7 +121,7 @@
 	require.LessOrEqual(t, f.arrivals.Load()-allowedArrivals.Load(), int64(toleratedSends), "%d targets crashed", f.crashes.Load())
 	f.requireOthersServed("/read/1", instances...)
 	for _, i := range instances {
-		require.LessOrEqual(t, len(i.parts.view.Load().entries), 1, "a sound request was blamed")
+		require.LessOrEqual(t, len(i.guard.View().Entries), 1, "a sound request was blamed")
 	}
 }
 
@@ -196,7 +197,7 @@
 	}
 	callers.Wait()
 	for _, i := range instances {
-		require.Empty(t, i.parts.view.Load().entries, "a sound request was blamed")
+		require.Empty(t, i.guard.View().Entries, "a sound request was blamed")
 	}
 	f.requireOthersServed("/read/1", instances...)
 }
@@ -294,8 +295,8 @@
 		g.sendWithBody(t.Context(), http.MethodPost, fmt.Sprintf("/book/%d", k), header, crashingBody)
 	}
 	time.Sleep(time.Second)
-	require.NotContains(t, g.parts.view.Load().crashCounts, other)
-	require.NotContains(t, g.parts.view.Load().entries, other)
+	require.NotContains(t, g.guard.View().CrashCounts, other)
+	require.NotContains(t, g.guard.View().Entries, other)
 	require.EqualValues(t, 4, f.crashes.Load())
 }
 
@@ -334,7 +335,7 @@
 	t.Parallel()
 	f, instances := startRequestFleet(t, 12, "g1", "g2")
 	f.sendUntilCrashes("/book/1", instances...)
-	var list QuarantineList
+	var list crashguard.List
 	require.Eventually(t, func() bool {
 		list = instances[1].QuarantineList(t.Context())
 		return len(list.Parts) == 1
