--- a/gateway/crashguard/tracker.go
+++ b/gateway/crashguard/tracker.go
@@ -15,6 +15,9 @@
 	// frequencyHalfLife is the time after which a request counts half in the
 	// frequency of its subjects.
 	frequencyHalfLife = 30 * time.Second
+	// minFrequencyRequests is the number of recent requests from which on their
+	// frequencies are known.
+	minFrequencyRequests = 10
 )
 
 // tracked is what this instance knows of requests with one subject.
@@ -97,12 +100,17 @@
 	return time.Time{}
 }
 
-// frequency returns the share of the recent requests that have the subject.
+// frequency returns the share of the recent requests that have the subject. It is 1
+// if there were too few: a frequent subject must not be taken for a rare one.
 func (t *tracker) frequency(subject string) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, now := t.bySubject[subject], time.Now()
-	if total := t.requests.ValueAt(now, frequencyHalfLife); e != nil && total > 0 {
+	now := time.Now()
+	total := t.requests.ValueAt(now, frequencyHalfLife)
+	if total < minFrequencyRequests {
+		return 1
+	}
+	if e := t.bySubject[subject]; e != nil {
 		return e.Value.(*tracked).requests.ValueAt(now, frequencyHalfLife) / total
 	}
 	return 0
