daemon/e2e: tests that pause a process wait until it has stopped

Traced: of 100 runs beside load, in 30 or more the threads of the target were not all stopped when kill returned (states R and S in /proc, one thread still to stop the others), so that a dispatch can run after SIGSTOP was sent. No check changes.

--- a/daemon/e2e/faults_test.go
+++ b/daemon/e2e/faults_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -106,8 +110,30 @@
 	}
 }
 
+// signal sends a signal to a process. After SIGSTOP it waits until the process has
+// stopped: the kernel wakes one thread to stop the others, which run on until then.
 func (k *cluster) signal(name string, s syscall.Signal) {
 	require.NoError(k.t, k.processes[name].cmd.Process.Signal(s))
+	if s == syscall.SIGSTOP {
+		require.Eventually(k.t, func() bool { return k.isStopped(name) }, waitTimeout, time.Millisecond, "%s does not stop", name)
+	}
+}
+
+// isStopped reports whether all threads of a process are stopped.
+func (k *cluster) isStopped(name string) bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", k.processes[name].cmd.Process.Pid))
+	require.NoError(k.t, err)
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			return false // the thread has ended
+		}
+		_, state, _ := strings.Cut(string(stat), ") ") // after the name of the program
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return len(files) > 0
 }
 
 // startStream starts a generation and returns the response without reading its
--- a/daemon/e2e/outage_test.go
+++ b/daemon/e2e/outage_test.go
@@ -92,7 +92,7 @@
 	k.setStoreDown(true)
 	k.waitFreshness(0, configsync.StoreDown)
 	for _, name := range []string{"entry-vitoria", "entry-burgos-2"} {
-		require.NoError(t, k.processes[name].cmd.Process.Signal(syscall.SIGSTOP))
+		k.signal(name, syscall.SIGSTOP)
 	}
 	k.waitFreshness(0, configsync.Isolated)
 	res, err := k.request(http.MethodPost, k.entryURL(0)+"/v1/services/cabina-app/book", customerKey, nil, []byte(`{}`))
