--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -59,9 +59,11 @@
 	case o.Entry != nil:
 		return x.quarantinedError(o.Entry, now)
 	case o.AtOtherInstance:
-		return x.suspectError(o.Subject, "is probed at another instance")
+		return x.suspectError(o.Subject, "is probed at another instance", jitter(probeRetryAfter))
+	case o.Wait > 0:
+		return x.suspectError(o.Subject, "has crashed targets and was just probed", o.Wait)
 	default:
-		return x.suspectError(o.Subject, "has crashed targets and is being probed by another request")
+		return x.suspectError(o.Subject, "has crashed targets and is being probed by another request", jitter(probeRetryAfter))
 	}
 }
 
@@ -81,10 +83,10 @@
 	return x.subjectError(e.Ends().Sub(now), "%s has crashed %d targets", describeSubject(e.Subject), len(e.Crashes))
 }
 
-func (x *exchange) suspectError(subject, reason string) error {
+func (x *exchange) suspectError(subject, reason string, retryAfter time.Duration) error {
 	x.g.metrics.quarantineRefusals.Inc(1)
 	x.quarantinedSubject = subject
-	return x.subjectError(jitter(probeRetryAfter), "%s %s", describeSubject(subject), reason)
+	return x.subjectError(retryAfter, "%s %s", describeSubject(subject), reason)
 }
 
 func describeSubject(subject string) string {
--- a/gateway/crashguard/guard.go
+++ b/gateway/crashguard/guard.go
@@ -31,13 +31,15 @@
 
 	mu sync.Mutex
 	// probes holds the request that may send a suspect to a target, by subject.
-	probes     map[string]*Admission
+	probes map[string]*Admission
+	// paces holds when a subject that only one instance probes may be probed again.
+	paces      map[string]pace
 	inProgress map[*Admission]bool
 }
 
 // NewGuard returns a guard that keeps nothing away.
 func NewGuard() *Guard {
-	g := &Guard{parts: newTracker(), requests: newTracker(), probes: map[string]*Admission{}, inProgress: map[*Admission]bool{}}
+	g := &Guard{parts: newTracker(), requests: newTracker(), probes: map[string]*Admission{}, paces: map[string]pace{}, inProgress: map[*Admission]bool{}}
 	g.view.Store(&View{})
 	return g
 }
@@ -98,6 +100,57 @@
 	Entry *quarantine.Entry
 	// AtOtherInstance is set if only another instance may probe it.
 	AtOtherInstance bool
+	// Wait is how long it must not be probed, if it was just probed.
+	Wait time.Duration
+}
+
+const (
+	// firstProbePause is the pause after a probe of a subject that only one instance
+	// probes. It doubles with each probe: one that a target refuses tells nothing, and
+	// yet counts as a request that the target got.
+	firstProbePause = 2 * time.Second
+	// maxPaces limits the subjects whose pauses are remembered.
+	maxPaces = 256
+)
+
+// pace is when a subject may be probed again, and the pause after that.
+type pace struct {
+	next  time.Time
+	pause time.Duration
+}
+
+// RecordSent records that the request is about to be sent to a target.
+func (a *Admission) RecordSent(now time.Time) {
+	v, g := a.guard.View(), a.guard
+	for _, subject := range a.Subjects() {
+		if !v.isProbedOnce(subject, now) {
+			continue
+		}
+		g.mu.Lock()
+		p, known := g.paces[subject]
+		if !known && len(g.paces) >= maxPaces {
+			clear(g.paces)
+		}
+		p.pause = max(firstProbePause, 2*p.pause)
+		p.next = now.Add(p.pause)
+		g.paces[subject] = p
+		g.mu.Unlock()
+	}
+}
+
+// isProbedOnce reports whether only one instance may probe the subject.
+func (v *View) isProbedOnce(subject string, now time.Time) bool {
+	if e, decided := v.Entries[subject]; decided && e.Phase(now) == quarantine.HalfOpen {
+		return true
+	}
+	return quarantine.IsRequest(subject) && v.CrashCounts[subject] >= quarantine.OwnerCrashes
+}
+
+// probeWait returns how long the subject must not be probed.
+func (g *Guard) probeWait(subject string, now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(0, g.paces[subject].next.Sub(now))
 }
 
 // Check returns why the request must not be sent to a target now, or nil. isProber
@@ -110,14 +163,15 @@
 		if decided {
 			phase = e.Phase(now)
 		}
-		crashes := v.CrashCounts[subject]
-		oneInstance := phase == quarantine.HalfOpen || quarantine.IsRequest(subject) && crashes >= quarantine.OwnerCrashes
+		oneInstance := v.isProbedOnce(subject, now)
 		switch {
 		case phase == quarantine.Quarantined:
 			return &Obstacle{Subject: subject, Entry: &e}
 		case oneInstance && !isProber(subject):
 			return &Obstacle{Subject: subject, AtOtherInstance: true}
-		case (oneInstance || crashes >= quarantine.ProbeCrashes) && !a.beginProbe(subject):
+		case oneInstance && a.guard.probeWait(subject, now) > 0:
+			return &Obstacle{Subject: subject, Wait: a.guard.probeWait(subject, now)}
+		case (oneInstance || v.CrashCounts[subject] >= quarantine.ProbeCrashes) && !a.beginProbe(subject):
 			return &Obstacle{Subject: subject}
 		}
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -241,6 +241,7 @@
 		return nil, err
 	}
 	x.triedTargets[t.ID] = true
+	x.admission.RecordSent(now)
 	if x.firstSentAt.IsZero() {
 		x.firstSentAt = now
 	}
--- a/routing/quarantine/decide.go
+++ b/routing/quarantine/decide.go
@@ -204,7 +204,8 @@
 
 // CrashCounts returns the number of crashes that count against each subject with
 // which no request has completed since, but for parts that completed lately and for
-// first parts of many prompts.
+// first parts of many prompts. From OwnerCrashes on, those of a request count
+// although a culprit explains them: it may be a second one that was beside the first.
 func (l *Ledger) CrashCounts(now time.Time, frequency Frequency) map[string]int {
 	counts := map[string]int{}
 	for subject, s := range l.crashRecords(now) {
@@ -212,6 +213,25 @@
 			counts[subject] = len(s.crashes)
 		}
 	}
+	for subject, n := range l.crashesOfRequests() {
+		if n >= OwnerCrashes {
+			counts[subject] = n
+		}
+	}
+	return counts
+}
+
+// crashesOfRequests returns the number of crashes of each request since it was
+// cleared.
+func (l *Ledger) crashesOfRequests() map[string]int {
+	counts := map[string]int{}
+	for _, c := range l.crashes {
+		for subject := range c.suspects {
+			if IsRequest(subject) && c.at.After(l.clearedAt(subject)) {
+				counts[subject]++
+			}
+		}
+	}
 	return counts
 }
 
--- a/routing/quarantine/request_test.go
+++ b/routing/quarantine/request_test.go
@@ -104,6 +104,22 @@
 	require.Len(t, l.Decide(at(9), "a", usual), 1, "two requests that always come together crash targets for ever")
 }
 
+// Guards against a request that is probed by all instances again, since a culprit that
+// was beside it explains one of its three crashes.
+func TestExplainedCrashesOfRequestLimitItsProbes(t *testing.T) {
+	l := New()
+	crashOf(l, 1, flight{"bad0", nil}, flight{"bad1", nil})
+	for k := range 2 {
+		crashOf(l, 2+float64(k), flight{"bad0", nil})
+		crashOf(l, 2.5+float64(k), flight{"bad1", nil})
+	}
+	crashOf(l, 5, flight{"bad0", nil})
+	require.Equal(t, culprit("bad0"), parts(l.Decide(at(6), "a", usual)))
+	require.Equal(t, OwnerCrashes, l.CrashCounts(at(6), usual)[RequestSubject("bad1")])
+	l.RecordCompletion(RequestSubject("bad1"), at(7))
+	require.Empty(t, l.CrashCounts(at(8), usual))
+}
+
 // Guards against a frequent request that is quarantined for one failure of all
 // targets, and against one that once completed and crashes targets since.
 func TestRequestThatCompletedBeforeNeedsTwoMoments(t *testing.T) {
