--- a/routing/quarantine/decide.go
+++ b/routing/quarantine/decide.go
@@ -11,10 +11,11 @@
 	// newPartCrashes is how many crashes are needed to quarantine a part with
 	// which no request has completed lately.
 	newPartCrashes = 3
-	// newPartWeight is the least weight of these crashes. A crash counts fully if
-	// the part was in progress at all crashes within sameFailureGap, and less if it was
+	// minCrashWeight is the least weight of the crashes of a new part, or of a
+	// request. A crash counts fully if
+	// it was in progress at all crashes within sameFailureGap, and less if it was
 	// not: a failure that ends many targets at once finds any part at some of them.
-	newPartWeight  = 2.5
+	minCrashWeight  = 2.5
 	sameFailureGap = 100 * time.Millisecond
 	// changedPartCrashes is how many crashes are needed, without a completion in
 	// between, for a part with which requests have completed before. They must
@@ -63,178 +64,6 @@
 // Frequency returns the share of the recent requests that have a part, 0 to 1.
 type Frequency func(part string) float64
 
-// crashRecord holds the crashes that count against a subject.
-type crashRecord struct {
-	subject string
-	depth   int
-	// crashes since the last completion, by time.
-	crashes []CrashID
-	times   []time.Time
-	// byRequest counts, for a part, the crashes at which each request with it was
-	// in progress.
-	byRequest map[string]int
-	// isNew is set if no request with the subject has completed lately.
-	isNew bool
-	// weight is the number of crashes, as newPartWeight counts them.
-	weight float64
-}
-
-// unexplained is a crash with the subjects that are known to crash targets and
-// were in progress at it.
-type unexplained struct {
-	id CrashID
-	*crash
-	culprits []string
-}
-
-// counts reports whether the crash counts against a subject. It does not if a
-// culprit explains it.
-func (c *unexplained) counts(subject string) bool {
-	return !slices.ContainsFunc(c.culprits, func(culprit string) bool { return c.isExplained(subject, culprit) })
-}
-
-// isExplained reports whether a culprit explains the crash in place of a subject. A
-// request does not for the parts of its own prompt: one of these may be why the
-// request crashes targets. A part does not for requests: if it is a false positive,
-// requests that crash targets would hide behind it.
-func (c *unexplained) isExplained(subject, culprit string) bool {
-	if IsRequest(subject) {
-		return IsRequest(culprit)
-	}
-	known := c.suspects[subject]
-	return !IsRequest(culprit) || known == nil || !known.requests[culprit]
-}
-
-func (l *Ledger) crashesWithCulprits(now time.Time) []unexplained {
-	found := make([]unexplained, 0, len(l.crashes))
-	for id, c := range l.crashes {
-		u := unexplained{id: id, crash: c}
-		for subject, e := range l.entries {
-			if c.has(subject) && e.Phase(now) != Cleared {
-				u.culprits = append(u.culprits, subject)
-			}
-		}
-		found = append(found, u)
-	}
-	return found
-}
-
-// crashRecords returns the crashes that count against all subjects.
-func (l *Ledger) crashRecords(now time.Time) map[string]*crashRecord {
-	found := map[string]*crashRecord{}
-	crashes := l.crashesWithCulprits(now)
-	for _, c := range crashes {
-		for subject, known := range c.suspects {
-			if c.at.After(l.clearedAt(subject)) && c.counts(subject) {
-				l.recordOf(found, subject).add(c, known)
-			}
-		}
-	}
-	for _, s := range found {
-		for _, at := range s.times {
-			s.weight += float64(countNear(s.times, at)) / float64(crashesNear(crashes, s.subject, at))
-		}
-	}
-	return found
-}
-
-func (l *Ledger) recordOf(found map[string]*crashRecord, subject string) *crashRecord {
-	s := found[subject]
-	if s == nil {
-		_, completed := l.completed[subject]
-		s = &crashRecord{subject: subject, isNew: !completed, byRequest: map[string]int{}}
-		found[subject] = s
-	}
-	return s
-}
-
-func (s *crashRecord) add(c unexplained, known *inProgress) {
-	s.depth = max(s.depth, known.depth)
-	s.crashes, s.times = append(s.crashes, c.id), append(s.times, c.at)
-	for request := range known.requests {
-		s.byRequest[request]++
-	}
-}
-
-// otherRequests returns the number of crashes of a part at which the request with it
-// that was at most crashes was not in progress.
-func (s *crashRecord) otherRequests() int {
-	most := 0
-	for _, n := range s.byRequest {
-		most = max(most, n)
-	}
-	return len(s.crashes) - most
-}
-
-// crashesNear returns the number of crashes within sameFailureGap that count
-// against a subject, or would if it had been in progress.
-func crashesNear(crashes []unexplained, subject string, at time.Time) int {
-	n := 0
-	for _, c := range crashes {
-		if c.at.Sub(at).Abs() < sameFailureGap && c.counts(subject) {
-			n++
-		}
-	}
-	return n
-}
-
-func countNear(times []time.Time, at time.Time) int {
-	n := 0
-	for _, other := range times {
-		if other.Sub(at).Abs() < sameFailureGap {
-			n++
-		}
-	}
-	return n
-}
-
-// clearedAt returns the time up to which crashes do not count against a subject.
-func (l *Ledger) clearedAt(subject string) time.Time {
-	at := l.completed[subject]
-	if e := l.entries[subject]; e != nil && e.At.After(at) {
-		at = e.At
-	}
-	return at
-}
-
-// isFrequentFirst reports whether the part is the first one of many prompts.
-func (s *crashRecord) isFrequentFirst(frequency Frequency) bool {
-	return s.depth == 0 && !IsRequest(s.subject) && frequency(s.subject) > changedPartMaxShare
-}
-
-// CrashCounts returns the number of crashes that count against each subject with
-// which no request has completed since, but for parts that completed lately and for
-// first parts of many prompts. From OwnerCrashes on, those of a request count
-// although a culprit explains them: it may be a second one that was beside the first.
-func (l *Ledger) CrashCounts(now time.Time, frequency Frequency) map[string]int {
-	counts := map[string]int{}
-	for subject, s := range l.crashRecords(now) {
-		if IsRequest(subject) || s.isNew && !s.isFrequentFirst(frequency) {
-			counts[subject] = len(s.crashes)
-		}
-	}
-	for subject, n := range l.crashesOfRequests() {
-		if n >= OwnerCrashes {
-			counts[subject] = n
-		}
-	}
-	return counts
-}
-
-// crashesOfRequests returns the number of crashes of each request since it was
-// cleared.
-func (l *Ledger) crashesOfRequests() map[string]int {
-	counts := map[string]int{}
-	for _, c := range l.crashes {
-		for subject := range c.suspects {
-			if IsRequest(subject) && c.at.After(l.clearedAt(subject)) {
-				counts[subject]++
-			}
-		}
-	}
-	return counts
-}
-
 // Decide quarantines the subjects against which the crashes suffice, ends the
 // probes that have a result, and returns the new decisions.
 func (l *Ledger) Decide(now time.Time, by string, frequency Frequency) []Entry {
@@ -297,37 +126,6 @@
 	return l.decide(e)
 }
 
-// requestCulprit returns the request that was in progress at the most crashes. Of
-// requests that were always in progress together, none is chosen before
-// ambiguousCrashes: until then they are probed one by one.
-func requestCulprit(found map[string]*crashRecord, now time.Time) *crashRecord {
-	var requests []*crashRecord
-	for _, s := range found {
-		if IsRequest(s.subject) {
-			requests = append(requests, s)
-		}
-	}
-	slices.SortFunc(requests, func(a, b *crashRecord) int {
-		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.subject, b.subject))
-	})
-	for _, s := range requests {
-		isCulprit := len(s.crashes) >= requestCrashes && s.weight >= newPartWeight && s.isSettled(requestCrashes, now) &&
-			(s.isNew || s.moments() >= changedRequestMoments)
-		if isCulprit && (len(s.crashes) >= ambiguousCrashes || !s.isAmbiguous(requests)) {
-			return s
-		}
-	}
-	return nil
-}
-
-// isAmbiguous reports whether another request was in progress at all crashes of
-// this one.
-func (s *crashRecord) isAmbiguous(requests []*crashRecord) bool {
-	return slices.ContainsFunc(requests, func(other *crashRecord) bool {
-		return other != s && !slices.ContainsFunc(s.crashes, func(id CrashID) bool { return !slices.Contains(other.crashes, id) })
-	})
-}
-
 // newCulprit returns the part that was in progress at the most crashes, if no
 // request with it has completed lately. Parts that always come with the culprit
 // were in progress at the same crashes. One of them is enough to keep those
@@ -337,7 +135,7 @@
 	var tied []*crashRecord
 	most := newPartCrashes
 	for _, s := range found {
-		if IsRequest(s.subject) || !s.isNew || len(s.crashes) < most || s.weight < newPartWeight || !s.isSettled(newPartCrashes, now) {
+		if IsRequest(s.subject) || !s.isNew || len(s.crashes) < most || s.weight < minCrashWeight || !s.isSettled(newPartCrashes, now) {
 			continue
 		}
 		if s.otherRequests() < otherRequestCrashes {
