--- a/routing/quarantine/decide.go
+++ b/routing/quarantine/decide.go
@@ -12,10 +12,10 @@
 	// which no request has completed lately.
 	newPartCrashes = 3
 	// minCrashWeight is the least weight of the crashes of a new part, or of a
-	// request. A crash counts fully if
-	// it was in progress at all crashes within sameFailureGap, and less if it was
-	// not: a failure that ends many targets at once finds any part at some of them.
-	minCrashWeight  = 2.5
+	// request. A crash counts fully if it was in progress at all crashes within
+	// sameFailureGap, and less if it was not: a failure that ends many targets at
+	// once finds any part at some of them.
+	minCrashWeight = 2.5
 	sameFailureGap = 100 * time.Millisecond
 	// changedPartCrashes is how many crashes are needed, without a completion in
 	// between, for a part with which requests have completed before. They must
