--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -82,10 +82,7 @@
 	req := &upstream.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: x.forwardHeader(t, lastEventID),
 		Body: x.body, HasBody: x.hasBody,
-		Matches: func(status int, h http.Header) bool {
-			m := x.g.headers.Response(status, h)
-			return m.ID == x.meta.ID || m.ID == "" && m.NotRun
-		},
+		Attribute: x.attribute,
 	}
 	sentAt := time.Now()
 	resp, err := t.pool.Do(ctx, req)
@@ -103,6 +100,21 @@
 	return x.classify(t, resp, sentAt)
 }
 
+// attribute tells whether a response belongs to the request. A refusal may lack the
+// id; on a connection that was used before, it may also be an earlier one that the
+// target has written once more while it runs the request.
+func (x *exchange) attribute(status int, h http.Header, reused bool) upstream.Attribution {
+	m := x.g.headers.Response(status, h)
+	switch {
+	case m.ID == "" && m.NotRun && reused:
+		return upstream.Unknown
+	case m.ID == x.meta.ID || m.ID == "" && m.NotRun:
+		return upstream.Own
+	default:
+		return upstream.Foreign
+	}
+}
+
 // classify determines the verdict of an attempt from the status and headers of
 // the response.
 func (x *exchange) classify(t *target, resp *upstream.Response, sentAt time.Time) attemptResult {
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -50,7 +50,9 @@
 	// response is complete. It applies while readingHead is set.
 	headRemaining int
 	readingHead   bool
-	firstByte     chan error // receives nil or an error once a byte arrives or reading fails
+	// reused is set once a request has got its response on the connection.
+	reused    bool
+	firstByte chan error // receives nil or an error once a byte arrives or reading fails
 }
 
 func dial(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
--- a/gateway/upstream/head_test.go
+++ b/gateway/upstream/head_test.go
@@ -95,7 +95,7 @@
 				}()
 				start := time.Now()
 				conn := newConn(ours)
-				_, _, err := conn.roundTrip(&Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(int, http.Header) bool { return false }})
+				_, _, err := conn.roundTrip(&Request{Method: http.MethodGet, Target: "/", Host: "h", Attribute: func(int, http.Header, bool) Attribution { return Foreign }})
 				require.ErrorContains(t, err, "another request")
 				require.LessOrEqual(t, time.Since(start), strayTimeout)
 				require.NoError(t, conn.Close())
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -31,6 +31,10 @@
 	// which a request is sent to a second target.
 	maxStrayBytes = 1 << 20
 	strayTimeout  = 500 * time.Millisecond
+	// ownResponseTimeout limits the wait for the next response after one that cannot be
+	// attributed. That one may have been the response to this request, so that no
+	// other follows.
+	ownResponseTimeout = time.Second
 	// maxInformational limits the informational responses (1xx) that precede a
 	// response.
 	maxInformational = 10
@@ -64,11 +68,24 @@
 	Body   []byte
 	// HasBody is set if the caller sent a body, which may be empty.
 	HasBody bool
-	// Matches reports whether a response belongs to this request. If it is nil,
-	// every response does.
-	Matches func(status int, h http.Header) bool
+	// Attribute tells whether a response belongs to this request. reused is set if an
+	// earlier request was sent on the same connection. If Attribute is nil, every
+	// response belongs to this request.
+	Attribute func(status int, h http.Header, reused bool) Attribution
 }
 
+// Attribution tells to which request a response belongs.
+type Attribution uint8
+
+const (
+	// Own means that the response belongs to the request that was sent last.
+	Own Attribution = iota
+	// Foreign means that it belongs to another request.
+	Foreign
+	// Unknown means that it may belong to this request or to an earlier one.
+	Unknown
+)
+
 // Response is a response whose body has not been read yet. The user must call
 // Finish or Close.
 type Response struct {
@@ -135,8 +152,14 @@
 	return nil
 }
 
-// release keeps a connection whose response was read to its end.
+// release keeps a connection whose response was read to its end, unless the target
+// has sent more than that.
 func (p *Pool) release(c *conn, keep time.Duration) {
+	if c.reader.Buffered() > 0 {
+		_ = c.Close()
+		return
+	}
+	c.reused = true
 	_ = c.SetReadDeadline(time.Time{})
 	c.awaitFirstByte()
 	p.keep(c, keep)
@@ -207,12 +230,19 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		if r.Matches == nil || r.Matches(resp.StatusCode, resp.Header) {
+		attribution := Own
+		if r.Attribute != nil {
+			attribution = r.Attribute(resp.StatusCode, resp.Header, c.reused)
+		}
+		if attribution == Own {
 			return resp, written, nil
 		}
 		if err := c.skipBody(resp); err != nil {
 			return nil, nil, err
 		}
+		if attribution == Unknown {
+			_ = c.SetReadDeadline(time.Now().Add(ownResponseTimeout))
+		}
 		c.awaitFirstByte()
 	}
 	return nil, nil, errors.New("too many responses to other requests")
