--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/gateway/sse"
+	"github.com/skylarkstep/skylarkstep/gateway/upstream"
 )
 
 const (
@@ -72,11 +74,12 @@
 	defer cancel()
 	res := x.sendStream(ctx, cancel, t, events.LastID())
 	switch {
+	case res.verdict == succeeded && *headerSent && !x.continuesStream(res.resp):
+		res.resp.Close()
+		res.verdict = lost
+		res.err = errors.Errorf("target %s resumed a stream with status %d and content type %q", t.ID, res.resp.StatusCode, mediaType(res.resp.Header))
 	case res.verdict == succeeded && res.hasEvents():
 		res = x.relay(ctx, res, startedAt, events, headerSent)
-	case res.verdict == succeeded && *headerSent:
-		res.resp.Close()
-		res.verdict, res.err = lost, errors.Errorf("target %s resumed a stream with status %d", t.ID, res.resp.StatusCode)
 	case res.verdict == succeeded || res.verdict == failed:
 		res = readResponseBody(ctx, res)
 	}
@@ -96,6 +99,23 @@
 // events. Redirects and errors have other bodies.
 func (r *attemptResult) hasEvents() bool { return r.resp.StatusCode < http.StatusMultipleChoices }
 
+// continuesStream reports whether a response can continue the stream that was begun.
+// A target may describe its failure in a response with status 200, whose text would
+// reach the caller as an event.
+func (x *exchange) continuesStream(resp *upstream.Response) bool {
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return false
+	}
+	begun := mediaType(x.w.Header())
+	return begun == "" || begun == mediaType(resp.Header)
+}
+
+// mediaType returns the content type without its parameters, or "" if there is none.
+func mediaType(h http.Header) string {
+	value, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(value))
+}
+
 // streamFailure ends a stream whose attempts have failed. As long as nothing has
 // been sent to the caller, a target's own error response takes precedence.
 func (x *exchange) streamFailure(headerSent bool, lastFailed *attemptResult, err error) error {
@@ -281,14 +301,20 @@
 	}
 }
 
+// beginStream writes the headers of the first response.
+func (x *exchange) beginStream(res attemptResult, headerSent *bool) {
+	if *headerSent {
+		return
+	}
+	*headerSent = true
+	x.copyHeader(res.resp)
+	x.w.WriteHeader(res.resp.StatusCode)
+}
+
 // writeEvents writes complete events to the caller. The headers of the first
 // response precede them.
 func (x *exchange) writeEvents(res attemptResult, out []byte, headerSent *bool) error {
-	if !*headerSent {
-		*headerSent = true
-		x.copyHeader(res.resp)
-		x.w.WriteHeader(res.resp.StatusCode)
-	}
+	x.beginStream(res, headerSent)
 	if err := x.write(out); err != nil {
 		return errCallerNotReading
 	}
@@ -306,11 +332,7 @@
 		res.target.recordOutcome(true)
 		return res.lostWith(errors.Wrapf(err, "stream of target %s was interrupted after event %q", res.target.ID, events.LastID()))
 	}
-	if !*headerSent {
-		*headerSent = true
-		x.copyHeader(res.resp)
-		x.w.WriteHeader(res.resp.StatusCode)
-	}
+	x.beginStream(res, headerSent)
 	res.resp.Finish()
 	return res
 }
