ranks: a switch holds a step ahead by time and not by a number of steps

Cause: a switch held the fourth step after the last one begun. Steps of 50 ms become 190 ms behind an outdated map and a second behind a slow rank, so that the next map came 0.6 to 3.8 s after all ranks had been armed (log of: armed at 19.94 s, in use at 23.74 s), while the expert load shifts every 3 s: the group never had a map that fitted. Ruled out: the time for arming, 5 to 20 ms in each switch of that log. Change: the lead is 60 ms, half a second while orders get lost, in steps of the pace that the coordinator sees.

--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -20,12 +20,6 @@
 	// and switchRoundInterval the pause during a switch.
 	roundInterval       = 150 * time.Millisecond
 	switchRoundInterval = 10 * time.Millisecond
-	// holdLeadSteps is the number of lead steps: the steps between the last one
-	// begun and the held one. A step that is too close may begin before the
-	// order arrives. lossyLeadSteps leaves more time for orders that must be
-	// sent again.
-	holdLeadSteps  = 4
-	lossyLeadSteps = 10
 	// prepareRetryInterval is the time that a rank has for copying experts
 	// before the prepare order is sent again.
 	prepareRetryInterval = 1500 * time.Millisecond
@@ -75,6 +69,7 @@
 	supersededFencing uint64
 	lastPrepare       map[int]sentPrepare
 	phase             switchover.Phase
+	pace              stepPace
 	// stepHeld is set while the group may be kept from beginning a step, or some
 	// ranks are armed and others are not. stopping is set when no new switch may
 	// be started.
@@ -133,10 +128,7 @@
 	c.reportSlowRanks()
 	c.updateCurrentMap(reports, states)
 	c.replan(states, now)
-	c.plan.LeadSteps = holdLeadSteps
-	if now.Before(c.lossyUntil) {
-		c.plan.LeadSteps = lossyLeadSteps
-	}
+	c.observePace(states, now)
 	phase := c.advanceSwitch(ctx, states, now)
 	switch phase {
 	case switchover.Settled, switchover.Unready:
@@ -148,6 +140,25 @@
 	}
 }
 
+// observePace records the progress of the group, and sets how far ahead the next
+// switch holds a step.
+func (c *coordinator) observePace(states []switchover.State, now time.Time) {
+	step, epoch := uint64(0), uint64(0)
+	for _, s := range states {
+		if s.Reported {
+			step, epoch = max(step, s.Step), max(epoch, s.Epoch)
+		}
+	}
+	if epoch > 0 {
+		c.pace.observe(epoch, step, now)
+	}
+	lead := leadTime
+	if now.Before(c.lossyUntil) {
+		lead = lossyLeadTime
+	}
+	c.plan.LeadSteps = c.pace.leadSteps(lead)
+}
+
 // reportSlowRanks calls onSlowRanks if the slow ranks or their slowdown factors
 // have changed. Slow ranks should get fewer requests, since every forward pass
 // of the group waits for the slowest rank.
