gateway, routing: the crash of a rank keeps new requests from its group at once, and callers return when it may be back

Cause: gateways learned the state of a group target by target, from refusals. Retry-After was a fixed share of the caller's time. Change: agents' records tell which targets are ranks of one group. After a crash that any instance reports, a back end without another group is in an outage: no request is sent before the other ranks can have noticed, then single probes, faster once a target has taken the place. With other groups only this one is paused. A response to a later request ends the outage, so that a false report does no harm. Retry-After is the expected end of the outage, learned from former ones, and spread over what the group can take; who can wait until then waits.

--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -52,7 +52,7 @@
 		TakeOver: func(t gateway.Term) bool { return coordinators.TakeOver(ranks.Term(t)) },
 		Instance: s.Instance, Process: process, DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions,
 		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, AddressTTL: addressListMaxAge,
-		Limits: gatewayLimits(s), KV: store,
+		Limits: gatewayLimits(s), KV: store, DecodeRank: ranks.DecodeRank,
 		ItemDecoder: platform.Records{}, Headers: platform.Headers{}, Log: log, Registry: registry,
 	})
 	closeServers, err := serveAll(log, map[string]http.Handler{
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -145,7 +145,7 @@
 	default:
 		res.verdict = succeeded
 		if x.route.Kind != routing.Stream {
-			x.g.queues.forBackend(x.backend).recordResponse(time.Now(), false)
+			x.g.queues.forBackend(x.backend).recordResponse(sentAt, time.Now(), false)
 		}
 	}
 	return res
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -53,6 +53,7 @@
 	restoreState
 	crashes *crashguard.Owner
 	crashExchange
+	groups rankGroups
 
 	// confirmedAt is when the cached copy was last known to be up to date.
 	confirmedAt    time.Time
@@ -86,9 +87,9 @@
 	c := &control{
 		g: g, log: g.log, inbox: make(chan func(), 256), ended: make(chan struct{}), mirror: mirror.New(),
 		targets: map[string]*target{}, expired: map[string]time.Time{}, peers: newPeerTable(),
-		slowdownsByGroup: map[string]map[string]float64{}, restoreState: newRestoreState(),
+		slowdownsByGroup: map[string]map[string]float64{}, restoreState: newRestoreState(), groups: newRankGroups(),
 	}
-	c.crashes = crashguard.NewOwner(crashguard.Options{Instance: g.id, Guard: g.guard, Log: g.log, Registry: g.opts.Registry, Changed: c.sendReports})
+	c.crashes = crashguard.NewOwner(crashguard.Options{Instance: g.id, Guard: g.guard, Log: g.log, Registry: g.opts.Registry, Changed: c.sendReports, Crashed: c.targetCrashed})
 	return c
 }
 
@@ -255,6 +256,8 @@
 				c.needsPublish = true
 			} else if isQuarantineKey(key) && exists {
 				c.mergeRecord(it, now)
+			} else {
+				c.applyRankRecord(key, it.Value, exists)
 			}
 		}
 	}
@@ -298,6 +301,7 @@
 		c.removeTarget(id, "new incarnation")
 		current = newTarget(entry)
 		c.targets[id] = current
+		c.g.queues.recordTarget(entry.Backend)
 		c.log.Info("target appeared", "target", id, "back_end", entry.Backend, "addr", entry.Addr, "data_centre", entry.DataCentre,
 			"cold_ms", entry.WarmUpRemaining.Milliseconds(), "leaving", entry.Leaving, "source", source)
 	} else if current.Leaving != entry.Leaving {
--- a/gateway/crashguard/owner.go
+++ b/gateway/crashguard/owner.go
@@ -35,6 +35,9 @@
 	Registry metrics.Registry
 	// Changed is called when there is something that other instances may not know.
 	Changed func(now time.Time)
+	// Crashed is called when a target has just crashed, whichever instance has
+	// noticed it. It may be nil.
+	Crashed func(id quarantine.CrashID, now time.Time)
 }
 
 // Owner holds the crash reports that an instance knows of, and decides by them.
@@ -59,6 +62,7 @@
 // RecordCrash records that a target has crashed while it began to work on
 // requests of this instance.
 func (o *Owner) RecordCrash(id quarantine.CrashID, suspects []quarantine.Suspect, now time.Time) {
+	o.notify(id, now)
 	isNew := o.ledger.RecordCrash(quarantine.Crash{ID: id, At: now, Suspects: suspects, Reporters: []string{o.Instance}})
 	if !isNew {
 		return
@@ -68,6 +72,17 @@
 	o.reportsChanged(now)
 }
 
+// recentCrash is the age up to which a crash that another instance reports counts as
+// one that has just happened.
+const recentCrash = time.Second
+
+// notify calls Crashed for a crash that is not known yet.
+func (o *Owner) notify(id quarantine.CrashID, now time.Time) {
+	if o.Crashed != nil && !o.ledger.Knows(id) {
+		o.Crashed(id, now)
+	}
+}
+
 func (o *Owner) crashCounts(now time.Time) map[string]int {
 	return o.ledger.CrashCounts(now, o.Guard.Frequency)
 }
@@ -145,6 +160,11 @@
 
 // Merge adds the crash reports of another instance, or of the store.
 func (o *Owner) Merge(s quarantine.State, source string, now time.Time) {
+	for _, c := range s.Crashes {
+		if c.Age < recentCrash {
+			o.notify(c.ID, now)
+		}
+	}
 	known := len(o.ledger.Entries())
 	if !o.ledger.Merge(s, now) {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,10 @@
 	// another instance. It may be nil.
 	TakeOver func(Term) bool
 
+	// DecodeRank decodes the record of a rank: the address at which it receives
+	// requests, and its group. It returns false for other items, and may be nil.
+	DecodeRank func(key string, value []byte) (addr, group string, ok bool)
+
 	KV          infra.KV
 	ItemDecoder ItemDecoder
 	Headers     Headers
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -328,6 +328,9 @@
 	if until := q.allRestUntil(func(*target) bool { return true }, now); !until.IsZero() {
 		return until.Sub(now)
 	}
+	if remaining, ok := q.outageRemaining(now); ok {
+		return remaining
+	}
 	if q.isDown(now) {
 		return jitter(time.Duration(outageRetryAfterShare * float64(x.deadline.Sub(now))))
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -208,6 +208,8 @@
 	// takeOver is called with the instance that a term is handed over to; it may
 	// be nil.
 	takeOver func(id string, t Term) bool
+	// decodeRank decodes the records of ranks; it may be nil.
+	decodeRank func(key string, value []byte) (addr, group string, ok bool)
 }
 
 func newDeployment(t *testing.T, cfg routing.Config, targets ...*fakeTarget) *deployment {
@@ -279,7 +281,7 @@
 		takeOver = func(t Term) bool { return d.takeOver(id, t) }
 	}
 	g := New(Options{
-		TakeOver: takeOver,
+		TakeOver: takeOver, DecodeRank: d.decodeRank,
 		Instance: id, DataCentre: "dc1", Region: "r1", Regions: map[string]string{"dc1": "r1"},
 		CallerAddr: callers.Addr().String(), PeerAddr: peers.Addr().String(), AddressTTL: time.Second,
 		Limits: Limits{MaxIsolatedStaleness: 6 * time.Second, StopTimeout: d.stopTimeout, Retries: routing.RetryLimits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}},
--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -28,7 +28,7 @@
 	o.recordProbe(now)
 	require.False(t, o.allowsRequest(now.Add(probeInterval/2)))
 	require.True(t, o.allowsRequest(now.Add(probeInterval)))
-	require.True(t, o.recordAccepted())
+	require.True(t, o.recordAccepted(now, now))
 	require.True(t, o.allowsRequest(now))
 	o.recordRefusal("a", 5, now)
 	require.False(t, o.isOngoing(now.Add(2*outageTimeout)), "an outage without further refusals ends")
@@ -91,3 +91,44 @@
 		require.NotPanics(t, func() { _ = g.queues.forBackend("b").outageError(remaining) })
 	}
 }
+
+// Guards against streams that are sent to the other ranks of a group after one has
+// crashed: they wait there until the others have noticed it, and are lost.
+func TestGroupLossBeginsOutageAtOnce(t *testing.T) {
+	var o outageDetector
+	now := time.Unix(0, 0)
+	require.True(t, o.recordGroupLoss(now))
+	require.False(t, o.recordGroupLoss(now), "another rank has crashed at the same time")
+	remaining, known := o.remaining(now)
+	require.True(t, known)
+	require.Positive(t, remaining)
+	require.False(t, o.recordAccepted(now.Add(-time.Second), now.Add(100*time.Millisecond)), "the group has sent this before the crash")
+	for at := time.Duration(0); at < groupProbeDelay; at += 100 * time.Millisecond {
+		require.False(t, o.allowsRequest(now.Add(at)), at)
+	}
+	probe := now.Add(groupProbeDelay)
+	require.True(t, o.allowsRequest(probe))
+	o.recordProbe(probe)
+	require.False(t, o.recordRefusal("a", 5, probe.Add(10*time.Millisecond)))
+	require.False(t, o.allowsRequest(probe.Add(probeInterval)), "no rank has taken the place of the crashed one")
+	o.recordReplacement()
+	require.True(t, o.allowsRequest(probe.Add(probeInterval)))
+	ready := probe.Add(time.Second)
+	require.True(t, o.recordAccepted(ready.Add(-50*time.Millisecond), ready))
+	require.False(t, o.isOngoing(ready))
+	_, known = o.remaining(ready)
+	require.True(t, known, "the length of the outage has been learned")
+}
+
+// Guards against a group that is shut out by one false report of a crash: what its
+// targets answer counts.
+func TestFalseGroupLossEnds(t *testing.T) {
+	var o outageDetector
+	now := time.Unix(0, 0)
+	o.recordGroupLoss(now)
+	later := now.Add(lateResponseTime + time.Millisecond)
+	require.True(t, o.recordAccepted(now.Add(-time.Second), later), "a stream of the group goes on")
+	require.True(t, o.allowsRequest(later))
+	o.recordGroupLoss(now)
+	require.False(t, o.isOngoing(now.Add(groupProbeDelay+outageTimeout+time.Millisecond)), "without refusals it ends by itself")
+}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -96,17 +96,17 @@
 // counts as idle.
 const activityGap = 300 * time.Millisecond
 
-// recordResponse records that a target of the back end has sent data.
-// newlyVerified is set if this has verified the target, which may then receive
-// more than one request.
-func (q *queue) recordResponse(now time.Time, newlyVerified bool) {
+// recordResponse records that a target of the back end has sent data for a request
+// that was sent at sentAt. newlyVerified is set if this has verified the target, which
+// may then receive more than one request.
+func (q *queue) recordResponse(sentAt, now time.Time, newlyVerified bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if now.Sub(q.lastByteAt) > activityGap {
 		q.activeSince = now
 	}
 	q.lastByteAt = now
-	q.recordAccepted(now)
+	q.recordAccepted(sentAt, now)
 	if newlyVerified {
 		q.grantSlots(now)
 	}
@@ -114,8 +114,8 @@
 
 // recordAccepted records that a target has accepted a request, which ends an
 // outage. The caller holds q.mu.
-func (q *queue) recordAccepted(now time.Time) {
-	if q.outage.recordAccepted() {
+func (q *queue) recordAccepted(sentAt, now time.Time) {
+	if q.outage.recordAccepted(sentAt, now) {
 		q.g.log.Info("back end serves again", "back_end", q.backend, "waiting", len(q.waiters))
 		q.grantSlots(now)
 	}
@@ -130,6 +130,24 @@
 	}
 }
 
+// recordGroupLoss records that the only rank group of the back end cannot serve, since
+// a rank has crashed. Waiters whose wait ends before the group can be back are rejected.
+func (q *queue) recordGroupLoss(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.outage.recordGroupLoss(now) {
+		remaining, _ := q.outage.remaining(now)
+		q.g.log.Warn("back end lost its rank group", "back_end", q.backend, "waiting", len(q.waiters), "expected_ms", remaining.Milliseconds())
+	}
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
+		err := q.outageRejection(&w.slotRequest, now)
+		if err != nil {
+			w.rejected <- err
+		}
+		return err != nil
+	})
+}
+
 // respondingSince returns since when the targets have sent data without a
 // pause, or the zero time if they are idle.
 func (q *queue) respondingSince(now time.Time) time.Time {
@@ -159,6 +177,19 @@
 	return q
 }
 
+// recordTarget records that a target of a back end has appeared.
+func (qs *queues) recordTarget(backend string) {
+	qs.mu.Lock()
+	q := qs.byBackend[backend]
+	qs.mu.Unlock()
+	if q == nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.outage.recordReplacement()
+}
+
 // grantAll assigns free slots of all back ends to waiters.
 func (qs *queues) grantAll() {
 	qs.mu.Lock()
@@ -233,8 +264,13 @@
 	if i := slices.Index(q.waiters, w); i >= 0 {
 		q.waiters = slices.Delete(q.waiters, i, i+1)
 	}
-	if ctx.Err() != nil {
+	now := time.Now()
+	remaining, known := q.outage.remaining(now)
+	switch {
+	case ctx.Err() != nil:
 		return nil, errkind.Wrap(ctx.Err(), errkind.Canceled, "canceled while queued")
+	case known && q.outage.isOngoing(now):
+		return nil, q.outageError(q.returnAfterOutage(remaining))
 	}
 	return nil, q.overloadedError()
 }
@@ -278,7 +314,7 @@
 		return nil // waits for the end of the rest
 	}
 	if q.outage.isOngoing(now) {
-		return nil // waits for a short time: other requests probe the back end
+		return q.outageRejection(req, now)
 	}
 	if now.Add(q.estimateWait(q.waitersAhead(req.priority)+1, s)).After(req.waitUntil) {
 		return q.overloadedError()
@@ -339,10 +375,48 @@
 	return ongoing || !slices.ContainsFunc(q.g.snapshot.Load().targets[q.backend], func(t *target) bool { return !t.isPaused(now) })
 }
 
+// outageRemaining returns the Retry-After for a request that was refused in an outage
+// whose end can be foreseen.
+func (q *queue) outageRemaining(now time.Time) (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	remaining, known := q.outage.remaining(now)
+	if !known || !q.outage.isOngoing(now) {
+		return 0, false
+	}
+	return q.returnAfterOutage(remaining), true
+}
+
 // outageError returns the error for a request to a back end that refuses all
 // requests.
 func (q *queue) outageError(retryAfter time.Duration) error {
-	return errkind.New(errkind.NoTarget, "no target of back end %s accepts requests", q.backend).WithRetryAfter(jitter(retryAfter))
+	return errkind.New(errkind.NoTarget, "no target of back end %s accepts requests", q.backend).WithRetryAfter(retryAfter)
+}
+
+// outageRejection returns an error if a request would wait in vain for the end of an
+// outage. If the end cannot be foreseen, it waits for a short time, in which others
+// probe the back end. The caller holds q.mu.
+func (q *queue) outageRejection(req *slotRequest, now time.Time) error {
+	remaining, known := q.outage.remaining(now)
+	switch {
+	case !known && now.After(req.outageWaitUntil):
+		return q.outageError(jitter(req.outageRetryAfter))
+	case known && now.Add(remaining).After(req.waitUntil):
+		return q.outageError(q.returnAfterOutage(remaining))
+	}
+	return nil
+}
+
+// maxReturnSpread limits the time over which callers return after an outage.
+const maxReturnSpread = time.Second
+
+// returnAfterOutage returns the Retry-After for a request that is rejected during an
+// outage. Callers return one after the other, at the rate at which the targets can
+// take them. The caller holds q.mu.
+func (q *queue) returnAfterOutage(remaining time.Duration) time.Duration {
+	q.outage.deferred++
+	spread := min(maxReturnSpread, q.estimateWait(q.outage.deferred, q.g.snapshot.Load()))
+	return remaining + rand.N(max(1, spread))
 }
 
 // restError returns the error for a request all of whose targets rest for longer
@@ -380,12 +454,12 @@
 		}
 		return a.missedGoal(now) - b.missedGoal(now)
 	})
-	unavailable := q.outage.isOngoing(now) || len(q.g.snapshot.Load().targets[q.backend]) == 0
+	isEmpty := len(q.g.snapshot.Load().targets[q.backend]) == 0
 	remaining := q.waiters[:0]
 	for _, w := range q.waiters {
 		if t := q.assignTarget(&w.slotRequest, now); t != nil {
 			w.granted <- t
-		} else if err := q.earlyRejection(w, unavailable, now); err != nil {
+		} else if err := q.earlyRejection(w, isEmpty, now); err != nil {
 			w.rejected <- err
 		} else {
 			remaining = append(remaining, w)
@@ -396,10 +470,13 @@
 }
 
 // earlyRejection returns an error if a waiter cannot get a slot before its wait
-// ends. unavailable is set if no target of the back end accepts requests.
-func (q *queue) earlyRejection(w *waiter, unavailable bool, now time.Time) error {
-	if unavailable && now.After(w.outageWaitUntil) {
-		return q.outageError(w.outageRetryAfter)
+// ends. isEmpty is set if the back end has no target.
+func (q *queue) earlyRejection(w *waiter, isEmpty bool, now time.Time) error {
+	if isEmpty && now.After(w.outageWaitUntil) {
+		return q.outageError(jitter(w.outageRetryAfter))
+	}
+	if _, known := q.outage.remaining(now); q.outage.isOngoing(now) && !known && now.After(w.outageWaitUntil) {
+		return q.outageError(jitter(w.outageRetryAfter))
 	}
 	if until := q.allRestUntil(w.isAllowed, now); until.After(w.waitUntil) {
 		return q.restError(until.Sub(now))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -252,7 +252,7 @@
 		progress.lastEventAt = now
 		x.timing.recordEvent(now)
 		newlyVerified := res.target.recordResponse(now, progress.sentAt)
-		x.g.queues.forBackend(x.backend).recordResponse(now, newlyVerified)
+		x.g.queues.forBackend(x.backend).recordResponse(progress.sentAt, now, newlyVerified)
 	}
 	switch {
 	case !events.Incomplete():
--- a/ranks/links.go
+++ b/ranks/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -82,6 +83,16 @@
 
 const agentsPrefix = "skylarkstep/ranks/"
 
+// DecodeRank decodes the record of an agent: the address at which its rank receives
+// requests, and the group of the rank. It returns false for other items.
+func DecodeRank(key string, value []byte) (addr, group string, ok bool) {
+	var r agentRecord
+	if !strings.HasPrefix(key, agentsPrefix) || json.Unmarshal(value, &r) != nil {
+		return "", "", false
+	}
+	return r.RankAddr, r.Group, r.RankAddr != "" && r.Group != ""
+}
+
 func groupPrefix(group string) string { return agentsPrefix + group + "/" }
 
 // refreshRecords reads the agents' records if the last read is too long ago.
--- a/routing/quarantine/ledger.go
+++ b/routing/quarantine/ledger.go
@@ -227,6 +227,9 @@
 	return isNew
 }
 
+// Knows reports whether the crash was recorded before.
+func (l *Ledger) Knows(id CrashID) bool { return l.crashes[id] != nil }
+
 // addSuspect adds what is known of a subject. It reports whether that is new.
 func (c *crash) addSuspect(s Suspect) bool {
 	known := c.suspects[s.Subject]
