--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -42,13 +42,19 @@
 	}
 	x.fingerprint = r.Fingerprint()
 	parts := crashguard.SharedParts(x.meta.PromptParts)
-	x.admission = x.g.guard.Enter(parts, quarantine.RequestSubject(x.fingerprint), time.Now(), func(e quarantine.Entry) {
+	x.admission = x.g.guard.Enter(parts, quarantine.RequestSubject(x.fingerprint), x.stopsGroup(), time.Now(), func(e quarantine.Entry) {
 		x.quarantinedBy.Store(&e)
 		cancel()
 	})
 	return x.admission.Leave
 }
 
+// stopsGroup reports whether the targets of the back end form rank groups.
+func (x *exchange) stopsGroup() bool {
+	b := x.snapshot.table.Backend(x.backend)
+	return b != nil && b.Experts != nil
+}
+
 // admitSubjects returns an error if the request must not be sent to a target: it, or
 // a part of its prompt, crashes targets, or is suspected to and is being probed by
 // another request.
@@ -61,7 +67,7 @@
 	case o.AtOtherInstance:
 		return x.suspectError(o.Subject, "is probed at another instance", jitter(probeRetryAfter))
 	case o.Wait > 0:
-		return x.suspectError(o.Subject, "has crashed targets and was just probed", o.Wait)
+		return x.suspectError(o.Subject, "was in progress when a target crashed, or was just probed", o.Wait)
 	default:
 		return x.suspectError(o.Subject, "has crashed targets and is being probed by another request", jitter(probeRetryAfter))
 	}
--- a/gateway/crashguard/guard.go
+++ b/gateway/crashguard/guard.go
@@ -16,6 +16,9 @@
 	// CrashCounts holds the number of crashes of each suspect with which no
 	// request has completed.
 	CrashCounts map[string]int
+	// Uncleared holds the requests that were in progress at a crash and of which no
+	// repeat has completed, with the time of the latest such crash.
+	Uncleared map[string]time.Time
 	// Suspects holds the subjects that were in progress at a crash, and whether a
 	// completion would clear them.
 	Suspects map[string]bool
@@ -54,16 +57,19 @@
 	// request itself.
 	Parts   []string
 	Request string
-	cancel  func(quarantine.Entry)
+	// stopsGroup is set if the crash of a target stops all the targets of its group.
+	stopsGroup bool
+	cancel     func(quarantine.Entry)
 }
 
 // Enter counts a request and returns its admission. cancel is called if one of its
-// subjects is quarantined while it is in progress.
-func (g *Guard) Enter(parts []string, request string, now time.Time, cancel func(quarantine.Entry)) *Admission {
+// subjects is quarantined while it is in progress. stopsGroup tells that the crash of a
+// target would stop all the targets of its group.
+func (g *Guard) Enter(parts []string, request string, stopsGroup bool, now time.Time, cancel func(quarantine.Entry)) *Admission {
 	if len(parts) > 0 {
 		g.parts.recordRequest(parts, now)
 	}
-	a := &Admission{guard: g, Parts: parts, Request: request, cancel: cancel}
+	a := &Admission{guard: g, Parts: parts, Request: request, stopsGroup: stopsGroup, cancel: cancel}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inProgress[a] = true
@@ -100,10 +106,27 @@
 	Entry *quarantine.Entry
 	// AtOtherInstance is set if only another instance may probe it.
 	AtOtherInstance bool
-	// Wait is how long it must not be probed, if it was just probed.
+	// Wait is how long it must not be probed, if it was just probed or was in progress
+	// when a rank group lost a rank.
 	Wait time.Duration
 }
 
+// groupSuspicion is how long a request that was in progress when a target crashed is
+// kept from rank groups. A second crash would cost all requests of the group some
+// seconds, and a caller that repeats its request does so within less than this.
+const groupSuspicion = 30 * time.Second
+
+// suspicionWait returns how long the request must be kept from rank groups because it
+// was in progress at a crash. Of a request that has completed before, one crash says
+// little.
+func (a *Admission) suspicionWait(v *View, now time.Time) time.Duration {
+	crashedAt, uncleared := v.Uncleared[a.Request]
+	if !a.stopsGroup || !uncleared {
+		return 0
+	}
+	return max(0, groupSuspicion-now.Sub(crashedAt))
+}
+
 const (
 	// firstProbePause is the pause after a probe of a subject that only one instance
 	// probes. It doubles with each probe: one that a target refuses tells nothing, and
@@ -123,7 +146,7 @@
 func (a *Admission) RecordSent(now time.Time) {
 	v, g := a.guard.View(), a.guard
 	for _, subject := range a.Subjects() {
-		if !v.isProbedOnce(subject, now) {
+		if !a.isProbedOnce(v, subject, now) {
 			continue
 		}
 		g.mu.Lock()
@@ -139,7 +162,10 @@
 }
 
 // isProbedOnce reports whether only one instance may probe the subject.
-func (v *View) isProbedOnce(subject string, now time.Time) bool {
+func (a *Admission) isProbedOnce(v *View, subject string, now time.Time) bool {
+	if _, uncleared := v.Uncleared[subject]; uncleared && a.stopsGroup {
+		return true
+	}
 	if e, decided := v.Entries[subject]; decided && e.Phase(now) == quarantine.HalfOpen {
 		return true
 	}
@@ -157,13 +183,16 @@
 // reports whether this instance is the one that probes a subject if only one may.
 func (a *Admission) Check(now time.Time, isProber func(subject string) bool) *Obstacle {
 	v := a.guard.View()
+	if wait := a.suspicionWait(v, now); wait > 0 {
+		return &Obstacle{Subject: a.Request, Wait: wait}
+	}
 	for _, subject := range a.Subjects() {
 		e, decided := v.Entries[subject]
 		phase := quarantine.Cleared
 		if decided {
 			phase = e.Phase(now)
 		}
-		oneInstance := v.isProbedOnce(subject, now)
+		oneInstance := a.isProbedOnce(v, subject, now)
 		switch {
 		case phase == quarantine.Quarantined:
 			return &Obstacle{Subject: subject, Entry: &e}
@@ -195,6 +224,9 @@
 // crashes and no request with it has completed.
 func (a *Admission) HasSuspect() bool {
 	v := a.guard.View()
+	if _, uncleared := v.Uncleared[a.Request]; uncleared && a.stopsGroup {
+		return true
+	}
 	for _, subject := range a.Subjects() {
 		if _, decided := v.Entries[subject]; decided || v.CrashCounts[subject] >= quarantine.ProbeCrashes {
 			return true
--- a/gateway/crashguard/guard_test.go
+++ b/gateway/crashguard/guard_test.go
@@ -18,7 +18,7 @@
 	isProber := func(string) bool { return true }
 	sent := 0
 	for start := now; now.Sub(start) < 30*time.Second; now = now.Add(100 * time.Millisecond) {
-		a := g.Enter(nil, request, now, nil)
+		a := g.Enter(nil, request, false, now, nil)
 		if o := a.Check(now, isProber); o == nil {
 			a.RecordSent(now)
 			sent++
@@ -29,7 +29,7 @@
 		a.Leave()
 	}
 	require.Equal(t, 4, sent) // at 0, 2, 6 and 14 s
-	a := g.Enter(nil, request, now, nil)
+	a := g.Enter(nil, request, false, now, nil)
 	require.True(t, a.Check(now, func(string) bool { return false }).AtOtherInstance)
 	g.publish(&View{}, now)
 	require.Nil(t, a.Check(now, isProber), "a cleared request waits on")
--- a/gateway/crashguard/owner.go
+++ b/gateway/crashguard/owner.go
@@ -183,7 +183,7 @@
 
 // publish makes the decisions visible to the goroutines that serve requests.
 func (o *Owner) publish(now time.Time) {
-	v := &View{Entries: map[string]quarantine.Entry{}, CrashCounts: o.crashCounts(now), Suspects: o.ledger.Suspects()}
+	v := &View{Entries: map[string]quarantine.Entry{}, CrashCounts: o.crashCounts(now), Suspects: o.ledger.Suspects(), Uncleared: o.ledger.UnclearedRequests()}
 	for _, e := range o.ledger.Entries() {
 		if e.Phase(now) != quarantine.Cleared {
 			v.Entries[e.Subject] = e
--- a/gateway/crashguard/tracker_test.go
+++ b/gateway/crashguard/tracker_test.go
@@ -20,7 +20,7 @@
 		if k%2 == 0 {
 			parts = append(parts, "session")
 		}
-		g.Enter(parts, quarantine.RequestSubject(fmt.Sprint(k)), time.Now(), nil).Leave()
+		g.Enter(parts, quarantine.RequestSubject(fmt.Sprint(k)), false, time.Now(), nil).Leave()
 	}
 	require.InDelta(t, 1.0, g.Frequency("first"), 0.01)
 	require.InDelta(t, 0.5, g.Frequency("session"), 0.05)
@@ -31,11 +31,11 @@
 // requests that displace the parts.
 func TestTrackedSubjectsAreBounded(t *testing.T) {
 	g := NewGuard()
-	a := g.Enter([]string{"first"}, quarantine.RequestSubject("a"), time.Now(), nil)
+	a := g.Enter([]string{"first"}, quarantine.RequestSubject("a"), false, time.Now(), nil)
 	a.Complete(time.Now())
 	a.Leave()
 	for k := range 2 * maxTracked {
-		a := g.Enter(nil, quarantine.RequestSubject(fmt.Sprint(k)), time.Now(), nil)
+		a := g.Enter(nil, quarantine.RequestSubject(fmt.Sprint(k)), false, time.Now(), nil)
 		a.Complete(time.Now())
 		a.Leave()
 	}
--- a/gateway/rankgroups_test.go
+++ b/gateway/rankgroups_test.go
@@ -104,6 +104,23 @@
 	require.Zero(t, targets[1].requests.Load())
 }
 
+// Guards against a request that crashed a rank and crashes the group again when its
+// caller repeats it: one crash costs all requests of the group some seconds.
+func TestRequestIsKeptFromGroupAfterOneCrash(t *testing.T) {
+	release := make(chan struct{})
+	close(release)
+	_, g, targets := startGroups(t, release, "a", "a")
+	crashFirst(t, g, targets)
+	require.Eventually(t, func() bool {
+		return g.requestWithin(t.Context(), 4*time.Second, http.MethodPost, "/chat/other", "").status == http.StatusOK
+	}, 8*time.Second, 50*time.Millisecond)
+	before := targets[1].requests.Load()
+	resp := g.request(t.Context(), http.MethodPost, "/chat/crash", "")
+	require.Equal(t, http.StatusServiceUnavailable, resp.status, resp.body)
+	require.Contains(t, resp.body, "quarantined")
+	require.Equal(t, before, targets[1].requests.Load())
+}
+
 // Guards against a group that is remembered by the address of a rank whose record has
 // changed or was deleted.
 func TestRankGroupsFollowRecords(t *testing.T) {
--- a/routing/quarantine/ledger.go
+++ b/routing/quarantine/ledger.go
@@ -290,6 +290,23 @@
 	return false
 }
 
+// UnclearedRequests returns the requests that were in progress at a crash and of which
+// no repeat has completed, with the time of the latest such crash.
+func (l *Ledger) UnclearedRequests() map[string]time.Time {
+	found := map[string]time.Time{}
+	for _, c := range l.crashes {
+		for subject := range c.suspects {
+			if _, completed := l.completed[subject]; completed || !IsRequest(subject) || !c.at.After(l.clearedAt(subject)) {
+				continue
+			}
+			if c.at.After(found[subject]) {
+				found[subject] = c.at
+			}
+		}
+	}
+	return found
+}
+
 // Suspects returns the parts that were in progress at a crash, and whether that is
 // still unanswered by a completion or a decision.
 func (l *Ledger) Suspects() map[string]bool {
