routing, gateway: the forecast of an outage follows the target that takes the place of a crashed one

Cause: an expectation that is too short costs callers their only wait; one that is too long costs them a later return. Change: a first outage is expected to last 4 s; once a target has appeared in place of the crashed one, 0.9 s more at most.

--- a/gateway/outage.go
+++ b/gateway/outage.go
@@ -84,7 +84,10 @@
 }
 
 // recordReplacement records that a target has appeared.
-func (o *outageDetector) recordReplacement() { o.hasReplacement = true }
+func (o *outageDetector) recordReplacement(now time.Time) {
+	o.hasReplacement = true
+	o.forecast.RecordReplacement(now)
+}
 
 // recordAccepted records that a request that was sent at sentAt was accepted, and
 // reports whether this ends an outage. Responses that a group sent before a rank
--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -111,7 +111,7 @@
 	o.recordProbe(probe)
 	require.False(t, o.recordRefusal("a", 5, probe.Add(10*time.Millisecond)))
 	require.False(t, o.allowsRequest(probe.Add(probeInterval)), "no rank has taken the place of the crashed one")
-	o.recordReplacement()
+	o.recordReplacement(probe)
 	require.True(t, o.allowsRequest(probe.Add(probeInterval)))
 	ready := probe.Add(time.Second)
 	require.True(t, o.recordAccepted(ready.Add(-50*time.Millisecond), ready))
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -187,7 +187,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.outage.recordReplacement()
+	q.outage.recordReplacement(time.Now())
 }
 
 // grantAll assigns free slots of all back ends to waiters.
--- a/routing/outage.go
+++ b/routing/outage.go
@@ -5,7 +5,7 @@
 const (
 	// firstOutageLength is the expected length of a back end's first outage, if it has
 	// a known cause that takes seconds to mend.
-	firstOutageLength = 3 * time.Second
+	firstOutageLength = 4 * time.Second
 	// minOutageLength is the least length of an outage from which a forecast learns.
 	minOutageLength = 500 * time.Millisecond
 	// outageLengthWeight is the weight of the latest outage in the expected length.
@@ -13,6 +13,9 @@
 	// minOutageRemaining is the remaining time of an outage that lasts longer than
 	// expected.
 	minOutageRemaining = 250 * time.Millisecond
+	// replacedOutageRemaining is the remaining time once a target has appeared that may
+	// take the place of a failed one.
+	replacedOutageRemaining = 900 * time.Millisecond
 )
 
 // OutageForecast predicts when the outage of a back end ends, from the lengths of its
@@ -20,11 +23,17 @@
 // that are told to return before its end return in vain, and most do so only once.
 type OutageForecast struct {
 	beganAt time.Time // zero if there is no outage
-	length  time.Duration
+	// replacedAt is when a target last appeared during the outage; zero if none has.
+	replacedAt time.Time
+	length     time.Duration
 }
 
 // Begin records that an outage has begun.
-func (f *OutageForecast) Begin(now time.Time) { f.beganAt = now }
+func (f *OutageForecast) Begin(now time.Time) { f.beganAt, f.replacedAt = now, time.Time{} }
+
+// RecordReplacement records that a target has appeared that may take the place of a
+// failed one.
+func (f *OutageForecast) RecordReplacement(now time.Time) { f.replacedAt = now }
 
 // Cancel discards the ongoing outage: there was none.
 func (f *OutageForecast) Cancel() { f.beganAt = time.Time{} }
@@ -53,5 +62,9 @@
 	if expected == 0 {
 		expected = firstOutageLength
 	}
-	return max(minOutageRemaining, expected-now.Sub(f.beganAt))
+	remaining := expected - now.Sub(f.beganAt)
+	if !f.replacedAt.IsZero() {
+		remaining = min(remaining, replacedOutageRemaining-now.Sub(f.replacedAt))
+	}
+	return max(minOutageRemaining, remaining)
 }
--- a/routing/outage_test.go
+++ b/routing/outage_test.go
@@ -30,6 +30,8 @@
 	require.Equal(t, 4*time.Second, f.Remaining(now))
 	require.Equal(t, time.Second, f.Remaining(now.Add(3*time.Second)))
 	require.Equal(t, minOutageRemaining, f.Remaining(now.Add(9*time.Second)))
+	f.RecordReplacement(now.Add(time.Second))
+	require.Equal(t, replacedOutageRemaining, f.Remaining(now.Add(time.Second)))
 	f.Cancel()
 	outage(6 * time.Second)
 	f.Begin(now)
