gateway: records of instances are decoded once and not at each heartbeat

Cause: each heartbeat of each neighbour searched and decoded the whole copy of the store, which grows with the number of instances. Change: a table of the decoded records follows the changes of the copy.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -53,7 +53,8 @@
 	restoreState
 	crashes *crashguard.Owner
 	crashExchange
-	groups rankGroups
+	groups    rankGroups
+	instances instanceTable
 
 	// confirmedAt is when the cached copy was last known to be up to date.
 	confirmedAt    time.Time
@@ -87,7 +88,7 @@
 	c := &control{
 		g: g, log: g.log, inbox: make(chan func(), 256), ended: make(chan struct{}), mirror: mirror.New(),
 		targets: map[string]*target{}, expired: map[string]time.Time{}, peers: newPeerTable(),
-		slowdownsByGroup: map[string]map[string]float64{}, restoreState: newRestoreState(), groups: newRankGroups(),
+		slowdownsByGroup: map[string]map[string]float64{}, restoreState: newRestoreState(), groups: newRankGroups(), instances: instanceTable{},
 	}
 	c.crashes = crashguard.NewOwner(crashguard.Options{Instance: g.id, Guard: g.guard, Log: g.log, Registry: g.opts.Registry, Changed: c.sendReports, Crashed: c.targetCrashed})
 	return c
@@ -152,7 +153,7 @@
 	c.removeExpired(now)
 	c.endGracePeriods(now)
 	if c.peers.hasOld(now) {
-		c.peers.removeOld(c.instanceRecords(), now)
+		c.peers.removeOld(c.instances, now)
 	}
 	c.recordStoreOutage(now)
 	if n := c.peers.reachableCount(now); n != c.reachablePeers {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -43,7 +43,7 @@
 // use. It omits peers without recent heartbeats, unless this instance receives
 // no heartbeats at all.
 func (c *control) liveInstances(now time.Time) map[string]instanceRecord {
-	live := c.instanceRecords()
+	live := maps.Clone(c.instances)
 	delete(live, c.g.id)
 	reachesAny := c.peers.reachableCount(now) > 0
 	for id, p := range c.peers.byID {
@@ -114,7 +114,7 @@
 	if now.Sub(c.confirmedAt) <= maxFreshAge || c.peers.reachableCount(now) > 0 {
 		return false
 	}
-	return len(c.instanceRecords()) > 1 || len(c.peers.byID) > 0
+	return len(c.instances) > 1 || len(c.peers.byID) > 0
 }
 
 // dialPeers keeps sessions to the peers that this instance should dial.
@@ -136,7 +136,7 @@
 // peersToDial returns the addresses of the instances that follow this one in
 // the order of ids.
 func (c *control) peersToDial() map[string]string {
-	found := c.instanceRecords()
+	found := maps.Clone(c.instances)
 	for id, p := range c.peers.byID {
 		if p.record.PeerAddr != "" {
 			found[id] = p.record
@@ -326,7 +326,7 @@
 		c.needsPublish = true
 		c.log.Info("instance heard", "peer", id, "leaving", leaving)
 	}
-	if r, ok := c.instanceRecords()[id]; ok {
+	if r, ok := c.instances[id]; ok {
 		p.record = r
 	}
 	if b.GetLeaving() && !p.leaving && !p.lastHeartbeatAt.IsZero() {
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -22,7 +22,7 @@
 	dials := map[string]map[string]string{}
 	for i := range n {
 		g := New(Options{Instance: fmt.Sprintf("g%02d", i), Log: slog.New(slog.DiscardHandler), Registry: metrics.NewRegistry()})
-		g.control.mirror.Load(items, int64(n))
+		g.control.applyInstanceRecords(g.control.mirror.Load(items, int64(n)))
 		dials[g.id] = g.control.peersToDial()
 	}
 	return dials
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -39,21 +39,37 @@
 	return value
 }
 
-// instanceRecords returns the records of all instances in the cached copy of
-// the store.
-func (c *control) instanceRecords() map[string]instanceRecord {
-	found := map[string]instanceRecord{}
-	c.mirror.Each(func(it infra.Item) {
-		id, ok := strings.CutPrefix(it.Key, instancePrefix)
-		if !ok {
-			return
-		}
-		var r instanceRecord
-		if err := json.Unmarshal(it.Value, &r); err != nil {
-			c.log.Warn("instance record not readable", "key", it.Key, "error", err.Error())
-			return
+// instanceTable holds the decoded records of the instances by id. Heartbeats look
+// records up many times a second, so that the whole copy of the store cannot be
+// searched and decoded each time: with it, the processor time of all instances would
+// grow with the square of their number.
+type instanceTable map[string]instanceRecord
+
+// apply applies a changed item of the cached copy, or a deleted one, if it is the
+// record of an instance. A record that is not readable counts as deleted.
+func (t instanceTable) apply(key string, value []byte, exists bool) error {
+	id, ok := strings.CutPrefix(key, instancePrefix)
+	if !ok {
+		return nil
+	}
+	delete(t, id)
+	if !exists {
+		return nil
+	}
+	var r instanceRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return errors.Wrapf(err, "decode the record %q", key)
+	}
+	t[id] = r
+	return nil
+}
+
+// applyInstanceRecords applies the changed keys of the cached copy.
+func (c *control) applyInstanceRecords(changed []string) {
+	for _, key := range changed {
+		it, exists := c.mirror.Get(key)
+		if err := c.instances.apply(key, it.Value, exists); err != nil {
+			c.log.Warn("instance record not readable", "key", key, "error", err.Error())
 		}
-		found[id] = r
-	})
-	return found
+	}
 }
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -53,6 +53,7 @@
 func (c *control) updateCopy(source string, now time.Time, update func() []string) {
 	before := c.mirror.Revision()
 	changed := update()
+	c.applyInstanceRecords(changed)
 	if before != 0 && infra.Era(c.mirror.Revision()) != infra.Era(before) {
 		changed = c.reconcileRestore(changed, before, source, now)
 	}
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -194,13 +194,13 @@
 	g.control.call(t.Context(), func() {
 		ctrl, now := g.control, time.Now()
 		record := instanceRecord{CallerAddr: "10.0.0.9:1", PeerAddr: "10.0.0.9:2"}
-		ctrl.mirror.Load([]infra.Item{{Key: recordKey("left"), Value: record.encode(), ModRevision: infra.NewRevision(1, 3)}}, infra.NewRevision(1, 4))
+		ctrl.applyInstanceRecords(ctrl.mirror.Load([]infra.Item{{Key: recordKey("left"), Value: record.encode(), ModRevision: infra.NewRevision(1, 3)}}, infra.NewRevision(1, 4)))
 		ctrl.peers.byID["left"] = &peer{lastHeartbeatAt: now, leaving: true, record: record}
 		later := now.Add(2 * peerRetention)
 		ctrl.peers.byID["other"] = &peer{lastHeartbeatAt: later}
 		ctrl.tick(later)
 		_, listed = ctrl.liveInstances(later)["left"]
-		ctrl.mirror.Apply([]infra.Event{{Item: infra.Item{Key: recordKey("left"), ModRevision: infra.NewRevision(1, 5)}, Deleted: true}})
+		ctrl.applyInstanceRecords(ctrl.mirror.Apply([]infra.Event{{Item: infra.Item{Key: recordKey("left"), ModRevision: infra.NewRevision(1, 5)}, Deleted: true}}))
 		ctrl.tick(later)
 		_, known := ctrl.peers.byID["left"]
 		forgotten = !known
