expertmap/plan: a shift of the expert load is recognised by the usual distance of the latest requests

Cause: a shift counted if the latest activations differ from the earlier ones by 0.2. The map then followed an average of several loads: a most loaded rank of 1.3 was believed while the latest requests gave 2.8. Change: three times the usual distance is a shift too, from 0.04 on, once the window holds nothing from before it; 0.2 counts at once, as before. Test: TestShiftOfLargeGroupIsDetected plays both sizes against the former rule; at 72 ranks the most loaded rank has 1.12 to 1.13 times the mean in place of 1.61 to 1.78. TestSteadyLoadIsNoShift.

--- a/expertmap/plan/tracker.go
+++ b/expertmap/plan/tracker.go
@@ -16,6 +16,10 @@
 	// ShiftDistance, the earlier activations are discarded.
 	ShiftWindow   time.Duration
 	ShiftDistance float64
+	// ShiftNoiseRatio is how many times the usual distance also counts as a shift,
+	// from MinShiftDistance on, if it lasts for a ShiftWindow. The latest requests of a
+	// large group differ little from the earlier ones unless the load has shifted.
+	ShiftNoiseRatio, MinShiftDistance float64
 	// MinActivations is the number of activations in each set that a proposal
 	// needs.
 	MinActivations float64
@@ -33,6 +37,7 @@
 // seconds.
 var DefaultTrackerRules = TrackerRules{
 	DecayTime: 6 * time.Second, ShiftWindow: 200 * time.Millisecond, ShiftDistance: 0.2,
+	ShiftNoiseRatio: 3, MinShiftDistance: 0.04,
 	MinActivations: 3000, MinGain: 0.15, MinGainPerCopy: 0.10, MinChangeInterval: 200 * time.Millisecond,
 }
 
@@ -54,6 +59,12 @@
 	lastSample    map[int]Sample // by rank
 	observedAt    time.Time
 	changedAt     time.Time
+	// usualDistance is the moving average of the distances without a shift, and
+	// distances the number of them. differsSince is since when the distance has been
+	// unusual; zero if it is not.
+	usualDistance float64
+	distances     int
+	differsSince  time.Time
 }
 
 // interval holds the activations between two observations.
@@ -97,7 +108,7 @@
 	for len(t.recent) > 1 && now.Sub(t.recent[0].end) >= t.rules.ShiftWindow {
 		t.recent = t.recent[1:]
 	}
-	t.detectShift()
+	t.detectShift(now)
 }
 
 // addDifference adds the activations between two samples of a rank. If a count
@@ -113,17 +124,46 @@
 	}
 }
 
+const (
+	// usualDistanceWeight is the weight of the latest distance in the usual one.
+	usualDistanceWeight = 0.1
+	// minDistances is the number of distances from which on the usual one is known.
+	minDistances = 5
+)
+
 // detectShift discards the earlier activations if the latest ones differ too
 // much from them.
-func (t *Tracker) detectShift() {
+func (t *Tracker) detectShift(now time.Time) {
 	latest := newTable(t.sets, t.experts)
 	for _, w := range t.recent {
 		addTable(latest, w.added)
 	}
-	if minTotal(latest) < t.rules.MinActivations || shareDistance(latest, t.activations) < t.rules.ShiftDistance {
+	if minTotal(latest) < t.rules.MinActivations {
+		return
+	}
+	distance := shareDistance(latest, t.activations)
+	if distance < t.shiftThreshold() {
+		t.differsSince = time.Time{}
+		t.usualDistance += usualDistanceWeight * (distance - t.usualDistance)
+		t.distances++
+		return
+	}
+	if t.differsSince.IsZero() {
+		t.differsSince = now
+	}
+	// Until the window holds nothing from before the shift, its shares are a mixture.
+	if distance < t.rules.ShiftDistance && now.Sub(t.differsSince) < t.rules.ShiftWindow {
 		return
 	}
-	t.activations = latest
+	t.activations, t.differsSince = latest, time.Time{}
+}
+
+// shiftThreshold returns the distance from which on the load may have shifted.
+func (t *Tracker) shiftThreshold() float64 {
+	if t.distances < minDistances {
+		return t.rules.ShiftDistance
+	}
+	return min(t.rules.ShiftDistance, max(t.rules.MinShiftDistance, t.rules.ShiftNoiseRatio*t.usualDistance))
 }
 
 // shareDistance returns half the sum of the differences of the experts' shares,
