routing: a slow target is full with fewer requests

Cause: a slow rank got fewer requests only while others had free slots; under overload it was filled like them, and every step of its group waits for the work of its requests. Change: what a target takes is divided by its slowdown. Test: TestSlowTargetTakesLessUnderOverload replays an overload with a rank that is twelve times slower.

--- a/routing/pick.go
+++ b/routing/pick.go
@@ -41,9 +41,10 @@
 	brokenFailureRate = 0.6
 )
 
-// Full reports whether the target has no capacity for another request.
+// Full reports whether the target has no capacity for another request. A slow target
+// has less: all ranks of its group wait for the work of the requests that it holds.
 func (c *Candidate) Full() bool {
-	return c.Load >= float64(c.Slots)*(1+targetQueueShare)
+	return c.Load >= max(1, float64(c.Slots)*(1+targetQueueShare)/max(1, c.Slowdown))
 }
 
 // score returns the cost of sending the request to the target; the lowest is
--- a/routing/pick_test.go
+++ b/routing/pick_test.go
@@ -149,3 +149,23 @@
 		}
 	}
 }
+
+// Guards against a slow rank that is filled like the others once the back end has more
+// requests than slots: every step of the group then waits for it.
+func TestSlowTargetTakesLessUnderOverload(t *testing.T) {
+	candidates := make([]Candidate, 4)
+	for i := range candidates {
+		candidates[i] = Candidate{Slots: 12, Usable: true}
+	}
+	candidates[0].Slowdown = 12
+	for {
+		i := Pick(candidates, 1, 0)
+		if i < 0 {
+			break
+		}
+		candidates[i].Load++
+		candidates[i].OwnLoad++
+	}
+	require.InDelta(t, 2, candidates[0].Load, 1)
+	require.InDelta(t, 15, candidates[1].Load, 0.5)
+}
