--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -45,7 +45,7 @@
 		return errors.Wrap(err, "listen for instances")
 	}
 	registry := metrics.NewRegistry()
-	store := platform.NewStore(s.StoreURL)
+	store := platform.NewStore(s.StoreURL, platform.WithLongestPoll(s.LongestWatchPoll()))
 	var coordinators *ranks.Coordinators
 	process := fmt.Sprintf("%s/%d", s.Instance, rand.Uint64())
 	g := gateway.New(gateway.Options{
@@ -71,6 +71,7 @@
 	coordinators = ranks.NewCoordinators(ranks.CoordinatorOptions{
 		Instance: s.Instance, HolderID: process, KV: store, Items: g.Items,
 		Records: platform.Records{}, Engine: platform.NewRanks(), Log: log,
+		Instances:   g.Instances,
 		HolderDown:  func(holder string) bool { return g.ProcessExited(workCtx, holder) },
 		OnSlowRanks: func(group string, byAddr map[string]float64) { g.SetSlowTargets(workCtx, group, byAddr) },
 		HandOver:    func(t ranks.Term) { g.HandOver(workCtx, gateway.Term(t)) },
@@ -102,6 +103,7 @@
 
 func gatewayLimits(s *platform.Settings) gateway.Limits {
 	return gateway.Limits{
+		WatchTakeoverAge:     s.WatchTakeoverAge(),
 		MaxIsolatedStaleness: s.ConfigApplyTimeout + s.DisturbedApplyExtension - refuseMargin,
 		StopTimeout:          s.StopTimeout,
 		Retries:              routing.RetryLimits{Ratio: s.RetryBudgetRatio, Slack: s.RetryBudgetSlack, Window: s.RetryBudgetWindow},
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -19,11 +19,6 @@
 	// maxFreshAge is the age up to which the cached copy of the store counts as
 	// up to date. It is longer than a watch may wait without a change.
 	maxFreshAge = 4 * time.Second
-	// outageDetectionAge is the age of the cached copy at which every follower
-	// has tried to watch the store itself and has sent a heartbeat with the
-	// result. If no heartbeat reports that the store is reachable, it is
-	// unreachable for all instances.
-	outageDetectionAge = watchTakeoverAge + 2*heartbeatInterval
 	// expiryGrace is how long targets whose entries expired while the store was
 	// unreachable are kept after its return. Running targets have renewed their
 	// entries by then.
@@ -231,7 +226,7 @@
 // the entries in the store are valid. Followers need some time to find out
 // whether they reach the store.
 func (c *control) recordStoreOutage(now time.Time) {
-	if c.storeReachable || c.peers.anyReachesStore(now) || c.peers.anyFollows(now) && now.Sub(c.confirmedAt) <= outageDetectionAge {
+	if c.storeReachable || c.peers.anyReachesStore(now) || c.peers.anyFollows(now) && now.Sub(c.confirmedAt) <= c.outageDetectionAge() {
 		return
 	}
 	c.lastStoreOutage = now
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,9 @@
 	// instance may be: one that reaches neither the store nor another instance.
 	// Beyond it, the instance rejects requests.
 	MaxIsolatedStaleness time.Duration
+	// WatchTakeoverAge is the age of the cached copy at which an instance that follows
+	// others watches the store itself; zero means defaultWatchTakeoverAge.
+	WatchTakeoverAge time.Duration
 	// StopTimeout is the longest time that a planned stop may take. A change
 	// during a stop has no effect on it.
 	StopTimeout time.Duration
@@ -234,6 +237,14 @@
 	return found, nil
 }
 
+// Instances returns the number of instances that this one knows of, including itself.
+func (g *Gateway) Instances() int {
+	if s := g.snapshot.Load(); s != nil {
+		return s.instanceCount
+	}
+	return 1
+}
+
 // Listeners holds the open listeners of an instance.
 type Listeners struct {
 	Callers, Peers net.Listener
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -16,21 +16,37 @@
 	// that the number of calls to the store does not grow with the number of
 	// instances.
 	watcherCount = 2
-	// watchTakeoverAge is the age of the cached copy at which a follower
-	// watches the store itself. While the watchers work, the age stays below
-	// the longest wait of one watch call plus a heartbeat interval.
-	watchTakeoverAge = 1400 * time.Millisecond
+	// defaultWatchTakeoverAge is the age of the cached copy at which a follower
+	// watches the store itself, unless the limits say otherwise. While the watchers
+	// work, the age stays below the longest wait of one watch call plus a heartbeat
+	// interval.
+	defaultWatchTakeoverAge = 1400 * time.Millisecond
 	// followCheckInterval is the longest pause until a follower checks again
 	// whether it should watch the store, because other instances start and
 	// stop.
 	followCheckInterval = 250 * time.Millisecond
 )
 
+func (c *control) watchTakeoverAge() time.Duration {
+	if age := c.g.limits.Load().WatchTakeoverAge; age > 0 {
+		return age
+	}
+	return defaultWatchTakeoverAge
+}
+
+// outageDetectionAge is the age of the cached copy at which every follower
+// has tried to watch the store itself and has sent a heartbeat with the
+// result. If no heartbeat reports that the store is reachable, it is
+// unreachable for all instances.
+func (c *control) outageDetectionAge() time.Duration {
+	return c.watchTakeoverAge() + 2*heartbeatInterval
+}
+
 // shouldWatch reports whether this instance should watch the store itself: it
 // is one of the selected watchers, or it does not know the store to be
-// reachable, or its copy is older than watchTakeoverAge.
+// reachable, or its copy is older than the age at which followers take over.
 func (c *control) shouldWatch(now time.Time) bool {
-	if !c.storeReachable || now.Sub(c.confirmedAt) > watchTakeoverAge {
+	if !c.storeReachable || now.Sub(c.confirmedAt) > c.watchTakeoverAge() {
 		return true
 	}
 	candidates := []membership.Member{{Name: c.g.id, DataCentre: c.g.opts.DataCentre}}
@@ -66,5 +82,5 @@
 	if shouldWatch {
 		return 0
 	}
-	return min(followCheckInterval, max(time.Millisecond, watchTakeoverAge-now.Sub(c.confirmedAt)))
+	return min(followCheckInterval, max(time.Millisecond, c.watchTakeoverAge()-now.Sub(c.confirmedAt)))
 }
--- a/gateway/watchers_test.go
+++ b/gateway/watchers_test.go
@@ -57,7 +57,7 @@
 func TestFewInstancesWatch(t *testing.T) {
 	d, all := startInstances(t, 6)
 	d.requireApplied(all, 2)
-	time.Sleep(2 * watchTakeoverAge)
+	time.Sleep(2 * defaultWatchTakeoverAge)
 	require.Len(t, watching(all), watcherCount)
 	d.requireApplied(all, 3)
 }
@@ -90,8 +90,8 @@
 		ctrl.peers.byID["p"] = &peer{lastHeartbeatAt: now, following: true}
 		ctrl.recordStoreFailure(errWatchEnded, now)
 		during = ctrl.lastStoreOutage.IsZero()
-		ctrl.peers.byID["p"].lastHeartbeatAt = now.Add(outageDetectionAge)
-		ctrl.recordStoreOutage(now.Add(outageDetectionAge + time.Millisecond))
+		ctrl.peers.byID["p"].lastHeartbeatAt = now.Add(ctrl.outageDetectionAge())
+		ctrl.recordStoreOutage(now.Add(ctrl.outageDetectionAge() + time.Millisecond))
 		after = !ctrl.lastStoreOutage.IsZero()
 	})
 	require.True(t, during, "the peer may reach the store")
--- a/ranks/election.go
+++ b/ranks/election.go
@@ -46,6 +46,9 @@
 	// heartbeat of its instance has been received for a while, or the instance
 	// runs another process.
 	HolderDown func(holder string) bool
+	// Instances returns the number of instances that compete for leases; nil means
+	// that there are few.
+	Instances func() int
 	// OnSlowRanks is called with the slow ranks of a group that this process
 	// coordinates: their slowdown factors by the address at which they receive
 	// requests. It may be nil.
@@ -186,11 +189,14 @@
 // group.
 func newCoordinatorLease(ctx context.Context, o CoordinatorOptions, group, key string) *lease.Holder {
 	var holder *lease.Holder
+	var candidate candidacy
 	holder = lease.New(lease.Options{
 		KV: o.KV, Key: key, HolderID: o.HolderID, Times: coordinatorTimes, KeepDuringOutage: true,
-		IsCandidate: func() bool { return ctx.Err() == nil && leaseVacant(ctx, o, key, holder) },
-		HolderDown:  o.isHolderDown,
-		OnAcquired:  func(n uint64) { o.Log.Info("lease taken", "group", group, "fencing", n) },
+		IsCandidate: func() bool {
+			return ctx.Err() == nil && candidate.competes(leaseVacant(ctx, o, key, holder), o.instances())
+		},
+		HolderDown: o.isHolderDown,
+		OnAcquired: func(n uint64) { o.Log.Info("lease taken", "group", group, "fencing", n) },
 		OnLost: func(n uint64, reason string) {
 			o.Log.Info("lease lost", "group", group, "fencing", n, "reason", reason)
 		},
@@ -236,6 +242,13 @@
 	return infra.Item{}, false, err
 }
 
+func (o CoordinatorOptions) instances() int {
+	if o.Instances == nil {
+		return 1
+	}
+	return o.Instances()
+}
+
 // isHolderDown reports whether a holder is an earlier process of this instance,
 // or CoordinatorOptions.HolderDown reports it as down. Holder IDs have the form
 // INSTANCE/NUMBER.
--- a/ranks/standby.go
+++ b/ranks/standby.go
@@ -2,19 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/lease"
 )
 
-const (
-	standbyPrefix = "skylarkstep/standbys/"
-	// standbyAcquireChance is the probability with which a process competes for
-	// the standby lease at one check. Every attempt costs calls to the store,
-	// so not all processes should compete.
-	standbyAcquireChance = 0.3
-)
+const standbyPrefix = "skylarkstep/standbys/"
 
 // standby holds a fencing number in reserve for an outage of the key-value
 // store, in which no leases are granted. Without it, a coordinator that exits
@@ -31,10 +24,11 @@
 func newStandby(o CoordinatorOptions, group, coordinatorKey string) *standby {
 	s := &standby{o: o, coordinatorKey: coordinatorKey}
 	standbyKey := standbyPrefix + group
+	var candidate candidacy
 	s.holder = lease.New(lease.Options{
 		KV: o.KV, Key: standbyKey, HolderID: o.HolderID, Times: coordinatorTimes, KeepDuringOutage: true, HolderDown: o.isHolderDown,
 		IsCandidate: func() bool {
-			return s.otherCoordinates() && rand.Float64() < standbyAcquireChance && leaseVacant(context.Background(), o, standbyKey, s.holder)
+			return s.otherCoordinates() && candidate.competes(leaseVacant(context.Background(), o, standbyKey, s.holder), o.instances())
 		},
 		OnAcquired: func(n uint64) { o.Log.Info("standby taken", "group", group, "fencing", n) },
 		OnLost: func(n uint64, reason string) {
