--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -112,42 +112,6 @@
 	}
 }
 
-// recordAccepted records that a target has accepted a request, which ends an
-// outage. The caller holds q.mu.
-func (q *queue) recordAccepted(sentAt, now time.Time) {
-	if q.outage.recordAccepted(sentAt, now) {
-		q.g.log.Info("back end serves again", "back_end", q.backend, "waiting", len(q.waiters))
-		q.grantSlots(now)
-	}
-}
-
-// recordRefusal records that a target has refused a request without running it.
-func (q *queue) recordRefusal(id string, now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.outage.recordRefusal(id, len(q.g.snapshot.Load().targets[q.backend]), now) {
-		q.g.log.Warn("back end refuses all requests", "back_end", q.backend, "waiting", len(q.waiters))
-	}
-}
-
-// recordGroupLoss records that the only rank group of the back end cannot serve, since
-// a rank has crashed. Waiters whose wait ends before the group can be back are rejected.
-func (q *queue) recordGroupLoss(now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.outage.recordGroupLoss(now) {
-		remaining, _ := q.outage.remaining(now)
-		q.g.log.Warn("back end lost its rank group", "back_end", q.backend, "waiting", len(q.waiters), "expected_ms", remaining.Milliseconds())
-	}
-	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
-		err := q.outageRejection(&w.slotRequest, now)
-		if err != nil {
-			w.rejected <- err
-		}
-		return err != nil
-	})
-}
-
 // respondingSince returns since when the targets have sent data without a
 // pause, or the zero time if they are idle.
 func (q *queue) respondingSince(now time.Time) time.Time {
@@ -366,65 +330,6 @@
 	return total
 }
 
-// isDown reports whether the back end refuses all requests, or all its targets
-// are paused after a refused or undeliverable request.
-func (q *queue) isDown(now time.Time) bool {
-	q.mu.Lock()
-	ongoing := q.outage.isOngoing(now)
-	q.mu.Unlock()
-	return ongoing || !slices.ContainsFunc(q.g.snapshot.Load().targets[q.backend], func(t *target) bool { return !t.isPaused(now) })
-}
-
-// outageRemaining returns the Retry-After for a request that was refused in an outage
-// whose end can be foreseen.
-func (q *queue) outageRemaining(now time.Time) (time.Duration, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	remaining, known := q.outage.remaining(now)
-	if !known || !q.outage.isOngoing(now) {
-		return 0, false
-	}
-	return q.returnAfterOutage(remaining), true
-}
-
-// outageError returns the error for a request to a back end that refuses all
-// requests.
-func (q *queue) outageError(retryAfter time.Duration) error {
-	return errkind.New(errkind.NoTarget, "no target of back end %s accepts requests", q.backend).WithRetryAfter(retryAfter)
-}
-
-// outageRejection returns an error if a request would wait in vain for the end of an
-// outage. If the end cannot be foreseen, it waits for a short time, in which others
-// probe the back end. The caller holds q.mu.
-func (q *queue) outageRejection(req *slotRequest, now time.Time) error {
-	remaining, known := q.outage.remaining(now)
-	switch {
-	case !known && now.After(req.outageWaitUntil):
-		return q.outageError(jitter(req.outageRetryAfter))
-	case known && now.Add(remaining).After(req.waitUntil):
-		return q.outageError(q.returnAfterOutage(remaining))
-	}
-	return nil
-}
-
-// maxReturnSpread limits the time over which callers return after an outage.
-const maxReturnSpread = time.Second
-
-// returnAfterOutage returns the Retry-After for a request that is rejected during an
-// outage. Callers return one after the other, at the rate at which the targets can
-// take them. The caller holds q.mu.
-func (q *queue) returnAfterOutage(remaining time.Duration) time.Duration {
-	q.outage.deferred++
-	spread := min(maxReturnSpread, q.estimateWait(q.outage.deferred, q.g.snapshot.Load()))
-	return remaining + rand.N(max(1, spread))
-}
-
-// restError returns the error for a request all of whose targets rest for longer
-// than it may wait.
-func (q *queue) restError(untilFirst time.Duration) error {
-	return errkind.New(errkind.NoTarget, "all targets of back end %s want no requests for a time", q.backend).WithRetryAfter(untilFirst)
-}
-
 // overloadedError returns the error for a request that gets no slot in time.
 // Its Retry-After is the estimated time until the present waiters have been
 // served. The caller holds q.mu.
@@ -484,43 +389,6 @@
 	return nil
 }
 
-// assignTarget chooses a target and reserves a slot there for the request. It
-// returns nil if no target can accept the request. The caller holds q.mu.
-func (q *queue) assignTarget(req *slotRequest, now time.Time) *target {
-	if !q.outage.allowsRequest(now) {
-		return nil
-	}
-	s := q.g.snapshot.Load()
-	backend := s.table.Backend(q.backend)
-	targets := s.targets[q.backend]
-	candidates := make([]routing.Candidate, len(targets))
-	for i, t := range targets {
-		t.mu.Lock()
-		usable := req.isAllowed(t) && t.canAccept(now)
-		if usable && backend != nil && t.isWarmingUp(now) && backend.WarmUpRate > 0 {
-			usable = s.allowsWarmUp(t, backend.WarmUpRate, now)
-		}
-		candidates[i] = routing.Candidate{
-			Load: float64(t.ownRequests.Load() + t.peerRequests.Load()), OwnLoad: float64(t.ownRequests.Load()), Slots: t.Slots, FailureRate: t.failureRate,
-			Local: t.DataCentre == q.g.opts.DataCentre, Usable: usable, Slowdown: t.slowdown,
-		}
-		t.mu.Unlock()
-	}
-	i := routing.Pick(candidates, s.instanceCount, rand.IntN(max(1, len(candidates))))
-	if i < 0 {
-		return nil
-	}
-	t := targets[i]
-	t.mu.Lock()
-	if backend != nil && t.isWarmingUp(now) && backend.WarmUpRate > 0 {
-		t.warmUpLimiter.TakeRequest(backend.WarmUpRate, routing.WarmUpSenders(backend.WarmUpRate, s.instanceCount), now)
-	}
-	t.takeSlot(now)
-	t.mu.Unlock()
-	q.outage.recordProbe(now)
-	return t
-}
-
 // releaseSlot releases a slot. slotTime is zero if the request did not succeed;
 // such requests do not count towards the mean.
 func (q *queue) releaseSlot(t *target, slotTime time.Duration) {
--- a/gateway/targetreport.go
+++ b/gateway/targetreport.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
 )
 
 // recordReport records what the headers of a response say about its target: the limit
@@ -86,3 +88,9 @@
 	}
 	return earliest
 }
+
+// restError returns the error for a request all of whose targets rest for longer
+// than it may wait.
+func (q *queue) restError(untilFirst time.Duration) error {
+	return errkind.New(errkind.NoTarget, "all targets of back end %s want no requests for a time", q.backend).WithRetryAfter(untilFirst)
+}
