--- a/expertmap/plan/rebalance.go
+++ b/expertmap/plan/rebalance.go
@@ -81,10 +81,11 @@
 	placement Placement // with the changes so far
 	rankTimes []float64 // time of each rank
 	holders   [][]int   // ranks of each expert
+	shifts    loadShifts
 }
 
 func newSetState(p Placement, load []float64, l Limits) *setState {
-	s := &setState{limits: l, load: load, current: p, placement: make(Placement, len(p)), rankTimes: make([]float64, len(p)), holders: make([][]int, len(load))}
+	s := &setState{limits: l, load: load, current: p, placement: make(Placement, len(p)), rankTimes: make([]float64, len(p)), holders: make([][]int, len(load)), shifts: newLoadShifts(len(p))}
 	for r, experts := range p {
 		s.placement[r] = slices.Clone(experts)
 		for _, e := range experts {
@@ -213,35 +214,53 @@
 // maxTimes returns the maximum time of the ranks that a change affects, before
 // and after it.
 func (s *setState) maxTimes(c change) (before, after float64) {
-	delta := map[int]float64{}
-	s.addLoadShift(delta, c.expert, c.fromRank, c.toRank)
+	s.shifts.clear()
+	s.addLoadShift(c.expert, c.fromRank, c.toRank)
 	if c.drop >= 0 {
-		if c.fromRank >= 0 {
-			s.addLoadShift(delta, c.drop, c.toRank, c.fromRank)
-		} else {
-			s.addLoadShift(delta, c.drop, c.toRank, -1)
-		}
+		s.addLoadShift(c.drop, c.toRank, c.fromRank)
 	}
-	for r, w := range s.rankTimes {
-		d, touched := delta[r]
-		if !touched {
-			continue
-		}
-		d *= s.limits.slowdown(r)
-		before = max(before, w)
-		after = max(after, w+d)
+	for _, r := range s.shifts.ranks {
+		before = max(before, s.rankTimes[r])
+		after = max(after, s.rankTimes[r]+s.shifts.byRank[r]*s.limits.slowdown(r))
 	}
 	return before, after
 }
 
-// addLoadShift adds to delta the change of each rank's load if one replica of e
+// loadShifts holds by how much a change shifts the load of each rank. A search
+// evaluates very many changes, each of which affects a few of the ranks.
+type loadShifts struct {
+	byRank   []float64
+	affected []bool
+	ranks    []int // the affected ones
+}
+
+func newLoadShifts(ranks int) loadShifts {
+	return loadShifts{byRank: make([]float64, ranks), affected: make([]bool, ranks)}
+}
+
+func (l *loadShifts) clear() {
+	for _, r := range l.ranks {
+		l.byRank[r], l.affected[r] = 0, false
+	}
+	l.ranks = l.ranks[:0]
+}
+
+func (l *loadShifts) add(r int, load float64) {
+	if !l.affected[r] {
+		l.affected[r] = true
+		l.ranks = append(l.ranks, r)
+	}
+	l.byRank[r] += load
+}
+
+// addLoadShift adds the change of each rank's load if one replica of e
 // moves between two ranks; -1 stands for no rank, so that a replica is added or
 // removed.
-func (s *setState) addLoadShift(delta map[int]float64, e, from, to int) {
+func (s *setState) addLoadShift(e, from, to int) {
 	replicasBefore := float64(len(s.holders[e]))
 	if from >= 0 && to >= 0 {
-		delta[from] -= s.load[e] / replicasBefore
-		delta[to] += s.load[e] / replicasBefore
+		s.shifts.add(from, -s.load[e]/replicasBefore)
+		s.shifts.add(to, s.load[e]/replicasBefore)
 		return
 	}
 	replicasAfter := replicasBefore + 1
@@ -250,14 +269,14 @@
 	}
 	for _, r := range s.holders[e] {
 		if r != from {
-			delta[r] += s.load[e]/replicasAfter - s.load[e]/replicasBefore
+			s.shifts.add(r, s.load[e]/replicasAfter-s.load[e]/replicasBefore)
 		}
 	}
 	if from >= 0 {
-		delta[from] -= s.load[e] / replicasBefore
+		s.shifts.add(from, -s.load[e]/replicasBefore)
 	}
 	if to >= 0 {
-		delta[to] += s.load[e] / replicasAfter
+		s.shifts.add(to, s.load[e]/replicasAfter)
 	}
 }
 
--- a/expertmap/plan/rebalance_test.go
+++ b/expertmap/plan/rebalance_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -77,7 +78,18 @@
 }
 
 func BenchmarkRebalance(b *testing.B) {
-	for b.Loop() {
-		Rebalance(roundRobinPlacement(12, 72), skewedLoad(72, 3), Limits{SlotsPerRank: 8, NewPerRank: 3}, 0.001)
+	for _, c := range []struct {
+		ranks, experts int
+		limits         Limits
+	}{
+		{12, 72, Limits{SlotsPerRank: 8, NewPerRank: 3}},
+		{72, 144, Limits{SlotsPerRank: 3, NewPerRank: 1}},
+		{129, 258, Limits{SlotsPerRank: 3, NewPerRank: 1}},
+	} {
+		b.Run(fmt.Sprintf("ranks=%d/experts=%d", c.ranks, c.experts), func(b *testing.B) {
+			for b.Loop() {
+				Rebalance(roundRobinPlacement(c.ranks, c.experts), skewedLoad(c.experts, 3), c.limits, DefaultTrackerRules.MinGainPerCopy)
+			}
+		})
 	}
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -236,26 +236,37 @@
 func (c *control) applyChanges(keys []string, source string, now time.Time) {
 	for _, key := range keys {
 		it, exists := c.mirror.Get(key)
-		switch {
-		case c.g.decoder.IsConfig(key):
-			if exists {
-				c.applyConfig(it, source)
-			}
-		default:
-			if id, ok := c.g.decoder.TargetID(key); ok {
-				c.applyTarget(id, it, exists, source, now)
-			} else if dc, ok := c.g.decoder.DataCentreOut(key); ok {
-				delete(c.keptOut, dc)
-				c.needsPublish = true
-				c.log.Info("data centre changed", "data_centre", dc, "out", exists, "revision", infra.RevisionNumber(it.ModRevision), "source", source)
-			} else if isInstanceKey(key) {
-				c.needsPublish = true
-			} else if isQuarantineKey(key) && exists {
-				c.mergeRecord(it, now)
-			} else {
-				c.applyRankRecord(key, it.Value, exists)
-			}
+		c.applyChange(key, it, exists, source, now)
+	}
+}
+
+// applyChange applies one changed or deleted item of the cached copy.
+func (c *control) applyChange(key string, it infra.Item, exists bool, source string, now time.Time) {
+	if c.g.decoder.IsConfig(key) {
+		if exists {
+			c.applyConfig(it, source)
+		}
+		return
+	}
+	if id, ok := c.g.decoder.TargetID(key); ok {
+		c.applyTarget(id, it, exists, source, now)
+		return
+	}
+	if dc, ok := c.g.decoder.DataCentreOut(key); ok {
+		delete(c.keptOut, dc)
+		c.needsPublish = true
+		c.log.Info("data centre changed", "data_centre", dc, "out", exists, "revision", infra.RevisionNumber(it.ModRevision), "source", source)
+		return
+	}
+	switch {
+	case isInstanceKey(key):
+		c.needsPublish = true
+	case isQuarantineKey(key):
+		if exists {
+			c.mergeRecord(it, now)
 		}
+	default:
+		c.applyRankRecord(key, it.Value, exists)
 	}
 }
 
