--- a/gateway/outage.go
+++ b/gateway/outage.go
@@ -46,7 +46,7 @@
 	groupLostAt    time.Time
 	hasReplacement bool
 	forecast       routing.OutageForecast
-	// deferred is how many requests were told to return after the outage.
+	// deferred is how many requests were rejected with a time to return after the outage.
 	deferred int
 }
 
--- a/gateway/strayrefusal_test.go
+++ b/gateway/strayrefusal_test.go
@@ -60,7 +60,7 @@
 }
 
 // Guards against an earlier refusal that a target writes once more on a kept
-// connection: the caller was told that its request had not run while the target ran
+// connection: the caller got the promise that its request had not run while the target ran
 // it, or the request ran at a second target.
 func TestRepeatedRefusalOnKeptConnection(t *testing.T) {
 	for name, head := range refusalHeads {
@@ -100,7 +100,7 @@
 }
 
 // Guards against the same refusal without a response after it: the request may have
-// run, so the caller must not be told that it has not, and it must not wait for
+// run, so the caller must not get a promise that it has not, and it must not wait for
 // its deadline.
 func TestRepeatedRefusalWithoutResponse(t *testing.T) {
 	for _, path := range []string{"/book/2", "/swap/2"} {
--- a/routing/outage.go
+++ b/routing/outage.go
@@ -20,7 +20,7 @@
 
 // OutageForecast predicts when the outage of a back end ends, from the lengths of its
 // former ones. It answers a load that arrives during an outage of seconds: callers
-// that are told to return before its end return in vain, and most do so only once.
+// that return before its end return in vain, and most do so only once.
 type OutageForecast struct {
 	beganAt time.Time // zero if there is no outage
 	// replacedAt is when a target last appeared during the outage; zero if none has.
--- a/routing/outage_test.go
+++ b/routing/outage_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against callers that are told to return before an outage can be over: its
+// Guards against callers that return before an outage can be over: its
 // end is foreseen from the former outages.
 func TestOutageForecastLearnsLength(t *testing.T) {
 	var f OutageForecast
