--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -56,20 +55,7 @@
 // hasUnreadData reports whether bytes of the caller have arrived that the server has
 // not read yet, because this process got too little processor time.
 func (c *callerConn) hasUnreadData() bool {
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	var first [1]byte
-	controlErr := raw.Control(func(fd uintptr) {
-		n, _, err = syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return controlErr == nil && err == nil && n > 0
+	return c.socketState().unread
 }
 
 // callerConns holds the open connections of callers.
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -79,6 +79,7 @@
 	if l.MaxHeaderBytes > 0 {
 		srv.MaxHeaderBytes = l.MaxHeaderBytes
 	}
+	srv.ConnContext = withCallerConn
 	srv.ConnState = func(conn net.Conn, state http.ConnState) {
 		s.conns.recordState(conn, state)
 		if state == http.StateClosed {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -52,7 +52,9 @@
 	instances instanceTable
 
 	// confirmedAt is when the cached copy was last known to be up to date.
-	confirmedAt    time.Time
+	confirmedAt time.Time
+	// confirmedBy is who showed that: the store, or the instance whose heartbeat did.
+	confirmedBy    string
 	storeReachable bool
 	// following is set while this instance does not watch the store itself and
 	// receives changes from the watchers.
@@ -171,7 +173,7 @@
 	stale := !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > maxFreshAge
 	if stale != c.stale {
 		c.stale = stale
-		c.log.Info("configuration freshness changed", "stale", stale, "age_ms", now.Sub(c.confirmedAt).Milliseconds(),
+		c.log.Info("configuration freshness changed", "stale", stale, "age_ms", now.Sub(c.confirmedAt).Milliseconds(), "confirmed_by", c.confirmedBy,
 			"revision", infra.RevisionNumber(c.mirror.Revision()), "peers_heard", c.peers.reachableCount(now))
 	}
 }
@@ -201,13 +203,14 @@
 		c.storeRecoveredAt = now
 	}
 	c.storeReachable = true
-	c.confirmAsOf(asOf)
+	c.confirmAsOf(asOf, "store")
 }
 
-// confirmAsOf records that the cached copy was up to date at the given time.
-func (c *control) confirmAsOf(asOf time.Time) {
+// confirmAsOf records that the cached copy was up to date at the given time, and who
+// has shown that.
+func (c *control) confirmAsOf(asOf time.Time, by string) {
 	if asOf.After(c.confirmedAt) {
-		c.confirmedAt = asOf
+		c.confirmedAt, c.confirmedBy = asOf, by
 		c.confirmedMonotonic.Store(monotonic(asOf))
 	}
 }
@@ -285,7 +288,7 @@
 	c.g.callers.setLimits(cfg.Limits)
 	c.needsPublish = true
 	c.log.Info("configuration in force", "version", cfg.Version, "revision", infra.RevisionNumber(it.ModRevision), "source", source,
-		"routes", len(cfg.Routes), "customers", len(cfg.Customers))
+		"routes", len(cfg.Routes), "customers", len(cfg.Customers), "age_ms", time.Since(c.confirmedAt).Milliseconds(), "confirmed_by", c.confirmedBy)
 }
 
 // applyTarget applies a changed or deleted entry of a target.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -39,15 +39,18 @@
 	g         *Gateway
 	w         http.ResponseWriter
 	r         *http.Request
+	conn      *callerConn // nil if the request did not arrive through a callerServer
 	startedAt time.Time
-	meta      RequestMeta
-	snapshot  *snapshot
-	route     *routing.Route
-	customer  *routing.Customer
-	backend   string
-	body      []byte
-	hasBody   bool
-	deadline  time.Time
+	// waitedUnread is how long the request had waited in the kernel, at least.
+	waitedUnread time.Duration
+	meta         RequestMeta
+	snapshot     *snapshot
+	route        *routing.Route
+	customer     *routing.Customer
+	backend      string
+	body         []byte
+	hasBody      bool
+	deadline     time.Time
 
 	// timesSent is how often the request was sent to a target, and
 	// countedAttempts how many of these count towards the maximum attempts of
@@ -85,7 +88,10 @@
 
 // ServeHTTP implements http.Handler. It serves the requests of callers.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{g: g, w: w, r: r, startedAt: time.Now(), meta: g.headers.Request(r.Header), triedTargets: map[string]bool{}}
+	x := &exchange{g: g, w: w, r: r, conn: callerConnOf(r.Context()), startedAt: time.Now(), meta: g.headers.Request(r.Header), triedTargets: map[string]bool{}}
+	if x.conn != nil {
+		x.waitedUnread = x.conn.waitedUnread()
+	}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x.closeConnectionIfLeaving()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,10 @@
 	// quarantineRefusals counts the requests that were refused because they, or a part
 	// of their prompt, crash targets.
 	quarantineRefusals metrics.Counter
+	// sentForNobody counts the requests that were sent after their callers had left.
+	sentForNobody metrics.Counter
+	// waitedUnread is how long requests waited in the kernel until they were read.
+	waitedUnread *telemetry.Latency
 	// targetRests counts the responses by which targets wanted a rest.
 	targetRests metrics.Counter
 }
@@ -45,6 +49,8 @@
 		retriesRefused: metrics.NewRegisteredCounter("request.retries_refused", r),
 		storeRestores:  metrics.NewRegisteredCounter("store.restores", r),
 
+		sentForNobody:      metrics.NewRegisteredCounter("request.sent_for_nobody", r),
+		waitedUnread:       latency("request.unread"),
 		targetRests:        metrics.NewRegisteredCounter("target.rests", r),
 		quarantineRefusals: metrics.NewRegisteredCounter("quarantine.refusals", r),
 	}
@@ -54,6 +60,7 @@
 func (m *gatewayMetrics) recordRequest(x *exchange, outcome string, duration time.Duration) {
 	m.duration.Observe(duration)
 	m.queueTime.Observe(x.queueTime)
+	m.waitedUnread.Observe(x.waitedUnread)
 	if x.eventCount > 0 {
 		m.firstEvent.Observe(x.timing.firstEventAt.Sub(x.startedAt))
 		m.longestGap.Observe(x.timing.longestGap)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -354,7 +354,7 @@
 		pull := &wirepb.StorePull{FromRevision: infra.RevisionNumber(own), FromEra: infra.Era(own)}
 		c.sendAsync(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Pull{Pull: pull}})
 	case peerRevision == own && b.GetStoreAgeMs() < neverConfirmedAgeMs:
-		c.confirmAsOf(now.Add(-time.Duration(b.GetStoreAgeMs()) * time.Millisecond))
+		c.confirmAsOf(now.Add(-time.Duration(b.GetStoreAgeMs())*time.Millisecond), "instance "+id)
 	}
 }
 
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -80,6 +80,7 @@
 	attrs := []any{
 		slog.String("request", x.meta.ID), slog.String("outcome", outcome), slog.String("target", x.lastTarget),
 		slog.Int("sent", x.timesSent), slog.Int64("ms", duration.Milliseconds()), slog.Int64("waited_ms", x.queueTime.Milliseconds()),
+		slog.Int64("unread_ms", x.waitedUnread.Milliseconds()),
 		slog.Int64("deadline_ms", x.meta.Deadline.Milliseconds()),
 	}
 	if x.snapshot != nil {
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -76,7 +76,7 @@
 	shouldWatch := c.shouldWatch(now)
 	if c.following == shouldWatch {
 		c.following = !shouldWatch
-		c.log.Info("watch of the service changed", "resting", c.following, "age_ms", now.Sub(c.confirmedAt).Milliseconds(),
+		c.log.Info("watch of the service changed", "resting", c.following, "age_ms", now.Sub(c.confirmedAt).Milliseconds(), "confirmed_by", c.confirmedBy,
 			"revision", infra.RevisionNumber(c.mirror.Revision()), "peers_heard", c.peers.reachableCount(now))
 	}
 	if shouldWatch {
