gateway: the age of a copy does not shrink on its way between instances (CONFIG)

What callers saw: a change that was acknowledged was not in force in time. Cause: a heartbeat carried the age of the sender's copy as of its making, and the receiver subtracted it from the time at which it applied the heartbeat. The transit, the waits at both ends and the rest of a millisecond were lost, at each hop, and followers confirm one another. With slow transit (lost packets, processes short of processor time) and many instances the age hardly grew, so that no follower took over from watchers that had lost the store (takeover at 1.4 s), and an isolated instance kept serving. Class: an age that is passed on without a clock that both sides share. Change: heartbeats return the send time of the last one of the peer and how long they held it. A receiver thus knows a time on its own clock before which the heartbeat was not made; ages count from there, and are rounded up. A heartbeat without a valid echo confirms nothing. The same for the ages of limits of targets.

--- a/gateway/peerera_test.go
+++ b/gateway/peerera_test.go
@@ -83,7 +83,8 @@
 			g.control.call(t.Context(), func() {
 				ctrl, now := g.control, time.Now().Add(time.Hour)
 				ctrl.mirror.Load(nil, infra.NewRevision(3, 50))
-				ctrl.applyHeartbeat(session, "p", &wirepb.PeerBeat{StoreRevision: c.revision, StoreEra: c.era}, now)
+				beat := &wirepb.PeerBeat{StoreRevision: c.revision, StoreEra: c.era, EchoedSentAtNs: monotonic(now)}
+				ctrl.applyHeartbeat(session, "p", beat, now, now)
 				confirmed = ctrl.confirmedAt.Equal(now)
 			})
 			require.Equal(t, c.confirms, confirmed)
@@ -120,8 +121,8 @@
 			ctrl := g.control
 			ctrl.mirror.Load(nil, infra.NewRevision(3, 50))
 			ctrl.mirror.Apply([]infra.Event{{Item: infra.Item{Key: "a", ModRevision: infra.NewRevision(3, 51)}}})
-			beat = ctrl.heartbeat(time.Now())
-			ctrl.handlePeerFrame(session, "p", &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Pull{Pull: c.pull}})
+			beat = ctrl.heartbeat("p", session, time.Now())
+			ctrl.handlePeerFrame(session, "p", &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Pull{Pull: c.pull}}, time.Now())
 		})
 		require.EqualValues(t, 3, beat.GetStoreEra())
 		require.EqualValues(t, 51, beat.GetStoreRevision())
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -251,12 +251,15 @@
 			g.log.Debug("peer session ended", "peer", id, "error", err.Error())
 			return
 		}
-		g.control.call(ctx, func() { g.control.handlePeerFrame(session, id, &f) })
+		receivedAt := time.Now()
+		g.control.call(ctx, func() { g.control.handlePeerFrame(session, id, &f, receivedAt) })
 	}
 }
 
 func (g *Gateway) sendHeartbeat(ctx context.Context, session *wire.Session) error {
-	b, ok := query(ctx, g.control, func() *wirepb.PeerBeat { return g.control.heartbeat(time.Now()) })
+	b, ok := query(ctx, g.control, func() *wirepb.PeerBeat {
+		return g.control.heartbeat(session.Peer().GetInstance(), session, time.Now())
+	})
 	if !ok {
 		return errors.WithStack(ctx.Err())
 	}
@@ -267,8 +270,8 @@
 // neverConfirmedAgeMs is sent as the age of a copy that was never confirmed.
 const neverConfirmedAgeMs = uint64(1) << 40 // milliseconds
 
-// heartbeat returns the heartbeat that this instance sends now.
-func (c *control) heartbeat(now time.Time) *wirepb.PeerBeat {
+// heartbeat returns the heartbeat that this instance sends to a peer now.
+func (c *control) heartbeat(to string, session *wire.Session, now time.Time) *wirepb.PeerBeat {
 	b := &wirepb.PeerBeat{
 		Instance: c.g.id, StoreAgeMs: neverConfirmedAgeMs,
 		StoreRevision: infra.RevisionNumber(c.mirror.Revision()), StoreEra: infra.Era(c.mirror.Revision()),
@@ -276,8 +279,9 @@
 		QuarantineDigest: c.crashes.Digest(),
 	}
 	if !c.confirmedAt.IsZero() {
-		b.StoreAgeMs = uint64(now.Sub(c.confirmedAt).Milliseconds())
+		b.StoreAgeMs = ceilMillis(now.Sub(c.confirmedAt))
 	}
+	c.addEcho(b, to, session, now)
 	for _, slowdowns := range c.slowdownsByGroup {
 		for addr, slowdown := range slowdowns {
 			b.Slow = append(b.Slow, &wirepb.SlowTarget{Addr: addr, Percent: uint32(100 * slowdown)})
@@ -292,12 +296,18 @@
 	return b
 }
 
-// handlePeerFrame handles one message from a peer.
-func (c *control) handlePeerFrame(session *wire.Session, id string, f *wirepb.PeerFrame) {
+// ceilMillis returns an age in whole milliseconds, rounded up so that the copy is
+// not taken for more recent than it is.
+func ceilMillis(age time.Duration) uint64 {
+	return uint64((max(0, age) + time.Millisecond - 1) / time.Millisecond)
+}
+
+// handlePeerFrame handles one message from a peer, which arrived at receivedAt.
+func (c *control) handlePeerFrame(session *wire.Session, id string, f *wirepb.PeerFrame, receivedAt time.Time) {
 	now := time.Now()
 	switch body := f.GetBody().(type) {
 	case *wirepb.PeerFrame_Beat:
-		c.applyHeartbeat(session, id, body.Beat, now)
+		c.applyHeartbeat(session, id, body.Beat, receivedAt, now)
 	case *wirepb.PeerFrame_Pull:
 		d := c.mirror.DeltaSince(infra.NewRevision(body.Pull.GetFromEra(), body.Pull.GetFromRevision()))
 		c.sendAsync(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Delta{Delta: encodeDelta(d)}})
@@ -313,8 +323,9 @@
 // applyHeartbeat updates the state of a peer. It requests changes if the peer
 // has a newer copy of the store. A peer of the previous build sends no era: if the
 // store has eras, its copy confirms nothing, and this instance watches the store
-// itself once its own copy is old.
-func (c *control) applyHeartbeat(session *wire.Session, id string, b *wirepb.PeerBeat, now time.Time) {
+// itself once its own copy is old. So it does if a peer sends no echo, whose ages mean
+// nothing here.
+func (c *control) applyHeartbeat(session *wire.Session, id string, b *wirepb.PeerBeat, receivedAt, now time.Time) {
 	p := c.peers.byID[id]
 	if p == nil {
 		p = &peer{}
@@ -333,6 +344,7 @@
 		p.leavingSince = now
 	}
 	p.session, p.process = session, b.GetProcess()
+	p.lastHeartbeat = receivedHeartbeat{session, b.GetSentAtNs(), receivedAt}
 	p.lastHeartbeatAt, p.leaving, p.storeReachable, p.following = now, leaving, b.GetStoreReachable(), b.GetStoreResting()
 	p.slowdowns = make(map[string]float64, len(b.GetSlow()))
 	for _, t := range b.GetSlow() {
@@ -346,15 +358,19 @@
 	for _, d := range b.GetDemands() {
 		p.demands[d.GetBackend()] = d.GetRequestsPerS()
 	}
-	c.mergeLimits(b.GetLimits(), now)
+	madeAt, dated := madeAfter(b, now)
+	if !dated {
+		madeAt = now // a limit must be known at once
+	}
+	c.mergeLimits(b.GetLimits(), madeAt, now)
 	c.compareReports(p, session, b.GetQuarantineDigest(), now)
 	own := c.mirror.Revision()
 	switch peerRevision := infra.NewRevision(b.GetStoreEra(), b.GetStoreRevision()); {
 	case peerRevision > own:
 		pull := &wirepb.StorePull{FromRevision: infra.RevisionNumber(own), FromEra: infra.Era(own)}
 		c.sendAsync(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Pull{Pull: pull}})
-	case peerRevision == own && b.GetStoreAgeMs() < neverConfirmedAgeMs:
-		c.confirmAsOf(now.Add(-time.Duration(b.GetStoreAgeMs())*time.Millisecond), "instance "+id)
+	case peerRevision == own && dated && b.GetStoreAgeMs() < neverConfirmedAgeMs:
+		c.confirmAsOf(madeAt.Add(-time.Duration(b.GetStoreAgeMs())*time.Millisecond), "instance "+id)
 	}
 }
 
--- a/gateway/peertable.go
+++ b/gateway/peertable.go
@@ -11,6 +11,7 @@
 	record          instanceRecord
 	process         string
 	lastHeartbeatAt time.Time
+	lastHeartbeat   receivedHeartbeat
 	leaving         bool
 	// leavingSince is when the planned stop of the peer was first heard of; zero
 	// if it may have begun long before.
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -17,7 +17,8 @@
 	// endedLimitMemory is how long the end of a limit is passed on.
 	endedLimitMemory = 10 * time.Second
 	// limitNewsAge is how much later than the known one the response must be that a
-	// peer tells of. Ages grow less than that on their way through the instances.
+	// peer tells of. What is known already comes back as older, by the transit and the
+	// rounding of each hop.
 	limitNewsAge = 500 * time.Millisecond
 	// demandHalfLife is the half-life of the rate of requests to a back end.
 	demandHalfLife = 2 * time.Second
@@ -183,15 +184,16 @@
 	t.mu.Unlock()
 }
 
-// mergeLimits takes over the limits that another instance knows of.
-func (c *control) mergeLimits(limits []*wirepb.TargetLimit, now time.Time) {
+// mergeLimits takes over the limits that another instance knows of, with their ages
+// as of madeAt.
+func (c *control) mergeLimits(limits []*wirepb.TargetLimit, madeAt, now time.Time) {
 	changed := false
 	for _, l := range limits {
 		t := c.targets[l.GetTarget()]
 		if t == nil || t.Incarnation != l.GetIncarnation() {
 			continue
 		}
-		shownAt := now.Add(-time.Duration(l.GetAgeMs()) * time.Millisecond)
+		shownAt := madeAt.Add(-time.Duration(l.GetAgeMs()) * time.Millisecond)
 		t.mu.Lock()
 		if shownAt.Sub(t.rateLimit.shownAt) > limitNewsAge {
 			changed = t.rateLimit.update(!l.GetEnded(), l.GetLimit(), shownAt) || changed
@@ -216,7 +218,7 @@
 		}
 		backends[t.Backend] = true
 		b.Limits = append(b.Limits, &wirepb.TargetLimit{
-			Target: id, Incarnation: t.Incarnation, Limit: l.limit, Ended: !l.named, AgeMs: uint64(max(0, now.Sub(l.shownAt)).Milliseconds()),
+			Target: id, Incarnation: t.Incarnation, Limit: l.limit, Ended: !l.named, AgeMs: ceilMillis(now.Sub(l.shownAt)),
 		})
 	}
 	for backend := range backends {
--- a/gateway/registry_test.go
+++ b/gateway/registry_test.go
@@ -32,7 +32,7 @@
 			})
 			require.Equal(t, instances+1, len(c.instances))
 			beat := &wirepb.PeerBeat{StoreRevision: infra.RevisionNumber(c.mirror.Revision())}
-			allocs = testing.AllocsPerRun(20, func() { c.applyHeartbeat(nil, "i1", beat, time.Now()) })
+			allocs = testing.AllocsPerRun(20, func() { c.applyHeartbeat(nil, "i1", beat, time.Now(), time.Now()) })
 		})
 		return allocs
 	}
