gateway: no empty success for a caller that has closed its writing side

What callers saw: 200 with an empty body and no seal, for a booking too, if they closed their writing side while it was in progress. Cause: net/http takes the end of the reading side for a caller that has left and cancels the request; the handler returned without a response, and net/http completes that as an empty success. Change: the handler aborts, so that the connection ends without a response. Evidence: TestCallerThatStillReadsGetsNoEmptySuccess failed before for all kinds of routes.

--- a/gateway/callerleft_test.go
+++ b/gateway/callerleft_test.go
@@ -103,3 +103,21 @@
 		})
 	}
 }
+
+// Guards against an empty success for a caller that has closed only its writing side:
+// net/http sends one if a handler returns without a response.
+func TestCallerThatStillReadsGetsNoEmptySuccess(t *testing.T) {
+	for _, path := range []string{"/book/", "/read/", "/chat/"} {
+		t.Run(path, func(t *testing.T) {
+			fake := startFakeTarget(t, "r", func(net.Conn, *http.Request) { time.Sleep(time.Second) })
+			g := newDeployment(t, config(), fake).start("g1")
+			c := dialCaller(t, g, rawRequest(http.MethodPost, path, "a", "body"))
+			require.Eventually(t, func() bool { return fake.requests.Load() == 1 }, time.Second, time.Millisecond)
+			require.NoError(t, c.CloseWrite())
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(2*time.Second)))
+			received, err := io.ReadAll(c)
+			require.NoError(t, err)
+			require.Empty(t, string(received))
+		})
+	}
+}
--- a/gateway/callerpresence.go
+++ b/gateway/callerpresence.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/skylarkstep/skylarkstep/errkind"
 )
 
 // callerPresence is what a request knows of its caller beyond the context of the
@@ -19,6 +21,12 @@
 // callerLeft reports whether the caller is known to have left.
 func (x *exchange) callerLeft() bool { return x.caller.left.Load() || x.r.Context().Err() != nil }
 
+// isForNobody reports whether a request ended with the error because its caller has
+// left.
+func (x *exchange) isForNobody(err error) bool {
+	return errkind.KindOf(err) == errkind.Canceled && x.callerLeft()
+}
+
 // callerWaits reports whether the caller still waits for a response, according to
 // the kernel. If not, it ends the work on the request.
 func (x *exchange) callerWaits() bool {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -102,7 +102,9 @@
 	}
 	x.recordWorkTime(err)
 	x.report(err)
-	if errors.Is(err, errInterrupted) {
+	if errors.Is(err, errInterrupted) || x.isForNobody(err) {
+		// Otherwise net/http would complete the response: one that was begun, or an
+		// empty success, which a caller that has closed only its writing side reads.
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -44,10 +44,10 @@
 	if errors.Is(err, errInterrupted) {
 		return
 	}
-	kind := errkind.KindOf(err)
-	if kind == errkind.Canceled && x.callerLeft() {
+	if x.isForNobody(err) {
 		return
 	}
+	kind := errkind.KindOf(err)
 	x.closeConnectionIfLeaving()
 	response := kind.Response()
 	h := x.w.Header()
