gateway: the end of a connection is noticed behind the begin of a next request (GONE)

What callers saw: work went on for a caller that had left. Cause: net/http waits for the end of a connection with a read of one byte. Once a byte has followed the request, it reads no more until the response is complete, and the end that comes after is not noticed.

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -21,14 +21,22 @@
 	// used is set once the caller has sent something, and busy from the first
 	// byte of a request to the end of its response.
 	used, busy atomic.Bool
+	request    atomic.Pointer[exchange] // in progress, or nil
 }
 
+// watchReadSize is the size in bytes of the read by which net/http waits for the end
+// of a connection while a request is in progress. All other reads are larger.
+const watchReadSize = 1
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.used.Store(true)
 		c.busy.Store(true)
+		if len(p) == watchReadSize {
+			go c.awaitEnd()
+		}
 	}
 	return n, err
 }
--- a/gateway/callerleft_test.go
+++ b/gateway/callerleft_test.go
@@ -121,3 +121,29 @@
 		})
 	}
 }
+
+// Guards against work that goes on for a caller that has sent the begin of its next
+// request and left: net/http stops to watch a connection once a byte has followed the
+// request.
+func TestTargetStopsWhenCallerLeavesBehindNextRequest(t *testing.T) {
+	const noticeTime = 500 * time.Millisecond // within which the target must be told
+	for _, path := range []string{"/book/", "/read/", "/chat/"} {
+		for name, next := range map[string]string{"one byte": "G", "a whole request": rawRequest(http.MethodGet, "/read/", "next", "")} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				fake := startFakeTarget(t, "r", func(net.Conn, *http.Request) {})
+				g := newDeployment(t, config(), fake).start("g1")
+				c := dialCaller(t, g, rawRequest(http.MethodPost, path, "a", "body"))
+				require.Eventually(t, func() bool { return fake.requests.Load() == 1 }, time.Second, time.Millisecond)
+				_, err := io.WriteString(c, next)
+				require.NoError(t, err)
+				time.Sleep(50 * time.Millisecond) // the server has read a byte of it
+				require.NoError(t, c.Close())
+				select {
+				case <-fake.closed:
+				case <-time.After(noticeTime):
+					require.Fail(t, "the target still works on the request")
+				}
+			})
+		}
+	}
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -84,14 +84,21 @@
 	lastTarget     string
 	eventCount     int
 	timing         streamTiming
-	caller         callerPresence
+	// endForCaller ends the context of the request, as the server does when it finds
+	// that the caller has left.
+	endForCaller context.CancelFunc
 }
 
 // ServeHTTP implements http.Handler. It serves the requests of callers.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{g: g, w: w, r: r, conn: callerConnOf(r.Context()), startedAt: time.Now(), meta: g.headers.Request(r.Header), triedTargets: map[string]bool{}}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	x := &exchange{
+		g: g, w: w, r: r.WithContext(ctx), endForCaller: cancel, conn: callerConnOf(ctx), startedAt: time.Now(), meta: g.headers.Request(r.Header), triedTargets: map[string]bool{},
+	}
 	if x.conn != nil {
 		x.waitedUnread = x.conn.waitedUnread()
+		defer x.conn.beginRequest(x)()
 	}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
@@ -122,7 +129,6 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.g.stops.cut, cancel)()
-	x.caller.cancel = cancel
 	defer x.enterGuard(cancel)()
 	if err := x.admitSubjects(time.Now()); err != nil {
 		return err
