--- a/errkind/kind.go
+++ b/errkind/kind.go
@@ -41,6 +41,7 @@
 	ProtocolMismatch        // the peer speaks another protocol version
 	Internal                // an unexpected error in this process
 	Quarantined             // a part of the prompt has crashed targets
+	UploadTimeout           // the body did not arrive before the deadline
 
 	kindCount
 )
@@ -115,6 +116,7 @@
 	ProtocolMismatch:   {"protocol_mismatch", http.StatusBadGateway, false, NotRun, true},
 	Internal:           {"internal", http.StatusInternalServerError, false, Unknown, false},
 	Quarantined:        {"quarantined", http.StatusServiceUnavailable, false, NotRun, false},
+	UploadTimeout:      {"upload_timeout", http.StatusRequestTimeout, true, NotRun, false},
 }
 
 // Response returns the response of the kind, or that of Unspecified for an
--- a/gateway/callerleft_test.go
+++ b/gateway/callerleft_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/routing"
 )
 
 // busyListener holds connections and what they carry back while the lock is held, as a
@@ -34,14 +36,18 @@
 // startBusy starts a gateway with a target of many slots, and holds its callers back
 // until release is called.
 func startBusy(t *testing.T, fake *fakeTarget) (g *instance, release func()) {
+	return startBusyWith(t, config(), fake)
+}
+
+func startBusyWith(t *testing.T, cfg routing.Config, fake *fakeTarget) (g *instance, release func()) {
 	var busy sync.RWMutex
-	d := newDeployment(t, config())
+	d := newDeployment(t, cfg)
 	target := fake.target("b")
 	target.Slots = 1000
 	d.put("target/"+fake.id, target)
 	d.wrapCallers = func(l net.Listener) net.Listener { return &busyListener{l, &busy} }
 	g = d.start("g1")
-	first := g.request(t.Context(), http.MethodGet, "/read/", "")
+	first := g.send(t.Context(), http.MethodGet, "/read/", http.Header{})
 	require.Equal(t, http.StatusOK, first.status, "the target must be verified")
 	fake.requests.Store(0)
 	busy.Lock()
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -205,11 +205,11 @@
 	}
 	finish := x.limitUpload()
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	finish()
+	finish(err)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return x.leavingError()
+		return x.uploadTimeoutError(time.Now())
 	case errors.As(err, &tooLarge):
 		return errkind.New(errkind.TooLarge, "the body exceeds %d bytes", limit)
 	case err != nil:
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -136,32 +134,6 @@
 	return x.stopDecision.latestSend
 }
 
-// limitUpload ends the reading of the body at the time at which a planned stop
-// leaves too little time for the request. The returned function must be called
-// after the last read.
-func (x *exchange) limitUpload() (finish func()) {
-	rc := http.NewResponseController(x.w)
-	var mu sync.Mutex
-	finished := false
-	cancel := context.AfterFunc(x.g.stops.began, func() {
-		mu.Lock()
-		defer mu.Unlock()
-		if !finished {
-			_ = rc.SetReadDeadline(x.latestSend())
-		}
-	})
-	return func() {
-		if cancel() {
-			return
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		finished = true
-		// A read deadline that remains would cancel the request.
-		_ = rc.SetReadDeadline(time.Time{})
-	}
-}
-
 // manyAlternativesShare is the share of the other instances that must have time
 // for a rejected request, so that its caller is told to retry soon.
 const manyAlternativesShare = 0.5
