--- a/gateway/callersocket.go
+++ b/gateway/callersocket.go
@@ -59,6 +59,9 @@
 	return err == nil && n > 0 && fds[0].Revents&hungUp != 0
 }
 
+// maxUnreadTime is the longest wait that is believed; no caller waits that long.
+const maxUnreadTime = time.Minute
+
 // waitedUnread returns how long ago the latest bytes of the caller arrived. For a
 // request whose handler starts, this is how long it has waited to be read, at least.
 // It returns 0 if the kernel does not tell.
@@ -78,6 +81,9 @@
 			waited = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
 	})
+	if waited > maxUnreadTime {
+		return 0
+	}
 	return waited
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -40,6 +40,7 @@
 	w         http.ResponseWriter
 	r         *http.Request
 	conn      *callerConn // nil if the request did not arrive through a callerServer
+	// startedAt is when the request arrived, as far as the kernel tells.
 	startedAt time.Time
 	// waitedUnread is how long the request had waited in the kernel, at least.
 	waitedUnread time.Duration
@@ -98,6 +99,7 @@
 	}
 	if x.conn != nil {
 		x.waitedUnread = x.conn.waitedUnread()
+		x.startedAt = x.startedAt.Add(-x.waitedUnread)
 		defer x.conn.beginRequest(x)()
 	}
 	g.inFlight.Add(1)
--- a/gateway/timeout_test.go
+++ b/gateway/timeout_test.go
@@ -47,3 +47,32 @@
 		}
 	}
 }
+
+// Guards against a time that starts only when the process gets to read a request: it
+// would be served for as long again, and its caller gets no response in time.
+func TestTimeoutCountsFromArrival(t *testing.T) {
+	cfg := config()
+	for i := range cfg.Routes {
+		cfg.Routes[i].Timeout = time.Second
+	}
+	const unread = 700 * time.Millisecond
+	fake := startFakeTarget(t, "r", func(w net.Conn, r *http.Request) {
+		if r.Header.Get("X-Id") == "id-/read/" { // the request that verifies the target
+			writeResponse(w, r, "ok")
+		}
+	})
+	g, release := startBusyWith(t, cfg, fake)
+	var callers []*net.TCPConn
+	for _, path := range []string{"/book/", "/read/", "/chat/"} {
+		callers = append(callers, dialCaller(t, g, rawRequest(http.MethodPost, path, "a", "body")))
+	}
+	end := time.Now().Add(time.Second + answerSlack)
+	time.Sleep(unread)
+	release()
+	for _, c := range callers {
+		require.NoError(t, c.SetReadDeadline(end))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err, "no response in time")
+		require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+	}
+}
