gateway: a batch decodes the configuration once (CONFIG)

What callers would see: changes late and slots granted late while large configurations follow one another. Cause: the control goroutine applied each changed key of a batch as often as the batch changed it, each time with the latest value: with ten versions it decoded the last one ten times. Change: each key is applied once a batch. Evidence: TestOnlyLastVersionOfBatchIsDecoded counted 10 before and counts 1.

--- /dev/null
+++ b/gateway/largeconfig_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/routing"
+)
+
+// countingDecoder counts how often a configuration is decoded.
+type countingDecoder struct {
+	testDecoder
+	configs atomic.Int64
+}
+
+func (d *countingDecoder) Config(value []byte) (*routing.Config, error) {
+	d.configs.Add(1)
+	return d.testDecoder.Config(value)
+}
+
+// Guards against a control goroutine that decodes a large configuration once for each
+// of its versions in a batch, although only the last one can come into force.
+func TestOnlyLastVersionOfBatchIsDecoded(t *testing.T) {
+	g := newDeployment(t, config()).start("g1")
+	decoder := &countingDecoder{}
+	var inForce int64
+	g.control.call(t.Context(), func() {
+		c := g.control
+		g.decoder = decoder
+		var batch []infra.Event
+		for i := range 10 {
+			cfg := config()
+			cfg.Version = int64(2 + i)
+			value, err := json.Marshal(cfg)
+			require.NoError(t, err)
+			batch = append(batch, infra.Event{Item: infra.Item{Key: "config", Value: value, ModRevision: c.mirror.Revision() + int64(1+i)}})
+		}
+		c.updateCopy("watch", time.Now(), func() []string { return c.mirror.Apply(batch) })
+		inForce = c.config.Version
+	})
+	require.EqualValues(t, 11, inForce)
+	require.EqualValues(t, 1, decoder.configs.Load())
+}
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/infra"
@@ -52,7 +53,7 @@
 // state, which is reconciled with the newer one first.
 func (c *control) updateCopy(source string, now time.Time, update func() []string) {
 	before := c.mirror.Revision()
-	changed := update()
+	changed := unique(update())
 	c.applyInstanceRecords(changed)
 	if before != 0 && infra.Era(c.mirror.Revision()) != infra.Era(before) {
 		changed = c.reconcileRestore(changed, before, source, now)
@@ -60,6 +61,13 @@
 	c.applyChanges(changed, source, now)
 }
 
+// unique returns the keys without repetitions. A batch may hold several versions of an
+// item, of which only the last one is applied.
+func unique(keys []string) []string {
+	slices.Sort(keys)
+	return slices.Compact(keys)
+}
+
 // reconcileRestore returns the changes of a restored store that are applied now.
 // The others wait until the operator or the targets write again.
 func (c *control) reconcileRestore(changed []string, before int64, source string, now time.Time) []string {
