gateway: a change is requested from one peer at a time (CONFIG)

What callers would see: changes and heartbeats late where links are narrow. Cause: an instance asked each peer whose heartbeat told of a newer revision for the changes, before the first reply had come: up to eight times the same large configuration (445 KB with 1,500 routes) on one link, ahead of heartbeats on the same sessions. Change: one request at a time; another peer is asked after 300 ms without a reply, and at once after a reply.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -56,6 +56,9 @@
 	// confirmedBy is who showed that: the store, or the instance whose heartbeat did.
 	confirmedBy    string
 	storeReachable bool
+	// pullPendingUntil is when a request for changes counts as lost; zero if none is
+	// pending.
+	pullPendingUntil time.Time
 	// following is set while this instance does not watch the store itself and
 	// receives changes from the watchers.
 	following bool
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -312,6 +312,7 @@
 		d := c.mirror.DeltaSince(infra.NewRevision(body.Pull.GetFromEra(), body.Pull.GetFromRevision()))
 		c.sendAsync(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Delta{Delta: encodeDelta(d)}})
 	case *wirepb.PeerFrame_Delta:
+		c.pullPendingUntil = time.Time{}
 		c.updateCopy("instance "+id, now, func() []string { return c.mirror.Merge(decodeDelta(body.Delta)) })
 	case *wirepb.PeerFrame_Quarantine:
 		c.crashes.Merge(crashguard.Decode(body.Quarantine, 0), "instance "+id, now)
@@ -367,13 +368,28 @@
 	own := c.mirror.Revision()
 	switch peerRevision := infra.NewRevision(b.GetStoreEra(), b.GetStoreRevision()); {
 	case peerRevision > own:
-		pull := &wirepb.StorePull{FromRevision: infra.RevisionNumber(own), FromEra: infra.Era(own)}
-		c.sendAsync(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Pull{Pull: pull}})
+		c.requestChanges(session, own, now)
 	case peerRevision == own && dated && b.GetStoreAgeMs() < neverConfirmedAgeMs:
 		c.confirmAsOf(madeAt.Add(-time.Duration(b.GetStoreAgeMs())*time.Millisecond), "instance "+id)
 	}
 }
 
+// pullTimeout is how long the reply to a request for changes may take until another
+// peer is asked.
+const pullTimeout = 300 * time.Millisecond
+
+// requestChanges asks a peer for the changes after a revision, unless a reply of
+// another peer is awaited: all peers tell of a change at about the same time, and it
+// may be large.
+func (c *control) requestChanges(session *wire.Session, after int64, now time.Time) {
+	if now.Before(c.pullPendingUntil) {
+		return
+	}
+	c.pullPendingUntil = now.Add(pullTimeout)
+	pull := &wirepb.StorePull{FromRevision: infra.RevisionNumber(after), FromEra: infra.Era(after)}
+	c.sendAsync(session, &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Pull{Pull: pull}})
+}
+
 // sendAsync sends a message without blocking the control goroutine.
 func (c *control) sendAsync(session *wire.Session, f *wirepb.PeerFrame) {
 	go func() {
