gateway: a watch that fails again and again is followed by a list (CONFIG)

What callers would see: an instance that keeps an old configuration. Cause: a response of a watch is limited to 8 MB. If the changes since the revision of the copy are more (13 versions of a configuration with 1,500 routes), each watch from there fails, and only a compacted history led to a list.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -36,10 +36,10 @@
 
 // exchange is one request of a caller and its response.
 type exchange struct {
-	g         *Gateway
-	w         http.ResponseWriter
-	r         *http.Request
-	conn      *callerConn // nil if the request did not arrive through a callerServer
+	g    *Gateway
+	w    http.ResponseWriter
+	r    *http.Request
+	conn *callerConn // nil if the request did not arrive through a callerServer
 	// startedAt is when the request arrived, as far as the kernel tells.
 	startedAt time.Time
 	// waitedUnread is how long the request had waited in the kernel, at least.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -145,6 +145,8 @@
 type faultyKV struct {
 	infra.KV
 	refuse, mute atomic.Bool
+	// brokenBefore is the revision before which no watch can begin.
+	brokenBefore atomic.Int64
 	watches      atomic.Int64
 }
 
@@ -158,7 +160,7 @@
 }
 
 func (k *faultyKV) Watch(ctx context.Context, prefix string, after int64) (<-chan []infra.Event, error) {
-	if k.refuse.Load() {
+	if k.refuse.Load() || after < k.brokenBefore.Load() {
 		return nil, errRefused
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/gateway/largeconfig_test.go
+++ b/gateway/largeconfig_test.go
@@ -81,6 +81,6 @@
 		c := g.control
 		c.handlePeerFrame(session, "p1", &wirepb.PeerFrame{Body: &wirepb.PeerFrame_Delta{Delta: &wirepb.StoreDelta{Revision: infra.RevisionNumber(c.mirror.Revision()) + 1}}}, now)
 	})
-	heartbeats(now.Add(2*time.Millisecond))
+	heartbeats(now.Add(2 * time.Millisecond))
 	require.Equal(t, 1, pulls(), "after a reply, the next change must be requested at once")
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -15,14 +15,18 @@
 	// maxWatchRetryDelay the limit to which the pause doubles.
 	watchRetryDelay    = 50 * time.Millisecond
 	maxWatchRetryDelay = time.Second
+	// watchFailuresBeforeList is how many watches in a row may fail until all items are
+	// listed again: the changes since the revision of the copy may be what a watch
+	// cannot deliver.
+	watchFailuresBeforeList = 3
 )
 
 // watch keeps the cached copy of the store up to date until ctx ends.
 func (c *control) watch(ctx context.Context) {
-	pause := watchRetryDelay
+	pause, failures := watchRetryDelay, 0
 	for ctx.Err() == nil {
 		c.followUntilNeeded(ctx)
-		err := c.watchOnce(ctx, func() { pause = watchRetryDelay })
+		err := c.watchOnce(ctx, func() { pause, failures = watchRetryDelay, 0 })
 		if ctx.Err() != nil {
 			return
 		}
@@ -36,6 +40,9 @@
 			}
 		} else {
 			c.post(ctx, func() { c.recordStoreFailure(err, time.Now()) })
+			if failures++; failures%watchFailuresBeforeList == 0 && c.reloadMirror(ctx) {
+				continue
+			}
 		}
 		ctxtime.Sleep(ctx, pause)
 		pause = min(2*pause, maxWatchRetryDelay)
