--- a/gateway/control.go
+++ b/gateway/control.go
@@ -280,11 +280,16 @@
 // equal to that of the active one.
 func (c *control) applyConfig(it infra.Item, source string) {
 	cfg, err := c.g.decoder.Config(it.Value)
+	if err == nil {
+		err = cfg.Validate()
+	}
 	if err != nil {
-		c.log.Error("configuration not readable", "revision", infra.RevisionNumber(it.ModRevision), "error", err.Error())
+		c.g.metrics.configsRefused.Inc(1)
+		c.log.Error("configuration refused", "revision", infra.RevisionNumber(it.ModRevision), "source", source, "in_force", c.configVersion(), "error", err.Error())
 		return
 	}
-	if c.config != nil && cfg.Version <= c.config.Version {
+	if cfg.Version <= c.configVersion() {
+		c.log.Info("configuration not newer", "version", cfg.Version, "revision", infra.RevisionNumber(it.ModRevision), "source", source, "in_force", c.configVersion())
 		return
 	}
 	c.config, c.table = cfg, routing.NewTable(cfg)
@@ -294,6 +299,14 @@
 		"routes", len(cfg.Routes), "customers", len(cfg.Customers), "age_ms", time.Since(c.confirmedAt).Milliseconds(), "confirmed_by", c.confirmedBy)
 }
 
+// configVersion returns the version in force, or 0 if there is none.
+func (c *control) configVersion() int64 {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
+
 // applyTarget applies a changed or deleted entry of a target.
 func (c *control) applyTarget(id string, it infra.Item, exists bool, source string, now time.Time) {
 	c.needsPublish = true
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -177,3 +177,26 @@
 }
 
 var _ infra.KV = (*faultyKV)(nil)
+
+// Guards against a configuration that cannot be applied and takes the place of the one
+// in force, and against one that keeps the next valid one out.
+func TestInvalidConfigurationIsRefused(t *testing.T) {
+	fake := startFakeTarget(t, "r", func(w net.Conn, req *http.Request) { writeResponse(w, req, "ok") })
+	d := newDeployment(t, config(), fake)
+	g := d.start("g1")
+	refused := func() int64 { return g.metrics.configsRefused.Count() }
+	for i, change := range []func(*routing.Config){
+		func(c *routing.Config) { c.Routes[0].Split = nil },
+		func(c *routing.Config) { c.Routes[2].Prefix = c.Routes[1].Prefix },
+		func(c *routing.Config) { c.Routes[0].Timeout = -1 },
+	} {
+		next := config()
+		next.Version = int64(10 + i)
+		change(&next)
+		d.put("config", next)
+		require.Eventually(t, func() bool { return refused() == int64(i+1) }, applyTimeout, time.Millisecond)
+		require.Equal(t, http.StatusOK, g.request(t.Context(), http.MethodGet, "/read/", "").status)
+	}
+	require.EqualValues(t, 1, g.snapshot.Load().table.Config.Version)
+	d.requireApplied([]*instance{g}, 2)
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,9 @@
 	hedges         metrics.Counter
 	retries        metrics.Counter
 	retriesRefused metrics.Counter
+	// configsRefused counts the configurations that were not applied because they are
+	// not valid.
+	configsRefused metrics.Counter
 	// storeRestores counts how often the store came back from an older copy.
 	storeRestores metrics.Counter
 	// quarantineRefusals counts the requests that were refused because they, or a part
@@ -48,6 +51,7 @@
 		hedges:         metrics.NewRegisteredCounter("request.hedges", r),
 		retries:        metrics.NewRegisteredCounter("request.retries", r),
 		retriesRefused: metrics.NewRegisteredCounter("request.retries_refused", r),
+		configsRefused: metrics.NewRegisteredCounter("config.refused", r),
 		storeRestores:  metrics.NewRegisteredCounter("store.restores", r),
 
 		callersLeft:        metrics.NewRegisteredCounter("request.callers_left", r),
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -79,15 +79,11 @@
 			applied = append(applied, key)
 		}
 	}
-	version := int64(0)
-	if c.config != nil {
-		version = c.config.Version
-	}
 	c.g.metrics.storeRestores.Inc(1)
 	c.log.Warn("key-value service restored from an older copy", "old_era", infra.Era(before), "era", infra.Era(c.mirror.Revision()),
 		"old_revision", infra.RevisionNumber(before), "revision", infra.RevisionNumber(c.mirror.Revision()), "source", source,
 		"changed", len(changed), "kept", len(changed)-len(applied), "expired", len(c.expired),
-		"unconfirmed", len(c.unconfirmed), "kept_out", len(c.keptOut), "version", version)
+		"unconfirmed", len(c.unconfirmed), "kept_out", len(c.keptOut), "version", c.configVersion())
 	return applied
 }
 
