gateway: an odd entry does not affect other targets, and is logged once

Cause here: of two entries with one address the one with the later start was used, so that an odd entry displaced a real target as long as it stayed; an entry with the address of an instance got requests, which came back to the system; each renewal of an unreadable entry wrote a log line. Change: a target whose address has answered 421 gives way to another one with that address; addresses of instances are no targets; an unreadable entry is logged once until it can be read or is deleted. Evidence: TestOddEntryDoesNotDisplaceTarget, TestEntryWithAddressOfInstance- IsNoTarget and TestOddEntryIsLoggedOnce failed before (503, 5 targets for 1, 10 lines for 1).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -132,6 +132,7 @@
 		pause := refusedTargetPause
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			pause = unreachableTargetPause
+			x.recordMisdirected(t)
 		} else if !res.targetUnwilling {
 			x.g.queues.forBackend(x.backend).recordRefusal(t.ID, time.Now())
 		}
@@ -154,6 +155,21 @@
 	return res
 }
 
+// recordMisdirected records that another process has answered at the address of a
+// target. Another target that claims the address may be the one that runs there, so it
+// is used from now on.
+func (x *exchange) recordMisdirected(t *target) {
+	if t.misdirected.Swap(true) {
+		return
+	}
+	x.g.log.Warn("another process at the address of a target", "target", t.ID, "addr", t.Addr, "request", x.meta.ID)
+	c := x.g.control
+	c.call(x.r.Context(), func() {
+		c.needsPublish = true
+		c.publish(time.Now())
+	})
+}
+
 // maxDrainBytes and drainTimeout limit the reading of a refusal's body, which
 // only serves to keep the connection. The request waits for it.
 const (
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -38,10 +38,12 @@
 	ended  chan struct{} // closed when the goroutine has ended
 	mirror *mirror.Mirror
 
-	config           *routing.Config
-	table            *routing.Table
-	targets          map[string]*target
-	expired          map[string]time.Time // targets whose entries expired, with the time of the deletion
+	config  *routing.Config
+	table   *routing.Table
+	targets map[string]*target
+	expired map[string]time.Time // targets whose entries expired, with the time of the deletion
+	// unreadable holds the ids of the entries that are not readable.
+	unreadable       map[string]bool
 	peers            *peerTable
 	reachablePeers   int                           // as of the last tick; the snapshot depends on it
 	slowdownsByGroup map[string]map[string]float64 // by rank group and address of a target
@@ -87,7 +89,7 @@
 func newControl(g *Gateway) *control {
 	c := &control{
 		g: g, log: g.log, inbox: make(chan func(), 256), ended: make(chan struct{}), mirror: mirror.New(),
-		targets: map[string]*target{}, expired: map[string]time.Time{}, peers: newPeerTable(),
+		targets: map[string]*target{}, expired: map[string]time.Time{}, unreadable: map[string]bool{}, peers: newPeerTable(),
 		slowdownsByGroup: map[string]map[string]float64{}, restoreState: newRestoreState(), groups: newRankGroups(), instances: instanceTable{},
 	}
 	c.crashes = crashguard.NewOwner(crashguard.Options{Instance: g.id, Guard: g.guard, Log: g.log, Registry: g.opts.Registry, Changed: c.sendReports, Crashed: c.targetCrashed})
@@ -317,11 +319,12 @@
 	}
 	entry, err := c.g.decoder.Target(id, it.Value)
 	if err != nil {
-		c.log.Warn("target entry not readable", "target", id, "revision", infra.RevisionNumber(it.ModRevision), "error", err.Error())
+		c.recordUnreadable(id, it, err)
 		c.removeTarget(id, "unreadable entry")
 		return
 	}
 	delete(c.expired, id)
+	delete(c.unreadable, id)
 	current := c.targets[id]
 	if current == nil || current.Incarnation != entry.Incarnation || current.Addr != entry.Addr || current.Backend != entry.Backend {
 		c.removeTarget(id, "new incarnation")
@@ -339,10 +342,26 @@
 	c.targets[id] = &target{Target: entry, targetState: current.targetState}
 }
 
+// maxUnreadable bounds the entries that are remembered as not readable.
+const maxUnreadable = 1000
+
+// recordUnreadable logs an entry that is not readable, once until it can be read again or
+// is deleted: its writer may renew it many times.
+func (c *control) recordUnreadable(id string, it infra.Item, err error) {
+	if c.unreadable[id] {
+		return
+	}
+	if len(c.unreadable) < maxUnreadable {
+		c.unreadable[id] = true
+	}
+	c.log.Warn("target entry not readable", "target", id, "revision", infra.RevisionNumber(it.ModRevision), "error", err.Error())
+}
+
 // applyTargetDeletion handles a deleted entry of a target. If the store has had
 // an outage recently, the entry may have expired although the target is
 // running, so the target is kept for a grace period.
 func (c *control) applyTargetDeletion(id string, now time.Time) {
+	delete(c.unreadable, id)
 	t := c.targets[id]
 	if t == nil {
 		return
@@ -400,9 +419,9 @@
 			outOfService[dc] = true
 		}
 	})
-	newest := c.newestByAddr()
+	used := c.targetByAddr()
 	for _, t := range c.targets {
-		if !t.isLeaving() && !outOfService[t.DataCentre] && newest[t.Addr] == t {
+		if !t.isLeaving() && !outOfService[t.DataCentre] && used[t.Addr] == t {
 			s.targets[t.Backend] = append(s.targets[t.Backend], t)
 		}
 	}
@@ -412,14 +431,31 @@
 	c.g.queues.grantAll()
 }
 
-// newestByAddr returns the target that started last at each address. The entry
-// of a crashed target remains for a while beside that of its successor.
-func (c *control) newestByAddr() map[string]*target {
-	newest := map[string]*target{}
+// targetByAddr returns the target that is used at each address. The entry of a crashed
+// target remains for a while beside that of its successor, and an entry of another writer
+// may have the address of a target.
+func (c *control) targetByAddr() map[string]*target {
+	used := map[string]*target{}
 	for _, t := range c.targets {
-		if o := newest[t.Addr]; o == nil || t.Incarnation > o.Incarnation || t.Incarnation == o.Incarnation && t.ID > o.ID {
-			newest[t.Addr] = t
+		if o := used[t.Addr]; o == nil || t.isPreferredTo(o) {
+			used[t.Addr] = t
 		}
 	}
-	return newest
+	for _, r := range c.instances {
+		delete(used, r.CallerAddr) // requests would come back to the system
+		delete(used, r.PeerAddr)
+	}
+	delete(used, c.g.opts.CallerAddr)
+	delete(used, c.g.opts.PeerAddr)
+	return used
+}
+
+// isPreferredTo reports whether a target is used rather than another one with the same
+// address: one that has not been found to be elsewhere, or else the one that started
+// last.
+func (t *target) isPreferredTo(o *target) bool {
+	if elsewhere := t.misdirected.Load(); elsewhere != o.misdirected.Load() {
+		return !elsewhere
+	}
+	return t.Incarnation > o.Incarnation || t.Incarnation == o.Incarnation && t.ID > o.ID
 }
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -28,6 +28,8 @@
 	refusedAt atomic.Int64
 	// saidLeaving is set once a response has said that the target leaves.
 	saidLeaving atomic.Bool
+	// misdirected is set once another process has answered at the address.
+	misdirected atomic.Bool
 	// warmUpUntil is the end of the warm-up, as returned by monotonic.
 	warmUpUntil atomic.Int64
 
