infra, daemon/entry: an odd row does not stop the reading of the instance list

Cause: one row without a name, of another type or nested more than 10,000 deep refused the whole list, so that an instance that left got work as before, for as long as the row stayed. Change: rows are decoded one by one; an odd one is left out and logged once.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -28,10 +28,12 @@
 	node      *node.Node
 	settings  *config.Settings
 	instances infra.InstanceList
-	kv        infra.KV
-	policy    balancer.Builder
-	claims    *claim.Claims
-	retries   *retries
+	// oddRow is the error of the last instance list; only watchInstances uses it.
+	oddRow  string
+	kv      infra.KV
+	policy  balancer.Builder
+	claims  *claim.Claims
+	retries *retries
 
 	snapshot atomic.Pointer[snapshot] // nil until there is a configuration
 	events   chan controlEvent
--- a/daemon/entry/instances.go
+++ b/daemon/entry/instances.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/timeline"
 )
@@ -18,9 +19,13 @@
 func (e *Entry) watchInstances(ctx context.Context) {
 	for {
 		rows, err := e.instances.Instances(ctx)
-		if err == nil {
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil || errkind.KindOf(err) == errkind.InvalidRequest:
+			e.logOddRow(err)
 			e.post(ctx, func(c *control) { c.applyInstanceList(rows) })
-		} else if ctx.Err() == nil {
+		default:
 			e.node.Log.Warn("instance list does not answer", "error", err)
 		}
 		select {
@@ -31,6 +36,18 @@
 	}
 }
 
+// logOddRow logs a row that is not that of an instance, once while it stays.
+func (e *Entry) logOddRow(err error) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	if text != "" && text != e.oddRow {
+		e.node.Log.Warn("row of the instance list not readable", "error", text)
+	}
+	e.oddRow = text
+}
+
 // applyInstanceList applies a result of the instance list, which can only
 // withdraw instances: those that it shows as leaving get no new work. A missing
 // row has no meaning, since the list lags, and an empty list is ignored.
--- a/infra/infra.go
+++ b/infra/infra.go
@@ -128,7 +128,9 @@
 	State      InstanceState `json:"state"`
 }
 
-// InstanceList returns the live and leaving instances. The list may lag behind.
+// InstanceList returns the live and leaving instances. The list may lag behind. An
+// error of the kind InvalidRequest comes with the other rows: it names one that is not
+// that of an instance.
 type InstanceList interface {
 	Instances(ctx context.Context) ([]Instance, error)
 }
--- a/infra/instancehttp/client.go
+++ b/infra/instancehttp/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"time"
@@ -53,9 +52,8 @@
 	return c
 }
 
-// Instances implements infra.InstanceList. It returns an error if the response is
-// interrupted, too large or has a row without a name or address: acting on a part
-// of the list would remove live instances.
+// Instances implements infra.InstanceList. It returns an error and no row if the
+// response is interrupted or too large.
 func (c *Client) Instances(ctx context.Context) ([]infra.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
@@ -78,17 +76,18 @@
 	if int64(len(data)) > c.maxResponse {
 		return nil, errkind.New(errkind.TooLarge, "instance list: response exceeds %d bytes", c.maxResponse)
 	}
-	var rows []infra.Instance
-	if err := json.Unmarshal(data, &rows); err != nil {
+	elements, err := splitArray(data)
+	if err != nil {
 		return nil, errkind.Wrap(err, errkind.StoreUnavailable, "instance list")
 	}
-	if rows == nil {
-		return nil, errkind.New(errkind.StoreUnavailable, "instance list: response is null, expected an array")
-	}
-	for i, r := range rows {
-		if r.Name == "" || r.Addr == "" {
-			return nil, errkind.New(errkind.StoreUnavailable, "instance list: row %d has no name or address", i)
+	rows, oddRow := make([]infra.Instance, 0, len(elements)), error(nil)
+	for i, element := range elements {
+		r, err := decodeRow(element)
+		if err != nil {
+			oddRow = errkind.Wrap(err, errkind.InvalidRequest, "instance list: row %d of %d", i, len(elements))
+			continue
 		}
+		rows = append(rows, r)
 	}
-	return rows, nil
+	return rows, oddRow
 }
