--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -20,7 +20,10 @@
 	cancel := context.AfterFunc(x.g.stops.began, func() {
 		mu.Lock()
 		defer mu.Unlock()
-		if latest := x.latestSend(); !finished && !latest.IsZero() && latest.Before(x.deadline) {
+		if finished {
+			return
+		}
+		if latest := x.latestSend(); !latest.IsZero() && latest.Before(x.deadline) {
 			_ = rc.SetReadDeadline(latest)
 		}
 	})
