--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,6 +87,7 @@
 	configured chan struct{}
 	inFlight   atomic.Int64
 	workTimes  workTimes
+	inProgress inProgress
 	stops      *stopState
 	guard      *crashguard.Guard
 	demands    demandTable
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -109,6 +109,7 @@
 	if err != nil {
 		x.writeError(err)
 	}
+	x.g.inProgress.end(x)
 	x.recordWorkTime(err)
 	x.report(err)
 	if errors.Is(err, errInterrupted) || x.isForNobody(err) {
@@ -265,6 +266,7 @@
 	x.admission.RecordSent(now)
 	if x.firstSentAt.IsZero() {
 		x.firstSentAt = now
+		x.g.inProgress.begin(x, now)
 	}
 	return t, nil
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -114,6 +114,9 @@
 		return nil
 	}
 	work, known := x.g.workTimes.estimate(x.workGroup(), requestSize(x.meta))
+	if slowdown := x.g.inProgress.slowdown(x, now, &x.g.workTimes); slowdown > 1 {
+		work = time.Duration(workMargin * slowdown * float64(work))
+	}
 	d := w.decide(now, x.deadline, work, known)
 	x.stopDecision = &d
 	if d.fits(now) {
