gateway: a test for changes while those that read the store are silent to it

With 3, 9 and 25 instances, and changes 0, 300, 900 and 1,300 ms after both watchers fell silent, every other instance has the change within 2 s.

--- a/gateway/watchers_test.go
+++ b/gateway/watchers_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -79,6 +82,41 @@
 	}
 }
 
+// Guards against a change that comes into force late because those that read the store
+// are silent to it and do not know it yet, at any moment of their silence, and with more
+// instances than have sessions with each other.
+func TestChangeInTimeWhileWatchersAreSilent(t *testing.T) {
+	sizes := []int{3, 9, 25}
+	if n, err := strconv.Atoi(os.Getenv("SKYLARK_TEST_INSTANCES")); err == nil {
+		sizes = []int{n} // larger ones take long and are played by hand
+	}
+	for _, n := range sizes {
+		t.Run(fmt.Sprint(n, " instances"), func(t *testing.T) {
+			t.Parallel()
+			fake := startFakeTarget(t, "r", func(w net.Conn, req *http.Request) { writeResponse(w, req, "ok") })
+			d := newDeployment(t, config(), fake)
+			var all []*instance
+			for i := range n {
+				all = append(all, d.start(fmt.Sprintf("g%d", i)))
+			}
+			time.Sleep(2 * defaultWatchTakeoverAge)
+			for i, silence := range []time.Duration{0, 300 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond} {
+				silent := watching(all)
+				for _, w := range silent {
+					w.kv.mute.Store(true)
+				}
+				time.Sleep(silence)
+				others := slices.DeleteFunc(slices.Clone(all), func(i *instance) bool { return i.kv.mute.Load() })
+				d.requireApplied(others, int64(2+i))
+				for _, w := range silent {
+					w.kv.mute.Store(false)
+				}
+				time.Sleep(defaultWatchTakeoverAge)
+			}
+		})
+	}
+}
+
 // Guards against a loss of the watchers being treated as a store outage:
 // leaving targets would then be kept.
 func TestNoOutageWhileOthersMayReach(t *testing.T) {
