infra/peersocket, daemon/entry: no dispatch for a caller that has left (GONE)

The same cause on the product's own path: a dispatch looked neither at the context nor at the connection, so that a caller whose end of the connection waits in the kernel got its work done.

--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/skylarkstep/skylarkstep/balancer"
 	"github.com/skylarkstep/skylarkstep/config"
+	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/timeline"
 	"github.com/skylarkstep/skylarkstep/wire"
@@ -80,6 +81,9 @@
 // beginAttempt dispatches to a target. If the dispatch was not written, the
 // error's DidRun is NotRun.
 func (r *request) beginAttempt(ctx context.Context, to *route, d *wirepb.Dispatch) (*attempt, error) {
+	if httpapi.CallerLeft(ctx) {
+		return nil, errkind.New(errkind.Canceled, "the caller has left before the dispatch").WithDidRun(errkind.NotRun)
+	}
 	r.attempts++
 	if r.triedTargets == nil {
 		r.triedTargets = map[string]bool{}
--- a/daemon/httpapi/server.go
+++ b/daemon/httpapi/server.go
@@ -1,12 +1,16 @@
 package httpapi
 
 import (
+	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/infra/peersocket"
 )
 
 // Limits of every HTTP listener.
@@ -28,7 +32,25 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    MaxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnContext:       WithConn,
+	}
+}
+
+type connKey struct{}
+
+// WithConn adds the connection of a caller to the context of its requests.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// CallerLeft reports whether the caller of a request has left: the server has found out,
+// or the kernel knows already.
+func CallerLeft(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
 	}
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && peersocket.Inspect(conn).Closed
 }
 
 func limitRequestBody(next http.Handler) http.Handler {
--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -63,7 +63,7 @@
 // hasUnreadData reports whether bytes of the caller have arrived that the server has
 // not read yet, because this process got too little processor time.
 func (c *callerConn) hasUnreadData() bool {
-	return c.socketState().unread
+	return c.socketState().Unread
 }
 
 // callerConns holds the open connections of callers.
--- a/gateway/callerpresence.go
+++ b/gateway/callerpresence.go
@@ -24,7 +24,7 @@
 // a connection from a goroutine, which may get processor time long after. It is called by
 // several goroutines.
 func (x *exchange) callerWaits() bool {
-	if x.conn == nil || !x.conn.socketState().closed {
+	if x.conn == nil || !x.conn.socketState().Closed {
 		return true
 	}
 	if !x.callerLeft() {
