gateway/upstream: an abandoned request is not delivered later (GONE)

What callers and targets would see: requests reach targets long after their callers have left, or after a final 504. Cause: when a request is abandoned its connection was closed in the ordinary way. What waits in the socket, since the target does not read or the path to it is cut, is still delivered after that, and runs for nobody; a booking may run after its caller was told that there is no response. Class: work that outlives the decision to give it up. Change: a connection with a request in progress is reset when it is given up. Evidence: TestAbandonedRequestIsNotDelivered failed before (the whole request arrived after the cancellation).

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -73,6 +73,16 @@
 	return nc
 }
 
+// abort closes a connection on which a request is in progress. It resets the connection:
+// after an ordinary close, what has not arrived yet would still be delivered, and the
+// request would run for nobody once the target reads again or the path to it is back.
+func (c *conn) abort() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // headLimiter reads from a connection and fails once a head exceeds
 // maxHeadBytes. Without it, a line without end would be buffered completely.
 type headLimiter struct{ c *conn }
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -212,11 +212,11 @@
 		p.keep(c, time.Until(c.idleUntil))
 		return nil, &Error{Err: ErrNotWanted}
 	}
-	cancelClose := context.AfterFunc(ctx, func() { _ = c.Close() })
+	cancelClose := context.AfterFunc(ctx, c.abort)
 	resp, written, err := c.roundTrip(r) //nolint:bodyclose // Finish and Close end the connection
 	if err != nil {
 		cancelClose()
-		_ = c.Close()
+		c.abort()
 		return nil, &Error{Err: err, Sent: true}
 	}
 	return &Response{Response: resp, conn: c, pool: p, written: written, cancelClose: cancelClose}, nil
@@ -368,5 +368,5 @@
 	}
 	r.released = true
 	r.cancelClose()
-	_ = r.conn.Close()
+	r.conn.abort()
 }
