--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -17,7 +17,7 @@
 	var items []infra.Item
 	for i := range n {
 		id := fmt.Sprintf("g%02d", i)
-		items = append(items, infra.Item{Key: recordKey(id), Value: instanceRecord{PeerAddr: id}.encode(), ModRevision: int64(i + 1)})
+		items = append(items, infra.Item{Key: recordKey(id), Value: testInstanceRecord(i).encode(), ModRevision: int64(i + 1)})
 	}
 	dials := map[string]map[string]string{}
 	for i := range n {
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -60,6 +61,11 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return errors.Wrapf(err, "decode the record %q", key)
 	}
+	for _, addr := range []string{r.CallerAddr, r.PeerAddr} {
+		if a, err := netip.ParseAddrPort(addr); err != nil || a.Port() == 0 {
+			return errors.Errorf("the record %q has the address %.60q, which is not an IP address with a port", key, addr)
+		}
+	}
 	t[id] = r
 	return nil
 }
