--- a/daemon/entry/sim_test.go
+++ b/daemon/entry/sim_test.go
@@ -254,7 +254,10 @@
 
 // disconnectOne breaks one connection of a target process.
 func (s *sim) disconnectOne(p *simTarget) {
-	i := s.intn(max(len(p.pairs), 1))
+	s.mu.Lock()
+	n := len(p.pairs)
+	s.mu.Unlock()
+	i := s.intn(max(n, 1))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if i < len(p.pairs) {
