--- a/gateway/callerleft_test.go
+++ b/gateway/callerleft_test.go
@@ -132,7 +132,7 @@
 // request and left: net/http stops to watch a connection once a byte has followed the
 // request.
 func TestTargetStopsWhenCallerLeavesBehindNextRequest(t *testing.T) {
-	const noticeTime = 500 * time.Millisecond // within which the target must be told
+	const noticeTime = 500 * time.Millisecond // within which the target must notice
 	for _, path := range []string{"/book/", "/read/", "/chat/"} {
 		for name, next := range map[string]string{"one byte": "G", "a whole request": rawRequest(http.MethodGet, "/read/", "next", "")} {
 			t.Run(name+" "+path, func(t *testing.T) {
