--- a/gateway/staleness_test.go
+++ b/gateway/staleness_test.go
@@ -166,3 +166,18 @@
 		require.Equal(t, c.dated, dated, name)
 	}
 }
+
+// Guards against an echo on another session than that of the heartbeat: the process at its
+// other end may be a new one, with another clock.
+func TestEchoStaysOnItsSession(t *testing.T) {
+	n := newHeartbeatNet(t, 2, time.Millisecond)
+	now := time.Now()
+	first, second := &wire.Session{}, &wire.Session{}
+	c, peer := n.instances[0].control, n.instances[1].id
+	require.Zero(t, c.heartbeat(peer, first, now).GetEchoedSentAtNs(), "nothing was received yet")
+	c.applyHeartbeat(first, peer, &wirepb.PeerBeat{SentAtNs: 7}, now, now)
+	echo := c.heartbeat(peer, first, now.Add(time.Millisecond))
+	require.EqualValues(t, 7, echo.GetEchoedSentAtNs())
+	require.EqualValues(t, time.Millisecond, echo.GetEchoHeldNs())
+	require.Zero(t, c.heartbeat(peer, second, now).GetEchoedSentAtNs())
+}
