--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -57,7 +57,7 @@
 	loadTracker *plan.Tracker
 
 	fencing        uint64
-	mapsPlanned    uint64
+	maps           *mapCounter
 	plan           switchover.Plan
 	currentMap     switchover.Map
 	currentVersion uint64 // of currentMap
@@ -95,7 +95,7 @@
 
 func newCoordinator(log *slog.Logger, l *links, shape *routing.ExpertShape) *coordinator {
 	return &coordinator{
-		log: log, links: l, shape: shape, lastPrepare: map[int]sentPrepare{},
+		log: log, links: l, shape: shape, lastPrepare: map[int]sentPrepare{}, maps: &mapCounter{},
 		loadTracker: plan.NewTracker(shape.Sets, shape.Experts, plan.DefaultTrackerRules),
 	}
 }
@@ -107,12 +107,8 @@
 	if !valid || fencing == c.supersededFencing {
 		return roundInterval
 	}
-	if fencing != c.fencing {
-		c.fencing, c.mapsPlanned, c.plan, c.mapKnown = fencing, 0, switchover.Plan{}, false
-		if t, ok := c.token.(takenOverToken); ok {
-			c.mapsPlanned = t.Maps
-		}
-		c.log.Info("coordinating", "fencing", fencing)
+	if !c.enterTerm(fencing) {
+		return roundInterval
 	}
 	reports := c.links.queryAll(ctx, ReportQuery{Counts: c.mayReadCounts(), Placement: !c.mapKnown})
 	now := time.Now()
@@ -140,6 +136,25 @@
 	}
 }
 
+// enterTerm prepares for rounds under a fencing number. It returns false if this
+// process has used a higher number since: the ranks refuse the lower one.
+func (c *coordinator) enterTerm(fencing uint64) bool {
+	inherited := uint64(0)
+	if t, ok := c.token.(takenOverToken); ok {
+		inherited = t.Maps
+	}
+	c.maps.resume(fencing, inherited)
+	planned, current := c.maps.planned(fencing)
+	if fencing != c.fencing {
+		c.fencing, c.plan, c.mapKnown = fencing, switchover.Plan{}, false
+		c.log.Info("coordinating", "fencing", fencing, "maps", planned, "superseded", !current)
+	}
+	if !current {
+		c.supersededFencing = fencing
+	}
+	return current
+}
+
 // observePace records the progress of the group, and sets how far ahead the next
 // switch holds a step.
 func (c *coordinator) observePace(states []switchover.State, now time.Time) {
@@ -306,9 +321,10 @@
 	if c.plan.Version != 0 && c.plan.Version != c.currentVersion {
 		return // a switch is in progress
 	}
-	version, ok := mapVersion(c.fencing, c.mapsPlanned+1)
+	planned, _ := c.maps.planned(c.fencing)
+	version, ok := mapVersion(c.fencing, planned+1)
 	if !ok {
-		c.log.Error("no map version left in this term", "fencing", c.fencing, "maps", c.mapsPlanned)
+		c.log.Error("no map version left in this term", "fencing", c.fencing, "maps", planned)
 		c.noPlanUntil = now.Add(versionsExhaustedDelay)
 		return
 	}
@@ -317,8 +333,8 @@
 	if !ok {
 		return
 	}
-	c.mapsPlanned++
-	c.plan = switchover.Plan{Version: version, Map: proposal.Map, HoldRank: int(c.mapsPlanned)}
+	c.maps.add()
+	c.plan = switchover.Plan{Version: version, Map: proposal.Map, HoldRank: int(planned + 1)}
 	c.log.Info("map planned", "version", c.plan.Version, "peak", proposal.MaxRankLoad, "planned_peak", proposal.PlannedMaxRankLoad, "copies", proposal.Copies,
 		"choices", c.loadTracker.Activations())
 }
--- a/ranks/election.go
+++ b/ranks/election.go
@@ -64,14 +64,15 @@
 type Coordinators struct {
 	o CoordinatorOptions
 
-	mu        sync.Mutex
-	takenOver map[string]Term
-	stopping  context.Context // the context of Run; nil before Run is called
+	mu          sync.Mutex
+	takenOver   map[string]Term
+	mapCounters map[string]*mapCounter
+	stopping    context.Context // the context of Run; nil before Run is called
 }
 
 // NewCoordinators returns coordinators; Run starts them.
 func NewCoordinators(o CoordinatorOptions) *Coordinators {
-	return &Coordinators{o: o, takenOver: map[string]Term{}}
+	return &Coordinators{o: o, takenOver: map[string]Term{}, mapCounters: map[string]*mapCounter{}}
 }
 
 // Run coordinates groups until ctx ends. Then it finishes switches that hold a
@@ -136,6 +137,7 @@
 		token := c.activeToken(ctx, group, holder, reserve)
 		if token == nil {
 			if coord != nil {
+				c.o.Log.Info("coordination suspended: no token", "group", group, "fencing", coord.fencing)
 				c.reportNoSlowRanks(group)
 			}
 			coord = nil
@@ -179,12 +181,25 @@
 		return nil
 	}
 	coord := newCoordinator(c.o.Log, l, shape)
+	coord.maps = c.mapCounter(l.group)
 	if c.o.OnSlowRanks != nil {
 		coord.onSlowRanks = func(byAddr map[string]float64) { c.o.OnSlowRanks(l.group, byAddr) }
 	}
 	return coord
 }
 
+// mapCounter returns the counter of the maps of a group.
+func (c *Coordinators) mapCounter(group string) *mapCounter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.mapCounters[group]
+	if m == nil {
+		m = &mapCounter{}
+		c.mapCounters[group] = m
+	}
+	return m
+}
+
 // newCoordinatorLease returns a holder that competes for the coordinator lease of a
 // group.
 func newCoordinatorLease(ctx context.Context, o CoordinatorOptions, group, key string) *lease.Holder {
--- a/ranks/handover.go
+++ b/ranks/handover.go
@@ -27,8 +27,12 @@
 	if c.stopping != nil && c.stopping.Err() != nil {
 		return false
 	}
-	if last, ok := c.takenOver[t.Group]; ok && last.Fencing > t.Fencing {
+	last, ok := c.takenOver[t.Group]
+	switch {
+	case ok && last.Fencing > t.Fencing:
 		return true
+	case ok && last.Fencing == t.Fencing:
+		t.Maps = max(t.Maps, last.Maps)
 	}
 	c.takenOver[t.Group] = t
 	c.o.Log.Info("term adopted", "group", t.Group, "fencing", t.Fencing, "maps", t.Maps)
@@ -65,9 +69,14 @@
 		return
 	}
 	c.dropTerm(group)
-	if coord != nil && (!ok || coord.fencing == t.Fencing) {
-		t = Term{Group: group, Fencing: coord.fencing, Maps: coord.mapsPlanned}
+	if coord != nil && !ok {
+		t = Term{Group: group, Fencing: coord.fencing}
 	}
+	planned, current := c.mapCounter(group).planned(t.Fencing)
+	if !current {
+		return // the ranks refuse the number, and its count is not known any more
+	}
+	t.Maps = max(t.Maps, planned)
 	if ok || renewalsFailing || !c.storeAnswers(ctx, group) {
 		c.handOver(t)
 	}
