--- /dev/null
+++ b/expertmap/switchover/history.go
@@ -0,0 +1,95 @@
+package switchover
+
+import "time"
+
+// History is what a coordinator remembers of the orders that it has sent under one
+// fencing number. It must last as long as the number is used. It keeps a decision
+// from using what was true before an order that has had an effect since, of this
+// coordinator or of an earlier one. It reads no clock.
+type History struct {
+	ranks map[int]rankHistory
+	hold  holdDecision
+}
+
+// rankHistory is what is known of the orders that were sent to one rank.
+type rankHistory struct {
+	// settledAt is when the reply to the last order came, or when the coordinator
+	// stopped waiting for it, and usedAsOf the time as of which the last report
+	// was that was used.
+	settledAt, usedAsOf time.Time
+}
+
+// holdDecision is the step that was last to be held, and for which map.
+type holdDecision struct {
+	version, epoch, step uint64
+}
+
+// NewHistory returns the history of a coordinator that has sent no order under its
+// number yet.
+func NewHistory() *History {
+	return &History{ranks: map[int]rankHistory{}}
+}
+
+// Record records an order that was sent. Without a confirmation the rank may have
+// carried it out, or may do so later. settledAt is when the reply came, or when the
+// coordinator stopped waiting for it.
+func (h *History) Record(o Order, settledAt time.Time) {
+	r := h.ranks[o.Rank]
+	r.settledAt = settledAt
+	h.ranks[o.Rank] = r
+}
+
+// Decide returns the phase of the group and the next orders like the function
+// Decide. It sends no order
+//
+//   - that follows from a report that is older than the last order to its rank: a
+//     report of before an arm order shows no armed rank, and the group would be
+//     armed for another step,
+//   - that follows from a report that is older than one used before: a rank that
+//     seems to have lost its copy would have the held step released, and
+//   - for another step than the last one that was to be held, unless that one has
+//     begun: the late order for it would hold, or release, a later switch.
+func (h *History) Decide(states []State, plan Plan) (Phase, []Order) {
+	if !allReportSameEpoch(states) {
+		return Unready, nil
+	}
+	if h.outdated(states) {
+		return Outdated, nil
+	}
+	h.use(states)
+	phase, orders := Decide(states, plan)
+	if phase == Holding && orders[0].Operation == Hold {
+		orders[0].Step = h.holdStep(orders[0], plan.Version, lastBegunStep(states))
+	}
+	return phase, orders
+}
+
+// outdated reports whether some rank may have carried out an order after the state
+// that it has reported, or has reported a later one before.
+func (h *History) outdated(states []State) bool {
+	for i, s := range states {
+		r := h.ranks[i]
+		if s.AsOf.Before(r.settledAt) || s.AsOf.Before(r.usedAsOf) {
+			return true
+		}
+	}
+	return false
+}
+
+// use records that the states are used for a decision.
+func (h *History) use(states []State) {
+	for i, s := range states {
+		r := h.ranks[i]
+		r.usedAsOf = s.AsOf
+		h.ranks[i] = r
+	}
+}
+
+// holdStep returns the step to hold: the one that was held for the map before, while
+// it has not begun, or the step of the order.
+func (h *History) holdStep(o Order, version, lastBegun uint64) uint64 {
+	if h.hold.version != version || h.hold.epoch != o.Epoch || h.hold.step <= lastBegun {
+		h.hold = holdDecision{version: version, epoch: o.Epoch, step: o.Step}
+	}
+	return h.hold.step
+}
--- /dev/null
+++ b/expertmap/switchover/history_test.go
@@ -0,0 +1,57 @@
+package switchover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// at returns a time in seconds.
+func at(s int) time.Time { return time.Unix(int64(s), 0) }
+
+// preparedGroup returns the reports of three ranks that have prepared version 5, as
+// of a time.
+func preparedGroup(asOf time.Time) []State {
+	states := make([]State, 3)
+	for i := range states {
+		states[i] = State{Reported: true, Open: true, Epoch: 1, Step: 40, PreparedVersion: 5, AsOf: asOf}
+	}
+	return states
+}
+
+var preparedPlan = Plan{Version: 5, HoldRank: 1, LeadSteps: 3}
+
+// Guards against a second step for which ranks are armed, because a report of before
+// an order was used: it shows neither the hold nor the armed ranks.
+func TestReportOlderThanOrderIsNotUsed(t *testing.T) {
+	h := NewHistory()
+	phase, orders := h.Decide(preparedGroup(at(1)), preparedPlan)
+	require.Equal(t, Holding, phase)
+	h.Record(orders[0], at(3))
+	states := preparedGroup(at(4))
+	states[1].AsOf = at(2)
+	phase, later := h.Decide(states, preparedPlan)
+	require.Equal(t, Outdated, phase)
+	require.Empty(t, later)
+	phase, _ = h.Decide(preparedGroup(at(3)), preparedPlan)
+	require.Equal(t, Holding, phase)
+}
+
+// Guards against a late hold order that holds a later step, and against one for a
+// step that has begun.
+func TestHoldIsRepeatedForOneStep(t *testing.T) {
+	h := NewHistory()
+	held := func(step uint64) uint64 {
+		states := preparedGroup(at(9))
+		for i := range states {
+			states[i].Step = step
+		}
+		phase, orders := h.Decide(states, preparedPlan)
+		require.Equal(t, Holding, phase)
+		return orders[0].Step
+	}
+	require.EqualValues(t, 43, held(40))
+	require.EqualValues(t, 43, held(42), "the step has not begun")
+	require.EqualValues(t, 46, held(43))
+}
--- a/expertmap/switchover/switchover.go
+++ b/expertmap/switchover/switchover.go
@@ -1,5 +1,7 @@
 package switchover
 
+import "time"
+
 // Operation is the kind of an order.
 type Operation string
 
@@ -33,10 +35,14 @@
 	// Held is set while the rank keeps the group from beginning HeldStep.
 	Held     bool
 	HeldStep uint64
+	// AsOf is the earliest time at which the rank can have been in this state. Only
+	// reports that a rank sends to its own machine are as of the query.
+	AsOf time.Time
 }
 
-// After returns the state of the rank after it has confirmed an order.
-func (s State) After(o Order) State {
+// After returns the state of the rank after it has confirmed an order at a time.
+func (s State) After(o Order, at time.Time) State {
+	s.AsOf = at
 	switch o.Operation {
 	case Arm:
 		s.ArmedVersion, s.ArmedStep = o.Version, o.Step
@@ -85,6 +91,8 @@
 	// Unready means that the group is broken, or that some rank has not
 	// reported.
 	Unready Phase = "unready"
+	// Outdated means that some report may be older than the last order to its rank.
+	Outdated Phase = "outdated"
 	// Settled means that all ranks use one map and no switch is in progress.
 	Settled Phase = "settled"
 	// Preparing means that ranks copy the experts of the next map.
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -58,6 +58,7 @@
 
 	fencing        uint64
 	maps           *mapCounter
+	history        *switchover.History
 	plan           switchover.Plan
 	currentMap     switchover.Map
 	currentVersion uint64 // of currentMap
@@ -95,7 +96,7 @@
 
 func newCoordinator(log *slog.Logger, l *links, shape *routing.ExpertShape) *coordinator {
 	return &coordinator{
-		log: log, links: l, shape: shape, lastPrepare: map[int]sentPrepare{}, maps: &mapCounter{},
+		log: log, links: l, shape: shape, lastPrepare: map[int]sentPrepare{}, maps: &mapCounter{}, history: switchover.NewHistory(),
 		loadTracker: plan.NewTracker(shape.Sets, shape.Experts, plan.DefaultTrackerRules),
 	}
 }
@@ -129,13 +130,20 @@
 	switch phase {
 	case switchover.Settled, switchover.Unready:
 		return roundInterval
-	case switchover.Preparing, switchover.Armed:
+	case switchover.Preparing, switchover.Armed, switchover.Outdated:
 		return 5 * switchRoundInterval
 	default:
 		return switchRoundInterval
 	}
 }
 
+// coordinatesUnder reports whether the coordinator has begun to use the number of a
+// token, or has used none yet. Another one would lack the history of its orders.
+func (c *coordinator) coordinatesUnder(token lease.Token) bool {
+	fencing, _ := token.Token()
+	return c.fencing == 0 || c.fencing == fencing
+}
+
 // enterTerm prepares for rounds under a fencing number. It returns false if this
 // process has used a higher number since: the ranks refuse the lower one.
 func (c *coordinator) enterTerm(fencing uint64) bool {
@@ -147,6 +155,7 @@
 	planned, current := c.maps.planned(fencing)
 	if fencing != c.fencing {
 		c.fencing, c.plan, c.mapKnown = fencing, switchover.Plan{}, false
+		c.history = switchover.NewHistory()
 		c.log.Info("coordinating", "fencing", fencing, "maps", planned, "superseded", !current)
 	}
 	if !current {
@@ -200,7 +209,7 @@
 // the held step is reached.
 func (c *coordinator) advanceSwitch(ctx context.Context, states []switchover.State, now time.Time) switchover.Phase {
 	for {
-		phase, orders := switchover.Decide(states, c.plan)
+		phase, orders := c.history.Decide(states, c.plan)
 		c.setPhase(phase, states)
 		c.recordProgress(phase, orders)
 		orders = c.withoutBusyPrepares(orders, now)
@@ -208,17 +217,18 @@
 		if len(orders) == 0 || !confirmed || phase != switchover.Holding && phase != switchover.Arming {
 			return phase
 		}
+		confirmedAt := time.Now()
 		for _, o := range orders {
-			states[o.Rank] = states[o.Rank].After(o)
+			states[o.Rank] = states[o.Rank].After(o, confirmedAt)
 		}
 	}
 }
 
 // recordProgress records whether the group may be held after a decision. A group
-// that is not ready may still be.
+// whose states are not known may still be.
 func (c *coordinator) recordProgress(phase switchover.Phase, orders []switchover.Order) {
 	switch phase {
-	case switchover.Unready:
+	case switchover.Unready, switchover.Outdated:
 	case switchover.Holding, switchover.Arming, switchover.Armed:
 		c.stepHeld = len(orders) > 0
 	default:
@@ -373,9 +383,14 @@
 	if time.Now().Before(c.lossyUntil) {
 		duplicates = lossyDuplicates
 	}
-	for _, res := range c.links.sendOrders(ctx, orders, c.fencing, duplicates, c.token) {
+	results := c.links.sendOrders(ctx, orders, c.fencing, duplicates, c.token)
+	settledAt := time.Now()
+	for _, res := range results {
 		o := res.order
 		confirmed = confirmed && res.outcome == Done
+		if res.outcome != NotSent {
+			c.history.Record(o, settledAt)
+		}
 		if res.outcome == NoReply {
 			c.lossyUntil = time.Now().Add(lossyPeriod)
 		}
--- a/ranks/election.go
+++ b/ranks/election.go
@@ -133,23 +133,24 @@
 		hello: &wirepb.Hello{Instance: o.Instance, Role: "coordinator"},
 	}
 	var coord *coordinator
+	active := false // whether there was a token in the last round
 	for ctx.Err() == nil {
 		token := c.activeToken(ctx, group, holder, reserve)
 		if token == nil {
-			if coord != nil {
-				c.o.Log.Info("coordination suspended: no token", "group", group, "fencing", coord.fencing)
-				c.reportNoSlowRanks(group)
+			if active {
+				c.suspend(group, coord)
 			}
-			coord = nil
+			active = false
 			ctxtime.Sleep(ctx, roundInterval)
 			continue
 		}
-		if coord == nil {
+		if coord == nil || !coord.coordinatesUnder(token) {
 			if coord = c.newCoordinator(ctx, l); coord == nil {
 				ctxtime.Sleep(ctx, groupPollInterval)
 				continue
 			}
 		}
+		active = true
 		coord.token = token
 		ctxtime.Sleep(ctx, coord.runRound(workCtx))
 		if coord.isSuperseded() {
@@ -158,6 +159,9 @@
 			reserve.holder.Resign(coord.fencing)
 		}
 	}
+	if !active {
+		coord = nil // its term has ended
+	}
 	if coord != nil {
 		coord.finishSwitch(workCtx)
 		c.reportNoSlowRanks(group)
@@ -165,6 +169,14 @@
 	c.endTerm(workCtx, group, coord, holder.RenewalsFailing() || reserve.holder.RenewalsFailing())
 }
 
+// suspend is called when a coordinator has no token any more. It is kept: if the token
+// comes back with the same number, reports of before its last orders may still arrive.
+func (c *Coordinators) suspend(group string, coord *coordinator) {
+	c.o.Log.Info("coordination suspended: no token", "group", group, "fencing", coord.fencing)
+	coord.reportedSlow = nil
+	c.reportNoSlowRanks(group)
+}
+
 // reportNoSlowRanks withdraws the report of slow ranks at the end of a term.
 func (c *Coordinators) reportNoSlowRanks(group string) {
 	if c.o.OnSlowRanks != nil {
@@ -182,6 +194,7 @@
 	}
 	coord := newCoordinator(c.o.Log, l, shape)
 	coord.maps = c.mapCounter(l.group)
+	l.maxReportAge = maxReportAge(shape)
 	if c.o.OnSlowRanks != nil {
 		coord.onSlowRanks = func(byAddr map[string]float64) { c.o.OnSlowRanks(l.group, byAddr) }
 	}
--- a/ranks/links.go
+++ b/ranks/links.go
@@ -24,13 +24,21 @@
 	agentQueryTimeout = 200 * time.Millisecond
 	agentOrderTimeout = rankOrderTimeout + 60*time.Millisecond
 	// dialTimeout is the timeout for opening a session with an agent, and
-	// redialDelay the pause after a session has failed.
+	// redialDelay the pause after it has failed twice in succession. After one
+	// failure the session is opened again at once: a process that was paused finds
+	// all its sessions timed out, and only agents report the present state.
 	dialTimeout = 200 * time.Millisecond
 	redialDelay = time.Second
 	// recordRefresh is the interval at which the agents' records are read, and
 	// recordRefreshMissing the one while some rank has not reported.
 	recordRefresh        = 5 * time.Second
 	recordRefreshMissing = time.Second
+	// defaultReportAge is the largest age of a report to another machine if the
+	// configuration does not name the lag of reports.
+	defaultReportAge = time.Second
+	// reportAgePerLag is how many times older than the named lag a report may be. A
+	// rank updates what it reports at intervals.
+	reportAgePerLag = 2
 	// addrSearchInterval is the interval of searches for the ranks' addresses.
 	addrSearchInterval = time.Second
 	// maxGroupSize limits the size of a group that a record may state, 64 times
@@ -48,6 +56,16 @@
 	rankAddr       string    // verified by a report; for Hold and Go orders, and while the agent does not reply
 	advertisedAddr string    // where the rank receives requests, from its agent's record
 	failedAt       time.Time // of the last failure of a session or dial
+	failures       int       // of sessions and dials since the last reply
+}
+
+// maxReportAge returns the largest age of a report that a rank sends to another
+// machine.
+func maxReportAge(shape *routing.ExpertShape) time.Duration {
+	if shape.ReportLag <= 0 {
+		return defaultReportAge
+	}
+	return reportAgePerLag * shape.ReportLag
 }
 
 // ItemLister lists the items of the key-value store under a prefix, from a
@@ -62,6 +80,9 @@
 	log       *slog.Logger
 	hello     *wirepb.Hello
 	group     string
+	// maxReportAge is the largest age of a report that a rank sends to another
+	// machine.
+	maxReportAge time.Duration
 
 	backend     string
 	byRank      []*link
@@ -178,8 +199,9 @@
 }
 
 // queryOne queries a rank through its agent, or directly if the agent does not
-// reply. A direct query does not read counts.
+// reply. A direct query does not read counts, and its report is older.
 func (l *links) queryOne(ctx context.Context, k *link, q ReportQuery) (Report, error) {
+	sentAt := time.Now()
 	var f wirepb.RankFrame
 	f.Body = &wirepb.RankFrame_Question{Question: &wirepb.RankQuestion{Counts: q.Counts, Placement: q.Placement}}
 	reply, err := k.roundTrip(ctx, l.hello, &f, agentQueryTimeout)
@@ -188,10 +210,14 @@
 		if s == nil || s.GetError() != "" {
 			return Report{}, errors.Errorf("agent: %s", s.GetError())
 		}
-		return decodeReport(s), nil
+		r := decodeReport(s)
+		r.State.AsOf = sentAt
+		return r, nil
 	}
 	if direct := k.directAddr(); direct != "" {
+		sentAt = time.Now()
 		r, err := queryRank(ctx, l.engine, direct, ReportQuery{Placement: q.Placement})
+		r.State.AsOf = sentAt.Add(-l.maxReportAge)
 		if err != nil {
 			k.forgetRankAddr()
 		}
@@ -209,7 +235,7 @@
 	if k.agentAddr == "" {
 		return nil, errors.New("address of the agent is not known")
 	}
-	if k.session == nil && time.Since(k.failedAt) < redialDelay {
+	if k.session == nil && k.failures > 1 && time.Since(k.failedAt) < redialDelay {
 		return nil, errors.New("the last session with the agent failed, waiting before the next dial")
 	}
 	if k.session == nil {
@@ -217,7 +243,7 @@
 		defer cancel()
 		s, err := wire.Dial(dctx, k.agentAddr, nil, hello)
 		if err != nil {
-			k.failedAt = time.Now()
+			k.recordFailure()
 			return nil, err
 		}
 		k.session = s
@@ -232,12 +258,20 @@
 	}
 	if err != nil {
 		_ = k.session.Close()
-		k.session, k.failedAt = nil, time.Now()
+		k.session = nil
+		k.recordFailure()
 		return nil, errors.WithStack(err)
 	}
+	k.failures = 0
 	return &reply, nil
 }
 
+// recordFailure records that a session or a dial has failed. The caller holds k.mu.
+func (k *link) recordFailure() {
+	k.failures++
+	k.failedAt = time.Now()
+}
+
 // forgetRankAddr drops the address of a rank that does not reply there any
 // more.
 func (k *link) forgetRankAddr() {
--- a/ranks/links_test.go
+++ b/ranks/links_test.go
@@ -168,3 +168,57 @@
 	l.refreshRecords(t.Context(), time.Now().Add(recordRefreshMissing))
 	require.Len(t, l.byRank, groupRanks)
 }
+
+// stallingEngine delays one report.
+type stallingEngine struct {
+	Engine
+	stall atomic.Int64 // duration of the next report's delay
+}
+
+func (e *stallingEngine) Report(ctx context.Context, addr string) (Report, error) {
+	time.Sleep(time.Duration(e.stall.Swap(0)))
+	return e.Engine.Report(ctx, addr)
+}
+
+// linksThroughAgent returns links to a group whose rank 0 has an agent. The agent
+// queries the rank through e.
+func linksThroughAgent(t *testing.T, g *fakeGroup, e Engine) *links {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	a := &agent{engine: e, rankAddr: "rank-0", log: slog.New(slog.DiscardHandler), hello: &wirepb.Hello{}, ending: make(chan struct{})}
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan struct{})
+	go func() { a.serve(ctx, listener); close(served) }()
+	t.Cleanup(func() { a.stopping.Store(true); cancel(); _ = listener.Close(); <-served; a.endSessions() })
+	l := directLinks(g)
+	l.hello, l.maxReportAge = &wirepb.Hello{}, time.Minute
+	l.byRank[0].agentAddr = listener.Addr().String()
+	return l
+}
+
+// Guards against a report of a rank to another machine that counts as one of now,
+// and against old reports for a second after each pause of the process, in which all
+// sessions time out.
+func TestAgeOfReports(t *testing.T) {
+	g := newFakeGroup(0)
+	e := &stallingEngine{Engine: g}
+	l := linksThroughAgent(t, g, e)
+	age := func() time.Duration {
+		before := time.Now()
+		reports := l.queryAll(t.Context(), ReportQuery{})
+		require.True(t, reports[0].State.Reported)
+		return before.Sub(reports[0].State.AsOf)
+	}
+	require.LessOrEqual(t, age(), time.Duration(0), "the agent's report is as of the query")
+	e.stall.Store(int64(agentQueryTimeout + 50*time.Millisecond))
+	require.Greater(t, age(), time.Minute-time.Second, "the rank's own report is old")
+	require.LessOrEqual(t, age(), time.Duration(0), "the session is opened again at once")
+}
+
+// Guards against reports that count as newer than they are, because the configuration
+// names no lag or the lag is the least age.
+func TestLargestAgeOfReports(t *testing.T) {
+	require.Equal(t, 400*time.Millisecond, maxReportAge(&routing.ExpertShape{ReportLag: 200 * time.Millisecond}))
+	require.Equal(t, defaultReportAge, maxReportAge(&routing.ExpertShape{}))
+	require.Equal(t, defaultReportAge, maxReportAge(&routing.ExpertShape{ReportLag: -time.Second}))
+}
--- a/ranks/mapcounter_test.go
+++ b/ranks/mapcounter_test.go
@@ -1,9 +1,11 @@
 package ranks
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"reflect"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -70,43 +72,79 @@
 	return remaining, err
 }
 
-// Guards against ranks that switch to different maps of one version: a coordinator
-// whose term goes on after a pause counted its maps from 0 again, while some ranks
-// held the first map of the term (review/2).
-func TestPauseRepeatsNoVersion(t *testing.T) {
-	t.Parallel()
-	g := &recordingGroup{fakeGroup: newFakeGroup(0)}
+// pausedTerm is a process that coordinates a group. Its first map is planned.
+type pausedTerm struct {
+	group *recordingGroup
+	kv    *lateRenewals
+	log   bytes.Buffer // complete after stop
+	stop  func()
+}
+
+func startPausedTerm(t *testing.T) *pausedTerm {
+	p := &pausedTerm{group: &recordingGroup{fakeGroup: newFakeGroup(0)}}
 	inner := standin.NewKV().Direct()
-	kv := &lateRenewals{KV: inner}
+	p.kv = &lateRenewals{KV: inner}
 	shape := &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3}
 	put(t, inner, "config", routing.Config{Version: 1, Backends: []routing.Backend{{Name: "b", Experts: shape}}})
-	passes, endPasses := context.WithCancel(t.Context())
-	defer endPasses()
-	go g.run(passes)
-	startAgents(t.Context(), t, g, inner)
-	p := startProcess(t, "c", g, kv, standinItems(inner))
-	planned := func(n int) func() bool {
-		return func() bool { maps, _ := g.versions(); return maps >= n }
-	}
-	require.Eventually(t, planned(1), 15*time.Second, 10*time.Millisecond)
-	item, _, err := inner.Get(t.Context(), coordinatorKeyPrefix+"g")
-	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	go p.group.run(ctx)
+	startAgents(t.Context(), t, p.group, inner)
+	done := make(chan struct{})
+	go func() {
+		NewCoordinators(CoordinatorOptions{
+			Instance: "c", HolderID: "c/1", KV: p.kv, Records: testRecords{}, Engine: p.group, Items: standinItems(inner),
+			Log: slog.New(slog.NewJSONHandler(&p.log, nil)),
+		}).Run(ctx)
+		close(done)
+	}()
+	p.stop = func() { cancel(); <-done }
+	t.Cleanup(p.stop)
+	p.awaitMaps(t, 1)
+	return p
+}
 
-	kv.delay.Store(int64(coordinatorTimes.TTL - coordinatorTimes.Margin))
-	g.moveLoad(5)
-	time.Sleep(2 * coordinatorTimes.TTL)
-	kv.delay.Store(0)
-	g.moveLoad(7)
+// awaitMaps waits until the ranks have got a number of maps, or a version has been
+// given to two.
+func (p *pausedTerm) awaitMaps(t *testing.T, n int) {
 	require.Eventually(t, func() bool {
-		_, reused := g.versions()
-		return reused != 0 || planned(2)()
-	}, 10*time.Second, 10*time.Millisecond)
-	_, reused := g.versions()
+		maps, reused := p.group.versions()
+		return maps >= n || reused != 0
+	}, 15*time.Second, 10*time.Millisecond)
+}
+
+// pause lets the term end by the process's own clock, and then go on.
+func (p *pausedTerm) pause() {
+	p.kv.delay.Store(int64(coordinatorTimes.TTL - coordinatorTimes.Margin))
+	time.Sleep(2 * coordinatorTimes.TTL)
+	p.kv.delay.Store(0)
+}
+
+// Guards against ranks that switch to different maps of one version: a coordinator
+// whose term goes on after a pause counted its maps from 0 again, while some ranks
+// held the first map of the term (review/2).
+func TestPauseRepeatsNoVersion(t *testing.T) {
+	t.Parallel()
+	p := startPausedTerm(t)
+	p.group.moveLoad(5)
+	p.pause()
+	p.group.moveLoad(7)
+	p.awaitMaps(t, 2)
+	_, reused := p.group.versions()
 	require.Zero(t, reused, "a version was given to two maps")
-	after, _, err := inner.Get(t.Context(), coordinatorKeyPrefix+"g")
-	require.NoError(t, err)
-	require.Equal(t, item.ModRevision, after.ModRevision, "the term must have gone on")
 	p.stop()
+	require.Contains(t, p.log.String(), "coordination suspended", "the term must have ended by the process's clock")
+	require.Equal(t, 1, strings.Count(p.log.String(), "lease taken"), "the term must have gone on")
+}
+
+// Guards against a coordinator that begins again without the history of its orders,
+// in the same term: reports of before them may still arrive.
+func TestPauseKeepsHistory(t *testing.T) {
+	t.Parallel()
+	p := startPausedTerm(t)
+	p.pause()
+	p.stop()
+	require.Contains(t, p.log.String(), "coordination suspended")
+	require.Equal(t, 1, strings.Count(p.log.String(), `"coordinating"`), "a second coordinator has begun in the term")
 }
 
 // termsOf returns coordinators that have planned three maps under number 7.
--- a/ranks/ranks_test.go
+++ b/ranks/ranks_test.go
@@ -45,22 +45,25 @@
 	mixedMaps       bool
 }
 
-func newFakeGroup(loss float64) *fakeGroup {
+func newFakeGroup(loss float64) *fakeGroup { return newFakeGroupOf(groupRanks, loss) }
+
+// newFakeGroupOf returns a group with a number of ranks.
+func newFakeGroupOf(ranks int, loss float64) *fakeGroup {
 	g := &fakeGroup{
 		rng: rand.New(rand.NewPCG(3, 4)), maps: map[uint64]switchover.Map{}, loss: loss, unresponsive: -1,
 		counts: make([]uint64, groupSets*expertsPerSet), expertLoad: make([]float64, groupSets*expertsPerSet),
 	}
 	initial := make(switchover.Map, groupSets)
 	for s := range initial {
-		initial[s] = make([][]int, groupRanks)
+		initial[s] = make([][]int, ranks)
 		for e := range expertsPerSet {
-			initial[s][e%groupRanks] = append(initial[s][e%groupRanks], e)
+			initial[s][e%ranks] = append(initial[s][e%ranks], e)
 			g.expertLoad[s*expertsPerSet+e] = 10
 		}
 		g.expertLoad[s*expertsPerSet] = 900 // one expert has most of the load
 	}
 	g.maps[0] = initial
-	for range groupRanks {
+	for range ranks {
 		g.states = append(g.states, switchover.State{Reported: true, Open: true, Epoch: 1})
 		g.highestFencing, g.highestPrepared = append(g.highestFencing, 0), append(g.highestPrepared, 0)
 	}
@@ -109,7 +112,7 @@
 	if r == g.unresponsive {
 		return Report{}, errors.New("frozen")
 	}
-	return Report{Group: "g", Rank: r, Size: groupRanks, StartedAtMs: 1, Slowdown: 1, State: g.states[r]}, nil
+	return Report{Group: "g", Rank: r, Size: len(g.states), StartedAtMs: 1, Slowdown: 1, State: g.states[r]}, nil
 }
 
 func (g *fakeGroup) Counts(_ context.Context, addr string) ([]uint64, error) {
@@ -151,6 +154,10 @@
 		s.PreparedVersion, g.highestPrepared[r], g.maps[o.Version] = o.Version, o.Version, o.Map
 	case o.Operation == switchover.Arm && s.PreparedVersion == o.Version && s.Step < o.Step:
 		s.ArmedVersion, s.ArmedStep = o.Version, o.Step
+	case o.Operation == switchover.Disarm && s.MapVersion != o.Version:
+		if s.ArmedVersion == o.Version {
+			s.ArmedVersion, s.ArmedStep = 0, 0
+		}
 	case o.Operation == switchover.Hold && s.Step < o.Step:
 		s.Held, s.HeldStep = true, o.Step
 	case o.Operation == switchover.Go && s.Held && s.HeldStep == o.Step:
@@ -284,7 +291,7 @@
 		engine: g, records: testRecords{}, log: slog.New(slog.DiscardHandler), group: "g", backend: "b",
 		listItems: func(context.Context, string) ([]infra.Item, error) { return nil, nil },
 	}
-	l.resize(groupRanks)
+	l.resize(len(g.states))
 	for r, k := range l.byRank {
 		k.rankAddr = fmt.Sprintf("rank-%d", r)
 	}
--- a/routing/types.go
+++ b/routing/types.go
@@ -90,6 +90,9 @@
 	// hold, and MaxNewPerRank how many of these may be new to the rank in one
 	// change of the expert map.
 	SlotsPerRank, MaxNewPerRank int
+	// ReportLag is how old a report is that a rank sends to another machine; 0 if
+	// that is not known.
+	ReportLag time.Duration
 }
 
 // Customer is a tenant with the keys of its callers.
