switchover: a coordinator does not release the step that it holds itself (MAP)

Cause: when a step is held and some rank reports no copy of the map, the hold was taken for a leftover and released. A report of before the copy was complete, after a newer one, shows the same; arm orders may be under way then, and the step begins while some ranks are armed.

Change: History.Decide waits (phase "outdated") when the step to release is the one that it had held for a map which no rank uses yet. A leftover of another coordinator, of another step, or of a map in use is released as before.

Tests: TestOwnHoldIsNotReleased; TestModelFindsMissingGuard/own_hold.

--- a/expertmap/switchover/history.go
+++ b/expertmap/switchover/history.go
@@ -1,6 +1,9 @@
 package switchover
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // History is what a coordinator remembers of the orders that it has sent under one
 // fencing number. It must last as long as the number is used. It keeps a decision
@@ -58,8 +61,12 @@
 	}
 	h.use(states)
 	phase, orders := Decide(states, plan)
-	if phase == Holding && orders[0].Operation == Hold {
+	switch {
+	case phase != Holding:
+	case orders[0].Operation == Hold:
 		orders[0].Step = h.holdStep(orders[0], plan.Version, lastBegunStep(states))
+	case h.isOwnHold(orders[0], states):
+		return Outdated, nil
 	}
 	return phase, orders
 }
@@ -85,6 +92,14 @@
 	}
 }
 
+// isOwnHold reports whether an order would release the step that was held for a map
+// which no rank uses yet. All ranks had prepared that map, so that a state without it
+// is older.
+func (h *History) isOwnHold(o Order, states []State) bool {
+	own := h.hold.version != 0 && h.hold.epoch == o.Epoch && h.hold.step == o.Step
+	return own && !slices.ContainsFunc(states, func(s State) bool { return s.MapVersion == h.hold.version })
+}
+
 // holdStep returns the step to hold: the one that was held for the map before, while
 // it has not begun, or the step of the order.
 func (h *History) holdStep(o Order, version, lastBegun uint64) uint64 {
--- a/expertmap/switchover/history_test.go
+++ b/expertmap/switchover/history_test.go
@@ -38,6 +38,32 @@
 	require.Equal(t, Holding, phase)
 }
 
+// Guards against a step that begins while some ranks are armed: a report of before a
+// copy was complete came after a later one, and the coordinator took its own hold for
+// a leftover. A hold that belongs to no map, or to one in use, is released.
+func TestOwnHoldIsNotReleased(t *testing.T) {
+	h := NewHistory()
+	_, orders := h.Decide(preparedGroup(at(2)), preparedPlan)
+	require.Equal(t, Hold, orders[0].Operation)
+	held := func(change func(states []State)) []State {
+		states := preparedGroup(at(9))
+		states[1].Held, states[1].HeldStep = true, orders[0].Step
+		change(states)
+		return states
+	}
+	phase, later := h.Decide(held(func(s []State) { s[2].PreparedVersion = 0 }), preparedPlan)
+	require.Equal(t, Outdated, phase)
+	require.Empty(t, later)
+	for name, change := range map[string]func(s []State){
+		"the map is in use": func(s []State) { s[0].MapVersion, s[1].MapVersion, s[2].MapVersion = 5, 5, 5 },
+		"another step":      func(s []State) { s[1].HeldStep, s[2].PreparedVersion = 50, 0 },
+	} {
+		phase, later = h.Decide(held(change), preparedPlan)
+		require.Equal(t, Holding, phase, name)
+		require.Equal(t, Go, later[0].Operation, name)
+	}
+}
+
 // Guards against a late hold order that holds a later step, and against one for a
 // step that has begun.
 func TestHoldIsRepeatedForOneStep(t *testing.T) {
--- a/expertmap/switchover/model_test.go
+++ b/expertmap/switchover/model_test.go
@@ -159,8 +159,12 @@
 		h.use(c.states)
 	}
 	phase, orders := g.decide(c.states, c.plan)
-	if g.without != "one step" && phase == Holding && orders[0].Operation == Hold {
+	switch {
+	case phase != Holding:
+	case orders[0].Operation == Hold && g.without != "one step":
 		orders[0].Step = h.holdStep(orders[0], c.plan.Version, lastBegunStep(c.states))
+	case orders[0].Operation == Go && g.without != "own hold" && h.isOwnHold(orders[0], c.states):
+		return nil
 	}
 	return orders
 }
@@ -365,6 +369,7 @@
 		"newer reports":    {fencing: true, decide: Decide, without: "newer reports"},
 		"reports in order": {fencing: true, decide: Decide, without: "reports in order"},
 		"one step":         {fencing: true, decide: Decide, without: "one step"},
+		"own hold":         {fencing: true, decide: Decide, without: "own hold"},
 		"count of maps":    {fencing: true, decide: Decide, forgetCount: true},
 	} {
 		t.Run(name, func(t *testing.T) {
