ranks: an agent with old reports releases no held step (MAP)

Cause: an agent that finishes a switch for a silent coordinator asks the ranks whose agents are away directly, and gets reports of some hundred milliseconds ago. A rank that had not completed its copy then made the hold look like a leftover, and the agent released it while the coordinator's arm orders were under way or carried out. The order has the coordinator's number, so nothing refuses it.

Change: agents use switchover.Finish. It arms ranks for the step that is held, or for which ranks are armed, and releases the step when all are armed. These orders are right at whatever time the reports were true, since a map is armed for one step only. A hold that belongs to no switch is left to the coordinator or the next one.

Tests: the one above, TestFinishReleasesOnlyArmedGroup.

--- a/expertmap/switchover/history.go
+++ b/expertmap/switchover/history.go
@@ -108,3 +108,26 @@
 	}
 	return h.hold.step
 }
+
+// Finish returns the next orders of a switch that has begun, for a process that acts
+// in place of the coordinator, under its number and without its history. The
+// states may be old, and the coordinator may act too. The orders are therefore only
+// those that are right whenever the states were true: while a step is held, all
+// ranks are armed for this step and no other, and the group is released when all
+// are armed. A hold that belongs to no switch is left to the coordinator.
+func Finish(states []State) (Phase, []Order) {
+	if !allReportSameEpoch(states) {
+		return Unready, nil
+	}
+	if version, step, ok := firstArmed(states); ok {
+		return finishArming(states, Plan{}, version, step)
+	}
+	held, step := firstHeld(states)
+	if held < 0 {
+		return Settled, nil
+	}
+	if phase, orders := armAfterHold(states, held, step); phase == Arming {
+		return phase, orders
+	}
+	return Holding, nil
+}
--- a/expertmap/switchover/history_test.go
+++ b/expertmap/switchover/history_test.go
@@ -81,3 +81,24 @@
 	require.EqualValues(t, 43, held(42), "the step has not begun")
 	require.EqualValues(t, 46, held(43))
 }
+
+// Guards against a step that begins while some ranks are armed, because a process
+// that acts in place of the coordinator saw reports of different ages and took the
+// hold for a leftover.
+func TestFinishReleasesOnlyArmedGroup(t *testing.T) {
+	states := preparedGroup(at(1))
+	states[1].Held, states[1].HeldStep = true, 43
+	states[2].PreparedVersion = 0 // as of before its copy was complete
+	_, orders := Finish(states)
+	require.Empty(t, orders)
+
+	states[2].PreparedVersion = 5
+	_, orders = Finish(states)
+	require.Len(t, orders, 3)
+	for i, o := range orders {
+		require.Equal(t, Order{Rank: i, Operation: Arm, Version: 5, Step: 43, Epoch: 1}, o)
+		states[i] = states[i].After(o, at(2))
+	}
+	_, orders = Finish(states)
+	require.Equal(t, []Order{{Rank: 1, Operation: Go, Step: 43, Epoch: 1}}, orders)
+}
--- a/ranks/oldreports_test.go
+++ b/ranks/oldreports_test.go
@@ -110,3 +110,30 @@
 		})
 	}
 }
+
+// Guards against a step that begins while one rank is armed: an agent that acts in
+// place of the coordinator has reports of before the copies were complete, takes the
+// hold for a leftover and releases it.
+func TestAgentWithOldReportsReleasesNothing(t *testing.T) {
+	g := &laggingGroup{fakeGroup: newFakeGroup(0)}
+	for i := range g.states {
+		g.states[i].Held, g.states[i].HeldStep = i == 1, 1
+	}
+	g.remember(time.Now())
+	for i := range g.states {
+		g.states[i].PreparedVersion, g.highestPrepared[i], g.highestFencing[i] = 7, 7, 5
+	}
+	g.maps[7] = g.maps[0]
+	g.states[2].ArmedVersion, g.states[2].ArmedStep = 7, 1
+	l := directLinks(g.fakeGroup)
+	l.engine = g
+	for start := time.Now(); time.Since(start) < 5*reportLag && g.mapVersion() == 0; time.Sleep(reportLag / 10) {
+		finishSwitch(t.Context(), l, 5)
+		g.mu.Lock()
+		g.forwardPass()
+		g.mu.Unlock()
+		g.remember(time.Now())
+	}
+	require.False(t, g.mixedMaps, "a step has begun with two maps")
+	require.EqualValues(t, 7, g.mapVersion(), "the switch must end once the reports are as of later")
+}
--- a/ranks/recovery.go
+++ b/ranks/recovery.go
@@ -24,7 +24,7 @@
 
 // fixedToken is the fencing number of an unresponsive coordinator. Finishing
 // its switch under that number is safe: the orders are the ones that it would
-// send itself, and the higher number of a successor fences them.
+// send itself (switchover.Finish), and the higher number of a successor fences them.
 type fixedToken uint64
 
 // Token implements lease.Token.
@@ -71,7 +71,7 @@
 	for i, r := range reports {
 		states[i] = r.State
 	}
-	phase, orders := switchover.Decide(states, switchover.Plan{})
+	phase, orders := switchover.Finish(states)
 	for _, res := range l.sendOrders(ctx, orders, fencing, lossyDuplicates, fixedToken(fencing)) {
 		l.log.Info("order for a silent coordinator", "operation", string(res.order.Operation), "rank", res.order.Rank,
 			"version", res.order.Version, "step", res.order.Step, "fencing", fencing, "phase", string(phase),
