switchover, ranks: a coordinator claims all ranks before it decides (MAP)

Cause: a new coordinator decided from its first reports, while late orders of the former one could still be carried out at every rank that had not seen the new fencing number. A rank forgets the number when it starts again, so that this comes again with each epoch. And a process that takes over a number (a planned stop without the store) knows nothing of the hold orders that were sent under it and may be late; with another hold the ranks were armed for two steps.

Evidence: the model.

Change: History sends each rank an order that changes nothing (disarm of a version that no map has) until the rank has confirmed one in this epoch (phase "claiming"), and decides from reports of after that. Claims go through the agents, which so know the number before they need it. A process that took over a number prepares no map until the group has begun as many steps as a step may be held ahead.

--- a/expertmap/switchover/doc.go
+++ b/expertmap/switchover/doc.go
@@ -17,4 +17,9 @@
 // the step is held, and the rank refuses it once the step has begun. Once a
 // coordinator has begun to arm ranks, every later coordinator therefore finishes
 // the switch: the group stays held until all ranks report that they are armed.
+//
+// States are reports, which may be older than orders that were carried out since.
+// History therefore remembers the orders of one coordinator, and a coordinator first
+// claims all ranks: after that no order of a lower fencing number can change what
+// they report. Finish is for a process without a history.
 package switchover
--- a/expertmap/switchover/history.go
+++ b/expertmap/switchover/history.go
@@ -10,8 +10,19 @@
 // from using what was true before an order that has had an effect since, of this
 // coordinator or of an earlier one. It reads no clock.
 type History struct {
-	ranks map[int]rankHistory
-	hold  holdDecision
+	// claimVersion is a version that no map has. To disarm it changes nothing at a
+	// rank, which from then on refuses the orders of lower fencing numbers.
+	claimVersion uint64
+	ranks        map[int]rankHistory
+	hold         holdDecision
+	inherited    inheritedHolds
+}
+
+// inheritedHolds are the hold orders that another process may have sent under the
+// same number. They are for the next maxLead steps in an epoch.
+type inheritedHolds struct {
+	maxLead             uint64 // 0 if the number is not inherited
+	epoch, lastHeldStep uint64 // set by the first decision
 }
 
 // rankHistory is what is known of the orders that were sent to one rank.
@@ -20,6 +31,11 @@
 	// stopped waiting for it, and usedAsOf the time as of which the last report
 	// was that was used.
 	settledAt, usedAsOf time.Time
+	// claimedEpoch is the epoch in which the rank has last confirmed an order, if
+	// claimed is set. A rank that starts again forgets the fencing number, and the
+	// group then forms a new epoch.
+	claimedEpoch uint64
+	claimed      bool
 }
 
 // holdDecision is the step that was last to be held, and for which map.
@@ -28,17 +44,26 @@
 }
 
 // NewHistory returns the history of a coordinator that has sent no order under its
-// number yet.
-func NewHistory() *History {
-	return &History{ranks: map[int]rankHistory{}}
+// number yet. claimVersion is a version that no map of the group has.
+func NewHistory(claimVersion uint64) *History {
+	return &History{claimVersion: claimVersion, ranks: map[int]rankHistory{}}
+}
+
+// Inherit records that another process has sent orders under the number before, and
+// that it has held steps at most maxLead steps ahead.
+func (h *History) Inherit(maxLead uint64) {
+	h.inherited = inheritedHolds{maxLead: maxLead}
 }
 
 // Record records an order that was sent. Without a confirmation the rank may have
-// carried it out, or may do so later. settledAt is when the reply came, or when the
-// coordinator stopped waiting for it.
-func (h *History) Record(o Order, settledAt time.Time) {
+// carried it out, or may do so later. settledAt is when the coordinator stopped
+// waiting for the reply.
+func (h *History) Record(o Order, confirmed bool, settledAt time.Time) {
 	r := h.ranks[o.Rank]
 	r.settledAt = settledAt
+	if confirmed {
+		r.claimedEpoch, r.claimed = o.Epoch, true
+	}
 	h.ranks[o.Rank] = r
 }
 
@@ -49,19 +74,28 @@
 //     report of before an arm order shows no armed rank, and the group would be
 //     armed for another step,
 //   - that follows from a report that is older than one used before: a rank that
-//     seems to have lost its copy would have the held step released, and
+//     seems to have lost its copy would have the held step released,
+//   - before all ranks have confirmed an order under this number: an order of an
+//     earlier coordinator could still be carried out after the reports, and
 //   - for another step than the last one that was to be held, unless that one has
-//     begun: the late order for it would hold, or release, a later switch.
+//     begun: the late order for it would hold, or release, a later switch. For the
+//     same reason a new map is not prepared while a hold order of a process from
+//     which the number was inherited may be late.
 func (h *History) Decide(states []State, plan Plan) (Phase, []Order) {
 	if !allReportSameEpoch(states) {
 		return Unready, nil
 	}
+	if claims := h.claims(states); len(claims) > 0 {
+		return Claiming, claims
+	}
 	if h.outdated(states) {
 		return Outdated, nil
 	}
 	h.use(states)
 	phase, orders := Decide(states, plan)
 	switch {
+	case phase == Preparing && h.awaitsInheritedHold(states):
+		return Preparing, nil
 	case phase != Holding:
 	case orders[0].Operation == Hold:
 		orders[0].Step = h.holdStep(orders[0], plan.Version, lastBegunStep(states))
@@ -71,6 +105,18 @@
 	return phase, orders
 }
 
+// claims returns an order without effect for each rank that has not confirmed an
+// order of this coordinator in the epoch.
+func (h *History) claims(states []State) []Order {
+	var orders []Order
+	for i, s := range states {
+		if r := h.ranks[i]; !r.claimed || r.claimedEpoch != s.Epoch {
+			orders = append(orders, newOrder(states, i, Disarm, h.claimVersion, 0))
+		}
+	}
+	return orders
+}
+
 // outdated reports whether some rank may have carried out an order after the state
 // that it has reported, or has reported a later one before.
 func (h *History) outdated(states []State) bool {
@@ -92,6 +138,17 @@
 	}
 }
 
+// awaitsInheritedHold reports whether a hold order of the process from which the
+// number was inherited may still take effect.
+func (h *History) awaitsInheritedHold(states []State) bool {
+	i := &h.inherited
+	lastBegun := lastBegunStep(states)
+	if i.maxLead > 0 && i.lastHeldStep == 0 {
+		i.epoch, i.lastHeldStep = states[0].Epoch, lastBegun+i.maxLead
+	}
+	return i.epoch == states[0].Epoch && lastBegun < i.lastHeldStep
+}
+
 // isOwnHold reports whether an order would release the step that was held for a map
 // which no rank uses yet. All ranks had prepared that map, so that a state without it
 // is older.
--- a/expertmap/switchover/model_test.go
+++ b/expertmap/switchover/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,9 @@
 // maxReportAge is the largest age of a report in the model, in events.
 const maxReportAge = 12
 
+// maxModelLead is the largest lead of a held step in the model.
+const maxModelLead = 3
+
 // simulation models a group of ranks, coordinators that may be paused, agents that
 // finish switches under a coordinator's number, orders that are lost, duplicated or
 // late, and reports that are old. The ranks follow the same rules as real ones.
@@ -44,15 +48,17 @@
 	fencing bool
 	// decide is Decide, or a variant of it that leaves out one step.
 	decide func([]State, Plan) (Phase, []Order)
-	// without names a part of History.Decide that is left out.
-	without string
+	// without names the parts of History.Decide that are left out.
+	without []string
 	// forgetCount lets a coordinator that starts again under its number count its
 	// maps from 0.
 	forgetCount bool
+	// finish is Finish, or a variant of it.
+	finish func([]State) (Phase, []Order)
 }
 
 // allSafeguards are the safeguards of the product.
-var allSafeguards = safeguards{fencing: true, decide: Decide}
+var allSafeguards = safeguards{fencing: true, decide: Decide, finish: Finish}
 
 type sentOrder struct {
 	Order
@@ -80,14 +86,14 @@
 }
 
 func newSimulation(seed uint64, ranks int, g safeguards) *simulation {
-	w := &simulation{rng: rand.New(rand.NewPCG(seed, 7)), safeguards: g, idle: seed%4 == 0}
+	w := &simulation{rng: rand.New(rand.NewPCG(seed, 7)), safeguards: g, idle: seed%4 < 2}
 	for range ranks {
 		w.ranks = append(w.ranks, modelRank{State: State{Reported: true, Open: true, Epoch: 1}})
 		w.highestFencing = append(w.highestFencing, 0)
 		w.highestVersion = append(w.highestVersion, 0)
 	}
-	for n := range uint64(3) {
-		c := &modelCoordinator{fencing: n + 1, history: NewHistory()}
+	for n := range 1 + seed/3%3 {
+		c := &modelCoordinator{fencing: n + 1, history: NewHistory((n + 1) * 1000)}
 		w.coords = append(w.coords, c)
 		w.agents = append(w.agents, &modelAgent{of: c})
 	}
@@ -152,18 +158,22 @@
 	switch {
 	case !allReportSameEpoch(c.states):
 		return nil
-	case g.without != "newer reports" && h.outdated(c.states):
+	case !slices.Contains(g.without, "claims") && len(h.claims(c.states)) > 0:
+		return h.claims(c.states)
+	case !slices.Contains(g.without, "newer reports") && h.outdated(c.states):
 		return nil
 	}
-	if g.without != "reports in order" {
+	if !slices.Contains(g.without, "reports in order") {
 		h.use(c.states)
 	}
 	phase, orders := g.decide(c.states, c.plan)
 	switch {
+	case phase == Preparing && !slices.Contains(g.without, "inherited holds") && h.awaitsInheritedHold(c.states):
+		return nil
 	case phase != Holding:
-	case orders[0].Operation == Hold && g.without != "one step":
+	case orders[0].Operation == Hold && !slices.Contains(g.without, "one step"):
 		orders[0].Step = h.holdStep(orders[0], c.plan.Version, lastBegunStep(c.states))
-	case orders[0].Operation == Go && g.without != "own hold" && h.isOwnHold(orders[0], c.states):
+	case orders[0].Operation == Go && !slices.Contains(g.without, "own hold") && h.isOwnHold(orders[0], c.states):
 		return nil
 	}
 	return orders
@@ -172,7 +182,7 @@
 // confirm applies the result of an order. When all orders of a round were
 // confirmed, the coordinator continues without reading the ranks again.
 func (w *simulation) confirm(c *modelCoordinator, o Order, confirmed bool) {
-	c.history.Record(o, w.now())
+	c.history.Record(o, confirmed, w.now())
 	if !confirmed || o.Operation == Prepare {
 		c.unconfirmed = true
 		return
@@ -243,7 +253,7 @@
 	c.mapsPlanned++
 	w.content++
 	c.content = w.content
-	c.plan = Plan{Version: c.fencing*1000 + c.mapsPlanned, HoldRank: w.rng.IntN(len(w.ranks)), LeadSteps: uint64(1 + w.rng.IntN(3))}
+	c.plan = Plan{Version: c.fencing*1000 + c.mapsPlanned, HoldRank: w.rng.IntN(len(w.ranks)), LeadSteps: 1 + w.rng.Uint64N(maxModelLead)}
 }
 
 // send sends an order, which may be carried out at once, later, twice or both. It
@@ -264,7 +274,8 @@
 // restart lets a coordinator begin again under its number: the process has lost its
 // token for a moment, or the term was handed over. It has no orders left to send.
 func (w *simulation) restart(c *modelCoordinator) {
-	c.plan, c.states, c.orders, c.history = Plan{}, nil, nil, NewHistory()
+	c.plan, c.states, c.orders, c.history = Plan{}, nil, nil, NewHistory(c.fencing*1000)
+	c.history.Inherit(maxModelLead)
 	if w.safeguards.forgetCount {
 		c.mapsPlanned = 0
 	}
@@ -303,7 +314,7 @@
 	case n == 12:
 		w.finishCopy(w.rng.IntN(len(w.ranks)))
 	case n == 13 && w.rng.IntN(8) == 0: // an agent decides in place of the coordinator
-		_, agent.orders = Decide(w.reports(), Plan{})
+		_, agent.orders = w.safeguards.finish(w.reports())
 	case n == 14 && len(agent.orders) > 0:
 		w.send(sentOrder{agent.orders[0], agent.of.fencing, 0})
 		agent.orders = agent.orders[1:]
@@ -362,15 +373,24 @@
 		}
 		return phase, orders
 	}
+	finishWithRelease := func(s []State) (Phase, []Order) { return Decide(s, Plan{}) }
+	without := func(parts ...string) safeguards {
+		g := allSafeguards
+		g.without = parts
+		return g
+	}
 	for name, g := range map[string]safeguards{
-		"hold":             {fencing: true, decide: withoutHold},
-		"all ranks armed":  {fencing: true, decide: withoutAllArmed},
-		"fencing":          {decide: Decide},
-		"newer reports":    {fencing: true, decide: Decide, without: "newer reports"},
-		"reports in order": {fencing: true, decide: Decide, without: "reports in order"},
-		"one step":         {fencing: true, decide: Decide, without: "one step"},
-		"own hold":         {fencing: true, decide: Decide, without: "own hold"},
-		"count of maps":    {fencing: true, decide: Decide, forgetCount: true},
+		"hold":                 {fencing: true, decide: withoutHold, finish: Finish},
+		"all ranks armed":      {fencing: true, decide: withoutAllArmed, finish: Finish},
+		"fencing":              {decide: Decide, finish: Finish},
+		"no release by agents": {fencing: true, decide: Decide, finish: finishWithRelease},
+		"count of maps":        {fencing: true, decide: Decide, finish: Finish, forgetCount: true},
+		"claims":               without("claims"),
+		"inherited holds":      without("inherited holds"),
+		// These overlap: each is found in time together with another one only.
+		"age of reports, own hold": without("newer reports", "reports in order", "own hold"),
+		"age of reports, one step": without("newer reports", "one step"),
+		"one step, own hold":       without("one step", "own hold"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -393,15 +413,14 @@
 			w.randomEvent()
 		}
 		w.delayed = nil
-		history := NewHistory()
+		history := NewHistory(9000)
 		plan := Plan{Version: 9001, LeadSteps: 2}
 		for range 80 {
 			w.remember()
 			states := []State{w.report(0, false), w.report(1, false), w.report(2, false)}
 			_, orders := history.Decide(states, plan)
 			for _, o := range orders {
-				w.deliver(sentOrder{o, 9, w.content + 1})
-				history.Record(o, w.now())
+				history.Record(o, w.deliver(sentOrder{o, 9, w.content + 1}), w.now())
 			}
 			w.finishCopies()
 			w.beginStep()
--- a/expertmap/switchover/switchover.go
+++ b/expertmap/switchover/switchover.go
@@ -91,6 +91,9 @@
 	// Unready means that the group is broken, or that some rank has not
 	// reported.
 	Unready Phase = "unready"
+	// Claiming means that some rank has not confirmed an order under the
+	// coordinator's fencing number.
+	Claiming Phase = "claiming"
 	// Outdated means that some report may be older than the last order to its rank.
 	Outdated Phase = "outdated"
 	// Settled means that all ranks use one map and no switch is in progress.
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -48,6 +48,9 @@
 	return fencing*versionsPerTerm + number, true
 }
 
+// claimVersion returns a version that no map has: maps are counted from 1.
+func claimVersion(fencing uint64) uint64 { return fencing * versionsPerTerm }
+
 // coordinator plans and switches the maps of one group during one term.
 type coordinator struct {
 	log         *slog.Logger
@@ -96,7 +99,7 @@
 
 func newCoordinator(log *slog.Logger, l *links, shape *routing.ExpertShape) *coordinator {
 	return &coordinator{
-		log: log, links: l, shape: shape, lastPrepare: map[int]sentPrepare{}, maps: &mapCounter{}, history: switchover.NewHistory(),
+		log: log, links: l, shape: shape, lastPrepare: map[int]sentPrepare{}, maps: &mapCounter{}, history: switchover.NewHistory(claimVersion(0)),
 		loadTracker: plan.NewTracker(shape.Sets, shape.Experts, plan.DefaultTrackerRules),
 	}
 }
@@ -147,16 +150,16 @@
 // enterTerm prepares for rounds under a fencing number. It returns false if this
 // process has used a higher number since: the ranks refuse the lower one.
 func (c *coordinator) enterTerm(fencing uint64) bool {
-	inherited := uint64(0)
-	if t, ok := c.token.(takenOverToken); ok {
-		inherited = t.Maps
-	}
-	c.maps.resume(fencing, inherited)
+	inherited, takenOver := c.token.(takenOverToken)
+	c.maps.resume(fencing, inherited.Maps)
 	planned, current := c.maps.planned(fencing)
 	if fencing != c.fencing {
 		c.fencing, c.plan, c.mapKnown = fencing, switchover.Plan{}, false
-		c.history = switchover.NewHistory()
-		c.log.Info("coordinating", "fencing", fencing, "maps", planned, "superseded", !current)
+		c.history = switchover.NewHistory(claimVersion(fencing))
+		if takenOver {
+			c.history.Inherit(maxLeadSteps)
+		}
+		c.log.Info("coordinating", "fencing", fencing, "maps", planned, "taken_over", takenOver, "superseded", !current)
 	}
 	if !current {
 		c.supersededFencing = fencing
@@ -228,7 +231,7 @@
 // whose states are not known may still be.
 func (c *coordinator) recordProgress(phase switchover.Phase, orders []switchover.Order) {
 	switch phase {
-	case switchover.Unready, switchover.Outdated:
+	case switchover.Unready, switchover.Claiming, switchover.Outdated:
 	case switchover.Holding, switchover.Arming, switchover.Armed:
 		c.stepHeld = len(orders) > 0
 	default:
@@ -389,7 +392,7 @@
 		o := res.order
 		confirmed = confirmed && res.outcome == Done
 		if res.outcome != NotSent {
-			c.history.Record(o, settledAt)
+			c.history.Record(o, res.outcome == Done, settledAt)
 		}
 		if res.outcome == NoReply {
 			c.lossyUntil = time.Now().Add(lossyPeriod)
--- a/ranks/order_test.go
+++ b/ranks/order_test.go
@@ -104,7 +104,7 @@
 	l := directLinks(g.fakeGroup)
 	l.engine = g
 	coord := newCoordinator(slog.New(slog.DiscardHandler), l, &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3})
-	coord.token, coord.fencing = fixedToken(7), 7
+	coord.token, coord.fencing, coord.history = fixedToken(7), 7, switchover.NewHistory(claimVersion(7))
 	coord.plan = switchover.Plan{Version: 7, Map: g.maps[0]}
 	coord.currentMap, coord.mapKnown = g.maps[0], true
 	for range 3 {
