switchover: no other map while a hold order may be late (MAP)

Cause: a coordinator that drops a plan after its hold order got no reply prepares the next map at once. If the group begins no step meanwhile, the late hold stands beside the one for the next map, and actors that see only one of them arm for different steps.

Change: History sends no prepare order for another map before the step that was to be held has begun. A group that begins no steps has no load and needs no map.

Tests: TestNoOtherMapWhileHoldMayBeLate; TestModelFindsMissingGuard entries "late holds" and "one step".

--- a/expertmap/switchover/history.go
+++ b/expertmap/switchover/history.go
@@ -79,8 +79,8 @@
 //     earlier coordinator could still be carried out after the reports, and
 //   - for another step than the last one that was to be held, unless that one has
 //     begun: the late order for it would hold, or release, a later switch. For the
-//     same reason a new map is not prepared while a hold order of a process from
-//     which the number was inherited may be late.
+//     same reason another map is not prepared before that step has begun, nor while
+//     a hold order of a process from which the number was inherited may be late.
 func (h *History) Decide(states []State, plan Plan) (Phase, []Order) {
 	if !allReportSameEpoch(states) {
 		return Unready, nil
@@ -94,7 +94,7 @@
 	h.use(states)
 	phase, orders := Decide(states, plan)
 	switch {
-	case phase == Preparing && h.awaitsInheritedHold(states):
+	case phase == Preparing && (h.awaitsHold(states, plan.Version) || h.awaitsInheritedHold(states)):
 		return Preparing, nil
 	case phase != Holding:
 	case orders[0].Operation == Hold:
@@ -138,6 +138,12 @@
 	}
 }
 
+// awaitsHold reports whether a hold order for another map than the one with the
+// version may still take effect.
+func (h *History) awaitsHold(states []State, version uint64) bool {
+	return h.hold.version != version && h.hold.epoch == states[0].Epoch && lastBegunStep(states) < h.hold.step
+}
+
 // awaitsInheritedHold reports whether a hold order of the process from which the
 // number was inherited may still take effect.
 func (h *History) awaitsInheritedHold(states []State) bool {
--- a/expertmap/switchover/history_test.go
+++ b/expertmap/switchover/history_test.go
@@ -165,3 +165,21 @@
 	require.Equal(t, 3, prepares(44, 1))
 	require.Equal(t, 3, prepares(3, 2), "late orders are for the former epoch")
 }
+
+// Guards against two held steps for one map: the plan was dropped after a hold order
+// that got no reply, and the order takes effect while the next map is prepared.
+func TestNoOtherMapWhileHoldMayBeLate(t *testing.T) {
+	h := claimedHistory(at(1))
+	_, orders := h.Decide(preparedGroup(at(2)), preparedPlan)
+	require.Equal(t, Hold, orders[0].Operation)
+	other := Plan{Version: 6, HoldRank: 2, LeadSteps: 3}
+	states := preparedGroup(at(9))
+	phase, prepares := h.Decide(states, other)
+	require.Equal(t, Preparing, phase)
+	require.Empty(t, prepares)
+	for i := range states {
+		states[i].Step = orders[0].Step
+	}
+	_, prepares = h.Decide(states, other)
+	require.Len(t, prepares, 3)
+}
--- a/expertmap/switchover/model_test.go
+++ b/expertmap/switchover/model_test.go
@@ -170,6 +170,8 @@
 	switch {
 	case phase == Preparing && !slices.Contains(g.without, "inherited holds") && h.awaitsInheritedHold(c.states):
 		return nil
+	case phase == Preparing && !slices.Contains(g.without, "late holds") && h.awaitsHold(c.states, c.plan.Version):
+		return nil
 	case phase != Holding:
 	case orders[0].Operation == Hold && !slices.Contains(g.without, "one step"):
 		orders[0].Step = h.holdStep(orders[0], c.plan.Version, lastBegunStep(c.states))
@@ -386,11 +388,11 @@
 		"no release by agents": {fencing: true, decide: Decide, finish: finishWithRelease},
 		"count of maps":        {fencing: true, decide: Decide, finish: Finish, forgetCount: true},
 		"claims":               without("claims"),
-		"inherited holds":      without("inherited holds"),
+		"late holds":           without("late holds"),
+		"one step":             without("one step"),
 		// These overlap: each is found in time together with another one only.
 		"age of reports, own hold": without("newer reports", "reports in order", "own hold"),
 		"age of reports, one step": without("newer reports", "one step"),
-		"one step, own hold":       without("one step", "own hold"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
