ranks: planning, sending of orders and sessions with agents have files of their own

coordinator.go had grown to 441 lines and links.go to 388. Functions and constants moved only: the sorted lines of the six files without imports are the same before and after. The tests pass.

--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/expertmap/plan"
@@ -20,37 +19,8 @@
 	// and switchRoundInterval the pause during a switch.
 	roundInterval       = 150 * time.Millisecond
 	switchRoundInterval = 10 * time.Millisecond
-	// prepareRetryInterval is the time that a rank has for copying experts
-	// before the prepare order is sent again.
-	prepareRetryInterval = 1500 * time.Millisecond
-	// refusedReplanDelay is the pause before a new plan after a rank has
-	// refused a map.
-	refusedReplanDelay = 500 * time.Millisecond
-	// versionsPerTerm is the number of map versions reserved for each term. Later
-	// terms have higher fencing numbers (lease.FencingNumber), so they have higher
-	// versions.
-	versionsPerTerm = 1_000_000
-	// maxMapFencing is the highest fencing number whose map versions are below
-	// 2^53. Readers of JSON may round larger numbers, so that two maps would have
-	// the same version.
-	maxMapFencing = (1<<53-1)/versionsPerTerm - 1
-	// versionsExhaustedDelay is the pause before the next attempt to plan a map in a
-	// term without versions.
-	versionsExhaustedDelay = time.Minute
 )
 
-// mapVersion returns the version of a map by its number in a term, or false if the
-// term has no version left for it.
-func mapVersion(fencing, number uint64) (uint64, bool) {
-	if fencing > maxMapFencing || number >= versionsPerTerm {
-		return 0, false
-	}
-	return fencing*versionsPerTerm + number, true
-}
-
-// claimVersion returns a version that no map has: maps are counted from 1.
-func claimVersion(fencing uint64) uint64 { return fencing * versionsPerTerm }
-
 // coordinator plans and switches the maps of one group during one term.
 type coordinator struct {
 	log         *slog.Logger
@@ -89,14 +59,6 @@
 // healthy rank has 1.
 const slowThreshold = 1.2
 
-// sentPrepare is the last prepare order that a rank has accepted or may have
-// accepted. Without an answer, at is the time of the first order of the version.
-type sentPrepare struct {
-	version  uint64
-	at       time.Time
-	answered bool
-}
-
 func newCoordinator(log *slog.Logger, l *links, shape *routing.ExpertShape) *coordinator {
 	return &coordinator{
 		log: log, links: l, shape: shape, lastPrepare: map[int]sentPrepare{}, maps: &mapCounter{}, history: switchover.NewHistory(claimVersion(0)),
@@ -272,170 +234,3 @@
 	c.log.Info("switch phase", attrs...)
 	c.phase = phase
 }
-
-// updateCurrentMap records which map the ranks use, once all report the same. A
-// map that this coordinator did not plan is assembled from their placements.
-func (c *coordinator) updateCurrentMap(reports []Report, states []switchover.State) {
-	if len(states) == 0 || !allOnSameMap(states) {
-		return
-	}
-	version := states[0].MapVersion
-	switch {
-	case c.mapKnown && version == c.currentVersion:
-	case c.plan.Version != 0 && version == c.plan.Version:
-		c.currentMap, c.currentVersion, c.mapKnown = c.plan.Map, version, true
-		c.loadTracker.MapChanged(time.Now())
-	default:
-		c.mapKnown = false
-		if m, ok := assembleMap(reports, c.shape); ok {
-			c.currentMap, c.currentVersion, c.mapKnown = m, version, true
-			c.plan = switchover.Plan{}
-		}
-	}
-}
-
-func allOnSameMap(states []switchover.State) bool {
-	for _, s := range states {
-		if !s.Reported || s.MapVersion != states[0].MapVersion || s.Epoch != states[0].Epoch {
-			return false
-		}
-	}
-	return true
-}
-
-// assembleMap builds the map of the group from the placements that the ranks
-// report. It fails if a placement does not fit the shape, for instance because
-// the configuration has changed.
-func assembleMap(reports []Report, shape *routing.ExpertShape) (switchover.Map, bool) {
-	m := make(switchover.Map, shape.Sets)
-	for _, r := range reports {
-		if len(r.Placement) != shape.Sets {
-			return nil, false
-		}
-		for s, experts := range r.Placement {
-			if slices.ContainsFunc(experts, func(e int) bool { return e < 0 || e >= shape.Experts }) {
-				return nil, false
-			}
-			m[s] = append(m[s], experts)
-		}
-	}
-	return m, true
-}
-
-// replan plans a better map if no switch is in progress.
-func (c *coordinator) replan(states []switchover.State, now time.Time) {
-	if c.stopping {
-		c.plan = switchover.Plan{}
-		return
-	}
-	if !c.mapKnown || len(states) == 0 || now.Before(c.noPlanUntil) {
-		return
-	}
-	if c.plan.Version != 0 && c.plan.Version != c.currentVersion {
-		return // a switch is in progress
-	}
-	planned, _ := c.maps.planned(c.fencing)
-	version, ok := mapVersion(c.fencing, planned+1)
-	if !ok {
-		c.log.Error("no map version left in this term", "fencing", c.fencing, "maps", planned)
-		c.noPlanUntil = now.Add(versionsExhaustedDelay)
-		return
-	}
-	limits := plan.Limits{SlotsPerRank: c.shape.SlotsPerRank, NewPerRank: c.shape.MaxNewPerRank, Slowdowns: c.slowdowns}
-	proposal, ok := c.loadTracker.Propose(c.currentMap, limits, now)
-	if !ok {
-		return
-	}
-	c.maps.add()
-	c.plan = switchover.Plan{Version: version, Map: proposal.Map, HoldRank: int(planned + 1)}
-	c.log.Info("map planned", "version", c.plan.Version, "peak", proposal.MaxRankLoad, "planned_peak", proposal.PlannedMaxRankLoad, "copies", proposal.Copies,
-		"choices", c.loadTracker.Activations())
-}
-
-// observeCounts passes the reported counts to the load tracker.
-func (c *coordinator) observeCounts(reports []Report, now time.Time) {
-	var samples []plan.Sample
-	for _, r := range reports {
-		if len(r.Counts) > 0 {
-			samples = append(samples, plan.Sample{Rank: r.Rank, StartedAtMs: r.StartedAtMs, Counts: r.Counts})
-		}
-	}
-	if len(samples) > 0 {
-		c.loadTracker.Observe(samples, now)
-	}
-}
-
-// withoutBusyPrepares returns the orders without the prepare orders that a rank
-// is still carrying out.
-func (c *coordinator) withoutBusyPrepares(orders []switchover.Order, now time.Time) []switchover.Order {
-	var out []switchover.Order
-	for _, o := range orders {
-		s := c.lastPrepare[o.Rank]
-		if o.Operation == switchover.Prepare && s.answered && s.version == o.Version && now.Sub(s.at) < prepareRetryInterval {
-			continue
-		}
-		out = append(out, o)
-	}
-	return out
-}
-
-// sendOrders sends orders and reports whether all ranks have confirmed them.
-func (c *coordinator) sendOrders(ctx context.Context, orders []switchover.Order) (confirmed bool) {
-	confirmed = true
-	duplicates := 1
-	if time.Now().Before(c.lossyUntil) {
-		duplicates = lossyDuplicates
-	}
-	results := c.links.sendOrders(ctx, orders, c.fencing, duplicates, c.token)
-	settledAt := time.Now()
-	for _, res := range results {
-		o := res.order
-		confirmed = confirmed && res.outcome == Done
-		if res.outcome != NotSent {
-			c.history.Record(o, res.outcome == Done, settledAt)
-		}
-		if res.outcome == NoReply {
-			c.lossyUntil = time.Now().Add(lossyPeriod)
-		}
-		switch {
-		case res.outcome == Done && o.Operation == switchover.Prepare:
-			c.lastPrepare[o.Rank] = sentPrepare{version: o.Version, at: time.Now(), answered: true}
-		case res.outcome == NoReply && o.Operation == switchover.Prepare:
-			c.recordUnansweredPrepare(o, time.Now())
-		case res.outcome == Refused && o.Operation == switchover.Prepare:
-			c.handleRefusedPrepare(o, res.err, time.Now())
-		case res.outcome == Fenced:
-			c.supersededFencing = c.fencing
-			c.log.Warn("order fenced", "rank", o.Rank, "operation", string(o.Operation), "fencing", c.fencing)
-		}
-		c.log.Info("order", "operation", string(o.Operation), "rank", o.Rank, "version", o.Version, "step", o.Step,
-			"epoch", o.Epoch, "fencing", c.fencing, "outcome", outcomeNames[res.outcome])
-	}
-	return confirmed
-}
-
-// recordUnansweredPrepare records a prepare order that the rank may have
-// accepted.
-func (c *coordinator) recordUnansweredPrepare(o switchover.Order, now time.Time) {
-	if c.lastPrepare[o.Rank].version != o.Version {
-		c.lastPrepare[o.Rank] = sentPrepare{version: o.Version, at: now}
-	}
-}
-
-// handleRefusedPrepare drops the plan unless an order of the same version was
-// sent without an answer before. A rank refuses a version that it has had, so
-// the refusal may mean that it is copying the experts. It then has as much time
-// for that as if it had confirmed the order.
-func (c *coordinator) handleRefusedPrepare(o switchover.Order, reason string, now time.Time) {
-	s := c.lastPrepare[o.Rank]
-	if s.version == o.Version && !s.answered && now.Sub(s.at) < prepareRetryInterval {
-		s.answered = true
-		c.lastPrepare[o.Rank] = s
-		return
-	}
-	c.log.Warn("map refused", "rank", o.Rank, "version", o.Version, "error", reason)
-	c.plan, c.mapKnown = switchover.Plan{}, false
-	c.noPlanUntil = now.Add(refusedReplanDelay)
-}
-
-var outcomeNames = [...]string{NoReply: "no answer", Done: "done", Refused: "refused", Fenced: "fenced", NotSent: "not sent"}
--- a/ranks/engine.go
+++ b/ranks/engine.go
@@ -20,6 +20,8 @@
 	NotSent
 )
 
+var outcomeNames = [...]string{NoReply: "no answer", Done: "done", Refused: "refused", Fenced: "fenced", NotSent: "not sent"}
+
 // Report is the state of one rank.
 type Report struct {
 	Group string
