ranks: a term without a configuration does not end the process

Change: a round is active only with a coordinator. The slow ranks that the coordinator of the former number has reported are withdrawn when another one begins.

--- a/ranks/election.go
+++ b/ranks/election.go
@@ -145,12 +145,15 @@
 			continue
 		}
 		if coord == nil || !coord.coordinatesUnder(token) {
-			if coord = c.newCoordinator(ctx, l); coord == nil {
-				ctxtime.Sleep(ctx, groupPollInterval)
-				continue
+			if active {
+				c.suspend(group, coord)
 			}
+			coord = c.newCoordinator(ctx, l)
+		}
+		if active = coord != nil; !active {
+			ctxtime.Sleep(ctx, groupPollInterval)
+			continue
 		}
-		active = true
 		coord.token = token
 		ctxtime.Sleep(ctx, coord.runRound(workCtx))
 		if coord.isSuperseded() {
@@ -159,20 +162,20 @@
 			reserve.holder.Resign(coord.fencing)
 		}
 	}
-	if !active {
-		coord = nil // its term has ended
-	}
-	if coord != nil {
+	if active {
 		coord.finishSwitch(workCtx)
 		c.reportNoSlowRanks(group)
+	} else {
+		coord = nil // its term has ended
 	}
 	c.endTerm(workCtx, group, coord, holder.RenewalsFailing() || reserve.holder.RenewalsFailing())
 }
 
-// suspend is called when a coordinator has no token any more. It is kept: if the token
-// comes back with the same number, reports of before its last orders may still arrive.
+// suspend is called when a coordinator has no token for its number any more. Without a
+// token it is kept: if that comes back with the same number, reports of before its last
+// orders may still arrive.
 func (c *Coordinators) suspend(group string, coord *coordinator) {
-	c.o.Log.Info("coordination suspended: no token", "group", group, "fencing", coord.fencing)
+	c.o.Log.Info("coordination suspended", "group", group, "fencing", coord.fencing)
 	coord.reportedSlow = nil
 	c.reportNoSlowRanks(group)
 }
