--- a/ranks/election_test.go
+++ b/ranks/election_test.go
@@ -11,15 +11,13 @@
 
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/infra/standin"
-	"github.com/skylarkstep/skylarkstep/routing"
 )
 
 // Guards against a process that ends because it gets another term, and loses it, while
 // no configuration describes the experts of the group.
 func TestTermWithoutConfiguration(t *testing.T) {
 	kv := standin.NewKV()
-	shape := &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3}
-	put(t, kv.Direct(), "config", routing.Config{Version: 1, Backends: []routing.Backend{{Name: "b", Experts: shape}}})
+	putConfig(t, kv.Direct())
 	g := newFakeGroup(0)
 	startAgents(t.Context(), t, g, kv.Direct())
 	all, _, err := kv.Direct().List(t.Context(), "")
--- a/ranks/handover_test.go
+++ b/ranks/handover_test.go
@@ -13,7 +13,6 @@
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/infra/standin"
 	"github.com/skylarkstep/skylarkstep/lease"
-	"github.com/skylarkstep/skylarkstep/routing"
 )
 
 // handOvers records the terms that a process hands over.
@@ -101,8 +100,7 @@
 	for _, storeDown := range []bool{false, true} {
 		g := newFakeGroup(0)
 		kv := standin.NewKV()
-		shape := &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3}
-		put(t, kv.Direct(), "config", routing.Config{Version: 1, Backends: []routing.Backend{{Name: "b", Experts: shape}}})
+		putConfig(t, kv.Direct())
 		startAgents(t.Context(), t, g, kv.Direct())
 		key := coordinatorKeyPrefix + "g"
 		p := startProcess(t, "a", g, kv.Direct(), standinItems(kv.Direct()))
@@ -131,8 +129,7 @@
 // although nobody measures them in the old term any more.
 func TestStoppedCoordinatorReportsNoSlowRanks(t *testing.T) {
 	kv := standin.NewKV().Direct()
-	shape := &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3}
-	put(t, kv, "config", routing.Config{Version: 1, Backends: []routing.Backend{{Name: "b", Experts: shape}}})
+	putConfig(t, kv)
 	g := newFakeGroup(0)
 	startAgents(t.Context(), t, &slowRanks{g}, kv)
 	var mu sync.Mutex
--- a/ranks/links_test.go
+++ b/ranks/links_test.go
@@ -32,7 +32,7 @@
 // not sent: the term ended after the round had begun. Nothing was lost then.
 func TestUnsentOrderIsNoLoss(t *testing.T) {
 	g := newFakeGroup(0)
-	coord := newCoordinator(slog.New(slog.DiscardHandler), directLinks(g), &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3})
+	coord := newCoordinator(slog.New(slog.DiscardHandler), directLinks(g), testShape())
 	coord.token, coord.fencing = &endingToken{}, 7
 	confirmed := coord.sendOrders(t.Context(), []switchover.Order{{Operation: switchover.Prepare, Version: 7, Epoch: 1, Map: g.maps[0]}})
 	require.False(t, confirmed)
--- a/ranks/mapcounter_test.go
+++ b/ranks/mapcounter_test.go
@@ -84,8 +84,7 @@
 	p := &pausedTerm{group: &recordingGroup{fakeGroup: newFakeGroup(0)}}
 	inner := standin.NewKV().Direct()
 	p.kv = &lateRenewals{KV: inner}
-	shape := &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3}
-	put(t, inner, "config", routing.Config{Version: 1, Backends: []routing.Backend{{Name: "b", Experts: shape}}})
+	putConfig(t, inner)
 	ctx, cancel := context.WithCancel(t.Context())
 	go p.group.run(ctx)
 	startAgents(t.Context(), t, p.group, inner)
--- a/ranks/oldreports_test.go
+++ b/ranks/oldreports_test.go
@@ -12,7 +12,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/expertmap/switchover"
-	"github.com/skylarkstep/skylarkstep/routing"
 )
 
 // reportLag is how old the reports of a laggingGroup are.
@@ -91,7 +90,7 @@
 			defer cancel()
 			g.remember(time.Now())
 			go g.runPasses(ctx)
-			coord := newCoordinator(slog.New(slog.DiscardHandler), directLinks(g.fakeGroup), &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3})
+			coord := newCoordinator(slog.New(slog.DiscardHandler), directLinks(g.fakeGroup), testShape())
 			coord.links.engine = g
 			coord.links.maxReportAge = 2 * reportLag
 			coord.token = fixedToken(7)
--- a/ranks/order_test.go
+++ b/ranks/order_test.go
@@ -10,7 +10,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/expertmap/switchover"
-	"github.com/skylarkstep/skylarkstep/routing"
 )
 
 // scriptedRank replies to the orders that it gets with the next outcomes of a
@@ -103,7 +102,7 @@
 	g := &copyingGroup{fakeGroup: newFakeGroup(0)}
 	l := directLinks(g.fakeGroup)
 	l.engine = g
-	coord := newCoordinator(slog.New(slog.DiscardHandler), l, &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3})
+	coord := newCoordinator(slog.New(slog.DiscardHandler), l, testShape())
 	coord.token, coord.fencing, coord.history = fixedToken(7), 7, switchover.NewHistory(claimVersion(7))
 	coord.plan = switchover.Plan{Version: 7, Map: g.maps[0]}
 	coord.currentMap, coord.mapKnown = g.maps[0], true
--- a/ranks/ranks_test.go
+++ b/ranks/ranks_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -194,33 +193,30 @@
 	require.NoError(t, err)
 }
 
+// testShape is the shape of the experts of a fakeGroup.
+func testShape() *routing.ExpertShape {
+	return &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3}
+}
+
+// putConfig writes a configuration that describes the group's back end.
+func putConfig(t *testing.T, kv infra.KV) {
+	put(t, kv, "config", routing.Config{Version: 1, Backends: []routing.Backend{{Name: "b", Experts: testShape()}}})
+}
+
 // startGroup runs the agents of a group and returns a function that starts a
 // coordinator.
 func startGroup(t *testing.T, g *fakeGroup) (coordinate func(ctx context.Context, name string)) {
 	kv := standin.NewKV().Direct()
-	shape := &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3}
-	put(t, kv, "config", routing.Config{Version: 1, Backends: []routing.Backend{{Name: "b", Experts: shape}}})
+	putConfig(t, kv)
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	t.Cleanup(func() { cancel(); wg.Wait() })
 	wg.Go(func() { g.run(ctx) })
-	log := slog.New(slog.DiscardHandler)
-	for r := range groupRanks {
-		addr := fmt.Sprintf("rank-%d", r)
-		put(t, kv, "target/"+addr, routing.Target{ID: addr, Addr: addr, Backend: "b", Slots: 1})
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		o := AgentOptions{Instance: addr, RankAddr: addr, Backend: "b", PeerAddr: l.Addr().String(), KV: kv, Records: testRecords{}, Engine: g, Log: log}
-		wg.Go(func() { _ = RunAgent(ctx, o, l) })
-	}
+	startAgents(ctx, t, g, kv)
 	return func(ctx context.Context, name string) {
 		wg.Go(func() {
 			NewCoordinators(CoordinatorOptions{
-				Instance: name, HolderID: name, KV: kv, Records: testRecords{}, Engine: g, Log: log,
-				Items: func(ctx context.Context, prefix string) ([]infra.Item, error) {
-					items, _, err := kv.List(ctx, prefix)
-					return items, err
-				},
+				Instance: name, HolderID: name, KV: kv, Records: testRecords{}, Engine: g, Log: slog.New(slog.DiscardHandler), Items: standinItems(kv),
 			}).Run(ctx)
 		})
 	}
@@ -327,7 +323,7 @@
 	require.Nil(t, c.activeToken(t.Context(), "g", holder, reserve))
 	c.TakeOver(Term{Group: "g", Fencing: 7, Maps: 3})
 	l := directLinks(g)
-	coord := newCoordinator(slog.New(slog.DiscardHandler), l, &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3})
+	coord := newCoordinator(slog.New(slog.DiscardHandler), l, testShape())
 	coord.token = c.activeToken(t.Context(), "g", holder, reserve)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -353,7 +349,7 @@
 		rankLink.advertisedAddr = fmt.Sprintf("addr-%d", i)
 	}
 	var reported []map[string]float64
-	coord := newCoordinator(slog.New(slog.DiscardHandler), l, &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3})
+	coord := newCoordinator(slog.New(slog.DiscardHandler), l, testShape())
 	coord.onSlowRanks = func(byAddr map[string]float64) { reported = append(reported, byAddr) }
 	for _, slowdowns := range [][]float64{{1, 1, 1.1, 1}, {1, 1.62, 1, 1}, {1, 1.58, 1, 1}, {1, 1, 1, 1}} {
 		coord.slowdowns = slowdowns
--- a/ranks/stop_test.go
+++ b/ranks/stop_test.go
@@ -259,8 +259,7 @@
 // runCoordinators coordinates a group until ctx ends and the stop is done.
 func runCoordinators(ctx context.Context, t *testing.T, e Engine) {
 	kv := standin.NewKV().Direct()
-	shape := &routing.ExpertShape{Sets: groupSets, Experts: expertsPerSet, SlotsPerRank: 4, MaxNewPerRank: 3}
-	put(t, kv, "config", routing.Config{Version: 1, Backends: []routing.Backend{{Name: "b", Experts: shape}}})
+	putConfig(t, kv)
 	startAgents(t.Context(), t, e, kv)
 	NewCoordinators(CoordinatorOptions{
 		Instance: "c", HolderID: "c/1", KV: kv, Records: testRecords{}, Engine: e, Log: slog.New(slog.DiscardHandler), Items: standinItems(kv),
