--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -121,7 +121,10 @@
 		if takenOver {
 			c.history.Inherit(maxLeadSteps)
 		}
-		c.log.Info("coordinating", "fencing", fencing, "maps", planned, "taken_over", takenOver, "superseded", !current)
+		c.log.Info("coordinating", "fencing", fencing)
+		if planned > 0 || takenOver || !current {
+			c.log.Info("term goes on", "fencing", fencing, "maps", planned, "taken_over", takenOver, "superseded", !current)
+		}
 	}
 	if !current {
 		c.supersededFencing = fencing
