ranks, switchover: tests for guards whose removal no test noticed

Five did not: reports in order, the coordinator that is kept while its token is away (TestPauseKeepsHistory stopped before the token was back), the counter that coordinators share, the wait in a taken-over term, and the configured lag. Each makes a test fail now.

--- a/expertmap/switchover/history_test.go
+++ b/expertmap/switchover/history_test.go
@@ -183,3 +183,18 @@
 	_, prepares = h.Decide(states, other)
 	require.Len(t, prepares, 3)
 }
+
+// Guards against a decision from a report that comes after a newer one, from the rank
+// itself after the one of its agent.
+func TestReportOlderThanUsedOneIsNotUsed(t *testing.T) {
+	h := claimedHistory(at(1))
+	phase, _ := h.Decide(preparedGroup(at(5)), preparedPlan)
+	require.Equal(t, Holding, phase)
+	states := preparedGroup(at(6))
+	states[2].AsOf = at(4)
+	phase, orders := h.Decide(states, preparedPlan)
+	require.Equal(t, Outdated, phase)
+	require.Empty(t, orders)
+	phase, _ = h.Decide(preparedGroup(at(6)), preparedPlan)
+	require.Equal(t, Holding, phase)
+}
--- a/ranks/handover_test.go
+++ b/ranks/handover_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/skylarkstep/skylarkstep/expertmap/switchover"
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/infra/standin"
 	"github.com/skylarkstep/skylarkstep/lease"
@@ -160,3 +161,49 @@
 	r.Slowdown = 3
 	return r, err
 }
+
+// Guards against a term that is handed over without the maps that its coordinator has
+// planned: the next process would give their versions to other maps.
+func TestHandedOverTermCountsItsMaps(t *testing.T) {
+	t.Parallel()
+	g := newFakeGroup(0)
+	kv := standin.NewKV()
+	putConfig(t, kv.Direct())
+	passes, endPasses := context.WithCancel(t.Context())
+	defer endPasses()
+	go g.run(passes)
+	startAgents(t.Context(), t, g, kv.Direct())
+	p := startProcess(t, "a", g, kv.Direct(), standinItems(kv.Direct()))
+	require.Eventually(t, func() bool { return g.mapVersion() != 0 }, 15*time.Second, 10*time.Millisecond)
+	kv.SetRefuse(true)
+	defer kv.SetRefuse(false)
+	p.stop()
+	require.Len(t, p.handedOver.all(), 1)
+	require.GreaterOrEqual(t, p.handedOver.all()[0].Maps, g.mapVersion()%versionsPerTerm)
+}
+
+// Guards against a new map that is prepared while a hold order of the process that has
+// handed the term over may still be late.
+func TestTakenOverTermAwaitsHolds(t *testing.T) {
+	for name, c := range map[string]struct {
+		token    lease.Token
+		prepares int
+	}{
+		"own term":        {fixedToken(7), groupRanks},
+		"taken-over term": {takenOverToken{Group: "g", Fencing: 7}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newFakeGroup(0)
+			coord := newCoordinator(slog.New(slog.DiscardHandler), directLinks(g), testShape())
+			coord.token = c.token
+			require.True(t, coord.enterTerm(7))
+			for rank := range groupRanks {
+				coord.history.Record(switchover.Order{Rank: rank, Epoch: 1}, true, time.Now())
+				g.states[rank].AsOf = time.Now()
+			}
+			phase, orders := coord.history.Decide(g.states, switchover.Plan{Version: 7*versionsPerTerm + 1, Map: g.maps[0]})
+			require.Equal(t, switchover.Preparing, phase)
+			require.Len(t, orders, c.prepares)
+		})
+	}
+}
--- a/ranks/links_test.go
+++ b/ranks/links_test.go
@@ -222,3 +222,18 @@
 	require.Equal(t, defaultReportAge, maxReportAge(&routing.ExpertShape{}))
 	require.Equal(t, defaultReportAge, maxReportAge(&routing.ExpertShape{ReportLag: -time.Second}))
 }
+
+// Guards against a coordinator that does not use the lag which the configuration names.
+func TestCoordinatorUsesConfiguredLag(t *testing.T) {
+	config, err := json.Marshal(routing.Config{Version: 1, Backends: []routing.Backend{{
+		Name: "b", Experts: &routing.ExpertShape{Sets: 1, Experts: 4, SlotsPerRank: 4, ReportLag: 300 * time.Millisecond},
+	}}})
+	require.NoError(t, err)
+	items := func(context.Context, string) ([]infra.Item, error) {
+		return []infra.Item{{Key: "config", Value: config}}, nil
+	}
+	c := NewCoordinators(CoordinatorOptions{Log: slog.New(slog.DiscardHandler), Items: items, Records: testRecords{}})
+	l := directLinks(newFakeGroup(0))
+	require.NotNil(t, c.newCoordinator(t.Context(), l))
+	require.Equal(t, 600*time.Millisecond, l.maxReportAge)
+}
--- a/ranks/mapcounter_test.go
+++ b/ranks/mapcounter_test.go
@@ -141,6 +141,7 @@
 	t.Parallel()
 	p := startPausedTerm(t)
 	p.pause()
+	time.Sleep(coordinatorTimes.TTL) // the token is back
 	p.stop()
 	require.Contains(t, p.log.String(), "coordination suspended")
 	require.Equal(t, 1, strings.Count(p.log.String(), `"coordinating"`), "a second coordinator has begun in the term")
