--- a/routing/types.go
+++ b/routing/types.go
@@ -81,6 +81,25 @@
 	WarmUpRate float64
 	// Experts describes the experts of its rank groups; nil if it has none.
 	Experts *ExpertShape
+	// Engine describes how long its engines work; nil if that is not known.
+	Engine *EngineTimes
+}
+
+// EngineTimes describes the work of an engine that processes its requests in passes.
+type EngineTimes struct {
+	// StepsPerPass is the number of steps, each with one token of each response, of a
+	// pass. A stream gets one event for each pass.
+	StepsPerPass int
+	// Step is the time of a step without requests, and PerRequest what each request
+	// adds. PerContext is what each adds for 1,000 tokens of its prompt and response.
+	Step, PerRequest, PerContext time.Duration
+	// ReadTokensPerS is the number of prompt tokens that are read in a second.
+	ReadTokensPerS float64
+	// UsualPrompt and UsualResponse are the mean sizes of requests in tokens.
+	UsualPrompt, UsualResponse int
+	// ExpertShare is the part of the work for a token that is done by experts, from 0
+	// to 1.
+	ExpertShare float64
 }
 
 // ExpertShape describes the experts of the rank groups of a model.
