gateway, ranks: instances know the load of rank groups and share their room

Cause: an instance counts the requests of eight neighbours, so with 32 instances most of a target's load is in nobody's count, and no limit binds.

Change: agents report the requests at their ranks to the coordinator, whose instance sends the load of the group to all instances that use it, derives the limit and keeps the queue.

--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -52,7 +52,7 @@
 		TakeOver: func(t gateway.Term) bool { return coordinators.TakeOver(ranks.Term(t)) },
 		Instance: s.Instance, Process: process, DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions,
 		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, AddressTTL: addressListMaxAge,
-		Limits: gatewayLimits(s), KV: store, DecodeRank: ranks.DecodeRank,
+		Limits: gatewayLimits(s), KV: store, DecodeRank: ranks.DecodeRank, DecodeCoordinator: ranks.DecodeCoordinator,
 		ItemDecoder: platform.Records{}, Headers: platform.Headers{}, Log: log, Registry: registry,
 	})
 	closeServers, err := serveAll(log, map[string]http.Handler{
@@ -74,7 +74,8 @@
 		Instances:   g.Instances,
 		HolderDown:  func(holder string) bool { return g.ProcessExited(workCtx, holder) },
 		OnSlowRanks: func(group string, byAddr map[string]float64) { g.SetSlowTargets(workCtx, group, byAddr) },
-		HandOver:    func(t ranks.Term) { g.HandOver(workCtx, gateway.Term(t)) },
+		OnLoad:      g.SetGroupLoad, OnLoadEnd: g.EndGroupLoad,
+		HandOver: func(t ranks.Term) { g.HandOver(workCtx, gateway.Term(t)) },
 	})
 	coordinatorsCtx, stopCoordinators := context.WithCancel(ctx)
 	defer stopCoordinators()
--- a/expertmap/plan/tracker.go
+++ b/expertmap/plan/tracker.go
@@ -187,6 +187,24 @@
 // the set with the fewest.
 func (t *Tracker) Activations() float64 { return minTotal(t.activations) }
 
+// Imbalance returns the load of the most loaded rank relative to the mean, with a map
+// and the load of the last ShiftWindow. If that is too little to tell, it uses the load
+// on which the estimate is based; it returns 1 if there is none.
+func (t *Tracker) Imbalance(current [][][]int, l Limits) float64 {
+	latest := newTable(t.sets, t.experts)
+	for _, w := range t.recent {
+		addTable(latest, w.added)
+	}
+	if minTotal(latest) < t.rules.MinActivations {
+		latest = t.activations
+	}
+	imbalance := 0.0
+	for s, set := range current {
+		imbalance += Placement(set).MaxRankLoad(latest[s], l) / float64(len(current))
+	}
+	return imbalance
+}
+
 // Proposal is a proposed change of the map.
 type Proposal struct {
 	Map [][][]int
--- a/gateway/assign.go
+++ b/gateway/assign.go
@@ -17,19 +17,32 @@
 	backend := s.table.Backend(q.backend)
 	targets := s.targets[q.backend]
 	candidates := make([]routing.Candidate, len(targets))
+	allKnown, preferred := true, -1
 	for i, t := range targets {
 		t.mu.Lock()
 		usable := req.isAllowed(t) && t.canAccept(now)
+		load, known := t.load(now)
 		if usable && backend != nil && t.isWarmingUp(now) && backend.WarmUpRate > 0 {
 			usable = s.allowsWarmUp(t, backend.WarmUpRate, now)
 		}
 		candidates[i] = routing.Candidate{
-			Load: float64(t.ownRequests.Load() + t.peerRequests.Load()), OwnLoad: float64(t.ownRequests.Load()), Slots: t.Slots, FailureRate: t.failureRate,
-			Local: t.DataCentre == q.g.opts.DataCentre, Usable: usable, Slowdown: t.slowdown,
+			Load: float64(load), OwnLoad: float64(t.ownRequests.Load()), Slots: t.Slots, FailureRate: t.failureRate,
+			Local: t.DataCentre == q.g.opts.DataCentre, Connected: t.pool.HasIdle(), Usable: usable, Slowdown: t.slowdown,
 		}
 		t.mu.Unlock()
+		allKnown = allKnown && (known || !usable)
+		if usable && req.place.prefers(t) && !candidates[i].Full() {
+			preferred = i
+		}
+	}
+	i := preferred
+	switch {
+	case i >= 0:
+	case allKnown:
+		i = routing.PickOfTwo(candidates, rand.IntN)
+	default:
+		i = routing.Pick(candidates, s.instanceCount, rand.IntN(max(1, len(candidates))))
 	}
-	i := routing.Pick(candidates, s.instanceCount, rand.IntN(max(1, len(candidates))))
 	if i < 0 {
 		return nil
 	}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -337,6 +337,7 @@
 			s.targets[t.Backend] = append(s.targets[t.Backend], t)
 		}
 	}
+	s.groups, s.rankOf = c.groupsOf(s.targets)
 	if c.g.snapshot.Swap(s) == nil {
 		close(c.g.configured)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/gateway/crashguard"
+	"github.com/skylarkstep/skylarkstep/gateway/groupadmission"
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/lease"
 	"github.com/skylarkstep/skylarkstep/routing"
@@ -41,9 +42,11 @@
 	// another instance. It may be nil.
 	TakeOver func(Term) bool
 
-	// DecodeRank decodes the record of a rank: the address at which it receives
-	// requests, and its group. It returns false for other items, and may be nil.
-	DecodeRank func(key string, value []byte) (addr, group string, ok bool)
+	// DecodeRank decodes the record of a rank, and DecodeCoordinator that of the
+	// coordinator of a group: the group and the instance. They return false for other
+	// items, and may be nil.
+	DecodeRank        func(key string, value []byte) (routing.RankMember, bool)
+	DecodeCoordinator func(key string, value []byte) (group, instance string, ok bool)
 
 	KV          infra.KV
 	ItemDecoder ItemDecoder
@@ -91,6 +94,10 @@
 	stops      *stopState
 	guard      *crashguard.Guard
 	demands    demandTable
+	// admissionServer serves the rank groups that this process coordinates, and
+	// admission knows all groups to which this instance sends requests.
+	admissionServer *groupadmission.Server
+	admission       *groupadmission.Client
 
 	limits atomic.Pointer[Limits]
 
@@ -110,6 +117,12 @@
 	g.callers = newCallerServer(g, g.log)
 	g.queues = &queues{g: g, byBackend: map[string]*queue{}}
 	g.control = newControl(g)
+	g.admissionServer = groupadmission.NewServer(groupadmission.ServerOptions{
+		Backend: g.groupBackend, LastLimit: func(group string) float64 { return g.admission.LastLimit(group, time.Now()) }, Log: g.log, Registry: o.Registry,
+	})
+	g.admission = groupadmission.NewClient(groupadmission.ClientOptions{
+		Instance: g.id, Server: g.admissionServer, Coordinators: g.groupCoordinators, OnLoad: g.recordGroupLoad, Hello: g.hello, Log: g.log,
+	})
 	own := instanceRecord{CallerAddr: o.CallerAddr, PeerAddr: o.PeerAddr, DataCentre: o.DataCentre, Region: o.Region}
 	g.ownRecord = lease.Record{
 		KV: o.KV, Key: recordKey(g.id), Value: own.encode(), TTL: registryTTL, RenewInterval: registryRenewInterval,
@@ -238,6 +251,13 @@
 	return found, nil
 }
 
+// SetGroupLoad records the load of a rank group that this process coordinates, and
+// EndGroupLoad that it does not coordinate the group any longer.
+func (g *Gateway) SetGroupLoad(l *routing.GroupLoad) { g.admissionServer.SetLoad(l) }
+
+// EndGroupLoad implements the end described at SetGroupLoad.
+func (g *Gateway) EndGroupLoad(group string) { g.admissionServer.EndLoad(group) }
+
 // Instances returns the number of instances that this one knows of, including itself.
 func (g *Gateway) Instances() int {
 	if s := g.snapshot.Load(); s != nil {
@@ -262,6 +282,8 @@
 	group.Go(func() { g.acceptPeers(runCtx, l.Peers) })
 	group.Go(func() { g.ownRecord.Run(ctx) })
 	group.Go(func() { g.keepRecord(runCtx) })
+	group.Go(func() { g.admissionServer.Run(runCtx) })
+	group.Go(func() { g.admission.Run(runCtx) })
 	failed := make(chan error, 1)
 	go func() { failed <- g.callers.serve(l.Callers) }()
 	var err error
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -248,7 +248,7 @@
 	}
 	queuedAt := time.Now()
 	q := x.g.queues.forBackend(x.backend)
-	t, err := q.acquire(ctx, x.slotRequest(queuedAt))
+	t, err := x.acquireSlot(ctx, q, queuedAt)
 	now := time.Now()
 	x.queueTime += now.Sub(queuedAt)
 	if err != nil {
@@ -271,6 +271,21 @@
 	return t, nil
 }
 
+// acquireSlot waits for a place at a rank group, if the back end has any, and for a free
+// slot at a target there.
+func (x *exchange) acquireSlot(ctx context.Context, q *queue, now time.Time) (*target, error) {
+	req := x.slotRequest(now)
+	p, err := x.acquirePlace(ctx, &req, now)
+	if err != nil {
+		return nil, err
+	}
+	if p.group != nil && x.mayUseGroup(p.group) {
+		req.place = p
+		req.isAllowed = func(t *target) bool { return x.mayUseTarget(t) && p.allows(t, x.g.snapshot.Load()) }
+	}
+	return q.acquire(ctx, req)
+}
+
 // slotRequest returns what the request needs from a target and how long it may wait.
 func (x *exchange) slotRequest(now time.Time) slotRequest {
 	return slotRequest{
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -213,7 +213,13 @@
 	// be nil.
 	takeOver func(id string, t Term) bool
 	// decodeRank decodes the records of ranks; it may be nil.
-	decodeRank func(key string, value []byte) (addr, group string, ok bool)
+	decodeRank func(key string, value []byte) (routing.RankMember, bool)
+}
+
+// decodeTestCoordinator decodes records of the form "coordinator/GROUP" with the instance.
+func decodeTestCoordinator(key string, value []byte) (group, instance string, ok bool) {
+	group, ok = strings.CutPrefix(key, "coordinator/")
+	return group, instance, ok && json.Unmarshal(value, &instance) == nil
 }
 
 func newDeployment(t *testing.T, cfg routing.Config, targets ...*fakeTarget) *deployment {
@@ -285,7 +291,7 @@
 		takeOver = func(t Term) bool { return d.takeOver(id, t) }
 	}
 	g := New(Options{
-		TakeOver: takeOver, DecodeRank: d.decodeRank,
+		TakeOver: takeOver, DecodeRank: d.decodeRank, DecodeCoordinator: decodeTestCoordinator,
 		Instance: id, DataCentre: "dc1", Region: "r1", Regions: map[string]string{"dc1": "r1"},
 		CallerAddr: callers.Addr().String(), PeerAddr: peers.Addr().String(), AddressTTL: time.Second,
 		Limits: Limits{MaxIsolatedStaleness: 6 * time.Second, StopTimeout: d.stopTimeout, Retries: routing.RetryLimits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}},
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -32,6 +32,9 @@
 	callersLeft metrics.Counter
 	// waitedUnread is how long requests waited in the kernel until they were read.
 	waitedUnread *telemetry.Latency
+	// placesRejected counts the requests that were rejected since no rank group had room
+	// for them in time.
+	placesRejected metrics.Counter
 	// targetRests counts the responses by which targets wanted a rest.
 	targetRests metrics.Counter
 }
@@ -54,6 +57,7 @@
 		configsRefused: metrics.NewRegisteredCounter("config.refused", r),
 		storeRestores:  metrics.NewRegisteredCounter("store.restores", r),
 
+		placesRejected:     metrics.NewRegisteredCounter("request.places_rejected", r),
 		callersLeft:        metrics.NewRegisteredCounter("request.callers_left", r),
 		waitedUnread:       latency("request.unread"),
 		targetRests:        metrics.NewRegisteredCounter("target.rests", r),
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/gateway/crashguard"
+	"github.com/skylarkstep/skylarkstep/gateway/groupadmission"
 	"github.com/skylarkstep/skylarkstep/infra"
 	"github.com/skylarkstep/skylarkstep/infra/ctxtime"
 	"github.com/skylarkstep/skylarkstep/wire"
@@ -208,11 +209,22 @@
 				g.log.Warn("handshake with peer failed", "addr", conn.RemoteAddr().String(), "error", err.Error())
 				return
 			}
+			if session.Peer().GetRole() == groupadmission.Role {
+				g.serveAdmission(ctx, session)
+				return
+			}
 			g.servePeer(ctx, session)
 		}()
 	}
 }
 
+// serveAdmission serves an instance that asks for places at rank groups.
+func (g *Gateway) serveAdmission(ctx context.Context, session *wire.Session) {
+	defer func() { _ = session.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = session.Close() })()
+	g.admissionServer.Serve(ctx, session)
+}
+
 func (g *Gateway) hello() *wirepb.Hello {
 	return &wirepb.Hello{Instance: g.id, Role: "gateway", DataCentre: g.opts.DataCentre}
 }
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -29,8 +29,10 @@
 type slotRequest struct {
 	backend  string
 	priority int
-	// isAllowed reports whether the request may be sent to the target.
+	// isAllowed reports whether the request may be sent to the target, and place where
+	// it should be.
 	isAllowed func(*target) bool
+	place     place
 	// latencyGoalAt is when the response should have arrived. Requests that
 	// have missed this time are served after those of the same priority that
 	// have not.
--- a/gateway/rankgroups.go
+++ b/gateway/rankgroups.go
@@ -3,49 +3,56 @@
 import (
 	"time"
 
+	"github.com/skylarkstep/skylarkstep/routing"
 	"github.com/skylarkstep/skylarkstep/routing/quarantine"
 )
 
-// rankMember is a rank of a group, as its record in the store describes it.
-type rankMember struct {
-	addr, group string
-}
-
-// rankGroups tells which targets are ranks of one group. They serve together: if one
-// crashes, none serves until another has taken its place.
+// rankGroups tells which targets are ranks of one group, and which instance coordinates
+// it. The ranks serve together: if one crashes, none serves until another has taken its
+// place.
 type rankGroups struct {
-	byKey  map[string]rankMember // by key of the record
-	byAddr map[string]string     // group by the address at which a rank receives requests
+	byKey        map[string]routing.RankMember // by key of the record
+	byAddr       map[string]routing.RankMember // by the address at which a rank receives requests
+	coordinators map[string]string             // instance by group
 }
 
 func newRankGroups() rankGroups {
-	return rankGroups{byKey: map[string]rankMember{}, byAddr: map[string]string{}}
+	return rankGroups{byKey: map[string]routing.RankMember{}, byAddr: map[string]routing.RankMember{}, coordinators: map[string]string{}}
 }
 
 // set records a changed record, or a deleted one if the member is zero.
-func (r *rankGroups) set(key string, m rankMember) {
-	if old, ok := r.byKey[key]; ok && r.byAddr[old.addr] == old.group {
-		delete(r.byAddr, old.addr)
+func (r *rankGroups) set(key string, m routing.RankMember) {
+	if old, ok := r.byKey[key]; ok && r.byAddr[old.Addr].Group == old.Group {
+		delete(r.byAddr, old.Addr)
 	}
-	if m == (rankMember{}) {
+	if m == (routing.RankMember{}) {
 		delete(r.byKey, key)
 		return
 	}
 	r.byKey[key] = m
-	r.byAddr[m.addr] = m.group
+	r.byAddr[m.Addr] = m
 }
 
-// applyRankRecord applies a changed or deleted item if it is the record of a rank.
+// applyRankRecord applies a changed or deleted item if it is the record of a rank or of
+// a coordinator.
 func (c *control) applyRankRecord(key string, value []byte, exists bool) {
+	if c.g.opts.DecodeCoordinator != nil {
+		if group, instance, ok := c.g.opts.DecodeCoordinator(key, value); ok && exists {
+			c.groups.coordinators[group] = instance
+			return
+		}
+	}
 	if !exists {
-		c.groups.set(key, rankMember{})
+		c.needsPublish = c.needsPublish || c.groups.byKey[key] != (routing.RankMember{})
+		c.groups.set(key, routing.RankMember{})
 		return
 	}
 	if c.g.opts.DecodeRank == nil {
 		return
 	}
-	if addr, group, ok := c.g.opts.DecodeRank(key, value); ok {
-		c.groups.set(key, rankMember{addr: addr, group: group})
+	if m, ok := c.g.opts.DecodeRank(key, value); ok && c.groups.byKey[key] != m {
+		c.needsPublish = true
+		c.groups.set(key, m)
 	}
 }
 
@@ -56,7 +63,7 @@
 	if t == nil || t.Incarnation != id.Incarnation {
 		return
 	}
-	group := c.groups.byAddr[t.Addr]
+	group := c.groups.byAddr[t.Addr].Group
 	if group == "" {
 		return
 	}
@@ -66,7 +73,7 @@
 		if other.Backend != t.Backend {
 			continue
 		}
-		if c.groups.byAddr[other.Addr] == group {
+		if c.groups.byAddr[other.Addr].Group == group {
 			members = append(members, other)
 		} else {
 			hasOther = true
--- a/gateway/rankgroups_test.go
+++ b/gateway/rankgroups_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -14,16 +15,17 @@
 	"github.com/skylarkstep/skylarkstep/routing"
 )
 
-// decodeTestRank decodes records of the form "rank/KEY" with "ADDR GROUP".
-func decodeTestRank(key string, value []byte) (addr, group string, ok bool) {
-	if !strings.HasPrefix(key, "rank/") {
-		return "", "", false
-	}
+// decodeTestRank decodes records of the form "rank/NUMBER" or "rank/NAME/NUMBER" with
+// "ADDR GROUP".
+func decodeTestRank(key string, value []byte) (routing.RankMember, bool) {
+	number := key[strings.LastIndex(key, "/")+1:]
 	var record string
-	if json.Unmarshal(value, &record) != nil {
-		return "", "", false
+	if !strings.HasPrefix(key, "rank/") || json.Unmarshal(value, &record) != nil {
+		return routing.RankMember{}, false
 	}
-	return strings.Cut(record, " ")
+	rank, err := strconv.Atoi(number)
+	addr, group, ok := strings.Cut(record, " ")
+	return routing.RankMember{Addr: addr, Group: group, Rank: rank}, ok && err == nil
 }
 
 // groupConfig returns the usual configuration, in which the targets form rank groups.
@@ -125,11 +127,12 @@
 // changed or was deleted.
 func TestRankGroupsFollowRecords(t *testing.T) {
 	r := newRankGroups()
-	r.set("k1", rankMember{"addr1", "a"})
-	r.set("k2", rankMember{"addr2", "a"})
-	r.set("k1", rankMember{"addr3", "b"})
-	require.Equal(t, map[string]string{"addr2": "a", "addr3": "b"}, r.byAddr)
-	r.set("k2", rankMember{"addr3", "a"}) // another rank has got the address
-	r.set("k1", rankMember{})
-	require.Equal(t, map[string]string{"addr3": "a"}, r.byAddr)
+	member := func(addr, group string) routing.RankMember { return routing.RankMember{Addr: addr, Group: group} }
+	r.set("k1", member("addr1", "a"))
+	r.set("k2", member("addr2", "a"))
+	r.set("k1", member("addr3", "b"))
+	require.Equal(t, map[string]routing.RankMember{"addr2": member("addr2", "a"), "addr3": member("addr3", "b")}, r.byAddr)
+	r.set("k2", member("addr3", "a")) // another rank has got the address
+	r.set("k1", routing.RankMember{})
+	require.Equal(t, map[string]routing.RankMember{"addr3": member("addr3", "a")}, r.byAddr)
 }
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -45,6 +45,10 @@
 	pausedUntil time.Time
 	// lastByteAt is when the target last sent data.
 	lastByteAt time.Time
+	// reported is the number of requests of all instances at the target as of
+	// reportedAt, and ownAtReport that of this instance then.
+	reported, ownAtReport int64
+	reportedAt            time.Time
 	// verified is set once the target has worked on a request. firstSentAt is
 	// when this instance last sent a request to the target while it had no
 	// others there.
@@ -87,6 +91,28 @@
 	t.rest.RecordRequest(now)
 }
 
+// reportedLoadTimeout is the age from which on the reported load of a target does not
+// count.
+const reportedLoadTimeout = 900 * time.Millisecond
+
+// recordReportedLoad records the number of requests of all instances at the target.
+func (t *targetState) recordReportedLoad(requests int64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reported, t.reportedAt, t.ownAtReport = requests, now, t.ownRequests.Load()
+}
+
+// load returns the number of requests of all instances at the target, and whether its
+// rank has reported it lately. Otherwise it is the number that some instances have
+// told of. The caller holds t.mu.
+func (t *targetState) load(now time.Time) (requests int64, reported bool) {
+	own := t.ownRequests.Load()
+	if t.reportedAt.IsZero() || now.Sub(t.reportedAt) > reportedLoadTimeout {
+		return own + t.peerRequests.Load(), false
+	}
+	return max(own, t.reported+own-t.ownAtReport), true
+}
+
 func (t *targetState) isWarmingUp(now time.Time) bool { return monotonic(now) < t.warmUpUntil.Load() }
 
 // recordOutcome updates the failure rate after a request.
@@ -137,6 +163,10 @@
 	table    *routing.Table
 	revision int64
 	targets  map[string][]*target // by back end; only those that accept new work
+	// groups holds the rank groups of each back end to which this instance sends
+	// requests, and rankOf the rank of each target that is one, by its id.
+	groups map[string][]*rankGroup
+	rankOf map[string]rankOf
 	// instanceCount is the number of instances that send requests, and position
 	// that of this one in the order of their ids.
 	instanceCount, position int
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -149,6 +149,13 @@
 	return dial(ctx, p.addr, dialTimeout)
 }
 
+// HasIdle reports whether there is an idle connection.
+func (p *Pool) HasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 // Check opens a connection, which is kept for later requests. The error tells
 // whether the target refuses connections.
 func (p *Pool) Check(ctx context.Context) error {
--- a/ranks/agent.go
+++ b/ranks/agent.go
@@ -186,6 +186,7 @@
 		Group: r.Group, Rank: uint32(r.Rank), Size: uint32(r.Size), Born: r.StartedAtMs, Slowness: r.Slowdown,
 		Open: s.Open, Epoch: s.Epoch, Step: s.Step, MapVersion: s.MapVersion, PreparedVersion: s.PreparedVersion,
 		ArmedVersion: s.ArmedVersion, ArmedStep: s.ArmedStep, Held: s.Held, HeldStep: s.HeldStep, Counts: r.Counts,
+		Running: uint32(max(0, r.Running)), Waiting: uint32(max(0, r.Waiting)),
 	}
 	for _, experts := range r.Placement {
 		w.Placement = append(w.Placement, &wirepb.ExpertList{Experts: convertInts[uint32](experts)})
@@ -196,6 +197,7 @@
 func decodeReport(w *wirepb.RankState) Report {
 	r := Report{
 		Group: w.GetGroup(), Rank: int(w.GetRank()), Size: int(w.GetSize()), StartedAtMs: w.GetBorn(), Slowdown: w.GetSlowness(), Counts: w.GetCounts(),
+		Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()),
 		State: switchover.State{
 			Reported: true, Open: w.GetOpen(), Epoch: w.GetEpoch(), Step: w.GetStep(), MapVersion: w.GetMapVersion(),
 			PreparedVersion: w.GetPreparedVersion(), ArmedVersion: w.GetArmedVersion(), ArmedStep: w.GetArmedStep(),
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -53,6 +53,10 @@
 	// it may be nil. reportedSlow is the argument of the last call.
 	onSlowRanks  func(byAddr map[string]float64)
 	reportedSlow map[string]float64
+	// onLoad is called with the load of the group after each round; it may be nil.
+	// rankLoads holds the latest load of each rank.
+	onLoad    func(*routing.GroupLoad)
+	rankLoads []routing.RankLoad
 }
 
 // slowThreshold is the slowdown factor from which a rank counts as slow; a
@@ -76,6 +80,7 @@
 	if !c.enterTerm(fencing) {
 		return roundInterval
 	}
+	queriedAt := time.Now()
 	reports := c.links.queryAll(ctx, ReportQuery{Counts: c.mayReadCounts(), Placement: !c.mapKnown})
 	now := time.Now()
 	states := make([]switchover.State, len(reports))
@@ -89,6 +94,7 @@
 	}
 	c.reportSlowRanks()
 	c.updateCurrentMap(reports, states)
+	c.reportLoad(reports, queriedAt)
 	c.replan(states, now)
 	c.observePace(states, now)
 	phase := c.advanceSwitch(ctx, states, now)
--- a/ranks/election.go
+++ b/ranks/election.go
@@ -53,6 +53,11 @@
 	// coordinates: their slowdown factors by the address at which they receive
 	// requests. It may be nil.
 	OnSlowRanks func(group string, byAddr map[string]float64)
+	// OnLoad is called with the load of a group that this process coordinates, after
+	// each round, and OnLoadEnd when it does not coordinate the group any longer. Both
+	// may be nil.
+	OnLoad    func(*routing.GroupLoad)
+	OnLoadEnd func(group string)
 	// HandOver hands a term over to another instance; it may be nil. It is called
 	// after the last order of the term.
 	HandOver func(Term)
@@ -164,7 +169,7 @@
 	}
 	if active {
 		coord.finishSwitch(workCtx)
-		c.reportNoSlowRanks(group)
+		c.reportEnd(group)
 	} else {
 		coord = nil // its term has ended
 	}
@@ -177,14 +182,17 @@
 func (c *Coordinators) suspend(group string, coord *coordinator) {
 	c.o.Log.Info("coordination suspended", "group", group, "fencing", coord.fencing)
 	coord.reportedSlow = nil
-	c.reportNoSlowRanks(group)
+	c.reportEnd(group)
 }
 
-// reportNoSlowRanks withdraws the report of slow ranks at the end of a term.
-func (c *Coordinators) reportNoSlowRanks(group string) {
+// reportEnd withdraws what was reported of a group at the end of a term.
+func (c *Coordinators) reportEnd(group string) {
 	if c.o.OnSlowRanks != nil {
 		c.o.OnSlowRanks(group, nil)
 	}
+	if c.o.OnLoadEnd != nil {
+		c.o.OnLoadEnd(group)
+	}
 }
 
 // newCoordinator returns a coordinator for the group of the links, or nil if the
@@ -197,6 +205,7 @@
 	}
 	coord := newCoordinator(c.o.Log, l, shape)
 	coord.maps = c.mapCounter(l.group)
+	coord.onLoad = c.o.OnLoad
 	l.maxReportAge = maxReportAge(shape)
 	if c.o.OnSlowRanks != nil {
 		coord.onSlowRanks = func(byAddr map[string]float64) { c.o.OnSlowRanks(l.group, byAddr) }
--- a/ranks/engine.go
+++ b/ranks/engine.go
@@ -32,7 +32,10 @@
 	// Slowdown is the factor by which the rank is slower than normal; 1 is
 	// normal.
 	Slowdown float64
-	State    switchover.State
+	// Running is the number of requests that the rank processes, and Waiting the
+	// number that waits there.
+	Running, Waiting int
+	State            switchover.State
 	// Counts are the activations of each expert since the start of the rank,
 	// one set after another. Placement lists the experts that the rank holds,
 	// by set. Both are empty unless the query selects them.
--- a/ranks/links.go
+++ b/ranks/links.go
@@ -85,14 +85,21 @@
 
 const agentsPrefix = "skylarkstep/ranks/"
 
-// DecodeRank decodes the record of an agent: the address at which its rank receives
-// requests, and the group of the rank. It returns false for other items.
-func DecodeRank(key string, value []byte) (addr, group string, ok bool) {
+// DecodeRank decodes the record of an agent. It returns false for other items.
+func DecodeRank(key string, value []byte) (routing.RankMember, bool) {
 	var r agentRecord
-	if !strings.HasPrefix(key, agentsPrefix) || json.Unmarshal(value, &r) != nil {
-		return "", "", false
+	if !strings.HasPrefix(key, agentsPrefix) || json.Unmarshal(value, &r) != nil || r.RankAddr == "" || r.Group == "" {
+		return routing.RankMember{}, false
 	}
-	return r.RankAddr, r.Group, r.RankAddr != "" && r.Group != ""
+	return routing.RankMember{Addr: r.RankAddr, Group: r.Group, Rank: r.Rank}, true
+}
+
+// DecodeCoordinator decodes the record of a coordinator: its group, and the instance
+// on which it runs. It returns false for other items.
+func DecodeCoordinator(key string, value []byte) (group, instance string, ok bool) {
+	group, ok = strings.CutPrefix(key, coordinatorKeyPrefix)
+	instance, _, _ = strings.Cut(string(value), "/")
+	return group, instance, ok && group != "" && instance != ""
 }
 
 func groupPrefix(group string) string { return agentsPrefix + group + "/" }
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -16,6 +16,8 @@
 	Slowdown float64
 	// Local is set if the target is in the data centre of this instance.
 	Local bool
+	// Connected is set if this instance has an idle connection to the target.
+	Connected bool
 	// Usable is set if the target may get the request now.
 	Usable bool
 }
@@ -83,6 +85,52 @@
 	return best
 }
 
+// PickOfTwo returns the index of the better one of two usable targets that are not full,
+// drawn at random, or -1 if there is none. It is for loads that all instances know: if
+// each picked the target with the lowest load, all would pick the same one until the
+// next report. The first one is drawn from the local targets with a connection, if there
+// are any, since a new connection and traffic between data centres have a cost. draw
+// returns a random number below n.
+func PickOfTwo(candidates []Candidate, draw func(n int) int) int {
+	var usable, near []int
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.Usable || c.Full() {
+			continue
+		}
+		usable = append(usable, i)
+		if c.Local && c.Connected {
+			near = append(near, i)
+		}
+	}
+	if len(usable) == 0 {
+		return -1
+	}
+	if len(near) == 0 {
+		near = usable
+	}
+	first, second := near[draw(len(near))], usable[draw(len(usable))]
+	if candidates[second].knownScore() < candidates[first].knownScore() {
+		return second
+	}
+	return first
+}
+
+// newConnectionPenalty prefers targets of about the same load to which there is a
+// connection, because opening one takes time there.
+const newConnectionPenalty = 0.04
+
+// knownScore is the score of a target whose load is known.
+func (c *Candidate) knownScore() float64 {
+	known := *c
+	known.OwnLoad = c.Load
+	score := known.score(1)
+	if !c.Connected {
+		score += newConnectionPenalty
+	}
+	return score
+}
+
 // latestOutcomeWeight is the weight of the latest outcome in the failure rate
 // of a target.
 const latestOutcomeWeight = 0.15
--- a/routing/table.go
+++ b/routing/table.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
 )
@@ -13,18 +14,20 @@
 	byHost    map[string][]*Route
 	customers map[string]*Customer
 	backends  map[string]*Backend
+	gapGoals  map[string]time.Duration // by back end
 }
 
 // NewTable returns a table for a configuration.
 func NewTable(c *Config) *Table {
 	t := &Table{
 		Config: c, byHost: map[string][]*Route{},
-		customers: map[string]*Customer{}, backends: map[string]*Backend{},
+		customers: map[string]*Customer{}, backends: map[string]*Backend{}, gapGoals: map[string]time.Duration{},
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		t.addGapGoals(r)
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -40,9 +43,24 @@
 	return t
 }
 
+func (t *Table) addGapGoals(r *Route) {
+	if r.Kind != Stream || r.GapGoal <= 0 {
+		return
+	}
+	for _, w := range r.Split {
+		if goal := t.gapGoals[w.Backend]; w.Weight > 0 && (goal == 0 || r.GapGoal < goal) {
+			t.gapGoals[w.Backend] = r.GapGoal
+		}
+	}
+}
+
 // Backend returns the back end with the name, or nil.
 func (t *Table) Backend(name string) *Backend { return t.backends[name] }
 
+// GapGoal returns the strictest goal for the pauses of the streams that routes send to a
+// back end; 0 if there is none.
+func (t *Table) GapGoal(backend string) time.Duration { return t.gapGoals[backend] }
+
 // Route returns the route of the host with the longest matching prefix of the
 // path. It ignores a port in the host.
 func (t *Table) Route(host, path string) (*Route, error) {
