expertmap/plan: maps in steps, and no plan for a mixture of two loads

Some plans were made for counts of before and after a shift, and delayed the right one by their copies.

--- a/expertmap/plan/rebalance.go
+++ b/expertmap/plan/rebalance.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 )
 
 // Limits restrict one change of a map in which ranks may hold different numbers
@@ -16,6 +17,10 @@
 	// Slowdowns are the slowdown factors of the ranks; 1 is normal. Ranks
 	// without an entry count as normal.
 	Slowdowns []float64
+	// CopyTime is the time in which a rank copies one expert, and SwitchTime the time
+	// from when all ranks have their copies until the map is in use. If CopyTime is 0,
+	// it is not known, and all copies are made in one step.
+	CopyTime, SwitchTime time.Duration
 }
 
 func (l Limits) slowdown(rank int) float64 {
@@ -64,7 +69,7 @@
 	}
 	// Each iteration lowers the time of the slowest rank or ends the search.
 	for range 4 * len(current) * l.SlotsPerRank {
-		c, ok := s.bestChange(minGainPerCopy * mean)
+		c, _, ok := s.bestChange(minGainPerCopy * mean)
 		if !ok {
 			break
 		}
@@ -82,6 +87,9 @@
 	rankTimes []float64 // time of each rank
 	holders   [][]int   // ranks of each expert
 	shifts    loadShifts
+	// copiesLeft returns how many more copies a rank may make; nil if only limits
+	// restricts them.
+	copiesLeft func(rank int) int
 }
 
 func newSetState(p Placement, load []float64, l Limits) *setState {
@@ -142,51 +150,51 @@
 // The gain is the reduction of the maximum time among the ranks that the change
 // affects. If several ranks are equally slow, a change that relieves only one of
 // them therefore counts, although the maximum over all ranks stays the same.
-func (s *setState) bestChange(gainPerCopy float64) (change, bool) {
+func (s *setState) bestChange(gainPerCopy float64) (best change, gain float64, ok bool) {
 	slowest := 0
 	for r, w := range s.rankTimes {
 		if w > s.rankTimes[slowest] {
 			slowest = r
 		}
 	}
-	var best change
-	bestGain, ok := 0.0, false
 	consider := func(c change) {
 		before, after := s.maxTimes(c)
 		if before-after <= gainPerCopy*float64(c.copies) {
 			return
 		}
-		if gain := (before - after) / float64(max(1, c.copies)); gain > bestGain {
-			best, bestGain, ok = c, gain, true
+		if g := (before - after) / float64(max(1, c.copies)); g > gain {
+			best, gain, ok = c, g, true
 		}
 	}
-	newByRank := make([]int, len(s.placement))
+	room := make([]int, len(s.placement))
 	for r := range s.placement {
-		newByRank[r] = s.newExperts(r)
+		room[r] = s.limits.NewPerRank - s.newExperts(r)
+		if s.copiesLeft != nil {
+			room[r] = min(room[r], s.copiesLeft(r))
+		}
 	}
 	for _, e := range s.placement[slowest] {
 		for to := range s.placement {
 			if to == slowest || slices.Contains(s.placement[to], e) {
 				continue
 			}
-			s.considerChanges(slowest, to, e, newByRank, consider)
+			s.considerChanges(slowest, to, e, room, consider)
 		}
 	}
-	return best, ok
+	return best, gain, ok
 }
 
 // considerChanges passes to consider all changes that give expert e of the
 // slowest rank to another rank within the limits: as a further replica in a free
 // slot, as a further replica in place of an expert that has other replicas, or
-// in a swap.
-func (s *setState) considerChanges(slowest, to, e int, newByRank []int, consider func(change)) {
+// in a swap. room is the number of copies that each rank may still make.
+func (s *setState) considerChanges(slowest, to, e int, room []int, consider func(change)) {
 	copies := s.copiesFor(to, e)
-	if len(s.placement[to]) < s.limits.SlotsPerRank && newByRank[to]+copies <= s.limits.NewPerRank {
+	if len(s.placement[to]) < s.limits.SlotsPerRank && copies <= room[to] {
 		consider(change{fromRank: -1, toRank: to, expert: e, drop: -1, copies: copies})
 	}
 	for _, other := range s.placement[to] {
-		freed := s.copiesFor(to, other)
-		if newByRank[to]-freed+copies > s.limits.NewPerRank {
+		if copies > room[to]+s.copiesFor(to, other) {
 			continue
 		}
 		if len(s.holders[other]) > 1 {
@@ -196,7 +204,7 @@
 			continue
 		}
 		copiesBack := s.copiesFor(slowest, other)
-		if newByRank[slowest]-s.copiesFor(slowest, e)+copiesBack <= s.limits.NewPerRank {
+		if copiesBack <= room[slowest]+s.copiesFor(slowest, e) {
 			consider(change{fromRank: slowest, toRank: to, expert: e, drop: other, copies: copies + copiesBack})
 		}
 	}
@@ -211,6 +219,15 @@
 	return 1
 }
 
+// freedCopies returns the number of copies that a rank does not make if it drops an
+// expert; -1 stands for none.
+func (s *setState) freedCopies(r, e int) int {
+	if e < 0 {
+		return 0
+	}
+	return s.copiesFor(r, e)
+}
+
 // maxTimes returns the maximum time of the ranks that a change affects, before
 // and after it.
 func (s *setState) maxTimes(c change) (before, after float64) {
--- a/expertmap/plan/replay_test.go
+++ b/expertmap/plan/replay_test.go
@@ -27,6 +27,8 @@
 	replayOrderTime = 200 * time.Millisecond
 	replayCopyTime  = 35 * time.Millisecond
 	replayPoll      = 300 * time.Millisecond
+	// replayShiftPoll is the interval of reads while the load seems to shift.
+	replayShiftPoll = 50 * time.Millisecond
 )
 
 func readRecording(t testing.TB, file string) []recorded {
@@ -77,7 +79,11 @@
 			current, pending = pending, nil
 			t.MapChanged(now)
 		}
-		if now.Sub(readAt) < poll {
+		interval := poll
+		if t.Shifting() {
+			interval = replayShiftPoll
+		}
+		if now.Sub(readAt) < interval {
 			continue
 		}
 		readAt = now
--- a/expertmap/plan/tracker.go
+++ b/expertmap/plan/tracker.go
@@ -65,6 +65,10 @@
 	usualDistance float64
 	distances     int
 	differsSince  time.Time
+	// shiftedAt is when the load was last found to have shifted, and shiftInterval the
+	// usual time between two shifts.
+	shiftedAt     time.Time
+	shiftInterval time.Duration
 }
 
 // interval holds the activations between two observations.
@@ -75,7 +79,7 @@
 
 // NewTracker returns a tracker that has observed no activations.
 func NewTracker(sets, experts int, r TrackerRules) *Tracker {
-	return &Tracker{rules: r, sets: sets, experts: experts, activations: newTable(sets, experts), lastSample: map[int]Sample{}}
+	return &Tracker{rules: r, sets: sets, experts: experts, activations: newTable(sets, experts), lastSample: map[int]Sample{}, shiftInterval: usualShiftInterval}
 }
 
 func newTable(sets, experts int) [][]float64 {
@@ -134,10 +138,7 @@
 // detectShift discards the earlier activations if the latest ones differ too
 // much from them.
 func (t *Tracker) detectShift(now time.Time) {
-	latest := newTable(t.sets, t.experts)
-	for _, w := range t.recent {
-		addTable(latest, w.added)
-	}
+	latest := t.latest()
 	if minTotal(latest) < t.rules.MinActivations {
 		return
 	}
@@ -149,15 +150,52 @@
 		return
 	}
 	if t.differsSince.IsZero() {
-		t.differsSince = now
+		t.differsSince = now // the interval that ends now may be a mixture of both loads
+		return
 	}
-	// Until the window holds nothing from before the shift, its shares are a mixture.
-	if distance < t.rules.ShiftDistance && now.Sub(t.differsSince) < t.rules.ShiftWindow {
+	shifted := t.since(t.differsSince)
+	if minTotal(shifted) < t.rules.MinActivations || distance < t.rules.ShiftDistance && now.Sub(t.differsSince) < t.rules.ShiftWindow {
 		return
 	}
-	t.activations, t.differsSince = latest, time.Time{}
+	t.activations, t.differsSince = shifted, time.Time{}
+	t.recordShift(now)
+}
+
+// latest returns the activations of the last intervals: of as few as hold enough of them,
+// so that a shift is not hidden by what was before it.
+func (t *Tracker) latest() [][]float64 {
+	sum := newTable(t.sets, t.experts)
+	for i := len(t.recent) - 1; i >= 0 && minTotal(sum) < t.rules.MinActivations; i-- {
+		addTable(sum, t.recent[i].added)
+	}
+	return sum
+}
+
+// since returns the activations of the intervals of the last ShiftWindow that began at
+// a time or later.
+func (t *Tracker) since(begin time.Time) [][]float64 {
+	sum := newTable(t.sets, t.experts)
+	for _, w := range t.recent {
+		if w.end.After(begin) {
+			addTable(sum, w.added)
+		}
+	}
+	return sum
 }
 
+// recordShift records that the load has shifted.
+func (t *Tracker) recordShift(now time.Time) {
+	if !t.shiftedAt.IsZero() {
+		interval := min(maxShiftInterval, max(minShiftInterval, now.Sub(t.shiftedAt)))
+		t.shiftInterval += time.Duration(shiftIntervalWeight * float64(interval-t.shiftInterval))
+	}
+	t.shiftedAt = now
+}
+
+// Shifting reports whether the latest load differs from the earlier one, but it is not
+// certain yet that it has shifted.
+func (t *Tracker) Shifting() bool { return !t.differsSince.IsZero() }
+
 // shiftThreshold returns the distance from which on the load may have shifted.
 func (t *Tracker) shiftThreshold() float64 {
 	if t.distances < minDistances {
@@ -191,10 +229,7 @@
 // and the load of the last ShiftWindow. If that is too little to tell, it uses the load
 // on which the estimate is based; it returns 1 if there is none.
 func (t *Tracker) Imbalance(current [][][]int, l Limits) float64 {
-	latest := newTable(t.sets, t.experts)
-	for _, w := range t.recent {
-		addTable(latest, w.added)
-	}
+	latest := t.since(time.Time{})
 	if minTotal(latest) < t.rules.MinActivations {
 		latest = t.activations
 	}
@@ -215,11 +250,21 @@
 }
 
 // Propose returns a better map than the current one, and whether the change is
-// worth its cost.
+// worth its cost. While the load shifts, it proposes nothing: a map for a mixture of both
+// loads would delay the one for the new load.
 func (t *Tracker) Propose(current [][][]int, l Limits, now time.Time) (Proposal, bool) {
-	if now.Sub(t.changedAt) < t.rules.MinChangeInterval || t.Activations() < t.rules.MinActivations {
+	if now.Sub(t.changedAt) < t.rules.MinChangeInterval || t.Activations() < t.rules.MinActivations || t.Shifting() {
 		return Proposal{}, false
 	}
+	proposal := t.proposeOnce(current, l)
+	if l.CopyTime > 0 {
+		proposal = t.proposeSteps(current, l)
+	}
+	return proposal, proposal.MaxRankLoad-proposal.PlannedMaxRankLoad >= t.rules.MinGain
+}
+
+// proposeOnce plans a change with all copies in one step, each set for itself.
+func (t *Tracker) proposeOnce(current [][][]int, l Limits) Proposal {
 	proposal := Proposal{Map: make([][][]int, len(current))}
 	sets := float64(len(current))
 	for s, set := range current {
@@ -230,7 +275,7 @@
 		proposal.Copies += Placement(set).Copies(next)
 		proposal.Map[s] = next
 	}
-	return proposal, proposal.MaxRankLoad-proposal.PlannedMaxRankLoad >= t.rules.MinGain
+	return proposal
 }
 
 // MapChanged records that the group has used another map since now.
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -16,8 +16,10 @@
 
 const (
 	// roundInterval is the pause between rounds while no switch is in progress,
-	// and switchRoundInterval the pause during a switch.
+	// shiftRoundInterval the one while the expert load seems to shift, and
+	// switchRoundInterval the pause during a switch.
 	roundInterval       = 150 * time.Millisecond
+	shiftRoundInterval  = 50 * time.Millisecond
 	switchRoundInterval = 10 * time.Millisecond
 )
 
@@ -100,6 +102,9 @@
 	phase := c.advanceSwitch(ctx, states, now)
 	switch phase {
 	case switchover.Settled, switchover.Unready:
+		if c.loadTracker.Shifting() {
+			return shiftRoundInterval
+		}
 		return roundInterval
 	case switchover.Preparing, switchover.Armed, switchover.Outdated:
 		return 5 * switchRoundInterval
--- a/ranks/groupload.go
+++ b/ranks/groupload.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/skylarkstep/skylarkstep/expertmap/plan"
 	"github.com/skylarkstep/skylarkstep/routing"
 )
 
@@ -40,6 +39,5 @@
 	if !c.mapKnown {
 		return 1
 	}
-	limits := plan.Limits{SlotsPerRank: c.shape.SlotsPerRank, NewPerRank: c.shape.MaxNewPerRank, Slowdowns: c.slowdowns}
-	return c.loadTracker.Imbalance(c.currentMap, limits)
+	return c.loadTracker.Imbalance(c.currentMap, c.planLimits())
 }
--- a/ranks/planning.go
+++ b/ranks/planning.go
@@ -103,8 +103,7 @@
 		c.noPlanUntil = now.Add(versionsExhaustedDelay)
 		return
 	}
-	limits := plan.Limits{SlotsPerRank: c.shape.SlotsPerRank, NewPerRank: c.shape.MaxNewPerRank, Slowdowns: c.slowdowns}
-	proposal, ok := c.loadTracker.Propose(c.currentMap, limits, now)
+	proposal, ok := c.loadTracker.Propose(c.currentMap, c.planLimits(), now)
 	if !ok {
 		return
 	}
@@ -114,6 +113,18 @@
 		"choices", c.loadTracker.Activations())
 }
 
+// usualSwitchTime is the time from when all ranks have copied their experts until the
+// map is in use.
+const usualSwitchTime = 200 * time.Millisecond
+
+// planLimits returns what restricts a change of the map.
+func (c *coordinator) planLimits() plan.Limits {
+	return plan.Limits{
+		SlotsPerRank: c.shape.SlotsPerRank, NewPerRank: c.shape.MaxNewPerRank, Slowdowns: c.slowdowns,
+		CopyTime: c.shape.CopyTime, SwitchTime: usualSwitchTime,
+	}
+}
+
 // observeCounts passes the reported counts to the load tracker.
 func (c *coordinator) observeCounts(reports []Report, now time.Time) {
 	var samples []plan.Sample
--- a/routing/types.go
+++ b/routing/types.go
@@ -109,6 +109,8 @@
 	// hold, and MaxNewPerRank how many of these may be new to the rank in one
 	// change of the expert map.
 	SlotsPerRank, MaxNewPerRank int
+	// CopyTime is the time in which a rank copies one expert; 0 if that is not known.
+	CopyTime time.Duration
 	// ReportLag is how old a report is that a rank sends to another machine; 0 if
 	// that is not known.
 	ReportLag time.Duration
