ranks: a step is held a quarter of a second ahead while orders get lost

Cause: with half a second a map that all ranks have copied is in use half a second late, a sixth of the time between two shifts. The hold keeps all ranks on one map whatever the lead is; with three copies of each order, lost ones are sent again within two rounds of 90 ms.

--- a/ranks/pace.go
+++ b/ranks/pace.go
@@ -13,7 +13,7 @@
 	// that all ranks are usually armed when that step is due. lossyLeadTime leaves
 	// time for orders that must be sent again.
 	leadTime      = 60 * time.Millisecond
-	lossyLeadTime = 500 * time.Millisecond
+	lossyLeadTime = 250 * time.Millisecond
 	// maxLeadSteps limits the steps that fit into the lead time.
 	maxLeadSteps = 12
 )
