gateway, routing/promptcache: what a target holds of a prompt is weighed against the wait there

The operators' wish: a server that still holds the beginning of a prompt answers sooner, but only while it has memory and room.

Change: each instance estimates which beginnings the targets hold from what it has sent there, and sends a request to one that probably saves more reading than its requests add in waiting.

--- a/daemon/cmd/skylarkd/gateway.go
+++ b/daemon/cmd/skylarkd/gateway.go
@@ -107,6 +107,7 @@
 		WatchTakeoverAge:     s.WatchTakeoverAge(),
 		MaxIsolatedStaleness: s.ConfigApplyTimeout + s.DisturbedApplyExtension - refuseMargin,
 		StopTimeout:          s.StopTimeout,
+		RetainedPromptTokens: s.RetainedPromptTokens,
 		Retries:              routing.RetryLimits{Ratio: s.RetryBudgetRatio, Slack: s.RetryBudgetSlack, Window: s.RetryBudgetWindow},
 	}
 }
--- a/gateway/assign.go
+++ b/gateway/assign.go
@@ -46,6 +46,7 @@
 	if i < 0 {
 		return nil
 	}
+	i = q.weighHeldPrompts(req, s, candidates, i, now)
 	t := targets[i]
 	t.mu.Lock()
 	if backend != nil && t.isWarmingUp(now) && backend.WarmUpRate > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,9 @@
 	// during a stop has no effect on it.
 	StopTimeout time.Duration
 	Retries     routing.RetryLimits
+	// RetainedPromptTokens is the number of tokens of prompts that a target keeps after
+	// their requests have ended; zero if it keeps none.
+	RetainedPromptTokens int
 }
 
 // Gateway is one instance of the load balancer.
@@ -98,6 +101,7 @@
 	// admission knows all groups to which this instance sends requests.
 	admissionServer *groupadmission.Server
 	admission       *groupadmission.Client
+	heldPrompts     heldPrompts
 
 	limits atomic.Pointer[Limits]
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -289,7 +289,7 @@
 // slotRequest returns what the request needs from a target and how long it may wait.
 func (x *exchange) slotRequest(now time.Time) slotRequest {
 	return slotRequest{
-		backend: x.backend, priority: routing.Priority(x.route, x.customer), isAllowed: x.mayUseTarget,
+		prompt: x.promptParts(), backend: x.backend, priority: routing.Priority(x.route, x.customer), isAllowed: x.mayUseTarget,
 		latencyGoalAt: x.startedAt.Add(x.route.LatencyGoal), stopLimit: x.latestSend,
 		waitUntil:        x.limitToCallerIdleTimeout(x.afterShare(now, queueTimeShare)),
 		outageWaitUntil:  x.afterShare(now, outageQueueTimeShare),
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -52,6 +52,11 @@
 	if parts := h.Get("X-Parts"); parts != "" {
 		m.PromptParts = strings.Split(parts, ",")
 	}
+	for size := range strings.SplitSeq(h.Get("X-Part-Tokens"), ",") {
+		if n, err := strconv.Atoi(size); err == nil {
+			m.PromptPartTokens = append(m.PromptPartTokens, n)
+		}
+	}
 	return m
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,9 @@
 	// placesRejected counts the requests that were rejected since no rank group had room
 	// for them in time.
 	placesRejected metrics.Counter
+	// heldPromptsUsed counts the requests that were sent to a target because it probably
+	// holds the beginning of their prompt.
+	heldPromptsUsed metrics.Counter
 	// targetRests counts the responses by which targets wanted a rest.
 	targetRests metrics.Counter
 }
@@ -58,6 +61,7 @@
 		storeRestores:  metrics.NewRegisteredCounter("store.restores", r),
 
 		placesRejected:     metrics.NewRegisteredCounter("request.places_rejected", r),
+		heldPromptsUsed:    metrics.NewRegisteredCounter("request.held_prompts_used", r),
 		callersLeft:        metrics.NewRegisteredCounter("request.callers_left", r),
 		waitedUnread:       latency("request.unread"),
 		targetRests:        metrics.NewRegisteredCounter("target.rests", r),
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/routing"
+	"github.com/skylarkstep/skylarkstep/routing/promptcache"
 )
 
 const (
@@ -33,6 +34,8 @@
 	// it should be.
 	isAllowed func(*target) bool
 	place     place
+	// prompt holds the parts of the prompt; empty if it has none or targets keep none.
+	prompt []promptcache.Part
 	// latencyGoalAt is when the response should have arrived. Requests that
 	// have missed this time are served after those of the same priority that
 	// have not.
--- a/gateway/targetentry.go
+++ b/gateway/targetentry.go
@@ -81,6 +81,7 @@
 	c.crashes.ConfirmLosses(t.crashID(), t.isLeaving(), time.Now())
 	c.rememberRemoved(id, t.Incarnation, time.Now())
 	t.pool.Close()
+	c.g.heldPrompts.remove(t.Backend, id)
 	c.log.Info("target removed", "target", id, "back_end", t.Backend, "reason", reason)
 }
 
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -20,9 +20,11 @@
 	// the response may have; zero if unknown. ExpectedOutputTokens is the caller's
 	// guess, which is often far off.
 	PromptTokens, MaxOutputTokens, ExpectedOutputTokens int
-	// PromptParts holds the ids of the parts of the prompt, in order. Requests
-	// share parts, except for the last one.
-	PromptParts []string
+	// PromptParts holds the ids of the parts of the prompt, in order, and
+	// PromptPartTokens the size of each; zero if unknown. Requests share parts, except
+	// for the last one.
+	PromptParts      []string
+	PromptPartTokens []int
 }
 
 // ForwardMeta holds what the gateway adds to the headers of a forwarded
