retry, daemon/entry: dispatches that could not be written move to another target without budget

Cause: until the entry notices the end of the session, each request that picks the target fails to open a stream. More of them arrive at once than a customer has retries in its bucket (20). A retry after nothing was written adds to nobody's load, which is what the bucket limits.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -79,11 +79,19 @@
 }
 
 // BudgetExempt reports whether a retry after err needs no budget. The target
-// that failed accepts no further work. Such retries end as soon as the entry
-// receives its new state, and moving its load to the other targets is their
-// purpose.
+// that failed accepts no further work, or nothing was written to it because its
+// session has ended. Such retries end as soon as the entry receives its new state,
+// and moving its load to the other targets is their purpose.
 func BudgetExempt(err *errkind.Error) bool {
-	return err.DidRun == errkind.NotRun && (err.Kind == errkind.Leaving || err.Kind == errkind.StaleIncarnation)
+	if err.DidRun != errkind.NotRun {
+		return false
+	}
+	switch err.Kind {
+	case errkind.Leaving, errkind.StaleIncarnation, errkind.TargetUnreachable:
+		return true
+	default:
+		return false
+	}
 }
 
 // Limits of the backoff.
