--- a/gateway/assign.go
+++ b/gateway/assign.go
@@ -28,6 +28,7 @@
 		candidates[i] = routing.Candidate{
 			Load: float64(load), OwnLoad: float64(t.ownRequests.Load()), Slots: t.Slots, FailureRate: t.failureRate,
 			Local: t.DataCentre == q.g.opts.DataCentre, Connected: t.pool.HasIdle(), Usable: usable, Slowdown: t.slowdown,
+			Unresponsive: t.isUnresponsive(now),
 		}
 		t.mu.Unlock()
 		allKnown = allKnown && (known || !usable)
@@ -35,7 +36,11 @@
 			preferred = i
 		}
 	}
+	routing.AvoidUnresponsive(candidates)
 	i := preferred
+	if i >= 0 && !candidates[i].Usable {
+		i = -1
+	}
 	switch {
 	case i >= 0:
 	case allKnown:
--- a/gateway/groupadmission/client.go
+++ b/gateway/groupadmission/client.go
@@ -84,8 +84,10 @@
 	Open, Metered     bool
 	Limit, InProgress float64
 	Waiting           int
-	// ByRank holds the number of requests at each rank.
-	ByRank []byte
+	// ByRank holds the number of requests at each rank, and Unresponsive the ranks that
+	// have not replied to the coordinator lately.
+	ByRank       []byte
+	Unresponsive []uint32
 }
 
 // stateMemory is how long the last limit of a group is remembered after its loads have
@@ -293,7 +295,7 @@
 	}
 	g.state = GroupState{
 		AsOf: time.Now().Add(-time.Duration(l.GetAgeMs()) * time.Millisecond), Open: l.GetOpen(), Metered: l.GetMetered(),
-		Limit: l.GetLimit(), InProgress: l.GetInProgress(), Waiting: int(l.GetWaiting()), ByRank: l.GetByRank(),
+		Limit: l.GetLimit(), InProgress: l.GetInProgress(), Waiting: int(l.GetWaiting()), ByRank: l.GetByRank(), Unresponsive: l.GetUnresponsiveRanks(),
 	}
 	g.limit, g.limitAt, g.sent = l.GetLimit(), time.Now(), 0
 }
--- a/gateway/groupadmission/server.go
+++ b/gateway/groupadmission/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -158,7 +159,7 @@
 	}
 	if g.limiter == nil || g.model != b.Model {
 		g.model, g.limiter, g.limitAt = b.Model, concurrency.NewLimiter(b.Model), time.Time{}
-		g.limiter.Inherit(s.o.LastLimit(g.name)/float64(max(1, len(g.load.Ranks))), now)
+		g.limiter.Inherit(s.o.LastLimit(g.name)/g.ranks(), now)
 	}
 	g.limiter.Observe(concurrency.Observation{
 		Pace: b.Model.Pace(g.load.Imbalance, g.load.Slowdown), RequestsPerRank: g.perRank(), Passes: g.load.Step,
@@ -168,7 +169,7 @@
 	}
 	g.limitAt = now
 	before := g.limit
-	g.limit = g.limiter.Limit(b.GapGoal, b.Slots, now) * float64(len(g.load.Ranks))
+	g.limit = g.limiter.Limit(b.GapGoal, b.Slots, now) * g.ranks()
 	s.gauge(g, "limit").Update(int64(g.limit))
 	if math.Abs(g.limit-before) > noticeableChange*g.limit {
 		latest, slowest := g.limiter.Pace()
@@ -177,9 +178,14 @@
 	}
 }
 
+// ranks returns the number of ranks that serve requests, at least 1.
+func (g *servedGroup) ranks() float64 {
+	return float64(max(1, g.load.Responsive()))
+}
+
 // perRank returns the mean number of requests at a rank.
 func (g *servedGroup) perRank() float64 {
-	return float64(g.load.Requests()) / float64(max(1, len(g.load.Ranks)))
+	return float64(g.load.Requests()) / g.ranks()
 }
 
 // queueLoad returns the load by which the queue decides. A group without a limit, or
@@ -189,7 +195,7 @@
 		return groupqueue.Load{AsOf: now, Limit: noLimit}
 	}
 	n := float64(g.load.Requests())
-	pass, fullPass := g.limiter.PassTime(g.perRank()), g.limiter.PassTime(g.limit/float64(max(1, len(g.load.Ranks))))
+	pass, fullPass := g.limiter.PassTime(g.perRank()), g.limiter.PassTime(g.limit/g.ranks())
 	return groupqueue.Load{
 		AsOf: g.load.AsOf, InProgress: n, Limit: g.limit, FirstPart: firstPartPasses * pass,
 		Rate: n / g.model.ResponseTime(pass).Seconds(), FullRate: g.limit / g.model.ResponseTime(fullPass).Seconds(),
@@ -235,6 +241,9 @@
 	if l.GetMetered() != g.sent.GetMetered() || l.GetOpen() != g.sent.GetOpen() {
 		return true
 	}
+	if !slices.Equal(l.GetUnresponsiveRanks(), g.sent.GetUnresponsiveRanks()) {
+		return true
+	}
 	pause := now.Sub(g.sentAt)
 	return pause >= calmLoadInterval || pause >= loadInterval && differs(l, g.sent)
 }
@@ -245,8 +254,11 @@
 		Group: g.name, AgeMs: uint64(max(0, now.Sub(g.load.AsOf).Milliseconds())), Open: g.load.Open, Limit: g.limit,
 		InProgress: float64(g.load.Requests()), Waiting: uint32(g.queue.Waiting()), Metered: g.metered,
 	}
-	for _, r := range g.load.Ranks {
+	for i, r := range g.load.Ranks {
 		l.ByRank = append(l.ByRank, byte(min(r.Running+r.Waiting, maxLoadByte)))
+		if r.Unresponsive {
+			l.UnresponsiveRanks = append(l.UnresponsiveRanks, uint32(i))
+		}
 	}
 	return l
 }
@@ -337,10 +349,14 @@
 	}
 }
 
-// takeRank returns the rank with the fewest requests and counts one more there.
+// takeRank returns the rank with the fewest requests, of those that respond, and counts
+// one more there.
 func (g *servedGroup) takeRank() int {
 	best, fewest := 0, math.MaxInt
 	for i, r := range g.load.Ranks {
+		if r.Unresponsive {
+			continue
+		}
 		if n := r.Running + r.Waiting + g.sentSince[i]; n < fewest {
 			best, fewest = i, n
 		}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -223,7 +223,7 @@
 			}
 			for rank, t := range group.byRank {
 				if rank < len(state.ByRank) {
-					t.recordReportedLoad(int64(state.ByRank[rank]), now)
+					t.recordReportedLoad(int64(state.ByRank[rank]), slices.Contains(state.Unresponsive, uint32(rank)), now)
 				}
 			}
 		}
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -53,19 +53,26 @@
 // keepLoads reports loads of the groups until the test ends; requestsPerRank holds one for
 // each group, and -1 stands for a group that is not open.
 func keepLoads(t *testing.T, coordinator *instance, requestsPerRank ...int) {
+	for i, n := range requestsPerRank {
+		load := &routing.GroupLoad{Group: fmt.Sprint("g", i), Backend: "b", Open: n >= 0, Imbalance: 1, Slowdown: 1}
+		for range 2 {
+			load.Ranks = append(load.Ranks, routing.RankLoad{Running: max(0, n)})
+		}
+		keepGroupLoad(t, coordinator, load)
+	}
+}
+
+// keepGroupLoad reports the load of a group until the test ends, each time as a new one.
+func keepGroupLoad(t *testing.T, coordinator *instance, load *routing.GroupLoad) {
 	ctx, cancel := context.WithCancel(t.Context())
 	var reporting sync.WaitGroup
 	t.Cleanup(reporting.Wait)
 	t.Cleanup(cancel)
 	reporting.Go(func() {
 		for ctx.Err() == nil {
-			for i, n := range requestsPerRank {
-				load := &routing.GroupLoad{Group: fmt.Sprint("g", i), Backend: "b", AsOf: time.Now(), Open: n >= 0, Imbalance: 1, Slowdown: 1}
-				for range 2 {
-					load.Ranks = append(load.Ranks, routing.RankLoad{Running: max(0, n)})
-				}
-				coordinator.SetGroupLoad(load)
-			}
+			latest := *load
+			latest.AsOf = time.Now()
+			coordinator.SetGroupLoad(&latest)
 			select {
 			case <-time.After(50 * time.Millisecond):
 			case <-ctx.Done():
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -22,6 +22,9 @@
 	// stallTimeout is the time without an event after which a stream is retried
 	// on another target, if other streams of its target continue.
 	stallTimeout = 900 * time.Millisecond
+	// unresponsiveStallTimeout is the time without an event after which a stream is
+	// retried if the coordinator of the group gets no reply from its target either.
+	unresponsiveStallTimeout = 400 * time.Millisecond
 	// pathLossTimeout is the time after which a target that sends nothing at
 	// all counts as unreachable, if other targets of the back end continue to
 	// send.
@@ -192,19 +195,26 @@
 // continue. If all are idle, another target would not help, and the work that
 // is queued at this one would be lost.
 func (x *exchange) isStalled(t *target, progress streamProgress, now time.Time) bool {
-	if now.Sub(progress.idleSince()) < stallTimeout || !x.route.Retryable() || x.countedAttempts+1 >= x.route.MaxAttempts {
+	idle := now.Sub(progress.idleSince())
+	if idle < unresponsiveStallTimeout || !x.route.Retryable() || x.countedAttempts+1 >= x.route.MaxAttempts {
 		return false
 	}
 	t.mu.Lock()
-	lastByteAt, newestRespondingSentAt := t.lastByteAt, t.newestRespondingSentAt
+	lastByteAt, newestRespondingSentAt, unresponsive := t.lastByteAt, t.newestRespondingSentAt, t.isUnresponsive(now)
 	t.mu.Unlock()
+	respondingSince := x.g.queues.forBackend(x.backend).respondingSince(now)
+	if unresponsive && !respondingSince.IsZero() {
+		return true
+	}
+	if idle < stallTimeout {
+		return false
+	}
 	if progress.lastEventAt.IsZero() && newestRespondingSentAt.After(progress.sentAt) {
 		return true // a request that was sent later already receives its response
 	}
 	if !progress.lastEventAt.IsZero() && lastByteAt.Sub(progress.lastEventAt) > stallTimeout {
 		return true // other streams of the target continue
 	}
-	respondingSince := x.g.queues.forBackend(x.backend).respondingSince(now)
 	return !respondingSince.IsZero() && now.Sub(respondingSince) > pathLossTimeout && now.Sub(lastByteAt) > pathLossTimeout
 }
 
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -49,6 +49,9 @@
 	// reportedAt, and ownAtReport that of this instance then.
 	reported, ownAtReport int64
 	reportedAt            time.Time
+	// reportedUnresponsive is set if the target has not replied to the coordinator of
+	// its group, as of reportedAt.
+	reportedUnresponsive bool
 	// verified is set once the target has worked on a request. firstSentAt is
 	// when this instance last sent a request to the target while it had no
 	// others there.
@@ -95,11 +98,26 @@
 // count.
 const reportedLoadTimeout = 900 * time.Millisecond
 
-// recordReportedLoad records the number of requests of all instances at the target.
-func (t *targetState) recordReportedLoad(requests int64, now time.Time) {
+// recordReportedLoad records the number of requests of all instances at the target, or
+// that it has not replied.
+func (t *targetState) recordReportedLoad(requests int64, unresponsive bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reported, t.reportedAt, t.ownAtReport = requests, now, t.ownRequests.Load()
+	t.reportedUnresponsive = unresponsive
+}
+
+// ownEvidenceAge is the age up to which a response of a target shows that it responds,
+// whatever the coordinator of its group says: only its path to that one may be cut.
+const ownEvidenceAge = 400 * time.Millisecond
+
+// isUnresponsive reports whether the coordinator of its group gets no reply from the
+// target and this instance has no newer response. The caller holds t.mu.
+func (t *targetState) isUnresponsive(now time.Time) bool {
+	if !t.reportedUnresponsive || now.Sub(t.reportedAt) > reportedLoadTimeout {
+		return false
+	}
+	return now.Sub(t.lastByteAt) > ownEvidenceAge
 }
 
 // load returns the number of requests of all instances at the target, and whether its
--- a/ranks/coordinator.go
+++ b/ranks/coordinator.go
@@ -56,9 +56,12 @@
 	onSlowRanks  func(byAddr map[string]float64)
 	reportedSlow map[string]float64
 	// onLoad is called with the load of the group after each round; it may be nil.
-	// rankLoads holds the latest load of each rank.
-	onLoad    func(*routing.GroupLoad)
-	rankLoads []routing.RankLoad
+	// rankLoads holds the latest load of each rank as of loadRecordedAt, and rankRepliedAt
+	// when the query began to which it has replied last.
+	onLoad         func(*routing.GroupLoad)
+	rankLoads      []routing.RankLoad
+	rankRepliedAt  []time.Time
+	loadRecordedAt time.Time
 }
 
 // slowThreshold is the slowdown factor from which a rank counts as slow; a
@@ -96,7 +99,7 @@
 	}
 	c.reportSlowRanks()
 	c.updateCurrentMap(reports, states)
-	c.reportLoad(reports, queriedAt)
+	c.reportLoad(reports, queriedAt, now)
 	c.replan(states, now)
 	c.observePace(states, now)
 	phase := c.advanceSwitch(ctx, states, now)
--- a/ranks/groupload.go
+++ b/ranks/groupload.go
@@ -7,19 +7,25 @@
 	"github.com/skylarkstep/skylarkstep/routing"
 )
 
+// unresponsiveAfter is the time without a reply, of the agent or of the rank itself,
+// after which a rank counts as unresponsive: that of a query whose reply is lost.
+const unresponsiveAfter = agentQueryTimeout + 50*time.Millisecond
+
+// pauseOfRounds is the time between two rounds from which on this process was paused, or
+// has coordinated anew. Its sessions may have timed out meanwhile, so that ranks that
+// do not reply at once are asked once more.
+const pauseOfRounds = time.Second
+
 // reportLoad passes the load of the group to onLoad. Without a report of any rank
 // nothing is known of it.
-func (c *coordinator) reportLoad(reports []Report, asOf time.Time) {
+func (c *coordinator) reportLoad(reports []Report, asOf, now time.Time) {
 	if c.onLoad == nil || !slices.ContainsFunc(reports, func(r Report) bool { return r.State.Reported }) {
 		return
 	}
-	if len(c.rankLoads) != len(reports) {
-		c.rankLoads = make([]routing.RankLoad, len(reports))
-	}
+	c.recordRankLoads(reports, asOf, now)
 	open, step := true, uint64(0)
-	for i, r := range reports {
+	for _, r := range reports {
 		if r.State.Reported {
-			c.rankLoads[i] = routing.RankLoad{Running: r.Running, Waiting: r.Waiting}
 			open, step = open && r.State.Open, max(step, r.State.Step)
 		}
 	}
@@ -33,6 +39,25 @@
 	c.onLoad(&load)
 }
 
+// recordRankLoads records what the ranks have replied in a round that began at asOf, and
+// which have not replied.
+func (c *coordinator) recordRankLoads(reports []Report, asOf, now time.Time) {
+	if len(c.rankLoads) != len(reports) {
+		c.rankLoads, c.rankRepliedAt = make([]routing.RankLoad, len(reports)), make([]time.Time, len(reports))
+	}
+	wasPaused := now.Sub(c.loadRecordedAt) > pauseOfRounds
+	c.loadRecordedAt = now
+	for i, r := range reports {
+		if r.State.Reported {
+			c.rankLoads[i] = routing.RankLoad{Running: r.Running, Waiting: r.Waiting}
+		}
+		if r.State.Reported || wasPaused {
+			c.rankRepliedAt[i] = asOf
+		}
+		c.rankLoads[i].Unresponsive = !r.State.Reported && !wasPaused && now.Sub(c.rankRepliedAt[i]) > unresponsiveAfter
+	}
+}
+
 // imbalance returns the load of the most loaded rank relative to the mean; 1 if the map
 // in use is not known.
 func (c *coordinator) imbalance() float64 {
--- a/ranks/groupload_test.go
+++ b/ranks/groupload_test.go
@@ -37,11 +37,11 @@
 func TestLoadOfRankThatMissesARound(t *testing.T) {
 	c, latest := newLoadCoordinator(t)
 	asOf := time.Now()
-	c.reportLoad(loadReports(true, 3, 5, 4), asOf)
-	c.reportLoad(loadReports(true, 2, -1, 4), asOf.Add(time.Second))
+	c.reportLoad(loadReports(true, 3, 5, 4), asOf, asOf)
+	c.reportLoad(loadReports(true, 2, -1, 4), asOf.Add(roundInterval), asOf.Add(roundInterval))
 	require.Equal(t, []routing.RankLoad{{Running: 2, Waiting: 1}, {Running: 5, Waiting: 1}, {Running: 4, Waiting: 1}}, (*latest).Ranks)
 	require.Equal(t, 14, (*latest).Requests())
-	require.Equal(t, asOf.Add(time.Second), (*latest).AsOf)
+	require.Equal(t, asOf.Add(roundInterval), (*latest).AsOf)
 	require.EqualValues(t, 40, (*latest).Step)
 	require.True(t, (*latest).Open)
 }
@@ -49,16 +49,16 @@
 // Guards against a load without any report, which would stand for an empty group.
 func TestNoLoadWithoutReports(t *testing.T) {
 	c, latest := newLoadCoordinator(t)
-	c.reportLoad(loadReports(true, -1, -1), time.Now())
+	c.reportLoad(loadReports(true, -1, -1), time.Now(), time.Now())
 	require.Nil(t, *latest)
-	c.reportLoad(nil, time.Now())
+	c.reportLoad(nil, time.Now(), time.Now())
 	require.Nil(t, *latest)
 }
 
 // Guards against requests to a group that is broken, or that was never complete.
 func TestLoadOfBrokenGroup(t *testing.T) {
 	c, latest := newLoadCoordinator(t)
-	c.reportLoad(loadReports(false, 0, 0, -1), time.Now())
+	c.reportLoad(loadReports(false, 0, 0, -1), time.Now(), time.Now())
 	require.False(t, (*latest).Open)
 }
 
@@ -80,3 +80,25 @@
 		require.False(t, ok)
 	}
 }
+
+// Guards against requests that are sent to a rank that has stopped to reply: its last
+// load stands for a rank with room.
+func TestRankWithoutRepliesIsUnresponsive(t *testing.T) {
+	c, latest := newLoadCoordinator(t)
+	now := time.Now()
+	unresponsive := func(reports []Report, sinceLast time.Duration) bool {
+		asOf := now
+		now = now.Add(sinceLast)
+		c.reportLoad(reports, asOf, now)
+		return (*latest).Ranks[1].Unresponsive
+	}
+	require.False(t, unresponsive(loadReports(true, 3, 5, 4), 20*time.Millisecond))
+	require.False(t, unresponsive(loadReports(true, 3, -1, 4), agentQueryTimeout), "a lost reply")
+	require.True(t, unresponsive(loadReports(true, 3, -1, 4), 2*agentQueryTimeout))
+	require.Equal(t, 2, (*latest).Responsive())
+	require.Equal(t, 9, (*latest).Requests(), "those of the unresponsive rank do not count")
+	require.False(t, unresponsive(loadReports(true, 3, 1, 4), 20*time.Millisecond))
+
+	require.False(t, unresponsive(loadReports(true, 3, -1, 4), 2*pauseOfRounds), "this process was paused itself")
+	require.True(t, unresponsive(loadReports(true, 3, -1, 4), 2*agentQueryTimeout))
+}
--- a/ranks/links.go
+++ b/ranks/links.go
@@ -18,10 +18,12 @@
 )
 
 const (
-	// agentQueryTimeout is the timeout of a query to one agent, and
-	// agentOrderTimeout that of an order.
-	agentQueryTimeout = 200 * time.Millisecond
-	agentOrderTimeout = rankOrderTimeout + 60*time.Millisecond
+	// agentQueryTimeout is the timeout of a query to one agent, directQueryTimeout that
+	// of one to the rank itself, and agentOrderTimeout that of an order to an agent. The
+	// load of the whole group is not known before the last query of a round has ended.
+	agentQueryTimeout  = 200 * time.Millisecond
+	directQueryTimeout = 200 * time.Millisecond
+	agentOrderTimeout  = rankOrderTimeout + 60*time.Millisecond
 	// recordRefresh is the interval at which the agents' records are read, and
 	// recordRefreshMissing the one while some rank has not reported.
 	recordRefresh        = 5 * time.Second
@@ -150,6 +152,7 @@
 	l.refreshRecords(ctx, time.Now())
 	reports := make([]Report, len(l.byRank))
 	var wg sync.WaitGroup
+	wg.Go(func() { l.findRankAddrs(ctx, time.Now()) })
 	for i, k := range l.byRank {
 		wg.Go(func() {
 			r, err := l.queryOne(ctx, k, q)
@@ -167,7 +170,6 @@
 			reports[i].Rank, l.allReported = i, false
 		}
 	}
-	l.findRankAddrs(ctx, time.Now())
 	return reports
 }
 
@@ -189,6 +191,8 @@
 	}
 	if direct := k.directAddr(); direct != "" {
 		sentAt = time.Now()
+		ctx, cancel := context.WithTimeout(ctx, directQueryTimeout)
+		defer cancel()
 		r, err := queryRank(ctx, l.engine, direct, ReportQuery{Placement: q.Placement})
 		r.State.AsOf = sentAt.Add(-l.maxReportAge)
 		if err != nil {
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -1,5 +1,7 @@
 package routing
 
+import "slices"
+
 // Candidate describes a target that may be picked for a request.
 type Candidate struct {
 	// Load is the number of requests of all instances at the target. The part
@@ -20,6 +22,9 @@
 	Connected bool
 	// Usable is set if the target may get the request now.
 	Usable bool
+	// Unresponsive is set if the target seems not to respond. It gets a request only if
+	// no other target is usable.
+	Unresponsive bool
 }
 
 const (
@@ -43,6 +48,16 @@
 	brokenFailureRate = 0.6
 )
 
+// AvoidUnresponsive makes the unresponsive targets unusable if another one is usable, be
+// it full: a request waits a shorter time for room there than for a response here.
+func AvoidUnresponsive(candidates []Candidate) {
+	responsive := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Usable && !c.Unresponsive })
+	for i := range candidates {
+		c := &candidates[i]
+		c.Usable = c.Usable && (!responsive || !c.Unresponsive)
+	}
+}
+
 // Full reports whether the target has no capacity for another request. A slow target
 // has less: all ranks of its group wait for the work of the requests that it holds.
 func (c *Candidate) Full() bool {
--- a/routing/pick_test.go
+++ b/routing/pick_test.go
@@ -169,3 +169,24 @@
 	require.InDelta(t, 2, candidates[0].Load, 1)
 	require.InDelta(t, 15, candidates[1].Load, 0.5)
 }
+
+// Guards against requests that wait at a target which does not respond while others,
+// though full now, will have room.
+func TestUnresponsiveTargetIsTheLastResort(t *testing.T) {
+	responsive := Candidate{Slots: 10, Load: 9, Usable: true}
+	full := Candidate{Slots: 10, Load: 20, Usable: true}
+	left := Candidate{Slots: 10}
+	idle := Candidate{Slots: 10, Usable: true, Unresponsive: true}
+	for _, c := range []struct {
+		candidates []Candidate
+		want       int
+	}{
+		{[]Candidate{idle, responsive}, 1},
+		{[]Candidate{idle, full}, -1},
+		{[]Candidate{idle, left}, 0},
+		{[]Candidate{idle}, 0},
+	} {
+		AvoidUnresponsive(c.candidates)
+		require.Equal(t, c.want, Pick(c.candidates, 1, 0))
+	}
+}
