routing/concurrency: a slow pace counts from before it is reported

Cause: a shift is found some passes after it began, and while a map is prepared no counts are read. So reports showed an imbalance of 2.1 for 0.4 s where it was 2.6 for 0.6 s, and the limit rose to 216 requests a group, between two shifts that it did not expect.

Change: a slower pace than before holds for the half second before it as well. The limit of a new coordinator is calculated as soon as the pace is known, and not half a second later.

--- a/gateway/groupadmission/server.go
+++ b/gateway/groupadmission/server.go
@@ -167,7 +167,9 @@
 	if now.Sub(g.limitAt) < limitInterval {
 		return
 	}
-	g.limitAt = now
+	if g.limiter.KnowsPace() {
+		g.limitAt = now
+	}
 	before := g.limit
 	g.limit = g.limiter.Limit(b.GapGoal, b.Slots, now) * g.ranks()
 	s.gauge(g, "limit").Update(int64(g.limit))
--- a/routing/concurrency/limiter.go
+++ b/routing/concurrency/limiter.go
@@ -1,6 +1,7 @@
 package concurrency
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -22,6 +23,10 @@
 	// the ranks hide the time between a response and the next request; more of them
 	// would wait there whatever is more urgent.
 	maxSlotShare = 1.05
+	// reportDelay is how long after a shift of the expert load reports show its full
+	// imbalance: a shift is found some passes after it began, and while a map is
+	// prepared no counts are read.
+	reportDelay = 500 * time.Millisecond
 	// limitStep is the difference, in requests a rank, between the limits considered.
 	limitStep = 0.25
 	// shiftedPace is the pace from which on the map does not fit the load. Passes are
@@ -88,13 +93,17 @@
 func NewLimiter(m Model) *Limiter { return &Limiter{model: m} }
 
 // Observe records what the reports show from now on. A group without requests makes no
-// passes, and shows nothing.
+// passes, and shows nothing. A slower pace than before holds for the reportDelay before it
+// as well.
 func (l *Limiter) Observe(o Observation, now time.Time) {
 	l.compare(o, now)
 	l.last, l.lastAt = o, now
 	if o.RequestsPerRank <= 0 {
 		return
 	}
+	for i := len(l.samples) - 1; i >= 0 && now.Sub(l.samples[i].at) <= reportDelay; i-- {
+		l.samples[i].pace = max(l.samples[i].pace, o.Pace)
+	}
 	l.samples = append(l.samples, sample{now, o.Pace})
 	for len(l.samples) > 2 && now.Sub(l.samples[1].at) >= historyTime {
 		l.samples = l.samples[1:]
@@ -143,10 +152,16 @@
 	return latest, slowest
 }
 
+// KnowsPace reports whether the pace of some time is known.
+func (l *Limiter) KnowsPace() bool { return len(l.samples) >= 2 }
+
 // Limit returns how many requests each rank may hold, on average over the group, so
-// that pauses keep the goal. It returns no limit below the slots without a goal or
-// before the pace is known.
+// that pauses keep the goal. It returns no limit below the slots without a goal. Before
+// the pace is known, it returns the limit of the former coordinator, if there is one.
 func (l *Limiter) Limit(gapGoal time.Duration, slots int, now time.Time) float64 {
+	if gapGoal > 0 && !l.KnowsPace() {
+		return cmp.Or(l.limit, maxSlotShare*float64(slots))
+	}
 	limit := l.bestLimit(gapGoal, slots)
 	if l.limit > 0 && limit > l.limit {
 		limit = min(limit, l.limit*(1+maxRisePerS*now.Sub(l.limitAt).Seconds()))
@@ -166,12 +181,6 @@
 	if gapGoal <= 0 {
 		return highest
 	}
-	if len(l.samples) < 2 {
-		if l.limit > 0 {
-			return l.limit
-		}
-		return highest
-	}
 	goal := time.Duration(goalShare * float64(gapGoal))
 	best, bestValue := highest, 0.0
 	for n := minSlotShare * float64(slots); n <= highest; n += limitStep {
--- a/routing/concurrency/limiter_test.go
+++ b/routing/concurrency/limiter_test.go
@@ -61,11 +61,38 @@
 func TestCalmGroupUsesAllSlots(t *testing.T) {
 	m := testModel(t)
 	l, g := NewLimiter(m), newGroup(m)
+	g.run(l, 2*testInterval, evenImbalance)
 	require.Equal(t, maxSlotShare*testSlots, l.Limit(testGapGoal, testSlots, g.now))
 	g.run(l, 20*time.Second, evenImbalance)
 	require.Equal(t, maxSlotShare*testSlots, l.Limit(testGapGoal, testSlots, g.now))
 }
 
+// Guards against a new coordinator that takes all requests at once, although the former
+// one knew that the group has less room.
+func TestLimitBeforeThePaceIsKnown(t *testing.T) {
+	m := testModel(t)
+	l, now := NewLimiter(m), time.Unix(1000, 0)
+	require.Equal(t, maxSlotShare*testSlots, l.Limit(testGapGoal, testSlots, now))
+	l.Inherit(7, now)
+	require.Equal(t, 7.0, l.Limit(testGapGoal, testSlots, now))
+}
+
+// Guards against a limit by the imbalance that reports show while a shift is found: it
+// rises step by step, but streams pause from the first pass on.
+func TestSlowPaceHoldsBeforeItIsReported(t *testing.T) {
+	m := testModel(t)
+	l, g := NewLimiter(m), newGroup(m)
+	for _, imbalance := range []float64{evenImbalance, evenImbalance, 1.6, 2, shiftedImbalance, evenImbalance} {
+		g.run(l, testInterval, imbalance)
+	}
+	even, shifted := m.Pace(evenImbalance, 1), m.Pace(shiftedImbalance, 1)
+	var remembered []float64
+	for _, s := range l.samples {
+		remembered = append(remembered, s.pace)
+	}
+	require.Equal(t, []float64{even, shifted, shifted, shifted, shifted, even}, remembered)
+}
+
 // Guards against a limit for back ends whose routes have no goal for pauses.
 func TestNoLimitWithoutGoal(t *testing.T) {
 	m := testModel(t)
