--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -17,7 +17,9 @@
 	sealed   bool
 	body     string
 	complete bool // the response has ended as its framing says
-	err      error
+	// longestGap is the longest pause between two parts of the body, and before the first.
+	longestGap time.Duration
+	err        error
 }
 
 var httpClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true}}
@@ -52,7 +54,8 @@
 		return a
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, longestGap, err := readTimed(resp.Body)
+	a.longestGap = longestGap
 	a.status, a.sealed, a.body, a.complete, a.err = resp.StatusCode, resp.Header.Get(headerSeal) != "", string(data), err == nil, err
 	w.record.line("client gets status %d to %s, sealed %t, %d bytes, complete %t", a.status, a.id, a.sealed, len(data), a.complete)
 	return a
@@ -75,3 +78,19 @@
 	}
 	return ids, nil
 }
+
+// readTimed reads a body to its end and measures the longest pause.
+func readTimed(body io.Reader) (data []byte, longestGap time.Duration, err error) {
+	buf, last := make([]byte, 32<<10), time.Now()
+	for {
+		n, err := body.Read(buf)
+		longestGap, last = max(longestGap, time.Since(last)), time.Now()
+		data = append(data, buf[:n]...)
+		if err == io.EOF {
+			return data, longestGap, nil
+		}
+		if err != nil {
+			return data, longestGap, err
+		}
+	}
+}
--- a/review/standin2/ownstatus.go
+++ b/review/standin2/ownstatus.go
@@ -51,12 +51,7 @@
 			return nil, err
 		}
 	}
-	for i, zone := range []string{"gent-a", "gent-b"} {
-		if err := w.startGateway(fmt.Sprintf("front-%s-%d", zone, i), zone); err != nil {
-			return nil, err
-		}
-	}
-	if err := w.awaitReady(); err != nil {
+	if err := w.startGateways(); err != nil {
 		return nil, err
 	}
 	var mu sync.Mutex
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -40,6 +41,8 @@
 	unframed  bool
 	gap, work time.Duration
 	size      int
+	// partPause is the pause after each part of the body of a call's response.
+	partPause time.Duration
 	// failStatus is the status of the runner's own failures, of which there are failPart
 	// of 100 while failing is set, which SIGUSR1 sets and SIGUSR2 clears.
 	failStatus, failPart int
@@ -57,6 +60,7 @@
 	f.DurationVar(&o.gap, "gap", 100*time.Millisecond, "")
 	f.DurationVar(&o.work, "work", 60*time.Millisecond, "")
 	f.IntVar(&o.size, "size", 800, "")
+	f.DurationVar(&o.partPause, "part-pause", 0, "")
 	f.IntVar(&o.failStatus, "fail-status", http.StatusInternalServerError, "")
 	f.IntVar(&o.failPart, "fail-part", 40, "")
 	_ = f.Parse(args)
@@ -106,13 +110,8 @@
 		if err != nil {
 			return
 		}
-		body := make([]byte, max(0, r.ContentLength))
-		for n := 0; n < len(body); {
-			m, err := r.Body.Read(body[n:])
-			n += m
-			if err != nil && n < len(body) {
-				return
-			}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
 		}
 		if err := o.respond(conn, r); err != nil || o.unframed {
 			return
@@ -149,10 +148,19 @@
 	if o.unframed {
 		framing = "Connection: close\r\n"
 	}
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s%s\r\n%s", status, http.StatusText(status), headerAttempt, id, header, framing, body)
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s%s\r\n", status, http.StatusText(status), headerAttempt, id, header, framing)
+	for len(body) > 0 && err == nil {
+		n := min(len(body), partSize)
+		_, err = io.WriteString(conn, body[:n])
+		body = body[n:]
+		time.Sleep(o.partPause)
+	}
 	return err
 }
 
+// partSize is the size in bytes of a part of the body of a response.
+const partSize = 64 << 10
+
 // stream writes the events of a response, from the one after Last-Event-Id on.
 func (o *runnerOptions) stream(conn net.Conn, r *http.Request, id string) error {
 	first := 1
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -208,6 +209,16 @@
 	return nil
 }
 
+// startGateways starts two gateways in two zones and waits until they are ready.
+func (w *world) startGateways() error {
+	for i, zone := range []string{"gent-a", "gent-b"} {
+		if err := w.startGateway(fmt.Sprintf("front-%s-%d", zone, i), zone); err != nil {
+			return err
+		}
+	}
+	return w.awaitReady()
+}
+
 // front returns the address of a gateway for clients.
 func (p *process) front() string { return net.JoinHostPort(p.ip, strconv.Itoa(frontPort)) }
 
@@ -274,11 +285,14 @@
 
 // runner is a runner of the deployment with its entry in the store.
 type runner struct {
-	process           *process
-	id, service, addr string
-	mu                sync.Mutex
-	state             string // as in the entry; "" if there is none
-	sequence          int
+	id, service, addr, name, zone string
+	args                          []string
+	mu                            sync.Mutex
+	process                       *process
+	sequence                      int
+	born                          int64 // Unix milliseconds
+	// startedRun is when the runner last began to run a request.
+	startedRun time.Time
 }
 
 // startRunner starts a runner and keeps its entry in the store.
@@ -287,25 +301,54 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{id: "i-" + randomHex(8), service: service, addr: l.Addr().String(), state: "ready"}
+	r := &runner{id: "i-" + randomHex(8), service: service, addr: l.Addr().String(), name: name, zone: zone, args: args}
 	_ = l.Close()
+	w.runners = append(w.runners, r)
+	return r, w.startIncarnation(r)
+}
+
+// startIncarnation starts the process of a runner, for the first time or again under the
+// same id.
+func (w *world) startIncarnation(r *runner) error {
 	self, err := os.Executable()
 	if err != nil {
-		return nil, err
+		return err
 	}
-	args = append([]string{"runner", "--addr", r.addr, "--id", r.id}, args...)
-	if r.process, err = w.start(name, "", nil, func(l string) { w.record.line("runner %s (%s): %s", name, r.id, l) }, self, args...); err != nil {
-		return nil, err
+	args := append([]string{"runner", "--addr", r.addr, "--id", r.id}, r.args...)
+	p, err := w.start(r.name, "", nil, r.onLine(w.record), self, args...)
+	if err != nil {
+		return err
 	}
-	w.runners = append(w.runners, r)
+	r.mu.Lock()
+	r.process, r.sequence, r.born = p, 0, time.Now().UnixMilli()
+	r.mu.Unlock()
 	if err := awaitListening(r.addr); err != nil {
-		return nil, err
+		return err
 	}
-	if err := w.putEntry(r, zone); err != nil {
-		return nil, err
+	if err := w.putEntry(r); err != nil {
+		return err
 	}
-	go w.heartbeats(r, zone)
-	return r, nil
+	go w.heartbeats(r, p)
+	return nil
+}
+
+// onLine returns the function that records what the runner writes.
+func (r *runner) onLine(record *recorder) func(string) {
+	return func(l string) {
+		record.line("runner %s (%s): %s", r.name, r.id, l)
+		if strings.HasPrefix(l, "runs ") {
+			r.mu.Lock()
+			r.startedRun = time.Now()
+			r.mu.Unlock()
+		}
+	}
+}
+
+// busySince returns when the runner last began to run a request.
+func (r *runner) busySince() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.startedRun
 }
 
 func awaitListening(addr string) error {
@@ -323,23 +366,29 @@
 }
 
 // putEntry writes the entry of a runner as it is now.
-func (w *world) putEntry(r *runner, zone string) error {
+func (w *world) putEntry(r *runner) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sequence++
 	return w.store.Put(w.ctx, "servers/"+r.id, map[string]any{
-		"service": r.service, "address": r.addr, "zone": zone, "version": "1", "slots": 12, "state": r.state, "coldRemainingMs": 0, "sequence": r.sequence,
+		"service": r.service, "address": r.addr, "zone": r.zone, "version": "1", "slots": 12, "state": "ready", "coldRemainingMs": 0,
+		"sequence": r.sequence, "born": r.born,
 	})
 }
 
-// heartbeats writes the entry of a runner until its process has ended.
-func (w *world) heartbeats(r *runner, zone string) {
+// heartbeats writes the entry of a runner until its process has ended. A runner that
+// crashes sends nothing; its entry is removed after three intervals of silence.
+func (w *world) heartbeats(r *runner, p *process) {
 	for {
 		select {
 		case <-time.After(heartbeat):
-			_ = w.putEntry(r, zone)
-		case <-r.process.done:
-			if w.ctx.Err() == nil {
+			_ = w.putEntry(r)
+		case <-p.done:
+			time.Sleep(3 * heartbeat)
+			r.mu.Lock()
+			gone := r.process == p
+			r.mu.Unlock()
+			if gone && w.ctx.Err() == nil {
 				_ = w.store.Remove(w.ctx, "servers/"+r.id)
 			}
 			return
@@ -349,23 +398,6 @@
 	}
 }
 
-// leave plays the planned shutdown of a runner: it reports that it is draining, serves
-// for drainMs and some more time after the store has accepted that, and then exits.
-func (w *world) leave(r *runner, zone string, more time.Duration) error {
-	r.mu.Lock()
-	r.state = "draining"
-	r.mu.Unlock()
-	if err := w.putEntry(r, zone); err != nil {
-		return err
-	}
-	w.record.line("the store has accepted that %s is draining", r.id)
-	time.Sleep(drain + more)
-	w.record.line("%s exits", r.id)
-	r.process.signal(syscall.SIGTERM)
-	<-r.process.done
-	return nil
-}
-
 func randomHex(digits int) string {
 	return fmt.Sprintf("%0*x", digits, rand.Uint64()>>(64-4*digits))
 }
