--- a/review/standin2/cutlarge.go
+++ b/review/standin2/cutlarge.go
@@ -75,17 +75,20 @@
 	return violations, nil
 }
 
-// killBusyRunner kills the first runner that has worked on a request for half a second.
+// killBusyRunner kills the first runner that has written half of a response.
 func (w *world) killBusyRunner(end time.Time) error {
+	for _, r := range w.runners {
+		r.isAmidLarge() // forget those of before
+	}
 	for time.Now().Before(end) {
 		for _, r := range w.runners {
-			if since := r.busySince(); !since.IsZero() && time.Since(since) > 550*time.Millisecond {
+			if r.isAmidLarge() {
 				w.record.line("%s crashes", r.id)
 				r.process.kill()
 				return nil
 			}
 		}
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(2 * time.Millisecond)
 	}
 	return fmt.Errorf("no runner was busy")
 }
--- a/review/standin2/frozen.go
+++ b/review/standin2/cutoff.go
@@ -4,38 +4,38 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 )
 
-func init() { cases["frozen"] = playFrozen }
+func init() { cases["cut-off"] = playCutOff }
 
 const (
-	frozenRunners = 6
-	frozenClients = 36
-	// frozenEvents is the number of events of a stream, and frozenGap the pause between
+	cutOffRunners = 6
+	cutOffClients = 36
+	// cutOffEvents is the number of events of a stream, and cutOffGap the pause between
 	// two: a stream takes 5.5 s.
-	frozenEvents = 50
-	frozenGap    = 110 * time.Millisecond
-	// frozenTime is how long the gateway stands still. The runner crashes in that time and
-	// is down for runnerDown.
-	frozenTime = 1600 * time.Millisecond
-	runnerDown = 900 * time.Millisecond
-	playedTime = 14 * time.Second
+	cutOffEvents = 50
+	cutOffGap    = 110 * time.Millisecond
+	// cutOffTime is how long the runner is cut off. It crashes in that time and is down for
+	// runnerDown.
+	cutOffTime   = time.Second
+	runnerDown   = 500 * time.Millisecond
+	cutOffPlayed = 14 * time.Second
 	// idleTimeout is the gap after which clients abandon a stream.
 	idleTimeout = 2 * time.Second
 )
 
-// playFrozen plays a gateway that stands still while a runner, whose responses have no
-// length, crashes and starts again. A stream that ends as complete must have all of its
+// playCutOff plays a runner, whose responses have no length, that is cut off, and crashes
+// behind the cut and starts again. A stream that ends as complete must have all of its
 // events, each once.
-func playFrozen(w *world, trouble bool) ([]string, error) {
+func playCutOff(w *world, trouble bool) ([]string, error) {
 	if err := w.putConfig(); err != nil {
 		return nil, err
 	}
-	for i := range frozenRunners {
+	w.proxied = true
+	for i := range cutOffRunners {
 		zone := []string{"gent-a", "gent-b"}[i%2]
-		if _, err := w.startRunner(fmt.Sprintf("model-%d", i), modelName, zone, "--unframed", "--gap", frozenGap.String()); err != nil {
+		if _, err := w.startRunner(fmt.Sprintf("model-%d", i), modelName, zone, "--unframed", "--gap", cutOffGap.String()); err != nil {
 			return nil, err
 		}
 	}
@@ -45,13 +45,13 @@
 	var mu sync.Mutex
 	var answers []answer
 	var clients sync.WaitGroup
-	end := time.Now().Add(playedTime)
-	for c := range frozenClients {
+	end := time.Now().Add(cutOffPlayed)
+	for c := range cutOffClients {
 		clients.Go(func() {
 			time.Sleep(time.Duration(c) * 150 * time.Millisecond)
 			for time.Now().Before(end) {
 				a := w.send(w.gateways[c%len(w.gateways)], "POST", streamPath+"2f", "{}", 8*time.Second, map[string]string{
-					"Skylarkstep-Model": "m", headerTokens: fmt.Sprintf("714,%d", frozenEvents*tokensPerEvent),
+					"Skylarkstep-Model": "m", headerTokens: fmt.Sprintf("714,%d", cutOffEvents*tokensPerEvent),
 					"Skylarkstep-Prompt-Prefix": "5c1e07a2:40," + randomHex(8) + ":674",
 				})
 				mu.Lock()
@@ -62,7 +62,7 @@
 	}
 	if trouble {
 		time.Sleep(7 * time.Second)
-		if err := w.freezeAndCrash(w.gateways[0], w.runners[0]); err != nil {
+		if err := w.cutOffAndCrash(w.runners[0]); err != nil {
 			return nil, err
 		}
 	}
@@ -86,12 +86,12 @@
 	return violations, nil
 }
 
-// freezeAndCrash stops a gateway for frozenTime. A runner crashes in that time and starts
-// again under its id.
-func (w *world) freezeAndCrash(g *process, r *runner) error {
-	w.record.line("%s stands still", g.name)
-	g.signal(syscall.SIGSTOP)
-	wake := time.After(frozenTime)
+// cutOffAndCrash cuts a runner off for cutOffTime. It crashes in that time and starts again
+// under its id.
+func (w *world) cutOffAndCrash(r *runner) error {
+	w.record.line("%s is cut off", r.id)
+	r.path.setCut(true)
+	healed := time.After(cutOffTime)
 	time.Sleep(100 * time.Millisecond)
 	w.record.line("%s crashes", r.id)
 	r.process.kill()
@@ -99,10 +99,10 @@
 	if err := w.startIncarnation(r); err != nil {
 		return err
 	}
-	w.record.line("%s is back", r.id)
-	<-wake
-	g.signal(syscall.SIGCONT)
-	w.record.line("%s goes on", g.name)
+	w.record.line("%s runs again", r.id)
+	<-healed
+	r.path.setCut(false)
+	w.record.line("%s is reached again", r.id)
 	return nil
 }
 
@@ -121,8 +121,8 @@
 			return fmt.Sprintf("stream %s: event %d follows %d events", a.id, id, i)
 		}
 	}
-	if a.complete && len(ids) < frozenEvents {
-		return fmt.Sprintf("stream %s ends as complete after event %d of %d", a.id, len(ids), frozenEvents)
+	if a.complete && len(ids) < cutOffEvents {
+		return fmt.Sprintf("stream %s ends as complete after event %d of %d", a.id, len(ids), cutOffEvents)
 	}
 	return ""
 }
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -149,15 +149,20 @@
 		framing = "Connection: close\r\n"
 	}
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s%s\r\n", status, http.StatusText(status), headerAttempt, id, header, framing)
-	for len(body) > 0 && err == nil {
-		n := min(len(body), partSize)
-		_, err = io.WriteString(conn, body[:n])
-		body = body[n:]
+	for written := 0; written < len(body) && err == nil; {
+		n := min(len(body)-written, partSize)
+		_, err = io.WriteString(conn, body[written:written+n])
+		if written += n; written >= largePart && written < largePart+n {
+			o.say("has written %d bytes to %s", written, id)
+		}
 		time.Sleep(o.partPause)
 	}
 	return err
 }
 
+// largePart is the number of bytes of a response after which the runner says so.
+const largePart = 3 << 19
+
 // partSize is the size in bytes of a part of the body of a response.
 const partSize = 64 << 10
 
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -63,8 +63,10 @@
 	server   *http.Server
 	gateways []*process
 	runners  []*runner
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// proxied is set if runners are reached through proxies.
+	proxied bool
+	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 // process is a process that the case has started.
@@ -287,12 +289,16 @@
 type runner struct {
 	id, service, addr, name, zone string
 	args                          []string
-	mu                            sync.Mutex
-	process                       *process
-	sequence                      int
-	born                          int64 // Unix milliseconds
-	// startedRun is when the runner last began to run a request.
-	startedRun time.Time
+	// path is the proxy by which callers reach the runner, if there is one, and entryAddr
+	// the address in its entry.
+	path      *proxy
+	entryAddr string
+	mu        sync.Mutex
+	process   *process
+	sequence  int
+	born      int64 // Unix milliseconds
+	// amidLarge is set while the runner writes the rest of a large response.
+	amidLarge bool
 }
 
 // startRunner starts a runner and keeps its entry in the store.
@@ -303,6 +309,13 @@
 	}
 	r := &runner{id: "i-" + randomHex(8), service: service, addr: l.Addr().String(), name: name, zone: zone, args: args}
 	_ = l.Close()
+	r.entryAddr = r.addr
+	if w.proxied {
+		if r.path, err = newProxy(r.addr); err != nil {
+			return nil, err
+		}
+		r.entryAddr = r.path.listener.Addr().String()
+	}
 	w.runners = append(w.runners, r)
 	return r, w.startIncarnation(r)
 }
@@ -336,19 +349,22 @@
 func (r *runner) onLine(record *recorder) func(string) {
 	return func(l string) {
 		record.line("runner %s (%s): %s", r.name, r.id, l)
-		if strings.HasPrefix(l, "runs ") {
+		if strings.HasPrefix(l, "has written ") {
 			r.mu.Lock()
-			r.startedRun = time.Now()
+			r.amidLarge = true
 			r.mu.Unlock()
 		}
 	}
 }
 
-// busySince returns when the runner last began to run a request.
-func (r *runner) busySince() time.Time {
+// isAmidLarge reports whether the runner has written half of a large response since it
+// was last asked.
+func (r *runner) isAmidLarge() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.startedRun
+	amid := r.amidLarge
+	r.amidLarge = false
+	return amid
 }
 
 func awaitListening(addr string) error {
@@ -371,7 +387,7 @@
 	defer r.mu.Unlock()
 	r.sequence++
 	return w.store.Put(w.ctx, "servers/"+r.id, map[string]any{
-		"service": r.service, "address": r.addr, "zone": r.zone, "version": "1", "slots": 12, "state": "ready", "coldRemainingMs": 0,
+		"service": r.service, "address": r.entryAddr, "zone": r.zone, "version": "1", "slots": 12, "state": "ready", "coldRemainingMs": 0,
 		"sequence": r.sequence, "born": r.born,
 	})
 }
