--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -30,6 +30,8 @@
 	// drain is drainMs of the settings.
 	drain = 2 * time.Second
 	grace = 8 * time.Second
+	// memoryMb is the limit of the memory of a gateway.
+	memoryMb = 284
 )
 
 // Ports of a gateway. Each gateway has a loopback address of its own on which they are free.
@@ -180,7 +182,7 @@
 		"ip": ip, "zone": zone, "region": zones[zone], "zones": zones,
 		"listen":        map[string]string{"front": addr(frontPort), "ready": addr(readyPort), "directory": addr(directoryPort)},
 		"internalPorts": []int{peerPort, peerPort + 15}, "seeds": []string{}, "bootstrap": true, "toleranceMember": false,
-		"limits":  map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
+		"limits":  map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": memoryMb, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"dataDir": nil, "discovery": "platform", "entry": "directory", "heartbeatMs": heartbeat.Milliseconds(),
 		"bounds": map[string]any{
 			"seedLagS": 3, "addrReuseS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": drain.Milliseconds(), "graceS": grace.Seconds(),
@@ -197,11 +199,7 @@
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(w.dir, name+".log"))
-	if err != nil {
-		return err
-	}
-	p, err := w.start(name, ip, []string{"SKYLARKSTEP_CONFIG=" + path}, func(l string) { _, _ = io.WriteString(log, l+"\n") }, daemon, "gateway")
+	p, err := w.runGateway(name, ip)
 	if err != nil {
 		return err
 	}
@@ -209,6 +207,16 @@
 	return nil
 }
 
+// runGateway starts the process of a gateway whose settings are written.
+func (w *world) runGateway(name, ip string) (*process, error) {
+	log, err := os.OpenFile(filepath.Join(w.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	settings := "SKYLARKSTEP_CONFIG=" + filepath.Join(w.dir, name+".json")
+	return w.start(name, ip, []string{settings}, func(l string) { _, _ = io.WriteString(log, l+"\n") }, daemon, "gateway")
+}
+
 // startGateways starts two gateways in two zones and waits until they are ready.
 func (w *world) startGateways() error {
 	for i, zone := range []string{"gent-a", "gent-b"} {
