--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -42,6 +44,7 @@
 		return exitNotRun
 	}
 	defer w.close()
+	go endOnSignal(w)
 	w.record.line("case %s, disruption %t", os.Args[1], trouble)
 	violations, err := cases[os.Args[1]](w, trouble)
 	if err != nil {
@@ -58,3 +61,12 @@
 	fmt.Printf("the rule was broken %d times:\n  %s\n", len(violations), strings.Join(violations[:min(5, len(violations))], "\n  "))
 	return exitBroken
 }
+
+// endOnSignal ends all processes of the case when it is interrupted.
+func endOnSignal(w *world) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	w.close()
+	os.Exit(exitNotRun)
+}
