--- a/review/standin2/cutlarge.go
+++ b/review/standin2/cutlarge.go
@@ -17,6 +17,7 @@
 	cutLargeSize  = 3_000_000
 	cutLargePause = 20 * time.Millisecond
 	cutLargeTime  = 12 * time.Second
+	callers       = 6
 )
 
 // playCutLarge plays the crash of one of seven runners that write responses without a
