A response whose status HTTP does not define is no answer (status 000)

What callers saw: on the product's own path, a service in trouble that answered with status 000 (or -00) made the entry answer 200 with the service's bytes; 099 ended the caller's connection; 600 and 999 were passed on. At gateways of the platform 000 was handled already (a malformed head); 600 and 999 were passed on, and counted as a refusal if they said that the request had not run.

Cause: net/http accepts any three characters that it can read as a number of 0 or more as a status. The entry takes 0 for "not set" and writes 200. The same cause wherever responses are read through net/http: - platform store: the end of a lease counted as confirmed, a commit as refused although it may take effect; - key-value store of the own path: a write counted as not run; - ranks: an order counted as refused; - caller: the call counted as answered; - skylarkctl: changes and decisions on parts counted as made, a load counted such responses as complete.

Change: infra/httpclient has one check of a response, which all HTTP clients of the product and gateway/upstream use. A response that fails it is an interrupted one: what was sent may have run, an idempotent request goes to another target. This works for each reader, because none gets such a response any more, whatever it does with a status.

--- a/caller/client.go
+++ b/caller/client.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 // Limits and timeouts of a Client.
@@ -69,14 +70,10 @@
 			MaxResponseHeaderBytes: maxHeadBytes,
 		}
 	}
-	return &Client{
-		options: o,
-		http: &http.Client{
-			Transport: o.Transport,
-			// Following a redirect would send a call a second time.
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
-	}
+	c := &Client{options: o, http: httpclient.New(o.Transport)}
+	// Following a redirect would send a call a second time.
+	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return c
 }
 
 // Close closes idle connections.
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 	"github.com/skylarkstep/skylarkstep/timeline"
 )
 
@@ -41,7 +42,9 @@
 func New(entries []string, token string) *Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone() // with the proxy of the environment
 	transport.MaxResponseHeaderBytes = maxHeadBytes
-	return &Client{Entries: entries, Token: token, HTTP: &http.Client{Timeout: requestTimeout, Transport: transport}}
+	c := httpclient.New(transport)
+	c.Timeout = requestTimeout
+	return &Client{Entries: entries, Token: token, HTTP: c}
 }
 
 // Request is one request to an entry.
--- a/ctl/command/quarantine.go
+++ b/ctl/command/quarantine.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/gateway"
 	"github.com/skylarkstep/skylarkstep/gateway/crashguard"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 const (
@@ -67,6 +68,9 @@
 }
 
 // callQuarantine sends one call to a gateway and returns the body of its response.
+// quarantineClient has a connection for each call, which are few.
+var quarantineClient = httpclient.New(&http.Transport{DisableKeepAlives: true})
+
 func callQuarantine(ctx context.Context, address, method, part string) ([]byte, error) {
 	if address == "" {
 		return nil, errkind.New(errkind.InvalidRequest, "--address is missing")
@@ -81,7 +85,7 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidRequest, "--address %q", address)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := quarantineClient.Do(req)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.TargetUnreachable, "gateway at %s", address)
 	}
--- a/ctl/command/quarantine_test.go
+++ b/ctl/command/quarantine_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/infra/standin/malformed"
 )
 
 // Guards against a list that hides which targets crashed or who reported them, and
@@ -43,3 +45,14 @@
 	_, err = run("list", "--address", g.URL)
 	require.Equal(t, ExitUnavailable, ExitCode(err))
 }
+
+// Guards against a decision on a part that counts as made because of a malformed response.
+func TestQuarantineWithMalformedResponse(t *testing.T) {
+	for name, response := range malformed.Statuses("", "") {
+		t.Run(name, func(t *testing.T) {
+			root := Root()
+			root.SetArgs([]string{"quarantine", "add", "91bd3f06", "--address", malformed.Start(t, response).URL})
+			require.Equal(t, ExitUnavailable, ExitCode(root.ExecuteContext(t.Context())))
+		})
+	}
+}
--- a/ctl/fleet/traffic.go
+++ b/ctl/fleet/traffic.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 const (
@@ -157,7 +159,7 @@
 	return o
 }
 
-var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+var client = httpclient.New(&http.Transport{DisableKeepAlives: true})
 
 // subjectName finds the name of a request in the message of an error.
 var subjectName = regexp.MustCompile("request:[0-9a-f]+")
--- /dev/null
+++ b/ctl/load/malformed_test.go
@@ -0,0 +1,23 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/infra/standin/malformed"
+)
+
+// Guards against a malformed response that a load counts as complete.
+func TestMalformedResponse(t *testing.T) {
+	flow := &Flow{Backend: "app", Operation: "book", DeadlineMs: 2000}
+	for name, response := range malformed.Statuses("Content-Type: application/json\r\n", "{}") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSender([]string{malformed.Start(t, response).URL}, func(string) string { return "key" })
+			s.start = time.Now()
+			require.Equal(t, resultUnknown, s.send(t.Context(), arrival{flow: flow}).result)
+		})
+	}
+}
--- a/ctl/load/sender.go
+++ b/ctl/load/sender.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 const (
@@ -59,11 +60,11 @@
 	return &sender{
 		entries: entries,
 		key:     key,
-		http: &http.Client{Transport: &http.Transport{
+		http: httpclient.New(&http.Transport{
 			MaxIdleConnsPerHost:    512,
 			IdleConnTimeout:        30 * time.Second,
 			MaxResponseHeaderBytes: maxHeadBytes,
-		}},
+		}),
 	}
 }
 
--- a/daemon/e2e/harness_test.go
+++ b/daemon/e2e/harness_test.go
@@ -48,15 +48,17 @@
 // cluster is a small deployment: entries and target processes run as separate
 // processes, stand-ins in the test process.
 type cluster struct {
-	wrapModel  func(target string, engine http.Handler) http.Handler
-	t          *testing.T
-	config     *config.Config
-	kv         *standin.KV
-	kvURL      string
-	models     map[string]*enginestandin.Model
-	services   map[string]*enginestandin.Service
-	engineURLs map[string]string
-	processes  map[string]*daemonProcess
+	wrapModel func(target string, engine http.Handler) http.Handler
+	// wrapService replaces the handler of each plain service; it may be nil.
+	wrapService func(http.Handler) http.Handler
+	t           *testing.T
+	config      *config.Config
+	kv          *standin.KV
+	kvURL       string
+	models      map[string]*enginestandin.Model
+	services    map[string]*enginestandin.Service
+	engineURLs  map[string]string
+	processes   map[string]*daemonProcess
 	// listenAddrs replaces the address on which a target process listens, for
 	// targets that are reached through a relay.
 	listenAddrs map[string]string
@@ -148,7 +150,7 @@
 			k.engineURLs[tg.Name] = k.serve(k.wrapEngine(tg.Name, k.models[tg.Name]))
 		} else {
 			k.services[tg.Name] = enginestandin.NewService(enginestandin.ServiceOptions{})
-			k.engineURLs[tg.Name] = k.serve(k.services[tg.Name])
+			k.engineURLs[tg.Name] = k.serve(k.wrapPlain(k.services[tg.Name]))
 		}
 		k.startTarget(tg)
 	}
@@ -178,6 +180,15 @@
 	return k.wrapModel(target, engine)
 }
 
+// wrapPlain returns the handler of a plain service, wrapped by that of the test if there
+// is one.
+func (k *cluster) wrapPlain(service http.Handler) http.Handler {
+	if k.wrapService == nil {
+		return service
+	}
+	return k.wrapService(service)
+}
+
 func (k *cluster) startTarget(tg config.Target) {
 	b, _ := k.config.Backend(tg.Backend)
 	if addr := k.listenAddrs[tg.Name]; addr != "" {
--- a/engine/openai/client.go
+++ b/engine/openai/client.go
@@ -18,6 +18,7 @@
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/engine/internal/httpcall"
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 const (
@@ -48,21 +49,17 @@
 func New(baseURL string) *Client {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &Client{
-		base: strings.TrimSuffix(baseURL, "/"),
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-				MaxIdleConnsPerHost: maxIdlePerHost,
-				IdleConnTimeout:     idleTimeout,
-				DisableCompression:  true,
-				Protocols:           protocols,
-
-				MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
-	}
+	c := httpclient.New(&http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		Protocols:           protocols,
+
+		MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
+	})
+	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: c}
 }
 
 // Close closes idle connections.
--- a/engine/rankgroup/client.go
+++ b/engine/rankgroup/client.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkstep/skylarkstep/engine/internal/httpcall"
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/expertmap"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 const (
@@ -32,17 +33,13 @@
 
 // New returns a client of the engine at baseURL.
 func New(baseURL string) *Client {
-	return &Client{
-		base: strings.TrimSuffix(baseURL, "/"),
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
-				MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
-			},
-			// A 307 or 308 would send a message of the switch protocol a second time.
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
-	}
+	c := httpclient.New(&http.Transport{
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
+		MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
+	})
+	// A 307 or 308 would send a message of the switch protocol a second time.
+	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: c}
 }
 
 // Switch implements engine.Group.
--- a/engine/service/client.go
+++ b/engine/service/client.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkstep/skylarkstep/engine"
 	"github.com/skylarkstep/skylarkstep/engine/internal/httpcall"
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 // OperationIDHeader carries Call.OperationID. It is not named Idempotency-Key
@@ -61,18 +62,17 @@
 	// HTTP/2 is disabled because its transport retries requests after GOAWAY.
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			DisableKeepAlives:   !keepAlive,
-			MaxIdleConnsPerHost: maxIdlePerHost,
-			IdleConnTimeout:     idleTimeout,
-			Protocols:           protocols,
-
-			MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	c := httpclient.New(&http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:   !keepAlive,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		Protocols:           protocols,
+
+		MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
+	})
+	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return c
 }
 
 // Close closes idle connections.
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 const (
@@ -293,13 +295,13 @@
 			return nil, errors.Wrap(describe(err), "read the head of the response")
 		}
 		_ = c.SetReadDeadline(time.Time{})
-		switch {
-		case resp.StatusCode >= http.StatusOK:
+		if err := httpclient.Verify(resp); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
 			c.readingHead = false
 			resp.Body = bodyReader{resp.Body}
 			return resp, nil
-		case resp.StatusCode < http.StatusContinue:
-			return nil, errMalformed
 		}
 	}
 	return nil, errors.Errorf("more than %d informational responses", maxInformational)
--- /dev/null
+++ b/infra/httpclient/client.go
@@ -0,0 +1,33 @@
+package httpclient
+
+import "net/http"
+
+// New returns a client that fails for responses that are not valid HTTP/1.1.
+func New(t http.RoundTripper) *http.Client { return &http.Client{Transport: verifying{t}} }
+
+// verifying is a transport that returns valid responses only.
+type verifying struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (v verifying) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := v.RoundTripper.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	err = Verify(resp)
+	if err == nil && resp.StatusCode < http.StatusOK {
+		err = ErrStatus // no request asks for another protocol
+	}
+	if err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections implements the method that http.Client looks for.
+func (v verifying) CloseIdleConnections() {
+	if c, ok := v.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
--- a/infra/instancehttp/client.go
+++ b/infra/instancehttp/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 const (
@@ -42,9 +43,9 @@
 func New(url string, opts ...Option) *Client {
 	c := &Client{
 		url: url, timeout: defaultTimeout, maxResponse: defaultMaxResponse,
-		http: &http.Client{Transport: &http.Transport{
+		http: httpclient.New(&http.Transport{
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes,
-		}},
+		}),
 	}
 	for _, o := range opts {
 		o(c)
--- a/infra/kvhttp/client.go
+++ b/infra/kvhttp/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 	"github.com/skylarkstep/skylarkstep/infra/internal/gateway"
 )
 
@@ -61,15 +62,13 @@
 	}}
 	c := &Client{
 		base: strings.TrimSuffix(baseURL, "/"), timeout: defaultTimeout, maxResponse: defaultMaxResponse,
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
-				MaxResponseHeaderBytes: maxHeadBytes,
-			},
-			// A 307 or 308 would make net/http send a write twice.
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
+		http: httpclient.New(&http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
+			MaxResponseHeaderBytes: maxHeadBytes,
+		}),
 	}
+	// A 307 or 308 would make net/http send a write twice.
+	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	for _, o := range opts {
 		o(c)
 	}
--- /dev/null
+++ b/infra/standin/malformed/malformed.go
@@ -0,0 +1,72 @@
+// Package malformed is a stand-in for an HTTP server in trouble. Its responses are
+// complete and look like others, but their heads are not valid HTTP/1.1.
+package malformed
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+)
+
+// Statuses returns responses with a status that is not one, by what is wrong with it.
+// fields are lines of the head, each with its line break.
+func Statuses(fields, body string) map[string]string {
+	responses := map[string]string{}
+	for name, status := range map[string]string{
+		"status 000":                  "000 OK",
+		"status 000 without a reason": "000",
+		"status 099":                  "099 OK",
+		"status with a sign":          "-00 OK",
+		"status 600":                  "600 OK",
+		"status 999":                  "999 OK",
+	} {
+		responses[name] = withLength(status, fields, body)
+	}
+	return responses
+}
+
+// withLength returns a response whose body has a length.
+func withLength(status, fields, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, len(body), body)
+}
+
+// Handler answers each request with the response and closes the connection.
+func Handler(response string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, response)
+		_ = conn.Close()
+	})
+}
+
+// Server is a running stand-in.
+type Server struct {
+	// URL is the base URL, and Addr its host and port.
+	URL, Addr string
+	requests  atomic.Int64
+}
+
+// Start starts a server that answers each request with the response and closes the
+// connection, until the test ends.
+func Start(t testing.TB, response string) *Server {
+	t.Helper()
+	s := &Server{}
+	handler := Handler(response)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.requests.Add(1)
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	s.URL, s.Addr = server.URL, server.Listener.Addr().String()
+	return s
+}
+
+// Requests returns the number of requests that were received.
+func (s *Server) Requests() int64 { return s.requests.Load() }
--- a/infra/weighthttp/client.go
+++ b/infra/weighthttp/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/skylarkstep/skylarkstep/errkind"
 	"github.com/skylarkstep/skylarkstep/infra"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 const (
@@ -53,7 +54,7 @@
 	for _, o := range opts {
 		o(t)
 	}
-	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: &http.Client{Transport: t}}
+	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: httpclient.New(t)}
 }
 
 // Fetch implements infra.WeightStore. The object is read and discarded.
