daemon/entry: a call that was sent is not called "not run" when no target is left

What callers saw: an idempotent call whose attempts had failed after they were sent, and for which no other target was left, was answered with did_run "not_run".

Cause: the error of the last pick, which says that nothing was sent, was returned as the error of the whole call. Generations had a guard against this; calls had none.

Change: the guard is in the request, and both use it. It works because each failed attempt that may have run is recorded, also that of a hedge.

With the check of did_run for both kinds of calls, TestMalformedResponseReachesNoCaller failed in 6 of 6 idempotent cases before and passes now. daemon/entry passes.

--- a/daemon/e2e/malformed_test.go
+++ b/daemon/e2e/malformed_test.go
@@ -34,9 +34,9 @@
 				require.NoError(t, err)
 				require.GreaterOrEqual(t, res.status, http.StatusInternalServerError, "%s", res.body)
 				require.NotContains(t, string(res.body), "broken")
+				require.Equal(t, errkind.Unknown.String(), decodeError(t, res).DidRun, "%s", res.body)
 				if operation == "book" {
 					require.Equal(t, http.StatusBadGateway, res.status)
-					require.Equal(t, errkind.Unknown.String(), decodeError(t, res).DidRun)
 				}
 			})
 		}
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -30,6 +30,22 @@
 	triedTargets map[string]bool
 	attempts     uint32
 	receivedAt   time.Time
+	// mayHaveRun is set once an attempt has failed that a target may have begun.
+	mayHaveRun bool
+}
+
+// recordFailure records what the failure of an attempt says about the request.
+func (r *request) recordFailure(err *errkind.Error) {
+	r.mayHaveRun = r.mayHaveRun || err.DidRun != errkind.NotRun
+}
+
+// withTrueDidRun returns the error of the last attempt as that of the request: its
+// refusal says nothing about the earlier attempts.
+func (r *request) withTrueDidRun(err *errkind.Error) *errkind.Error {
+	if r.mayHaveRun && err.DidRun == errkind.NotRun {
+		return err.WithDidRun(errkind.Unknown)
+	}
+	return err
 }
 
 // attempt is one dispatch to one target. Each attempt has its own stream, so
--- a/daemon/entry/complete.go
+++ b/daemon/entry/complete.go
@@ -46,8 +46,6 @@
 	// attempt.
 	failures    int
 	lastFailure error
-	// mayHaveRun is set once an attempt has failed that a target may have begun.
-	mayHaveRun bool
 	// startOffset is the token offset at which the current attempt began, and
 	// currentTarget its target.
 	startOffset   int
@@ -156,7 +154,8 @@
 	}
 	g.failures++
 	g.lastFailure = err
-	g.mayHaveRun = g.mayHaveRun || g.offset > g.startOffset || errkind.From(err).DidRun != errkind.NotRun
+	g.recordFailure(errkind.From(err))
+	g.mayHaveRun = g.mayHaveRun || g.offset > g.startOffset
 	if g.ctx.Err() != nil || !errkind.KindOf(err).Response().FailOver ||
 		g.failures >= maxModelAttempts || g.attempts >= maxStreamAttempts {
 		return false
@@ -211,13 +210,9 @@
 }
 
 // finalError returns the error of the request after that of its last attempt. It
-// adds a retry-after time if a target may be able to serve the request later. A
-// refusal of the last attempt says nothing about the earlier ones.
+// adds a retry-after time if a target may be able to serve the request later.
 func (g *generation) finalError(err error) error {
-	e := errkind.From(err)
-	if g.mayHaveRun && e.DidRun == errkind.NotRun {
-		e = e.WithDidRun(errkind.Unknown)
-	}
+	e := g.withTrueDidRun(errkind.From(err))
 	if e.RetryAfter == 0 && e.Kind.Response().FailOver {
 		return e.WithRetryAfter(retryAfter())
 	}
--- a/daemon/entry/hedge.go
+++ b/daemon/entry/hedge.go
@@ -20,7 +20,7 @@
 			return nil, errkind.From(ctx.Err())
 		}
 		if !c.canRetry(err) {
-			return nil, err
+			return nil, c.withTrueDidRun(err)
 		}
 		c.backoff(ctx, n)
 	}
@@ -69,6 +69,7 @@
 				h.recordWin(r.number, startedAt)
 				return r.reply, nil
 			}
+			c.recordFailure(r.err)
 			if len(h.startTimes) == 0 {
 				return nil, r.err
 			}
