A response with a blank in the name of a field is no answer

What callers saw: a runner's response with "X Odd: 1" or "X-Odd : 1" in its head was answered as it is, on all kinds of routes of a gateway, on fresh and kept connections, in the continuation of a stream, and as a refusal that promised that the request had not run. With "Transfer-Encoding : chunked" the body that the caller got was the chunks with their sizes; with "Content-Length : 27" it went on until the runner closed, or until the deadline. On the product's own path the same for services.

Cause: net/http keeps a line whose name holds blanks, under a name that nobody looks for, so the field that says where the body ends, or whose response it is, is overlooked. All other bytes that are not allowed in a name (control bytes, tabs, carriage returns) it refuses: there the tests are new only.

Handled already, with a new test: an odd name in a trailer, which nobody passes on; the body before it is complete and is delivered (TestOddTrailerIsNotPassedOn).

--- a/caller/malformed_test.go
+++ b/caller/malformed_test.go
@@ -14,7 +14,7 @@
 // Guards against a malformed response of an entry that is returned as one. The call may
 // have run.
 func TestMalformedResponse(t *testing.T) {
-	for name, response := range malformed.Statuses("Content-Type: application/json\r\n", "{}") {
+	for name, response := range malformed.All("200 OK", "Content-Type: application/json\r\n", "{}") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			server := malformed.Start(t, response)
--- a/ctl/client/malformed_test.go
+++ b/ctl/client/malformed_test.go
@@ -13,7 +13,7 @@
 // Guards against a change of an operator that counts as made because of a malformed
 // response.
 func TestMalformedResponse(t *testing.T) {
-	for name, response := range malformed.Statuses("Content-Type: application/json\r\n", "{}") {
+	for name, response := range malformed.All("200 OK", "Content-Type: application/json\r\n", "{}") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			url := malformed.Start(t, response).URL
--- a/ctl/command/quarantine_test.go
+++ b/ctl/command/quarantine_test.go
@@ -48,7 +48,7 @@
 
 // Guards against a decision on a part that counts as made because of a malformed response.
 func TestQuarantineWithMalformedResponse(t *testing.T) {
-	for name, response := range malformed.Statuses("", "") {
+	for name, response := range malformed.All("200 OK", "", "") {
 		t.Run(name, func(t *testing.T) {
 			root := Root()
 			root.SetArgs([]string{"quarantine", "add", "91bd3f06", "--address", malformed.Start(t, response).URL})
--- a/ctl/load/malformed_test.go
+++ b/ctl/load/malformed_test.go
@@ -12,7 +12,7 @@
 // Guards against a malformed response that a load counts as complete.
 func TestMalformedResponse(t *testing.T) {
 	flow := &Flow{Backend: "app", Operation: "book", DeadlineMs: 2000}
-	for name, response := range malformed.Statuses("Content-Type: application/json\r\n", "{}") {
+	for name, response := range malformed.All("200 OK", "Content-Type: application/json\r\n", "{}") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newSender([]string{malformed.Start(t, response).URL}, func(string) string { return "key" })
--- a/engine/openai/malformed_test.go
+++ b/engine/openai/malformed_test.go
@@ -1,7 +1,6 @@
 package openai_test
 
 import (
-	"context"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -16,12 +15,12 @@
 // counts as a refusal.
 func TestMalformedResponse(t *testing.T) {
 	const stream = "data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: {\"choices\":[{\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"
-	calls := map[string]func(context.Context, *openai.Client) error{
-		"load":         func(ctx context.Context, c *openai.Client) error { _, err := c.Load(ctx); return err },
-		"cache events": func(ctx context.Context, c *openai.Client) error { _, err := c.CacheEvents(ctx, 1); return err },
-		"order":        func(ctx context.Context, c *openai.Client) error { return c.Order(ctx, engine.Order{}) },
-		"generate": func(ctx context.Context, c *openai.Client) error {
-			tokens, _, err := generate(ctx, c, engine.Generation{MaxTokens: 5})
+	calls := map[string]func(*testing.T, *openai.Client) error{
+		"load":         func(t *testing.T, c *openai.Client) error { _, err := c.Load(t.Context()); return err },
+		"cache events": func(t *testing.T, c *openai.Client) error { _, err := c.CacheEvents(t.Context(), 1); return err },
+		"order":        func(t *testing.T, c *openai.Client) error { return c.Order(t.Context(), engine.Order{}) },
+		"generate": func(t *testing.T, c *openai.Client) error {
+			tokens, _, err := generate(t.Context(), c, engine.Generation{MaxTokens: 5})
 			require.Empty(t, tokens)
 			return err
 		},
@@ -31,12 +30,12 @@
 		if callName == "generate" {
 			body = stream
 		}
-		for name, response := range malformed.Statuses("Content-Type: text/event-stream\r\n", body) {
+		for name, response := range malformed.All("200 OK", "Content-Type: text/event-stream\r\n", body) {
 			t.Run(callName+"/"+name, func(t *testing.T) {
 				t.Parallel()
 				c := openai.New(malformed.Start(t, response).URL)
 				defer c.Close()
-				err := call(t.Context(), c)
+				err := call(t, c)
 				require.Equal(t, errkind.BackendFailed, errkind.KindOf(err), "%v", err)
 				require.Equal(t, errkind.Unknown, errkind.From(err).DidRun, "%v", err)
 			})
--- a/engine/rankgroup/malformed_test.go
+++ b/engine/rankgroup/malformed_test.go
@@ -13,7 +13,7 @@
 
 // Guards against a malformed response of the engine of a rank group that counts as one.
 func TestMalformedResponse(t *testing.T) {
-	for name, response := range malformed.Statuses("Content-Type: application/json\r\n", "{}") {
+	for name, response := range malformed.All("200 OK", "Content-Type: application/json\r\n", "{}") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := rankgroup.New(malformed.Start(t, response).URL)
--- a/engine/service/malformed_test.go
+++ b/engine/service/malformed_test.go
@@ -15,7 +15,7 @@
 // Guards against a malformed response of a service that is returned as its response: the
 // caller got a status of 200 for one of 000. The call may have run, and is sent once.
 func TestMalformedResponse(t *testing.T) {
-	for name, response := range malformed.Statuses("Content-Type: application/json\r\n", "{}") {
+	for name, response := range malformed.All("200 OK", "Content-Type: application/json\r\n", "{}") {
 		for _, call := range []engine.Call{{Operation: "book"}, {Operation: "read", Method: http.MethodGet, Idempotent: true}} {
 			t.Run(call.Operation+"/"+name, func(t *testing.T) {
 				t.Parallel()
--- a/gateway/malformedhead_test.go
+++ b/gateway/malformedhead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -18,10 +19,15 @@
 
 // malformedResponses are responses whose heads are not valid HTTP, by what is wrong.
 func malformedResponses() map[string]string {
-	responses := malformed.Statuses("X-Id: ID\r\nX-Seal: s\r\n", malformedBody)
-	for name, refusal := range malformed.Statuses("X-Id: ID\r\nX-Not-Run: 1\r\n", "") {
+	responses := malformed.All("200 OK", "X-Id: ID\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n", malformedBody)
+	refusals := malformed.Statuses("X-Id: ID\r\nX-Not-Run: 1\r\n", "")
+	maps.Copy(refusals, malformed.Names("503 Full", "X-Id: ID\r\nX-Not-Run: 1\r\n", "full"))
+	for name, refusal := range refusals {
 		responses["refusal with "+name] = refusal
 	}
+	responses["blank in the name of an informational head"] = "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + sealedHead +
+		fmt.Sprintf("Content-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(malformedBody), malformedBody)
+	responses["blank in the name of the id"] = "HTTP/1.1 200 OK\r\nX-Id : ID\r\nX-Seal: s\r\nContent-Length: 7\r\n\r\n" + garbageText
 	return responses
 }
 
@@ -75,3 +81,25 @@
 		}
 	}
 }
+
+// Guards against a trailer with an odd name that reaches a caller, or that spoils the next
+// response on the connection. The body before it is complete.
+func TestOddTrailerIsNotPassedOn(t *testing.T) {
+	for _, path := range callKinds {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			fake := startFakeTarget(t, "r", func(w net.Conn, r *http.Request) {
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX Odd: 1\r\n\r\n",
+					r.Header.Get("X-Id"), len(goodEvent), goodEvent)
+			})
+			g := newDeployment(t, config(), fake).start("g1")
+			for range 3 {
+				resp := g.request(t.Context(), http.MethodPost, path, "")
+				require.NoError(t, resp.err)
+				require.Equal(t, http.StatusOK, resp.status, resp.body)
+				require.Equal(t, goodEvent, resp.body)
+				require.NotContains(t, fmt.Sprint(resp.header), "Odd")
+			}
+		})
+	}
+}
--- a/infra/malformed_test.go
+++ b/infra/malformed_test.go
@@ -34,7 +34,7 @@
 		},
 	}
 	const body = `{"header":{"revision":"7"},"succeeded":true,"kvs":[{"key":"a2V5"}],"result":{"TTL":"1","created":true},"ID":"1"}`
-	for name, response := range malformed.Statuses("Content-Type: application/json\r\n", body) {
+	for name, response := range malformed.All("200 OK", "Content-Type: application/json\r\n", body) {
 		for callName, call := range calls {
 			t.Run(callName+"/"+name, func(t *testing.T) {
 				t.Parallel()
@@ -52,7 +52,7 @@
 
 // Guards against rows that are taken from a malformed response.
 func TestMalformedInstanceList(t *testing.T) {
-	for name, response := range malformed.Statuses("", `[{"name":"i","addr":"127.0.0.1:1"}]`) {
+	for name, response := range malformed.All("200 OK", "", `[{"name":"i","addr":"127.0.0.1:1"}]`) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			rows, err := instancehttp.New(malformed.Start(t, response).URL).Instances(t.Context())
@@ -64,7 +64,7 @@
 
 // Guards against weights that are taken from a malformed response.
 func TestMalformedWeights(t *testing.T) {
-	for name, response := range malformed.Statuses("", "weights") {
+	for name, response := range malformed.All("200 OK", "", "weights") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			_, err := weighthttp.New(malformed.Start(t, response).URL).Fetch(t.Context(), "o")
--- a/infra/standin/malformed/malformed.go
+++ b/infra/standin/malformed/malformed.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -28,6 +29,34 @@
 	return responses
 }
 
+// Names returns responses in whose head the name of a field is not one, by what is wrong
+// with it.
+func Names(status, fields, body string) map[string]string {
+	responses := map[string]string{}
+	for name, line := range map[string]string{
+		"blank inside a name":       "X Odd: 1\r\n",
+		"blank before a colon":      "X-Odd : 1\r\n",
+		"blank in a second name":    "X-Even: 1\r\nX-Odd  : 1\r\n",
+		"tab before a colon":        "X-Odd\t: 1\r\n",
+		"control byte in a name":    "X-\x01Odd: 1\r\n",
+		"carriage return in a name": "X-\rOdd: 1\r\n",
+		"zero byte in a name":       "X-Odd\x00: 1\r\n",
+	} {
+		responses[name] = withLength(status, fields+line, body)
+	}
+	head := fmt.Sprintf("HTTP/1.1 %s\r\n%s", status, fields)
+	responses["blank in the name of the length"] = fmt.Sprintf("%sContent-Length : %d\r\n\r\n%s", head, len(body), body)
+	responses["blank in the name of the coding"] = fmt.Sprintf("%sTransfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+	return responses
+}
+
+// All returns the responses of Statuses and Names.
+func All(status, fields, body string) map[string]string {
+	all := Statuses(fields, body)
+	maps.Copy(all, Names(status, fields, body))
+	return all
+}
+
 // withLength returns a response whose body has a length.
 func withLength(status, fields, body string) string {
 	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, len(body), body)
