gateway/upstream: a head with a folded line is no response

What callers saw: a line in the head of a runner's response that began with a blank was joined to the value of the field before it, so that the seal, or the type of the body, was not the runner's: "s X-Odd: 1" for a seal of "s". A length or coding in such a line was overlooked, and the body ended with the connection or held the sizes of its chunks.

Cause: net/http takes such a line for the continuation of the one before it. The map of fields does not show it any more, so httpclient.Verify can't find it.

Change: the bytes of a head are looked at before they are parsed. RFC 9112 (5.2) has a gateway discard such a response or join the line; a joined line changes what the target has sealed, so it is discarded, as one that may have run. The reading of heads has a file of its own.

--- a/gateway/malformedhead_test.go
+++ b/gateway/malformedhead_test.go
@@ -20,13 +20,16 @@
 // malformedResponses are responses whose heads are not valid HTTP, by what is wrong.
 func malformedResponses() map[string]string {
 	responses := malformed.All("200 OK", "X-Id: ID\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n", malformedBody)
+	maps.Copy(responses, malformed.Folded("200 OK", "X-Id: ID\r\nContent-Type: text/event-stream\r\nX-Seal: s\r\n", malformedBody))
 	refusals := malformed.Statuses("X-Id: ID\r\nX-Not-Run: 1\r\n", "")
+	maps.Copy(refusals, malformed.Folded("503 Full", "X-Id: ID\r\nX-Not-Run: 1\r\n", "full"))
 	maps.Copy(refusals, malformed.Names("503 Full", "X-Id: ID\r\nX-Not-Run: 1\r\n", "full"))
 	for name, refusal := range refusals {
 		responses["refusal with "+name] = refusal
 	}
 	responses["blank in the name of an informational head"] = "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + sealedHead +
 		fmt.Sprintf("Content-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(malformedBody), malformedBody)
+	responses["folded line in an informational head"] = "HTTP/1.1 103 Early Hints\r\nX-Odd: 1\r\n 2\r\n\r\n" + sealedHead + "Content-Length: 7\r\n\r\n" + garbageText
 	responses["blank in the name of the id"] = "HTTP/1.1 200 OK\r\nX-Id : ID\r\nX-Seal: s\r\nContent-Length: 7\r\n\r\n" + garbageText
 	return responses
 }
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -25,19 +25,8 @@
 	// target it is closed here.
 	defaultIdleTimeout = 4 * time.Second
 	idleMargin         = 500 * time.Millisecond
-	// maxHeadBytes limits what is read of a response before its body: the status
-	// line, the headers and preceding informational responses, in bytes. Heads of
-	// targets are below 1 KB.
-	maxHeadBytes = 64 << 10
-	// headTimeout limits the time from the first byte of a head to its end.
-	// Targets send a head in one write, so only a faulty one takes longer. It is
-	// shorter than the delay after which a request is sent to a second target:
-	// otherwise the attempt would be cancelled then, and not count as failed.
-	headTimeout = 500 * time.Millisecond
 )
 
-var errHeadTooLarge = errors.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
-
 // conn is one connection. A goroutine waits for the first byte of the next
 // response, also while the connection is idle. A connection that the target
 // closes, or that delivers unrequested bytes, is therefore detected before the
@@ -50,6 +39,8 @@
 	// response is complete. It applies while readingHead is set.
 	headRemaining int
 	readingHead   bool
+	// headLines has the bytes of the head that is being read.
+	headLines headLines
 	// reused is set once a request has got its response on the connection.
 	reused    bool
 	firstByte chan error // receives nil or an error once a byte arrives or reading fails
@@ -68,7 +59,7 @@
 
 func newConn(c net.Conn) *conn {
 	nc := &conn{Conn: c}
-	nc.reader = bufio.NewReaderSize(headLimiter{nc}, readBufferSize)
+	nc.reader = bufio.NewReaderSize(headReader{nc}, readBufferSize)
 	nc.awaitFirstByte()
 	return nc
 }
@@ -83,23 +74,6 @@
 	_ = c.Close()
 }
 
-// headLimiter reads from a connection and fails once a head exceeds
-// maxHeadBytes. Without it, a line without end would be buffered completely.
-type headLimiter struct{ c *conn }
-
-// Read implements io.Reader.
-func (l headLimiter) Read(p []byte) (int, error) {
-	if !l.c.readingHead {
-		return l.c.Read(p)
-	}
-	if l.c.headRemaining <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := l.c.Read(p[:min(len(p), l.c.headRemaining)])
-	l.c.headRemaining -= n
-	return n, err
-}
-
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
--- a/gateway/upstream/head_test.go
+++ b/gateway/upstream/head_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -119,3 +120,60 @@
 	require.Equal(t, "ok", string(body))
 	require.NoError(t, ours.Close())
 }
+
+// Guards against a folded line that is found or not depending on how the bytes arrive, and
+// against a sound response that is refused because of lines of its body.
+func TestFoldedLineHoweverItArrives(t *testing.T) {
+	const (
+		plain  = "HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 8\r\n\r\n a: 1\n b"
+		folded = "HTTP/1.1 200 OK\r\nX-A: 1\r\n 2\r\nContent-Length: 2\r\n\r\nok"
+		early  = "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n"
+	)
+	for _, c := range []struct {
+		sent  string
+		stray bool // the first response belongs to another request
+		want  error
+	}{
+		{plain, false, nil},
+		{early + plain, false, nil},
+		{plain + plain, true, nil},
+		{strings.ReplaceAll(plain, "\r\n", "\n"), false, nil},
+		{folded, false, errFolded},
+		{early + folded, false, errFolded},
+		{plain + folded, true, errFolded},
+		{folded + plain, true, errFolded},
+		{strings.ReplaceAll(folded, "\r\n", "\n"), false, errFolded},
+	} {
+		for size := 1; size <= len(c.sent); size++ {
+			err := receive(t, c.sent, size, c.stray)
+			require.ErrorIs(t, err, c.want, "%q in parts of %d", c.sent, size)
+		}
+	}
+}
+
+// receive makes a request to a target that sends its response in parts of a size.
+func receive(t *testing.T, sent string, size int, stray bool) error {
+	ours, theirs := net.Pipe()
+	defer func() { _ = ours.Close() }()
+	go func() { _, _ = io.Copy(io.Discard, theirs) }()
+	go func() {
+		for part := range slices.Chunk([]byte(sent), size) {
+			_, _ = theirs.Write(part)
+		}
+	}()
+	responses := 0
+	attribute := func(int, http.Header, bool) Attribution {
+		if responses++; stray && responses == 1 {
+			return Foreign
+		}
+		return Own
+	}
+	resp, _, err := newConn(ours).roundTrip(&Request{Method: http.MethodGet, Target: "/", Host: "h", Attribute: attribute})
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, " a: 1\n b", string(body))
+	return nil
+}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -37,9 +37,6 @@
 	// attributed. That one may have been the response to this request, so that no
 	// other follows.
 	ownResponseTimeout = time.Second
-	// maxInformational limits the informational responses (1xx) that precede a
-	// response.
-	maxInformational = 10
 )
 
 // ErrClosed reports that the pool was closed because its target was removed.
@@ -282,31 +279,6 @@
 	return nil
 }
 
-// readResponse reads the head of a response whose first byte has arrived. It
-// skips informational responses.
-func readResponse(c *conn, method string) (*http.Response, error) {
-	for range maxInformational + 1 {
-		if _, err := c.reader.Peek(1); err != nil {
-			return nil, errors.Wrap(describe(err), "wait for the response")
-		}
-		_ = c.SetReadDeadline(time.Now().Add(headTimeout))
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, errors.Wrap(describe(err), "read the head of the response")
-		}
-		_ = c.SetReadDeadline(time.Time{})
-		if err := httpclient.Verify(resp); err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			c.readingHead = false
-			resp.Body = bodyReader{resp.Body}
-			return resp, nil
-		}
-	}
-	return nil, errors.Errorf("more than %d informational responses", maxInformational)
-}
-
 var errMalformed = errors.New("the response is not valid HTTP/1.1")
 
 // describe returns an error whose text contains nothing that the target sent.
@@ -314,9 +286,14 @@
 // an error goes to the log and to the caller.
 func describe(err error) error {
 	var netErr net.Error
-	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errHeadTooLarge) || errors.As(err, &netErr) {
+	if err == nil || errors.As(err, &netErr) {
 		return err
 	}
+	for _, known := range []error{io.EOF, io.ErrUnexpectedEOF, errHeadTooLarge, errFolded, httpclient.ErrStatus, httpclient.ErrFieldName} {
+		if errors.Is(err, known) {
+			return err
+		}
+	}
 	return errMalformed
 }
 
--- a/infra/standin/malformed/malformed.go
+++ b/infra/standin/malformed/malformed.go
@@ -50,6 +50,21 @@
 	return responses
 }
 
+// Folded returns responses with a line of the head that begins with a blank, so that it
+// continues the value before it, by what it hides.
+func Folded(status, fields, body string) map[string]string {
+	head := fmt.Sprintf("HTTP/1.1 %s\r\n%s", status, fields)
+	return map[string]string{
+		"folded field":            withLength(status, fields+" X-Odd: 1\r\n", body),
+		"folded field, tab":       withLength(status, fields+"\tX-Odd: 1\r\n", body),
+		"folded text":             withLength(status, fields+"  more\r\n", body),
+		"folded line of a blank":  withLength(status, fields+" \r\n", body),
+		"folded, other line ends": withLength(status, fields+"X-Odd: 1\n 2\n", body),
+		"folded length":           fmt.Sprintf("%s Content-Length: %d\r\n\r\n%s", head, len(body), body),
+		"folded coding":           fmt.Sprintf("%s Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body),
+	}
+}
+
 // All returns the responses of Statuses and Names.
 func All(status, fields, body string) map[string]string {
 	all := Statuses(fields, body)
