gateway: the first part of a large response is not kept while the rest is forwarded

What callers would see: a target that sends a body without end to calls takes the memory of the gateway; the platform ends it, and the requests of its other clients with it.

Cause: the first megabyte of a response is read before it is forwarded, so that the request can be retried. It stayed in memory as long as the rest was forwarded, which for a body without end is until the request's deadline.

Change: it is let go once it is written. What else such a target may send, in a head or a body, was limited already; processes beside a rank are not affected.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -380,6 +380,7 @@
 	if !res.truncated {
 		return nil
 	}
+	res.body = nil // it is not kept while the rest is forwarded
 	return x.forwardRest(res)
 }
 
