gateway: a target keeps the slot of a response that it has not sent to its end

What callers would see: beside a target that sends bodies without end, requests that a sound target could serve are sent to it, wait there until their deadline, and fail.

Cause: the slot was given back when the first megabyte of the response had been read, so the target always had free slots, however many responses it was still sending.

Change: the slot of a response that continues is given back when the request ends. Mean slot times, which estimate waits, count the same part of the response as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -264,7 +264,7 @@
 			return err
 		}
 		running++
-		go func() { results <- x.attemptCall(ctx, t) }()
+		go x.attemptCall(ctx, t, results)
 		return nil
 	}
 	if err := startAttempt(); err != nil {
@@ -315,8 +315,11 @@
 	return true
 }
 
-// attemptCall makes one attempt and reads the response.
-func (x *exchange) attemptCall(ctx context.Context, t *target) attemptResult {
+// attemptCall makes one attempt, reads the response and sends the result. A target that
+// has not sent the whole response keeps its slot until ctx ends, which it does with the
+// request: otherwise the target gets more and more requests, and the gateway holds the
+// first part of each response.
+func (x *exchange) attemptCall(ctx context.Context, t *target, results chan<- attemptResult) {
 	startedAt := time.Now()
 	res := x.send(ctx, t, "")
 	if res.verdict == succeeded || res.verdict == failed {
@@ -330,8 +333,14 @@
 	} else {
 		t.recordOutcome(false)
 	}
+	if res.truncated {
+		results <- res
+		<-ctx.Done()
+		q.releaseSlot(t, slotTime)
+		return
+	}
 	q.releaseSlot(t, slotTime)
-	return res
+	results <- res
 }
 
 // readResponseBody reads the body of a response, up to maxBufferedBytes. A
