HTTP clients return redirects as they are, all of them

What users would see: skylarkctl followed a redirect to another process, and took one that it did not follow for a change that was made; a load counted it as complete; the instance list and weights were taken from where a redirect led.

Change: the function is in httpclient.New, and the copies go.

Evidence: infra TestRedirectIsNotFollowed, ctl/client TestRedirectIsAnError and ctl/load TestRedirectIsNotComplete failed before and pass now, beside platform TestRedirectOfRank.

--- a/caller/client.go
+++ b/caller/client.go
@@ -70,10 +70,7 @@
 			MaxResponseHeaderBytes: maxHeadBytes,
 		}
 	}
-	c := &Client{options: o, http: httpclient.New(o.Transport)}
-	// Following a redirect would send a call a second time.
-	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return c
+	return &Client{options: o, http: httpclient.New(o.Transport)}
 }
 
 // Close closes idle connections.
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -103,7 +103,7 @@
 	if len(data) > maxResponseBytes {
 		return errkind.New(errkind.Internal, "the response of entry %s exceeds %d bytes", entry, maxResponseBytes)
 	}
-	if res.StatusCode >= http.StatusBadRequest {
+	if res.StatusCode >= http.StatusMultipleChoices {
 		return decodeError(res.StatusCode, data)
 	}
 	if result == nil {
--- a/ctl/client/malformed_test.go
+++ b/ctl/client/malformed_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -22,3 +24,18 @@
 		})
 	}
 }
+
+// Guards against a change of an operator that is sent to another process because of a
+// redirect, or that counts as made because the entry answered with one.
+func TestRedirectIsAnError(t *testing.T) {
+	var requests atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
+	defer other.Close()
+	for _, status := range []int{http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect} {
+		entry := httptest.NewServer(http.RedirectHandler(other.URL, status))
+		err := New([]string{entry.URL}, "token").Do(t.Context(), entry.URL, Request{Method: http.MethodPost, Path: "/"}, nil)
+		require.Error(t, err)
+		entry.Close()
+	}
+	require.Zero(t, requests.Load())
+}
--- a/ctl/load/malformed_test.go
+++ b/ctl/load/malformed_test.go
@@ -1,6 +1,9 @@
 package load
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,3 +24,16 @@
 		})
 	}
 }
+
+// Guards against a redirect that a load counts as a complete response, or follows.
+func TestRedirectIsNotComplete(t *testing.T) {
+	var requests atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
+	defer other.Close()
+	entry := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusFound))
+	defer entry.Close()
+	s := newSender([]string{entry.URL}, func(string) string { return "key" })
+	s.start = time.Now()
+	require.Equal(t, resultUnknown, s.send(t.Context(), arrival{flow: &Flow{Backend: "app", Operation: "book", DeadlineMs: 2000}}).result)
+	require.Zero(t, requests.Load())
+}
--- a/ctl/load/sender.go
+++ b/ctl/load/sender.go
@@ -127,7 +127,7 @@
 
 // readResponse reads the response and records the result in o.
 func (s *sender) readResponse(a arrival, res *http.Response, o *outcome) {
-	if res.StatusCode >= http.StatusBadRequest {
+	if res.StatusCode >= http.StatusMultipleChoices {
 		data, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
 		o.recordError(data)
 		o.final = res.StatusCode < http.StatusInternalServerError && res.StatusCode != http.StatusTooManyRequests
--- a/engine/openai/client.go
+++ b/engine/openai/client.go
@@ -58,7 +58,6 @@
 
 		MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
 	})
-	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: c}
 }
 
--- a/engine/rankgroup/client.go
+++ b/engine/rankgroup/client.go
@@ -37,8 +37,6 @@
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
 		MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
 	})
-	// A 307 or 308 would send a message of the switch protocol a second time.
-	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: c}
 }
 
--- a/engine/service/client.go
+++ b/engine/service/client.go
@@ -62,7 +62,7 @@
 	// HTTP/2 is disabled because its transport retries requests after GOAWAY.
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	c := httpclient.New(&http.Transport{
+	return httpclient.New(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableKeepAlives:   !keepAlive,
 		MaxIdleConnsPerHost: maxIdlePerHost,
@@ -71,8 +71,6 @@
 
 		MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
 	})
-	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return c
 }
 
 // Close closes idle connections.
--- a/infra/httpclient/client.go
+++ b/infra/httpclient/client.go
@@ -2,8 +2,15 @@
 
 import "net/http"
 
-// New returns a client that fails for responses that are not valid HTTP/1.1.
-func New(t http.RoundTripper) *http.Client { return &http.Client{Transport: verifying{t}} }
+// New returns a client that fails for responses that are not valid HTTP/1.1. It returns
+// redirects as they are: following one would send a call a second time, or take the
+// response of another process.
+func New(t http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport:     verifying{t},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
 
 // verifying is a transport that returns valid responses only.
 type verifying struct{ http.RoundTripper }
--- a/infra/kvhttp/client.go
+++ b/infra/kvhttp/client.go
@@ -67,8 +67,6 @@
 			MaxResponseHeaderBytes: maxHeadBytes,
 		}),
 	}
-	// A 307 or 308 would make net/http send a write twice.
-	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	for _, o := range opts {
 		o(c)
 	}
--- a/infra/malformed_test.go
+++ b/infra/malformed_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,3 +76,23 @@
 		})
 	}
 }
+
+// Guards against an instance list, or weights, that are taken from another process because
+// of a redirect.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var requests atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		requests.Add(1)
+		_, _ = io.WriteString(w, "[]")
+	}))
+	defer other.Close()
+	for _, status := range []int{http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect} {
+		server := httptest.NewServer(http.RedirectHandler(other.URL, status))
+		_, err := instancehttp.New(server.URL).Instances(t.Context())
+		require.Equal(t, errkind.StoreUnavailable, errkind.KindOf(err), "%v", err)
+		_, err = weighthttp.New(server.URL).Fetch(t.Context(), "o")
+		require.Equal(t, errkind.StoreUnavailable, errkind.KindOf(err), "%v", err)
+		server.Close()
+	}
+	require.Zero(t, requests.Load())
+}
