--- a/caller/addresses.go
+++ b/caller/addresses.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 const (
@@ -86,7 +88,7 @@
 		} `json:"addresses"`
 		TTLMs int64 `json:"ttl_ms"`
 	}
-	body, readErr := readLimited(res.Body, maxAddressResponseBytes)
+	body, readErr := httpclient.ReadLimited(res.Body, maxAddressResponseBytes)
 	if readErr != nil || res.StatusCode != http.StatusOK || json.Unmarshal(body, &response) != nil {
 		return nil, 0, false
 	}
--- a/caller/call.go
+++ b/caller/call.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 // DefaultCallDeadline is the deadline of a call that sets none.
@@ -139,7 +140,7 @@
 		return nil, sendErr
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := readLimited(res.Body, maxResponseBytes)
+	body, err := httpclient.ReadLimited(res.Body, maxResponseBytes)
 	if err != nil {
 		return nil, &InterruptedError{cause: err}
 	}
--- a/caller/client.go
+++ b/caller/client.go
@@ -30,9 +30,6 @@
 	noDataTimeout = 35 * time.Second
 	// maxErrorBytes limits the body of an error.
 	maxErrorBytes = 64 << 10
-	// maxHeadBytes limits the head of a response. Heads are below 1 KB; the default
-	// of net/http is 10 MB.
-	maxHeadBytes = 64 << 10
 )
 
 // Options are the options of a Client.
@@ -67,7 +64,7 @@
 			DisableCompression:  true,
 			Protocols:           protocols,
 
-			MaxResponseHeaderBytes: maxHeadBytes,
+			MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
 		}
 	}
 	return &Client{options: o, http: httpclient.New(o.Transport)}
@@ -101,19 +98,6 @@
 	return res, nil
 }
 
-// readLimited reads a body to its end and fails if it is longer than limit bytes.
-// A body that is merely cut off there could be taken for a complete one.
-func readLimited(body io.Reader, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	if int64(len(data)) > limit {
-		return nil, errors.Errorf("response exceeds %d bytes", limit)
-	}
-	return data, nil
-}
-
 // readError reads the error from a response whose status is not 200.
 func readError(res *http.Response) *ResponseError {
 	defer func() { _ = res.Body.Close() }()
--- a/caller/endless_test.go
+++ b/caller/endless_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 	"github.com/skylarkstep/skylarkstep/infra/standin/endless"
 )
 
@@ -57,7 +58,7 @@
 	for name, script := range scripts {
 		limit := int64(maxResponseBytes)
 		if _, ok := endless.Heads()[name]; ok {
-			limit = maxHeadBytes
+			limit = httpclient.MaxHeadBytes
 		}
 		for callName, call := range calls {
 			t.Run(callName+"/"+name, func(t *testing.T) {
--- a/caller/operation.go
+++ b/caller/operation.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 )
 
 // operationIDHeader holds the id of the operation that a call belongs to.
@@ -47,7 +48,7 @@
 	var issued struct {
 		OperationID string `json:"operation_id"`
 	}
-	data, err := readLimited(res.Body, maxErrorBytes)
+	data, err := httpclient.ReadLimited(res.Body, maxErrorBytes)
 	if err != nil || json.Unmarshal(data, &issued) != nil {
 		return ""
 	}
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -20,9 +20,6 @@
 const (
 	// maxResponseBytes limits the size of a response body.
 	maxResponseBytes = 64 << 20
-	// maxHeadBytes limits the head of a response. Heads are below 1 KB; the default
-	// of net/http is 10 MB.
-	maxHeadBytes = 64 << 10
 	// requestTimeout limits one request to one entry.
 	requestTimeout = 10 * time.Second
 	// maxErrorText limits the text of an error response that is not an error of the
@@ -41,7 +38,7 @@
 // New returns a client for entries with the given base URLs.
 func New(entries []string, token string) *Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone() // with the proxy of the environment
-	transport.MaxResponseHeaderBytes = maxHeadBytes
+	transport.MaxResponseHeaderBytes = httpclient.MaxHeadBytes
 	c := httpclient.New(transport)
 	c.Timeout = requestTimeout
 	return &Client{Entries: entries, Token: token, HTTP: c}
--- a/ctl/client/client_test.go
+++ b/ctl/client/client_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 	"github.com/skylarkstep/skylarkstep/infra/standin/endless"
 )
 
@@ -34,7 +35,7 @@
 			c.HTTP.Timeout = timeout
 			start := time.Now()
 			var err error
-			endless.RequireLimited(t, script, maxHeadBytes, func() {
+			endless.RequireLimited(t, script, httpclient.MaxHeadBytes, func() {
 				err = c.DoAny(t.Context(), Request{Method: http.MethodPut, Path: "/v1/config"}, &struct{}{})
 			})
 			require.Equal(t, errkind.TargetUnreachable, errkind.KindOf(err), "%v", err)
--- a/ctl/load/sender.go
+++ b/ctl/load/sender.go
@@ -18,9 +18,6 @@
 const (
 	// maxErrorBytes limits the body of an error.
 	maxErrorBytes = 64 << 10
-	// maxHeadBytes limits the head of a response. Heads are below 1 KB; the default
-	// of net/http is 10 MB.
-	maxHeadBytes = 64 << 10
 )
 
 // result is how a request ended, as seen by its caller.
@@ -63,7 +60,7 @@
 		http: httpclient.New(&http.Transport{
 			MaxIdleConnsPerHost:    512,
 			IdleConnTimeout:        30 * time.Second,
-			MaxResponseHeaderBytes: maxHeadBytes,
+			MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
 		}),
 	}
 }
--- a/engine/internal/httpcall/httpcall.go
+++ b/engine/internal/httpcall/httpcall.go
@@ -19,10 +19,6 @@
 // Retry-After header has a resolution of one second.
 const RetryAfterMS = "Retry-After-Ms"
 
-// MaxHeadBytes limits the head of a response in bytes. Heads are below 1 KB; the
-// default of net/http is 10 MB.
-const MaxHeadBytes = 64 << 10
-
 const (
 	// maxErrorBytes limits what is read of the body of an error response, and
 	// errorBodyTimeout the time for it: the status alone ends the call.
--- a/engine/openai/client.go
+++ b/engine/openai/client.go
@@ -56,7 +56,7 @@
 		DisableCompression:  true,
 		Protocols:           protocols,
 
-		MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
+		MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
 	})
 	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: c}
 }
--- a/engine/rankgroup/client.go
+++ b/engine/rankgroup/client.go
@@ -35,7 +35,7 @@
 func New(baseURL string) *Client {
 	c := httpclient.New(&http.Transport{
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableCompression: true,
-		MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
+		MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
 	})
 	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: c}
 }
--- a/engine/service/client.go
+++ b/engine/service/client.go
@@ -69,7 +69,7 @@
 		IdleConnTimeout:     idleTimeout,
 		Protocols:           protocols,
 
-		MaxResponseHeaderBytes: httpcall.MaxHeadBytes,
+		MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
 	})
 }
 
--- a/infra/httpclient/client.go
+++ b/infra/httpclient/client.go
@@ -2,6 +2,10 @@
 
 import "net/http"
 
+// MaxHeadBytes limits the head of a response in bytes, as the MaxResponseHeaderBytes of a
+// transport. Heads are below 1 KB; the default of net/http is 10 MB.
+const MaxHeadBytes = 64 << 10
+
 // New returns a client that fails for responses that are not valid HTTP/1.1. It returns
 // redirects as they are: following one would send a call a second time, or take the
 // response of another process.
--- a/infra/instancehttp/client.go
+++ b/infra/instancehttp/client.go
@@ -15,9 +15,6 @@
 	defaultTimeout = time.Second
 	// defaultMaxResponse is enough for over 50,000 rows of about 150 bytes.
 	defaultMaxResponse = 8 << 20
-	// maxHeadBytes limits the head of a response. Heads are below 1 KB; the default
-	// of net/http is 10 MB.
-	maxHeadBytes = 64 << 10
 )
 
 // Client implements infra.InstanceList.
@@ -44,7 +41,7 @@
 	c := &Client{
 		url: url, timeout: defaultTimeout, maxResponse: defaultMaxResponse,
 		http: httpclient.New(&http.Transport{
-			MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes,
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
 		}),
 	}
 	for _, o := range opts {
--- a/infra/kvhttp/client.go
+++ b/infra/kvhttp/client.go
@@ -25,9 +25,6 @@
 	// defaultMaxResponse is well above the size of a list of all configuration
 	// parts. A larger response is an error of the store.
 	defaultMaxResponse = 32 << 20
-	// maxHeadBytes limits the head of a response. Heads are below 1 KB; the default
-	// of net/http is 10 MB.
-	maxHeadBytes = 64 << 10
 	// TCP keep-alive. If the server becomes unreachable without closing the
 	// connection, a watch ends after
 	// keepAliveIdle + keepAliveCount * keepAliveInterval.
@@ -64,7 +61,7 @@
 		base: strings.TrimSuffix(baseURL, "/"), timeout: defaultTimeout, maxResponse: defaultMaxResponse,
 		http: httpclient.New(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
-			MaxResponseHeaderBytes: maxHeadBytes,
+			MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
 		}),
 	}
 	for _, o := range opts {
--- a/infra/weighthttp/client.go
+++ b/infra/weighthttp/client.go
@@ -24,9 +24,6 @@
 	defaultRetryAfter = time.Second
 	// maxRetryAfter prevents a wrong header from stopping fetches for good.
 	maxRetryAfter = time.Hour
-	// maxHeadBytes limits the head of a response. Heads are below 1 KB; the default
-	// of net/http is 10 MB.
-	maxHeadBytes = 64 << 10
 )
 
 // Client implements infra.WeightStore.
@@ -49,7 +46,7 @@
 func New(baseURL string, opts ...Option) *Client {
 	t := &http.Transport{
 		ResponseHeaderTimeout: defaultHeaderTimeout, IdleConnTimeout: time.Minute, DisableCompression: true,
-		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
 	}
 	for _, o := range opts {
 		o(t)
