--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -389,7 +389,7 @@
 	if !res.truncated {
 		return nil
 	}
-	res.body = nil // it is not kept while the rest is forwarded
+	res.body = nil // not kept in memory while the rest is forwarded
 	return x.forwardRest(res)
 }
 
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -39,7 +39,7 @@
 	// response is complete. It applies while readingHead is set.
 	headRemaining int
 	readingHead   bool
-	// headLines has the bytes of the head that is being read.
+	// headLines looks at the bytes of the head that is being read.
 	headLines headLines
 	// reused is set once a request has got its response on the connection.
 	reused    bool
