daemon/entry: a reply without a status that HTTP defines is no answer

What callers would see: 200 with the bytes of a reply of a target process that has no head or a status of 0, 101 or 600 as it is, and a connection that ends for 99.

Cause: the entry trusts the status of a reply, and takes 0 for "not set".

Change: the entry checks the status of every reply before it is written, wherever it comes from: an attempt, a hedge, a stored outcome. The call may have run.

--- a/daemon/entry/call.go
+++ b/daemon/entry/call.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkstep/skylarkstep/api/gen/callers"
 	"github.com/skylarkstep/skylarkstep/daemon/httpapi"
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/infra/httpclient"
 	"github.com/skylarkstep/skylarkstep/retry"
 	"github.com/skylarkstep/skylarkstep/timeline"
 	"github.com/skylarkstep/skylarkstep/wire/wirepb"
@@ -53,6 +54,9 @@
 	}
 	c.recordEvent(timeline.RequestReceived, nil, 0, nil)
 	reply, err := c.run(ctx, p.OperationID, p.IdempotencyKey)
+	if err == nil {
+		err = reply.verify()
+	}
 	c.recordEvent(timeline.RequestFinished, nil, 0, err)
 	if err != nil {
 		return nil, nil, err
@@ -82,6 +86,15 @@
 	replayed bool // the response of an earlier attempt under the same id
 }
 
+// verify returns an error if the reply has no status that HTTP defines. The caller would
+// get a status of 0 as 200.
+func (r *callReply) verify() error {
+	if status := int(r.head.GetStatus()); !httpclient.IsFinalStatus(status) {
+		return errkind.New(errkind.BackendFailed, "the response has the status %d", status)
+	}
+	return nil
+}
+
 func (r *callReply) contentType() string {
 	for _, h := range r.head.GetHeaders() {
 		if http.CanonicalHeaderKey(h.GetName()) == "Content-Type" {
--- a/infra/httpclient/client.go
+++ b/infra/httpclient/client.go
@@ -26,7 +26,7 @@
 		return nil, err
 	}
 	err = Verify(resp)
-	if err == nil && resp.StatusCode < http.StatusOK {
+	if err == nil && !IsFinalStatus(resp.StatusCode) {
 		err = ErrStatus // no request asks for another protocol
 	}
 	if err != nil {
--- a/infra/httpclient/verify.go
+++ b/infra/httpclient/verify.go
@@ -33,6 +33,9 @@
 	return nil
 }
 
+// IsFinalStatus reports whether a response with the status can be the final one.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // hasInvalidName looks for blanks only: net/http refuses all other invalid names.
 func hasInvalidName(h http.Header) bool {
 	for name := range h {
