daemon/e2e: the flooding rank is read by the coordinator too; names of the platform

Cause: TestFloodingRankEndsNoProcess said that it covers the gateway which coordinates the group. It did not: a trial with its logs showed two requests at the rank and no coordinator, because the rank flooded before it had joined.

Change: the rank is in order until it has joined and the gateway coordinates; then it floods, first both processes, then the gateway alone, whose own requests are awaited. And the floods get the platform's headers from platformtest, as all tests outside of platform/.

--- a/daemon/e2e/flood_test.go
+++ b/daemon/e2e/flood_test.go
@@ -28,42 +28,61 @@
 const floodUnit = 256 << 10
 
 // floods are responses that never end, by what never ends: their beginning and what follows
-// again and again. ID stands for the id of the request.
+// again and again. MARKS, REFUSAL and OTHER stand for the lines by which a response belongs to
+// the request, refuses it, or belongs to another one.
 var floods = map[string][2]string{
 	"no HTTP":                 {"", "garbage "},
 	"status line":             {"HTTP/1.1 200 ", "garbage "},
 	"header line":             {"HTTP/1.1 200 OK\r\nX-Garbage: ", "garbage "},
 	"headers":                 {"HTTP/1.1 200 OK\r\n", "X-Garbage: garbage\r\n"},
 	"informational responses": {"", "HTTP/1.1 103 Early Hints\r\nX-Garbage: garbage\r\n\r\n"},
-	"body":                    {"HTTP/1.1 200 OK\r\nSkylarkstep-Attempt-Id: ID\r\nSkylarkstep-Response-Seal: s\r\n\r\n", "garbage "},
-	"body of an error":        {"HTTP/1.1 500 Failed\r\nSkylarkstep-Attempt-Id: ID\r\nSkylarkstep-Response-Seal: s\r\n\r\n", "garbage "},
-	"body of a refusal":       {"HTTP/1.1 503 Full\r\nSkylarkstep-Attempt-Id: ID\r\nSkylarkstep-Not-Executed: 1\r\n\r\n", "garbage "},
-	"body for somebody else":  {"HTTP/1.1 200 OK\r\nSkylarkstep-Attempt-Id: other\r\n\r\n", "garbage "},
-	"chunks":                  {"HTTP/1.1 200 OK\r\nSkylarkstep-Attempt-Id: ID\r\nSkylarkstep-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\ngarbage \r\n"},
-	"chunk size":              {"HTTP/1.1 200 OK\r\nSkylarkstep-Attempt-Id: ID\r\nSkylarkstep-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
-	"event":                   {"HTTP/1.1 200 OK\r\nSkylarkstep-Attempt-Id: ID\r\nSkylarkstep-Response-Seal: s\r\n\r\nid: 1\ndata: x\n\n", "data: garbage\n"},
+	"body":                    {"HTTP/1.1 200 OK\r\nMARKS\r\n", "garbage "},
+	"body of an error":        {"HTTP/1.1 500 Failed\r\nMARKS\r\n", "garbage "},
+	"body of a refusal":       {"HTTP/1.1 503 Full\r\nREFUSAL\r\n", "garbage "},
+	"body for somebody else":  {"HTTP/1.1 200 OK\r\nOTHER\r\n", "garbage "},
+	"chunks":                  {"HTTP/1.1 200 OK\r\nMARKSTransfer-Encoding: chunked\r\n\r\n", "8\r\ngarbage \r\n"},
+	"chunk size":              {"HTTP/1.1 200 OK\r\nMARKSTransfer-Encoding: chunked\r\n\r\n", "0"},
+	"event":                   {"HTTP/1.1 200 OK\r\nMARKS\r\nid: 1\ndata: x\n\n", "data: garbage\n"},
 }
 
-// startFloodingTarget starts a target that answers each request with a flood, as long as
-// the caller keeps the connection. The returned count is that of its requests.
-func startFloodingTarget(t *testing.T, flood [2]string) (addr string, requests *atomic.Int64) {
-	requests = &atomic.Int64{}
+// floodingTarget is a target, and a rank, that answers each request with a flood once it is
+// in trouble, as long as the caller keeps the connection.
+type floodingTarget struct {
+	addr string
+	// inTrouble is set from the start, unless a test clears it.
+	inTrouble atomic.Bool
+	// flooded counts the requests that were answered with a flood.
+	flooded atomic.Int64
+}
+
+func startFloodingTarget(t *testing.T, flood [2]string) *floodingTarget {
+	f := &floodingTarget{}
+	f.inTrouble.Store(true)
 	unit := []byte(strings.Repeat(flood[1], floodUnit/len(flood[1])))
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		requests.Add(1)
+		if !f.inTrouble.Load() {
+			if !platformtest.ServeRankReport(w, r) {
+				_, _ = io.WriteString(w, "{}")
+			}
+			return
+		}
+		f.flooded.Add(1)
 		_, _ = io.Copy(io.Discard, r.Body)
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		_, err = io.WriteString(conn, strings.ReplaceAll(flood[0], "ID", r.Header.Get("Skylarkstep-Attempt-Id")))
+		id := platformtest.RequestID(r)
+		lines := strings.NewReplacer("MARKS", platformtest.ResponseLines(id), "REFUSAL", platformtest.RefusalLines(id), "OTHER", platformtest.ResponseLines("other"))
+		_, err = lines.WriteString(conn, flood[0])
 		for err == nil {
 			_, err = conn.Write(unit)
 		}
 	}))
 	t.Cleanup(srv.Close)
-	return strings.TrimPrefix(srv.URL, "http://"), requests
+	f.addr = strings.TrimPrefix(srv.URL, "http://")
+	return f
 }
 
 // peakMemory returns the most memory that a process has had in bytes.
@@ -78,16 +97,16 @@
 }
 
 // startFlooded starts a deployment with a sound target and one that floods.
-func startFlooded(t *testing.T, flood [2]string) (d *platformDeployment, floodingRequests *atomic.Int64) {
+func startFlooded(t *testing.T, flood [2]string) (*platformDeployment, *floodingTarget) {
 	const slots = 12
-	d = newPlatformDeployment(t)
+	d := newPlatformDeployment(t)
 	require.NoError(t, platformtest.PutConfig(t.Context(), d.store, 2, platformtest.Service{Name: "s"},
 		platformtest.Route{Name: "chat", Timeout: 9 * time.Second, MaxAttempts: 2, Stream: true},
 		platformtest.Route{Name: "call", Timeout: 9 * time.Second, MaxAttempts: 2}))
-	addr, requests := startFloodingTarget(t, flood)
-	entry := platformtest.Target{ID: "i-flood", Service: "s", Addr: addr, DataCentre: "dc1", Slots: slots}
+	flooding := startFloodingTarget(t, flood)
+	entry := platformtest.Target{ID: "i-flood", Service: "s", Addr: flooding.addr, DataCentre: "dc1", Slots: slots}
 	require.NoError(t, platformtest.PutTarget(t.Context(), d.store, entry))
-	return d, requests
+	return d, flooding
 }
 
 // Guards against a target whose bytes without end are kept until the gateway has used up
@@ -99,12 +118,12 @@
 	)
 	for name, flood := range floods {
 		t.Run(name, func(t *testing.T) {
-			d, floodingRequests := startFlooded(t, flood)
+			d, flooding := startFlooded(t, flood)
 			g := d.start("gateway")
 			g.waitReady()
 			answers := g.playClients(clients, runTime)
-			t.Logf("peak %d MB, %d answers, %d requests at the flooding target", g.peakMemory()>>20, answers, floodingRequests.Load())
-			require.Positive(t, floodingRequests.Load())
+			t.Logf("peak %d MB, %d answers, %d requests at the flooding target", g.peakMemory()>>20, answers, flooding.flooded.Load())
+			require.Positive(t, flooding.flooded.Load())
 			require.Positive(t, answers)
 			require.Less(t, g.peakMemory(), int64(gatewayMemory))
 			select {
@@ -155,23 +174,36 @@
 }
 
 // Guards against a rank whose bytes without end are kept by the process beside it, or by
-// the gateway that coordinates its group.
+// the gateway that coordinates its group. The rank is in order until both have begun.
 func TestFloodingRankEndsNoProcess(t *testing.T) {
-	const runTime = time.Second
+	const runTime = 2 * time.Second
 	for name, flood := range floods {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			d := newPlatformDeployment(t)
-			addr, requests := startFloodingTarget(t, flood)
-			d.target = addr
-			processes := map[*platformProcess]int64{d.start("gateway"): gatewayMemory, d.start("rank"): rankMemory}
-			require.Eventually(t, func() bool { return requests.Load() > 0 }, waitTimeout, time.Millisecond)
+			experts := &platformtest.Experts{Sets: 1, Experts: 4, Placements: 4, Spare: 1}
+			require.NoError(t, platformtest.PutConfig(t.Context(), d.store, 2, platformtest.Service{Name: "s", Experts: experts}))
+			flooding := startFloodingTarget(t, flood)
+			flooding.inTrouble.Store(false)
+			d.target = flooding.addr
+			d.putTarget(12)
+			rank, gateway := d.start("rank"), d.start("gateway")
+			rank.waitForLog("rank joined")
+			gateway.waitForLog("coordinating")
+			flooding.inTrouble.Store(true)
 			time.Sleep(runTime)
-			for p, memory := range processes {
-				require.Less(t, p.peakMemory(), memory)
-				p.signal(terminate)
-				p.waitForExit()
-			}
+			gateway.waitForLog("query of rank failed")
+			byBoth := flooding.flooded.Load()
+			require.Less(t, rank.peakMemory(), int64(rankMemory))
+			rank.signal(terminate)
+			rank.waitForExit()
+			atExit := flooding.flooded.Load()
+			require.Eventually(t, func() bool { return flooding.flooded.Load() > atExit }, waitTimeout, time.Millisecond, "the gateway does not ask the rank itself")
+			time.Sleep(runTime)
+			t.Logf("%d floods by both, %d by the gateway alone; gateway %d MB", byBoth, flooding.flooded.Load()-atExit, gateway.peakMemory()>>20)
+			require.Less(t, gateway.peakMemory(), int64(gatewayMemory))
+			gateway.signal(terminate)
+			gateway.waitForExit()
 		})
 	}
 }
