--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -30,8 +30,8 @@
 
 const (
 	host     = "h.example"
-	region   = "ebro"
-	zone     = "burgos"
+	region   = "be-flanders"
+	zone     = "gent-a"
 	tenant   = "taller"
 	apiKey   = "n2ctnfzs989anu6wsjnb"
 	graceS   = 8
@@ -155,7 +155,7 @@
 		"bounds": map[string]any{
 			"seedLagS": 3, "addrReuseS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": graceS, "lossSlackMs": 200,
 			"configApplyMs": 2000, "rollbackSlackMs": 250, "maxStretchMs": 5000, "strictRevoke": false, "revokeMs": 5000, "retryBudgetRatio": 0.2,
-			"budgetWindowS": 10, "budgetSlack": 90, "coldOverrun": 1.5, "coldSlack": 5, "evacuationMs": 5000, "recoveryS": 12, "passMs": 120,
+			"budgetWindowS": 10, "budgetSlack": 88, "coldOverrun": 1.5, "coldSlack": 5, "evacuationMs": 5000, "recoveryS": 12, "passMs": 120,
 			"retryAfterS": 0, "stall_ms": 1500, "fencingRequired": true, "ttl_max_s": 5,
 		},
 		"platform": map[string]any{"address": d.storeURL, "form": "kv", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1 << 20, "ttlMinMs": 1000},
--- a/review/standin3/stop.go
+++ b/review/standin3/stop.go
@@ -22,18 +22,18 @@
 		deadline     = 8 * time.Second
 	)
 	ctx := context.Background()
-	if err := d.putConfig(1, []string{"pintor-lm"}, route("chat", "/chat/", "streaming", "pintor-lm", 8000, 400, 2)); err != nil {
+	if err := d.putConfig(1, []string{"lm-pool"}, route("chat", "/chat/", "streaming", "lm-pool", 8000, 400, 2)); err != nil {
 		return false, err
 	}
 	var servers []*streamServer
 	for _, id := range []string{"i-1", "i-2"} {
-		s, err := d.startStreamServer(id, "pintor-lm", eventPause)
+		s, err := d.startStreamServer(id, "lm-pool", eventPause)
 		if err != nil {
 			return false, err
 		}
 		servers = append(servers, s)
 	}
-	gateways, err := d.startGateways(ctx, "front-burgos-1", "front-burgos-2")
+	gateways, err := d.startGateways(ctx, "front-gent-a-1", "front-gent-a-2")
 	if err != nil {
 		return false, err
 	}
--- a/review/standin3/streams.go
+++ b/review/standin3/streams.go
@@ -102,8 +102,12 @@
 	complete bool // the answer has ended as HTTP says
 	err      error
 	took     time.Duration
+	gap      time.Duration // the longest time without an event, also before the first
 }
 
+// clientGap is the gap after which clients abandon a stream.
+const clientGap = 2 * time.Second
+
 func (a streamAnswer) String() string {
 	return fmt.Sprintf("%s: status %d, %d events, complete %t, error %v, after %d ms", a.id, a.status, a.events, a.complete, a.err, a.took.Milliseconds())
 }
@@ -136,10 +140,13 @@
 	}
 	a.status = resp.StatusCode
 	lines := bufio.NewReader(resp.Body)
+	last := a.sentAt
 	for {
 		line, err := lines.ReadString('\n')
+		a.gap = max(a.gap, time.Since(last))
 		if strings.HasPrefix(line, "id:") {
 			a.events++
+			last = time.Now()
 		}
 		if err != nil {
 			a.complete = errors.Is(err, io.EOF)
