gateway: a stop's decision is logged with what its estimate rests on

Change: work_samples, work_usual_ms, work_longest_ms and tokens_per_event; the estimate is computed from a workBasis that holds them.

--- a/gateway/report.go
+++ b/gateway/report.go
@@ -107,7 +107,9 @@
 			slog.Int64("longest_gap_ms", x.timing.longestGap.Milliseconds()))
 	}
 	if d := x.stopDecision; d != nil {
-		attrs = append(attrs, slog.Int64("stop_left_ms", d.left.Milliseconds()), slog.Int64("work_ms", d.work.Milliseconds()), slog.Bool("work_known", d.known))
+		attrs = append(attrs, slog.Int64("stop_left_ms", d.left.Milliseconds()), slog.Int64("work_ms", d.work.Milliseconds()), slog.Bool("work_known", d.known),
+			slog.Int("work_samples", d.basis.samples), slog.Int64("work_usual_ms", d.basis.usual.Milliseconds()),
+			slog.Int64("work_longest_ms", d.basis.longest.Milliseconds()), slog.Float64("tokens_per_event", d.basis.tokensPerEvent))
 	}
 	if x.lastErr != nil {
 		attrs = append(attrs, slog.String("last_failure", x.lastErr.Error()))
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -113,11 +113,13 @@
 	if w == nil || x.eventCount > 0 {
 		return nil
 	}
-	work, known := x.g.workTimes.estimate(x.workGroup(), requestSize(x.meta))
+	basis := x.g.workTimes.basis(x.workGroup(), requestSize(x.meta))
+	work, known := basis.estimate()
 	if slowdown := x.g.inProgress.slowdown(x, now, &x.g.workTimes); slowdown > 1 {
 		work = time.Duration(workMargin * slowdown * float64(work))
 	}
 	d := w.decide(now, x.deadline, work, known)
+	d.basis = basis
 	x.stopDecision = &d
 	if d.fits(now) {
 		return nil
--- a/gateway/stopwindow.go
+++ b/gateway/stopwindow.go
@@ -36,6 +36,8 @@
 	// known is false if too few requests have completed for an estimate. Work is
 	// then the time until the deadline.
 	known bool
+	// basis is what the estimate rests on.
+	basis workBasis
 	// latestSend is when the request must have been sent to a target.
 	latestSend time.Time
 }
--- a/gateway/streamwork.go
+++ b/gateway/streamwork.go
@@ -25,13 +25,10 @@
 	firstEvent time.Duration
 }
 
-// longestStream returns how long a stream takes that reaches its maximum size. Streams
-// that long are rare, so that few samples, or none, show their time; all samples show
-// how long an event takes.
-func (s *workSamples) longestStream(size float64) time.Duration {
-	if s == nil {
-		return 0
-	}
+// longestStream returns how long a stream takes that reaches its maximum size, and how
+// many tokens each of its events is taken to hold. Streams that long are rare, so that few
+// samples, or none, show their time; all samples show how long an event takes.
+func (s *workSamples) longestStream(size float64) (time.Duration, float64) {
 	var first, perEvent []time.Duration
 	for _, sample := range s.samples {
 		if sample.events < 2 {
@@ -42,10 +39,10 @@
 	}
 	tokens := s.tokensPerEvent()
 	if len(first) < minWorkSamples || tokens == 0 {
-		return 0
+		return 0, 0
 	}
 	events := math.Ceil(size / tokens)
-	return durationQuantile(first, streamQuantile) + time.Duration(events*float64(durationQuantile(perEvent, streamQuantile)))
+	return durationQuantile(first, streamQuantile) + time.Duration(events*float64(durationQuantile(perEvent, streamQuantile))), tokens
 }
 
 // tokensPerEvent estimates how many tokens an event holds, or returns 0 if that is
--- a/gateway/worktime.go
+++ b/gateway/worktime.go
@@ -104,31 +104,60 @@
 	}
 }
 
+// workBasis is what the estimate of the time of a request rests on.
+type workBasis struct {
+	// samples is how many requests of the back end and kind have completed; zero if they
+	// are too few for an estimate.
+	samples int
+	// usual is how long nearly all requests of the size have taken, and longest how long
+	// a stream takes that reaches it; zero for other requests.
+	usual, longest time.Duration
+	// tokensPerEvent is how many tokens each event of that stream is taken to hold.
+	tokensPerEvent float64
+}
+
 // estimate returns how long nearly all requests of the given size take, and false
 // if too few of the route and of its back end have completed.
 func (w *workTimes) estimate(g workGroup, size float64) (time.Duration, bool) {
+	return w.basis(g, size).estimate()
+}
+
+// estimate returns the time that the basis shows, and false if it shows none.
+func (b workBasis) estimate() (time.Duration, bool) {
+	if b.samples == 0 {
+		return 0, false
+	}
+	usual := time.Duration(workMargin * float64(b.usual))
+	longest := time.Duration(longestMargin * float64(b.longest))
+	return max(usual, longest) + workSlack, true
+}
+
+// basis returns what is known of the time of a request of the given size.
+func (w *workTimes) basis(g workGroup, size float64) workBasis {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	nearly := 0.0
-	route := w.groups[g]
+	route, all := w.groups[g], w.groups[workGroup{backend: g.backend, kind: g.kind}]
+	var b workBasis
 	if route != nil {
-		nearly = route.quantile(size)
+		b.usual = route.quantile(size)
+		b.samples = len(route.samples)
 	}
 	if route == nil || len(route.samples) < fullWorkSamples {
-		all := w.groups[workGroup{backend: g.backend, kind: g.kind}]
 		if all == nil || len(all.samples) < minWorkSamples {
-			return 0, false
+			return workBasis{}
 		}
-		nearly = max(nearly, all.quantile(size))
+		b.usual = max(b.usual, all.quantile(size))
+	}
+	if all != nil {
+		b.samples = len(all.samples)
+		b.longest, b.tokensPerEvent = all.longestStream(size)
 	}
-	longest := w.groups[workGroup{backend: g.backend, kind: g.kind}].longestStream(size)
-	return max(time.Duration(workMargin*nearly), time.Duration(longestMargin*float64(longest))) + workSlack, true
+	return b
 }
 
-// quantile returns the workQuantile of the times of the samples nearest in size,
-// in nanoseconds. Times of smaller requests are scaled up to the size, but not
+// quantile returns the workQuantile of the times of the samples nearest in size. Times of smaller requests are scaled up to the size, but not
 // beyond what the longest of all samples shows.
-func (s *workSamples) quantile(size float64) float64 {
+func (s *workSamples) quantile(size float64) time.Duration {
 	distances := make([]float64, len(s.samples))
 	largest := workSample{}
 	for i, sample := range s.samples {
@@ -147,7 +176,7 @@
 		}
 	}
 	slices.Sort(times)
-	return times[min(len(times)-1, int(workQuantile*float64(len(times))))]
+	return time.Duration(times[min(len(times)-1, int(workQuantile*float64(len(times))))])
 }
 
 // scaledTo returns the time of the sample in nanoseconds, scaled up if the size
