gateway: short streams without an expected length don't make a long one seem short

Cause: the time of the longest stream is made from the tokens of an event. Without expected lengths that was taken from the maximum of the completed streams: the fewest tokens per event that the maximum allows. This is a limit from above. After 15 streams of 6 to 10 events with a maximum of 350 tokens it is 35, so that the longest stream seems to have 10 events.

Why this fix works: an event holds a token at least. With expected lengths nothing changes.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -52,6 +52,8 @@
 	if parts := h.Get("X-Parts"); parts != "" {
 		m.PromptParts = strings.Split(parts, ",")
 	}
+	m.MaxOutputTokens, _ = strconv.Atoi(h.Get("X-Max-Tokens"))
+	m.ExpectedOutputTokens, _ = strconv.Atoi(h.Get("X-Expected-Tokens"))
 	for size := range strings.SplitSeq(h.Get("X-Part-Tokens"), ",") {
 		if n, err := strconv.Atoi(size); err == nil {
 			m.PromptPartTokens = append(m.PromptPartTokens, n)
--- a/gateway/streamwork.go
+++ b/gateway/streamwork.go
@@ -13,6 +13,8 @@
 	// longestMargin multiplies that time. It is smaller than workMargin, since few
 	// streams are as long as their maximum allows.
 	longestMargin = 1.1
+	// leastTokensPerEvent is the number of tokens that an event holds at least.
+	leastTokensPerEvent = 1.0
 )
 
 // streamSample is what a completed stream shows about the time of a longer one. It
@@ -38,16 +40,18 @@
 		perEvent = append(perEvent, (sample.took-sample.firstEvent)/time.Duration(sample.events-1))
 	}
 	tokens := s.tokensPerEvent()
-	if len(first) < minWorkSamples || tokens == 0 {
+	if len(first) < minWorkSamples {
 		return 0, 0
 	}
 	events := math.Ceil(size / tokens)
 	return durationQuantile(first, streamQuantile) + time.Duration(events*float64(durationQuantile(perEvent, streamQuantile))), tokens
 }
 
-// tokensPerEvent estimates how many tokens an event holds, or returns 0 if that is
-// not known. The lengths that callers expect are right at the median, and no response
-// has more tokens than its maximum.
+// tokensPerEvent estimates how many tokens an event holds. The lengths that callers
+// expect are right at the median, and no response has more tokens than its maximum. That
+// maximum alone only limits the number from above: streams that ended far below it would
+// make every longer one look short. Without expected lengths, an event counts as
+// leastTokensPerEvent.
 func (s *workSamples) tokensPerEvent() float64 {
 	atMost := math.Inf(1)
 	var guesses []float64
@@ -60,14 +64,11 @@
 			guesses = append(guesses, sample.expected/float64(sample.events))
 		}
 	}
-	if math.IsInf(atMost, 1) {
-		return 0
+	if len(guesses) < minWorkSamples {
+		return min(atMost, leastTokensPerEvent)
 	}
-	if len(guesses) >= minWorkSamples {
-		slices.Sort(guesses)
-		atMost = min(atMost, guesses[len(guesses)/2])
-	}
-	return atMost
+	slices.Sort(guesses)
+	return min(atMost, guesses[len(guesses)/2])
 }
 
 // durationQuantile returns a quantile of durations, which it sorts.
