gateway: a few expected lengths that are far off don't make a long stream seem short

The tokens of an event are the median of what callers expect, from four streams on. The hints are right at the median but often far off: if two of four are four times too long, the upper one of the two middle values is, and the longest stream seems to take a quarter of its time.

The other tests of the estimate hold as they were, also the limits from above.

--- a/gateway/streamwork.go
+++ b/gateway/streamwork.go
@@ -68,7 +68,15 @@
 		return min(atMost, leastTokensPerEvent)
 	}
 	slices.Sort(guesses)
-	return min(atMost, guesses[len(guesses)/2])
+	return min(atMost, guesses[certainlyBelowMedian(len(guesses))])
+}
+
+// certainlyBelowMedian returns the index of the largest of n sorted samples that is almost
+// certainly below the median of what they are drawn from: two standard deviations of the
+// number of samples below it. Among a few samples, half may by chance be far above.
+func certainlyBelowMedian(n int) int {
+	deviation := math.Sqrt(float64(n)) / 2
+	return max(0, int(float64(n)/2-2*deviation))
 }
 
 // durationQuantile returns a quantile of durations, which it sorts.
--- a/gateway/worktime_test.go
+++ b/gateway/worktime_test.go
@@ -135,6 +135,28 @@
 	}
 }
 
+// Guards against a stream that is taken late in a stop because half of the few callers
+// that said how long their streams would be were far off: an event then seems to hold 20
+// tokens instead of 5, and the longest stream to have 18 events instead of 70.
+func TestWorkTimeOfFewExpectedLengths(t *testing.T) {
+	const eventPause, maxTokens, tokensPerEvent = 90 * time.Millisecond, 350, 5
+	w := newWorkTimes()
+	for n := range minWorkSamples {
+		events := 6 + n
+		expected := tokensPerEvent * events
+		if n%2 == 0 {
+			expected *= 4
+		}
+		w.record(chatGroup, workSample{size: maxTokens, took: time.Duration(events) * eventPause, streamSample: streamSample{
+			expected: float64(expected), events: events, firstEvent: eventPause,
+		}})
+	}
+	work, known := w.estimate(chatGroup, maxTokens)
+	require.True(t, known)
+	require.GreaterOrEqual(t, work, maxTokens/tokensPerEvent*eventPause)
+	require.Less(t, work, 5*maxTokens/tokensPerEvent*eventPause/4, "streams would be rejected in vain")
+}
+
 // Guards against a panic when the samples of a back end were discarded to bound the
 // memory, and those of a route were not.
 func TestWorkTimeWithoutSamplesOfBackend(t *testing.T) {
