gateway: a stream that pauses continues until another target goes on with it

Cause: the stall check ended the attempt after 900 ms without an event, and only then looked for another target. If the retry budget was used up, or the others were full, leaving, or refused, nothing was left. A refusal by the other target counted as an attempt as well.

Change: a stalled stream is hedged. Another target is asked to go on after the last event while the attempt continues. Whichever sends the next event first goes on, and the other attempt is ended. A hedge that gets no slot, no retry, a refusal or an error leaves the stream as it is; it is tried again after 300 ms if the request may be sent once more. A stream whose target fails meanwhile takes over the hedge.

Why this works: an attempt is ended for silence only once another target has begun to respond.

TestResponseDuringStallCheck called the function that ended an attempt for the stall alone; the attempt is now ended as another target goes on. What it demands of the three responses is unchanged.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -234,6 +234,15 @@
 	return ok
 }
 
+// allowsRetry reports whether the instance's share of the retry budget would allow one
+// more attempt now.
+func (g *Gateway) allowsRetry(backend string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	return g.retryBudget(backend, now).AllowsRetry(now)
+}
+
 // Items returns the items of the key-value store whose keys have the prefix,
 // from this instance's cached copy. It fails until the copy has been loaded.
 func (g *Gateway) Items(ctx context.Context, prefix string) ([]infra.Item, error) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -248,7 +248,7 @@
 	}
 	queuedAt := time.Now()
 	q := x.g.queues.forBackend(x.backend)
-	t, err := x.acquireSlot(ctx, q, queuedAt)
+	t, err := x.acquireSlot(ctx, q, x.slotRequest(queuedAt), queuedAt)
 	now := time.Now()
 	x.queueTime += now.Sub(queuedAt)
 	if err != nil {
@@ -273,8 +273,7 @@
 
 // acquireSlot waits for a place at a rank group, if the back end has any, and for a free
 // slot at a target there.
-func (x *exchange) acquireSlot(ctx context.Context, q *queue, now time.Time) (*target, error) {
-	req := x.slotRequest(now)
+func (x *exchange) acquireSlot(ctx context.Context, q *queue, req slotRequest, now time.Time) (*target, error) {
 	p, err := x.acquirePlace(ctx, &req, now)
 	if err != nil {
 		return nil, err
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -13,69 +13,121 @@
 	"github.com/skylarkstep/skylarkstep/gateway/upstream"
 )
 
+// streamExchange is an exchange whose response is a series of events.
+type streamExchange struct {
+	*exchange
+	// ctx ends when nobody needs the response any more.
+	ctx    context.Context
+	events sse.Splitter
+	// headerSent is set once the headers of the response have been sent to the caller.
+	headerSent bool
+	// lastFailed is the latest error response of a target; nil if there is none.
+	lastFailed *attemptResult
+	// pendingHedge is the hedge in progress; nil if there is none.
+	pendingHedge *streamHedge
+	// nextHedgeAt is when another target may be looked for again.
+	nextHedgeAt time.Time
+	stallLogged bool
+}
+
+// streamAttempt is one attempt at a stream.
+type streamAttempt struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	target *target
+	sentAt time.Time
+	// response receives the result of sending the request, once.
+	response chan attemptResult
+}
+
 // serveStream serves a request whose response is a series of events. If the
-// target fails, the stream resumes on another target after the last complete
-// event.
+// target fails, or stalls and another one does not, the stream resumes on another target
+// after the last complete event.
 func (x *exchange) serveStream(ctx context.Context) error {
-	events := sse.Splitter{RequireIDs: x.route.Resumable}
-	var lastFailed *attemptResult
-	headerSent := false
-	for {
-		t, err := x.acquireTarget(ctx)
-		if err != nil {
-			return x.streamFailure(headerSent, lastFailed, err)
-		}
-		res := x.attemptStream(ctx, t, &events, &headerSent)
+	s := &streamExchange{exchange: x, ctx: ctx, events: sse.Splitter{RequireIDs: x.route.Resumable}}
+	defer s.dropHedge()
+	a, err := s.beginAttempt()
+	for err == nil {
+		res := s.runAttempt(a)
 		if res.verdict == failed {
-			lastFailed = &res
+			s.lastFailed = &res
 		}
 		switch {
 		case res.verdict == succeeded && !res.hasEvents():
-			return x.forwardResponse(res)
+			return s.forwardResponse(res)
 		case res.verdict == succeeded:
 			return nil
 		case ctx.Err() != nil:
-			return x.streamError(headerSent, x.deadlineError())
+			return s.interruption(s.deadlineError())
 		case errors.Is(res.err, errCallerNotReading):
 			return errkind.Wrap(errInterrupted, errkind.Canceled, "the caller disconnected")
-		case x.shouldRetry(res):
-			events.Reset()
-			x.backOff(ctx, res)
-		default:
-			return x.streamFailure(headerSent, lastFailed, x.attemptsFailedError())
 		}
+		a, err = s.nextAttempt(res)
+	}
+	return s.failure(err)
+}
+
+// nextAttempt returns the attempt that follows a result: the hedge, if there is one, or a
+// retry.
+func (s *streamExchange) nextAttempt(res attemptResult) (*streamAttempt, error) {
+	s.events.Reset()
+	if a := s.adoptHedge(); a != nil {
+		return a, nil
+	}
+	if !s.shouldRetry(res) {
+		return nil, s.attemptsFailedError()
+	}
+	s.backOff(s.ctx, res)
+	return s.beginAttempt()
+}
+
+// beginAttempt acquires a target and begins to send the request.
+func (s *streamExchange) beginAttempt() (*streamAttempt, error) {
+	t, err := s.acquireTarget(s.ctx)
+	if err != nil {
+		return nil, err
 	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	a := &streamAttempt{ctx: ctx, cancel: cancel, target: t, sentAt: time.Now(), response: make(chan attemptResult, 1)}
+	lastEventID := s.events.LastID()
+	go func() { a.response <- s.send(ctx, t, lastEventID) }()
+	return a, nil
 }
 
-// attemptStream makes one attempt and relays its events. It releases the slot at
-// the target.
-func (x *exchange) attemptStream(ctx context.Context, t *target, events *sse.Splitter, headerSent *bool) attemptResult {
-	startedAt := time.Now()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	res := x.sendStream(ctx, cancel, t, events.LastID())
+// runAttempt relays the events of an attempt. It releases the slot at the target.
+func (s *streamExchange) runAttempt(a *streamAttempt) attemptResult {
+	defer a.cancel()
+	res := s.awaitResponse(a)
 	switch {
-	case res.verdict == succeeded && *headerSent && !x.continuesStream(res.resp):
+	case res.verdict == succeeded && s.headerSent && !s.continuesStream(res.resp):
 		res.resp.Close()
 		res.verdict = lost
-		res.err = errors.Errorf("target %s resumed a stream with status %d and content type %q", t.ID, res.resp.StatusCode, mediaType(res.resp.Header))
+		res.err = errors.Errorf("target %s resumed a stream with status %d and content type %q", a.target.ID, res.resp.StatusCode, mediaType(res.resp.Header))
 	case res.verdict == succeeded && res.hasEvents():
-		res = x.relay(ctx, res, startedAt, events, headerSent)
+		res = s.relay(a, res)
 	case res.verdict == succeeded || res.verdict == failed:
-		res = readResponseBody(ctx, res)
+		res = readResponseBody(a.ctx, res)
 	}
-	x.reportAttempt(ctx, res)
-	x.eventCount = events.Events()
-	x.recordAttempt(res)
+	s.reportAttempt(a.ctx, res)
+	s.setEventCount()
+	s.recordAttempt(res)
 	slotTime := time.Duration(0)
 	if res.verdict == succeeded {
-		slotTime = time.Since(startedAt)
-		t.recordOutcome(false)
+		slotTime = time.Since(a.sentAt)
+		a.target.recordOutcome(false)
 	}
-	x.g.queues.forBackend(x.backend).releaseSlot(t, slotTime)
+	s.g.queues.forBackend(s.backend).releaseSlot(a.target, slotTime)
 	return res
 }
 
+// setEventCount records how many events the response has. A hedge in progress reads the
+// number, which then does not change.
+func (s *streamExchange) setEventCount() {
+	if n := s.events.Events(); n != s.eventCount {
+		s.eventCount = n
+	}
+}
+
 // hasEvents reports whether the body of a response to a stream consists of
 // events. Redirects and errors have other bodies.
 func (r *attemptResult) hasEvents() bool { return r.resp.StatusCode < http.StatusMultipleChoices }
@@ -97,49 +149,49 @@
 	return strings.ToLower(strings.TrimSpace(value))
 }
 
-// streamFailure ends a stream whose attempts have failed. As long as nothing has
+// failure ends a stream whose attempts have failed. As long as nothing has
 // been sent to the caller, a target's own error response takes precedence.
-func (x *exchange) streamFailure(headerSent bool, lastFailed *attemptResult, err error) error {
-	if lastFailed != nil && !headerSent {
-		return x.forwardFailure(*lastFailed)
+func (s *streamExchange) failure(err error) error {
+	if s.lastFailed != nil && !s.headerSent {
+		return s.forwardFailure(*s.lastFailed)
 	}
-	return x.streamError(headerSent, err)
+	return s.interruption(err)
 }
 
-// streamError returns the error of a stream. Once events have been sent, no
+// interruption returns the error of a stream. Once events have been sent, no
 // error response is possible, and the connection is interrupted instead.
-func (x *exchange) streamError(headerSent bool, err error) error {
-	if !headerSent {
+func (s *streamExchange) interruption(err error) error {
+	if !s.headerSent {
 		return err
 	}
-	x.lastErr = err
-	return errkind.Wrap(errInterrupted, errkind.KindOf(err), "after %d events", x.eventCount)
+	s.lastErr = err
+	return errkind.Wrap(errInterrupted, errkind.KindOf(err), "after %d events", s.eventCount)
 }
 
-// sendStream makes one attempt. It cancels the attempt if the target does not
-// respond while others do.
-func (x *exchange) sendStream(ctx context.Context, cancel func(), t *target, lastEventID string) attemptResult {
-	done := make(chan attemptResult, 1)
-	go func() { done <- x.send(ctx, t, lastEventID) }()
-	sentAt := time.Now()
+// awaitResponse waits for the response of an attempt. If its target has stalled and
+// another one goes on with the stream, the attempt ends.
+func (s *streamExchange) awaitResponse(a *streamAttempt) attemptResult {
 	ticker := time.NewTicker(stallCheckInterval)
 	defer ticker.Stop()
+	progress := streamProgress{sentAt: a.sentAt}
 	for {
 		select {
-		case res := <-done:
+		case res := <-a.response:
 			return res
 		case now := <-ticker.C:
-			if x.isStalled(t, streamProgress{sentAt: sentAt}, now) {
-				cancel()
-				return stalledResult(<-done, now.Sub(sentAt))
+			s.checkStall(a, progress, now)
+		case res := <-s.hedgeResponse():
+			if s.hedgeWins(res) {
+				a.cancel()
+				return stalledResult(<-a.response, time.Since(a.sentAt))
 			}
 		}
 	}
 }
 
 // stalledResult returns the result of an attempt that was cancelled because the
-// target did not respond. A response that arrived meanwhile cannot be used, since
-// its connection is closed, but a refusal remains one.
+// target did not respond and another one did. A response that arrived meanwhile cannot be
+// used, since its connection is closed, but a refusal remains one.
 func stalledResult(res attemptResult, idle time.Duration) attemptResult {
 	res.target.recordOutcome(true)
 	if res.verdict == refused || res.verdict == notSent {
--- a/gateway/streamfailure_test.go
+++ b/gateway/streamfailure_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/skylarkstep/skylarkstep/gateway/upstream"
 )
 
 // Guards against an error response to a stream that is replaced by an error of
@@ -44,8 +46,8 @@
 	}
 }
 
-// Guards against a response that arrives just as the stall check cancels its
-// attempt and then counts as a success: it carries an error, and its connection
+// Guards against a response that arrives just as its attempt is cancelled, since it has
+// stalled and another target goes on with the stream, and then counts as a success: it carries an error, and its connection
 // is closed.
 func TestResponseDuringStallCheck(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -65,12 +67,16 @@
 			g := newDeployment(t, config(), fake).start("g1")
 			req := httptest.NewRequest(http.MethodGet, "/chat/1", nil)
 			req.Header.Set("X-Id", "1")
-			x := &exchange{g: g.Gateway, r: req, backend: "b", route: &config().Routes[3], meta: RequestMeta{ID: "1"}, deadline: time.Now().Add(5 * time.Second)}
+			x := &exchange{g: g.Gateway, r: req, w: httptest.NewRecorder(), backend: "b", route: &config().Routes[3], meta: RequestMeta{ID: "1"}, deadline: time.Now().Add(5 * time.Second)}
 			target := g.target("r")
-			// Requests that were sent later already receive their responses.
-			target.recordResponse(time.Now(), time.Now().Add(time.Minute))
-			// The function that cancels the attempt has the response sent instead.
-			res := x.sendStream(t.Context(), func() { close(release) }, target, "")
+			// Another target goes on with the stream. The function that cancels the
+			// attempt has the response sent instead.
+			other := &streamHedge{attempt: &streamAttempt{response: make(chan attemptResult, 1)}}
+			other.attempt.response <- attemptResult{verdict: succeeded, resp: &upstream.Response{Response: &http.Response{StatusCode: http.StatusOK}}}
+			s := &streamExchange{exchange: x, pendingHedge: other}
+			a := &streamAttempt{ctx: t.Context(), cancel: func() { close(release) }, target: target, sentAt: time.Now(), response: make(chan attemptResult, 1)}
+			go func() { a.response <- x.send(t.Context(), target, "") }()
+			res := s.awaitResponse(a)
 			require.Equal(t, c.want, res.verdict)
 			require.Error(t, res.err)
 			if c.want == lost {
--- a/gateway/streamrelay.go
+++ b/gateway/streamrelay.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"github.com/skylarkstep/skylarkstep/gateway/sse"
 )
 
 // chunkSize is the size in bytes of the buffer for one read from a stream.
@@ -16,64 +14,75 @@
 
 var errCallerNotReading = errors.New("the caller does not read")
 
-// relay forwards complete events until the response ends.
-func (x *exchange) relay(ctx context.Context, res attemptResult, sentAt time.Time, events *sse.Splitter, headerSent *bool) attemptResult {
+// relay forwards complete events until the response ends, or another target goes on with
+// the stream.
+func (s *streamExchange) relay(a *streamAttempt, res attemptResult) attemptResult {
 	defer res.resp.Close()
 	chunks := make(chan []byte)
 	readErr := make(chan error, 1)
-	go readChunks(ctx, res.resp.Body, chunks, readErr)
-	progress := streamProgress{sentAt: sentAt}
+	go readChunks(a.ctx, res.resp.Body, chunks, readErr)
+	progress := streamProgress{sentAt: a.sentAt}
 	harmless := false
 	ticker := time.NewTicker(stallCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case chunk := <-chunks:
-			if err := x.relayChunk(res, chunk, &progress, events, headerSent); err != nil {
+			if err := s.relayChunk(res, chunk, &progress); err != nil {
 				return res.lostWith(err)
 			}
 			if !harmless && progress.lastEventAt.Sub(res.beganAt) >= beginningTime {
 				harmless = true
-				x.recordHarmless(ctx, progress.lastEventAt)
+				s.recordHarmless(a.ctx, progress.lastEventAt)
 			}
 		case err := <-readErr:
-			return x.finishStream(ctx, res, err, progress, events, headerSent)
+			return s.finishStream(a.ctx, res, err, progress)
 		case now := <-ticker.C:
-			if err := x.checkProgress(res.target, progress, now); err != nil {
+			if err := checkEvent(res.target, progress, now); err != nil {
 				res.target.recordOutcome(true)
 				return res.lostWith(err)
 			}
-		case <-ctx.Done():
-			return res.lostWith(errors.WithStack(ctx.Err()))
+			s.checkStall(a, progress, now)
+		case hedged := <-s.hedgeResponse():
+			if s.hedgeWins(hedged) {
+				res.target.recordOutcome(true)
+				return res.lostWith(errors.Errorf("target %s sent no event for %d ms in a stream", a.target.ID, time.Since(progress.idleSince()).Milliseconds()))
+			}
+		case <-a.ctx.Done():
+			return res.lostWith(errors.WithStack(a.ctx.Err()))
 		}
 	}
 }
 
 // relayChunk adds bytes to the stream and forwards the events that they complete.
-func (x *exchange) relayChunk(res attemptResult, chunk []byte, progress *streamProgress, events *sse.Splitter, headerSent *bool) error {
+func (s *streamExchange) relayChunk(res attemptResult, chunk []byte, progress *streamProgress) error {
 	now := time.Now()
-	eventsBefore := events.Events()
-	out, streamErr := events.Push(chunk)
-	if events.Events() > eventsBefore {
+	eventsBefore := s.events.Events()
+	out, streamErr := s.events.Push(chunk)
+	progressed := s.events.Events() > eventsBefore
+	if progressed {
 		progress.lastEventAt = now
-		x.timing.recordEvent(now)
+		s.timing.recordEvent(now)
 		newlyVerified := res.target.recordResponse(now, progress.sentAt)
-		x.g.queues.forBackend(x.backend).recordResponse(progress.sentAt, now, newlyVerified)
+		s.g.queues.forBackend(s.backend).recordResponse(progress.sentAt, now, newlyVerified)
 	}
 	switch {
-	case !events.Incomplete():
+	case !s.events.Incomplete():
 		progress.incompleteSince = time.Time{}
 	case out != nil || progress.incompleteSince.IsZero():
 		progress.incompleteSince = now
 	}
 	if out != nil {
-		if err := x.writeEvents(res, out, headerSent); err != nil {
+		if err := s.writeEvents(res, out); err != nil {
 			return err
 		}
 	}
+	if progressed {
+		s.dropHedge() // it was to begin after an earlier event
+	}
 	if streamErr != nil {
 		res.target.recordOutcome(true)
-		return errors.Wrapf(streamErr, "stream of target %s after event %q", res.target.ID, events.LastID())
+		return errors.Wrapf(streamErr, "stream of target %s after event %q", res.target.ID, s.events.LastID())
 	}
 	return nil
 }
@@ -97,23 +106,23 @@
 }
 
 // beginStream writes the headers of the first response.
-func (x *exchange) beginStream(res attemptResult, headerSent *bool) {
-	if *headerSent {
+func (s *streamExchange) beginStream(res attemptResult) {
+	if s.headerSent {
 		return
 	}
-	*headerSent = true
-	x.copyHeader(res.resp)
-	x.w.WriteHeader(res.resp.StatusCode)
+	s.headerSent = true
+	s.copyHeader(res.resp)
+	s.w.WriteHeader(res.resp.StatusCode)
 }
 
 // writeEvents writes complete events to the caller. The headers of the first
 // response precede them.
-func (x *exchange) writeEvents(res attemptResult, out []byte, headerSent *bool) error {
-	x.beginStream(res, headerSent)
-	if err := x.write(out); err != nil {
+func (s *streamExchange) writeEvents(res attemptResult, out []byte) error {
+	s.beginStream(res)
+	if err := s.write(out); err != nil {
 		return errCallerNotReading
 	}
-	if err := http.NewResponseController(x.w).Flush(); err != nil {
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
 		return errCallerNotReading
 	}
 	return nil
@@ -121,13 +130,13 @@
 
 // finishStream determines whether a stream ended completely. One that only the end
 // of its connection ends did not if it has no event or its target has crashed.
-func (x *exchange) finishStream(ctx context.Context, res attemptResult, err error, progress streamProgress, events *sse.Splitter, headerSent *bool) attemptResult {
+func (s *streamExchange) finishStream(ctx context.Context, res attemptResult, err error, progress streamProgress) attemptResult {
 	isEmpty := progress.lastEventAt.IsZero() && endsWithConnection(res.resp.Response)
-	if !errors.Is(err, io.EOF) || events.Incomplete() || isEmpty || res.endedByCrash(ctx) {
+	if !errors.Is(err, io.EOF) || s.events.Incomplete() || isEmpty || res.endedByCrash(ctx) {
 		res.target.recordOutcome(true)
-		return res.lostWith(errors.Wrapf(err, "stream of target %s was interrupted after event %q", res.target.ID, events.LastID()))
+		return res.lostWith(errors.Wrapf(err, "stream of target %s was interrupted after event %q", res.target.ID, s.events.LastID()))
 	}
-	x.beginStream(res, headerSent)
+	s.beginStream(res)
 	res.resp.Finish()
 	return res
 }
--- a/gateway/streamstall.go
+++ b/gateway/streamstall.go
@@ -9,11 +9,11 @@
 const (
 	// stallCheckInterval is how often a stream without new events is checked.
 	stallCheckInterval = 100 * time.Millisecond
-	// stallTimeout is the time without an event after which a stream is retried
-	// on another target, if other streams of its target continue.
+	// stallTimeout is the time without an event after which another target is asked to
+	// go on with a stream, if other streams of its target continue.
 	stallTimeout = 900 * time.Millisecond
-	// unresponsiveStallTimeout is the time without an event after which a stream is
-	// retried if the coordinator of the group gets no reply from its target either.
+	// unresponsiveStallTimeout is the time without an event after which that is done if
+	// the coordinator of the group gets no reply from its target either.
 	unresponsiveStallTimeout = 400 * time.Millisecond
 	// pathLossTimeout is the time after which a target that sends nothing at
 	// all counts as unreachable, if other targets of the back end continue to
@@ -70,13 +70,25 @@
 	return !respondingSince.IsZero() && now.Sub(respondingSince) > pathLossTimeout && now.Sub(lastByteAt) > pathLossTimeout
 }
 
-// checkProgress returns an error if a stream has made no progress for too long.
-func (x *exchange) checkProgress(t *target, progress streamProgress, now time.Time) error {
-	if !progress.incompleteSince.IsZero() && now.Sub(progress.incompleteSince) > eventTimeout {
-		return errors.Errorf("target %s did not complete an event in %d ms", t.ID, now.Sub(progress.incompleteSince).Milliseconds())
+// checkEvent returns an error if an event has been incomplete for too long.
+func checkEvent(t *target, progress streamProgress, now time.Time) error {
+	if progress.incompleteSince.IsZero() || now.Sub(progress.incompleteSince) <= eventTimeout {
+		return nil
 	}
-	if x.isStalled(t, progress, now) {
-		return errors.Errorf("target %s sent no event for %d ms in a stream", t.ID, now.Sub(progress.idleSince()).Milliseconds())
+	return errors.Errorf("target %s did not complete an event in %d ms", t.ID, now.Sub(progress.incompleteSince).Milliseconds())
+}
+
+// checkStall looks for another target if the one of the attempt has stalled. The attempt
+// continues meanwhile.
+func (s *streamExchange) checkStall(a *streamAttempt, progress streamProgress, now time.Time) {
+	if !s.isStalled(a.target, progress, now) {
+		return
+	}
+	hedged := s.hedge(now)
+	if s.stallLogged && !hedged {
+		return
 	}
-	return nil
+	s.stallLogged = true
+	s.g.log.Info("stream stalled", "request", s.meta.ID, "target", a.target.ID, "idle_ms", now.Sub(progress.idleSince()).Milliseconds(),
+		"events", s.events.Events(), "hedged", hedged)
 }
--- a/routing/retrybudget.go
+++ b/routing/retrybudget.go
@@ -67,17 +67,22 @@
 
 // TakeRetry reports whether a retry is allowed now, and records it if so.
 func (b *RetryBudget) TakeRetry(now time.Time) bool {
+	if !b.AllowsRetry(now) {
+		return false
+	}
+	b.retries = append(b.retries, now)
+	return true
+}
+
+// AllowsRetry reports whether a retry is allowed now.
+func (b *RetryBudget) AllowsRetry(now time.Time) bool {
 	b.dropExpired(now)
 	maxInstances := 1
 	for _, count := range b.instanceCounts {
 		maxInstances = max(maxInstances, count.instances)
 	}
 	allowed := usedSlackShare*b.limits.Slack/float64(maxInstances) + usedRatioShare*b.limits.Ratio*float64(len(b.firstAttempts))
-	if float64(len(b.retries)+1) > allowed {
-		return false
-	}
-	b.retries = append(b.retries, now)
-	return true
+	return float64(len(b.retries)+1) <= allowed
 }
 
 // dropExpired removes records that are too old to count.
