gateway: a pause inside an event ends a stream only when callers have left

An attempt ended 2 s after the first byte of an event that was not complete, also on routes whose callers wait longer (four times a latency goal of 1 s, for example).

Change: the limit is the time that callers of the route wait, and 2 s at least.

TestPauseInsideEvent failed before (cut after 2.1 s). TestStreamWithoutEnd, which demands that a stream with an endless event ends, holds.

--- a/gateway/streampause_test.go
+++ b/gateway/streampause_test.go
@@ -248,3 +248,21 @@
 	require.Equal(t, events(1, pausedEvents), resp.body)
 	require.EqualValues(t, 1, other.requests.Load())
 }
+
+// Guards against a stream that is cut since its target pauses inside an event for longer
+// than eventTimeout, although callers of the route wait longer.
+func TestPauseInsideEvent(t *testing.T) {
+	t.Parallel()
+	second := events(2, 2)
+	paused := startFakeTarget(t, "paused", func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), len(events(1, 2)), events(1, 1)+second[:5])
+		waitForEnd(w, eventTimeout+500*time.Millisecond)
+		_, _ = fmt.Fprint(w, second[5:])
+	})
+	cfg := patientConfig()
+	cfg.Routes[3].CallerIdleTimeout = 2 * eventTimeout
+	g := newDeployment(t, cfg, paused).start("g1")
+	resp := g.requestWithin(t.Context(), patientDeadline, http.MethodPost, "/chat/1", "")
+	require.NoError(t, resp.err)
+	require.Equal(t, events(1, 2), resp.body)
+}
--- a/gateway/streamrelay.go
+++ b/gateway/streamrelay.go
@@ -38,7 +38,7 @@
 		case err := <-readErr:
 			return s.finishStream(a.ctx, res, err, progress)
 		case now := <-ticker.C:
-			if err := checkEvent(res.target, progress, now); err != nil {
+			if err := s.checkEvent(res.target, progress, now); err != nil {
 				res.target.recordOutcome(true)
 				return res.lostWith(err)
 			}
--- a/gateway/streamstall.go
+++ b/gateway/streamstall.go
@@ -19,9 +19,8 @@
 	// all counts as unreachable, if other targets of the back end continue to
 	// send.
 	pathLossTimeout = 1300 * time.Millisecond
-	// eventTimeout limits the time from the first byte of an event to its end.
-	// Targets send an event in one write. Callers drop a stream that pauses for
-	// longer than this.
+	// eventTimeout limits the time from the first byte of an event to its end, on routes
+	// whose callers do not wait longer. Targets send an event in one write.
 	eventTimeout = 2 * time.Second
 )
 
@@ -70,9 +69,11 @@
 	return !respondingSince.IsZero() && now.Sub(respondingSince) > pathLossTimeout && now.Sub(lastByteAt) > pathLossTimeout
 }
 
-// checkEvent returns an error if an event has been incomplete for too long.
-func checkEvent(t *target, progress streamProgress, now time.Time) error {
-	if progress.incompleteSince.IsZero() || now.Sub(progress.incompleteSince) <= eventTimeout {
+// checkEvent returns an error if an event has been incomplete for too long: for longer
+// than callers of the route wait for it.
+func (s *streamExchange) checkEvent(t *target, progress streamProgress, now time.Time) error {
+	timeout := max(eventTimeout, s.route.CallerIdleTimeout)
+	if progress.incompleteSince.IsZero() || now.Sub(progress.incompleteSince) <= timeout {
 		return nil
 	}
 	return errors.Errorf("target %s did not complete an event in %d ms", t.ID, now.Sub(progress.incompleteSince).Milliseconds())
