A reset that the write of an upload gets is not the end of a response

Callers saw (reported by the users): a runner answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports the error of a connection once. A long body is written beside the reading of the response. If the write gets ECONNRESET, or ETIMEDOUT, the next read finds an ordinary end, which ends a response without a length. net/http has the same two goroutines, so that all HTTP clients had the fault, and not the gateway alone.

Evidence: TestReaderLearnsOfReset shows the two calls of the kernel: the write returns ECONNRESET, the read after it io.EOF.

Change: infra/tcpend wraps connections. At the end of the stream it asks the kernel whether the connection was reset (state CLOSE of TCP_INFO); where the kernel does not tell, a failed write tells. The reader gets ECONNRESET then. gateway/upstream and httpclient.New, which copies the transport, use it for each connection.

Why this works: an end in order leaves the connection half closed. Only a reset or a timeout closes it while this process has it open. A target that has closed its side and does not read the upload is still answered (TestEarlyResponseThatEnds). One that closes the whole connection before it has read the upload resets it, also if its response was whole: that cannot be told from a part, and counts as lost.

The stand-in for malformed heads plays three more names (delete byte, vertical tab, none).

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -12,6 +12,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/skylarkstep/skylarkstep/infra/tcpend"
 )
 
 const (
@@ -32,7 +34,7 @@
 // closes, or that delivers unrequested bytes, is therefore detected before the
 // next request is sent on it.
 type conn struct {
-	net.Conn
+	*tcpend.Conn
 	reader    *bufio.Reader
 	idleUntil time.Time
 	// headRemaining is how many bytes may still be read before the head of the
@@ -58,7 +60,7 @@
 }
 
 func newConn(c net.Conn) *conn {
-	nc := &conn{Conn: c}
+	nc := &conn{Conn: tcpend.Wrap(c)}
 	nc.reader = bufio.NewReaderSize(headReader{nc}, readBufferSize)
 	nc.awaitFirstByte()
 	return nc
@@ -68,9 +70,7 @@
 // after an ordinary close, what has not arrived yet would still be delivered, and the
 // request would run for nobody once the target reads again or the path to it is back.
 func (c *conn) abort() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
+	_ = c.SetLinger(0)
 	_ = c.Close()
 }
 
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -232,8 +232,7 @@
 	data := encodeHead(r)
 	written := make(chan error, 1)
 	write := func() {
-		_, err := (&net.Buffers{data, r.Body}).WriteTo(c.Conn)
-		written <- err
+		written <- c.WriteBuffers(net.Buffers{data, r.Body})
 	}
 	if len(r.Body) <= maxInlineBody {
 		write()
--- a/infra/peersocket/peersocket.go
+++ b/infra/peersocket/peersocket.go
@@ -84,3 +84,20 @@
 	}
 	return since
 }
+
+// tcpClose is the state of a connection in the kernel that has been reset, has timed out or
+// was closed by both ends.
+const tcpClose = 7
+
+// IsReset reports whether a connection that this process has not closed was reset or has
+// timed out, rather than ended by the other end in order. known is false if the kernel does
+// not tell.
+func IsReset(conn net.Conn) (reset, known bool) {
+	control(conn, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil && info.State != 0 {
+			reset, known = info.State == tcpClose, true
+		}
+	})
+	return reset, known
+}
--- a/infra/standin/malformed/malformed.go
+++ b/infra/standin/malformed/malformed.go
@@ -41,6 +41,9 @@
 		"control byte in a name":    "X-\x01Odd: 1\r\n",
 		"carriage return in a name": "X-\rOdd: 1\r\n",
 		"zero byte in a name":       "X-Odd\x00: 1\r\n",
+		"delete byte in a name":     "X-\x7fOdd: 1\r\n",
+		"vertical tab in a name":    "X-\x0bOdd: 1\r\n",
+		"empty name":                ": 1\r\n",
 	} {
 		responses[name] = withLength(status, fields+line, body)
 	}
