gateway: a stream leaves a second target that has stalled as well

Cause: found while reading the hedge of a stalled stream once more: it was not checked for a stall itself while the first attempt continued, so that a route with three attempts did not reach a third target.

Change: a hedge that has stalled is ended if an attempt is left for a third target.

TestPausedStreamMovesToThirdTarget fails without the call.

--- a/gateway/streamhedge.go
+++ b/gateway/streamhedge.go
@@ -179,6 +179,29 @@
 	s.endHedge(res)
 }
 
+// dropStalledHedge ends a hedge whose target has stalled as well, if the request may be sent
+// to a third one.
+func (s *streamExchange) dropStalledHedge(now time.Time) {
+	h := s.pendingHedge
+	if h == nil || !h.isSent() || s.countedAttempts+2 >= s.route.MaxAttempts {
+		return
+	}
+	if s.isStalled(h.attempt.target, streamProgress{sentAt: h.attempt.sentAt}, now) {
+		h.attempt.target.recordOutcome(true)
+		s.dropHedge()
+	}
+}
+
+// isSent reports whether the hedge has a slot at a target.
+func (h *streamHedge) isSent() bool {
+	select {
+	case <-h.acquired:
+		return h.attempt.target != nil
+	default:
+		return false
+	}
+}
+
 // adoptHedge returns the hedge as the next attempt once it has a slot, or nil if there is
 // no hedge or it gets none.
 func (s *streamExchange) adoptHedge() *streamAttempt {
--- a/gateway/streampause_test.go
+++ b/gateway/streampause_test.go
@@ -197,6 +197,33 @@
 	}
 }
 
+// Guards against a stream that waits for a second target that has stalled as well, although
+// a third one can go on with it.
+func TestPausedStreamMovesToThirdTarget(t *testing.T) {
+	t.Parallel()
+	paused := startPausingTarget(t, "paused", 2, patientDeadline)
+	cfg := patientConfig()
+	cfg.Routes[3].MaxAttempts = 3
+	d := newDeployment(t, cfg, paused.fakeTarget)
+	g := d.start("g1")
+	done := make(chan response, 1)
+	go func() { done <- g.requestWithin(t.Context(), patientDeadline, http.MethodPost, "/chat/1", "") }()
+	require.Eventually(t, func() bool { return paused.requests.Load() == 1 }, time.Second, time.Millisecond)
+	other := startPausingTarget(t, "other", 2, patientDeadline)
+	d.put("target/other", other.target("b"))
+	g.keepOthersGoing(t, "paused", "other", "third")
+	require.Eventually(t, func() bool { return other.requests.Load() == 1 }, 2*time.Second, time.Millisecond)
+	third := startPausingTarget(t, "third", pausedEvents, 0)
+	d.put("target/third", third.target("b"))
+	sentAt := time.Now()
+	resp := <-done
+	require.NoError(t, resp.err)
+	require.Equal(t, events(1, pausedEvents), resp.body)
+	require.Less(t, time.Since(sentAt), 2*time.Second)
+	paused.requireClosed(t)
+	other.requireClosed(t)
+}
+
 // Guards against events that come twice, are missing or of both targets when a target goes
 // on just as another one begins to continue its stream.
 func TestPausedStreamGoesOnBesideAlternative(t *testing.T) {
--- a/gateway/streamstall.go
+++ b/gateway/streamstall.go
@@ -85,6 +85,7 @@
 	if !s.isStalled(a.target, progress, now) {
 		return
 	}
+	s.dropStalledHedge(now)
 	hedged := s.hedge(now)
 	if s.stallLogged && !hedged {
 		return
