--- a/gateway/streampause_test.go
+++ b/gateway/streampause_test.go
@@ -94,6 +94,31 @@
 	}()
 }
 
+// startPausedStream starts a gateway with one target and sends a stream there. The channel
+// receives its response.
+func startPausedStream(t *testing.T, cfg routing.Config, paused *fakeTarget) (*deployment, *instance, <-chan response) {
+	d := newDeployment(t, cfg, paused)
+	g := d.start("g1")
+	done := make(chan response, 1)
+	go func() { done <- g.requestWithin(t.Context(), patientDeadline, http.MethodPost, "/chat/1", "") }()
+	require.Eventually(t, func() bool { return paused.requests.Load() == 1 }, time.Second, time.Millisecond)
+	return d, g, done
+}
+
+// addOther adds a second target. Other streams of both targets continue.
+func (i *instance) addOther(t *testing.T, d *deployment, other *fakeTarget) {
+	d.put("target/other", other.target("b"))
+	require.Eventually(t, func() bool { return i.targetCount() == 2 }, time.Second, time.Millisecond)
+	i.keepOthersGoing(t, "paused", "other")
+}
+
+// requireSlotsFree fails if a slot at a target is not given back.
+func (i *instance) requireSlotsFree(t *testing.T, ids ...string) {
+	for _, id := range ids {
+		require.Eventually(t, func() bool { return i.target(id).ownRequests.Load() == 0 }, time.Second, time.Millisecond, "the slot at %s is kept", id)
+	}
+}
+
 // refuseAll refuses a request as not run.
 func refuseAll(w net.Conn, r *http.Request) {
 	_, _ = fmt.Fprintf(w, "HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
@@ -142,11 +167,7 @@
 			t.Run(name+" "+where, func(t *testing.T) {
 				t.Parallel()
 				paused := startPausingTarget(t, "paused", pauseAfter, enginePause)
-				d := newDeployment(t, patientConfig(), paused.fakeTarget)
-				g := d.start("g1")
-				done := make(chan response, 1)
-				go func() { done <- g.requestWithin(t.Context(), patientDeadline, http.MethodPost, "/chat/1", "") }()
-				require.Eventually(t, func() bool { return paused.requests.Load() == 1 }, time.Second, time.Millisecond)
+				d, g, done := startPausedStream(t, patientConfig(), paused.fakeTarget)
 				ids := []string{"paused"}
 				if c.other != nil {
 					other := startFakeTarget(t, "other", c.other)
@@ -174,25 +195,17 @@
 		t.Run(where, func(t *testing.T) {
 			t.Parallel()
 			paused := startPausingTarget(t, "paused", pauseAfter, patientDeadline)
-			d := newDeployment(t, patientConfig(), paused.fakeTarget)
-			g := d.start("g1")
-			done := make(chan response, 1)
 			sentAt := time.Now()
-			go func() { done <- g.requestWithin(t.Context(), patientDeadline, http.MethodPost, "/chat/1", "") }()
-			require.Eventually(t, func() bool { return paused.requests.Load() == 1 }, time.Second, time.Millisecond)
+			d, g, done := startPausedStream(t, patientConfig(), paused.fakeTarget)
 			other := startPausingTarget(t, "other", pausedEvents, 0)
-			d.put("target/other", other.target("b"))
-			require.Eventually(t, func() bool { return g.targetCount() == 2 }, time.Second, time.Millisecond)
-			g.keepOthersGoing(t, "paused", "other")
+			g.addOther(t, d, other.fakeTarget)
 			resp := <-done
 			require.NoError(t, resp.err)
 			require.Equal(t, events(1, pausedEvents), resp.body)
 			require.Less(t, time.Since(sentAt), 2*time.Second)
 			paused.requireClosed(t)
 			require.Positive(t, g.target("paused").currentFailureRate())
-			for _, id := range []string{"paused", "other"} {
-				require.Eventually(t, func() bool { return g.target(id).ownRequests.Load() == 0 }, time.Second, time.Millisecond, "the slot at %s is kept", id)
-			}
+			g.requireSlotsFree(t, "paused", "other")
 		})
 	}
 }
@@ -204,11 +217,7 @@
 	paused := startPausingTarget(t, "paused", 2, patientDeadline)
 	cfg := patientConfig()
 	cfg.Routes[3].MaxAttempts = 3
-	d := newDeployment(t, cfg, paused.fakeTarget)
-	g := d.start("g1")
-	done := make(chan response, 1)
-	go func() { done <- g.requestWithin(t.Context(), patientDeadline, http.MethodPost, "/chat/1", "") }()
-	require.Eventually(t, func() bool { return paused.requests.Load() == 1 }, time.Second, time.Millisecond)
+	d, g, done := startPausedStream(t, cfg, paused.fakeTarget)
 	other := startPausingTarget(t, "other", 2, patientDeadline)
 	d.put("target/other", other.target("b"))
 	g.keepOthersGoing(t, "paused", "other", "third")
@@ -233,22 +242,14 @@
 			t.Parallel()
 			// The target goes on from 0 to 240 ms after the other one has got the request.
 			paused := startPausingTarget(t, "paused", 2, stallTimeout+time.Duration(20*n)*time.Millisecond)
-			d := newDeployment(t, patientConfig(), paused.fakeTarget)
-			g := d.start("g1")
-			done := make(chan response, 1)
-			go func() { done <- g.requestWithin(t.Context(), patientDeadline, http.MethodPost, "/chat/1", "") }()
-			require.Eventually(t, func() bool { return paused.requests.Load() == 1 }, time.Second, time.Millisecond)
+			d, g, done := startPausedStream(t, patientConfig(), paused.fakeTarget)
 			other := startPausingTarget(t, "other", 2, 100*time.Millisecond)
-			d.put("target/other", other.target("b"))
-			require.Eventually(t, func() bool { return g.targetCount() == 2 }, time.Second, time.Millisecond)
-			g.keepOthersGoing(t, "paused", "other")
+			g.addOther(t, d, other.fakeTarget)
 			resp := <-done
 			require.NoError(t, resp.err)
 			require.Equal(t, events(1, pausedEvents), resp.body)
 			doubled.Add(other.requests.Load())
-			for _, id := range []string{"paused", "other"} {
-				require.Eventually(t, func() bool { return g.target(id).ownRequests.Load() == 0 }, time.Second, time.Millisecond, "the slot at %s is kept", id)
-			}
+			g.requireSlotsFree(t, "paused", "other")
 		})
 	}
 }
@@ -261,15 +262,9 @@
 		time.Sleep(stallTimeout + 400*time.Millisecond)
 		reset(w)
 	})
-	d := newDeployment(t, patientConfig(), paused)
-	g := d.start("g1")
-	done := make(chan response, 1)
-	go func() { done <- g.requestWithin(t.Context(), patientDeadline, http.MethodPost, "/chat/1", "") }()
-	require.Eventually(t, func() bool { return paused.requests.Load() == 1 }, time.Second, time.Millisecond)
+	d, g, done := startPausedStream(t, patientConfig(), paused)
 	other := startPausingTarget(t, "other", 2, 700*time.Millisecond)
-	d.put("target/other", other.target("b"))
-	require.Eventually(t, func() bool { return g.targetCount() == 2 }, time.Second, time.Millisecond)
-	g.keepOthersGoing(t, "paused", "other")
+	g.addOther(t, d, other.fakeTarget)
 	resp := <-done
 	require.NoError(t, resp.err)
 	require.Equal(t, events(1, pausedEvents), resp.body)
--- a/infra/peersocket/peersocket_test.go
+++ b/infra/peersocket/peersocket_test.go
@@ -7,20 +7,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-)
 
-// connect returns both ends of a connection.
-func connect(t *testing.T) (ours, theirs *net.TCPConn) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	dialed, err := net.Dial("tcp", l.Addr().String())
-	require.NoError(t, err)
-	accepted, err := l.Accept()
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = dialed.Close(); _ = accepted.Close() })
-	return accepted.(*net.TCPConn), dialed.(*net.TCPConn)
-}
+	"github.com/skylarkstep/skylarkstep/infra/standin/tcppair"
+)
 
 // Guards against an end of a connection that is not found, such as one behind bytes
 // that were not read, and against one that is found although nobody has left.
@@ -44,7 +33,7 @@
 		}, State{Unread: true, Closed: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			ours, theirs := connect(t)
+			ours, theirs := tcppair.Connect(t)
 			c.change(t, ours, theirs)
 			require.Eventually(t, func() bool { return Inspect(ours) == c.want }, time.Second, time.Millisecond, "%+v", Inspect(ours))
 		})
@@ -62,7 +51,7 @@
 
 // Guards against a wait that counts only from the read.
 func TestSinceReceivedCountsUnreadBytes(t *testing.T) {
-	ours, theirs := connect(t)
+	ours, theirs := tcppair.Connect(t)
 	write(t, theirs)
 	time.Sleep(300 * time.Millisecond)
 	require.GreaterOrEqual(t, SinceReceived(ours), 250*time.Millisecond)
--- a/infra/tcpend/conn_test.go
+++ b/infra/tcpend/conn_test.go
@@ -10,24 +10,13 @@
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
-)
 
-// connect returns both ends of a connection.
-func connect(t *testing.T) (ours, theirs *net.TCPConn) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	dialed, err := net.Dial("tcp", l.Addr().String())
-	require.NoError(t, err)
-	accepted, err := l.Accept()
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = dialed.Close(); _ = accepted.Close() })
-	return accepted.(*net.TCPConn), dialed.(*net.TCPConn)
-}
+	"github.com/skylarkstep/skylarkstep/infra/standin/tcppair"
+)
 
 // Guards against a reset that a write has got, so that the read finds an ordinary end.
 func TestReaderLearnsOfReset(t *testing.T) {
-	ours, theirs := connect(t)
+	ours, theirs := tcppair.Connect(t)
 	c := Wrap(ours)
 	require.NoError(t, theirs.SetLinger(0))
 	require.NoError(t, theirs.Close())
@@ -43,7 +32,7 @@
 
 // Guards against an ordinary end that is taken for a reset, also while a write is blocked.
 func TestReaderFindsOrdinaryEnd(t *testing.T) {
-	ours, theirs := connect(t)
+	ours, theirs := tcppair.Connect(t)
 	c := Wrap(ours)
 	writeEnded := make(chan struct{})
 	go func() {
