--- a/gateway/streamhedge.go
+++ b/gateway/streamhedge.go
@@ -72,13 +72,14 @@
 	return awaitFirstBytes(s.send(ctx, t, lastEventID))
 }
 
+// acquireHedgeSlot acquires a slot, and a retry of the budget, for a hedge.
 func (s *streamExchange) acquireHedgeSlot(ctx context.Context, slot slotRequest, now time.Time) (*target, error) {
 	q := s.g.queues.forBackend(s.backend)
 	t, err := s.acquireSlot(ctx, q, slot, now)
 	if err != nil {
 		return nil, err
 	}
-	if ctx.Err() != nil || !s.g.takeRetry(s.backend) {
+	if !s.g.takeRetry(s.backend) {
 		q.releaseSlot(t, 0)
 		return nil, errors.New("the retry budget is used up")
 	}
@@ -99,19 +100,19 @@
 		res.resp.Close()
 		return res.lostWith(errors.Wrapf(err, "target %s sent no event", res.target.ID))
 	}
-	res.resp.Body = &resumedBody{first: first[:n], err: err, ReadCloser: res.resp.Body}
+	res.resp.Body = &peekedBody{first: first[:n], err: err, ReadCloser: res.resp.Body}
 	return res
 }
 
-// resumedBody is a body whose first bytes have been read.
-type resumedBody struct {
+// peekedBody is a body whose first bytes have been read.
+type peekedBody struct {
 	io.ReadCloser
 	first []byte
 	err   error // of the read of the first bytes
 }
 
 // Read implements io.Reader.
-func (b *resumedBody) Read(p []byte) (int, error) {
+func (b *peekedBody) Read(p []byte) (int, error) {
 	if len(b.first) > 0 {
 		n := copy(p, b.first)
 		b.first = b.first[n:]
