gateway: streams of one event and errors don't make a long stream seem short

Streams of a single event show no time between events, so that the estimate for a longer one was that of the single event. Errors and redirects of targets to streams were recorded as streams, and are quick.

Change: if nearly all streams had a single event, its whole time counts as that of each event. Responses without events are not recorded as streams.

TestStopRefusesStreamOfUnknownLength/single_event and /error failed before (taken, and cut in the middle). The case 'one event' of TestWorkTimeOfStreamsWithoutSizes demanded an estimate under 2 s for a stream that may have 100 events after streams of one that took 1 s; it now demands the time of 100, with a limit on both sides as before.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarkstep/skylarkstep/errkind"
+	"github.com/skylarkstep/skylarkstep/routing"
 )
 
 const (
@@ -176,11 +177,15 @@
 }
 
 // recordWorkTime records how long a completed request took. Requests that failed
-// early say nothing about that.
+// early say nothing about that, and neither do errors and redirects of targets about
+// streams.
 func (x *exchange) recordWorkTime(err error) {
 	if x.firstSentAt.IsZero() || err != nil && errkind.KindOf(err) != errkind.DeadlineExceeded || x.g.stops.cut.Err() != nil {
 		return
 	}
+	if err == nil && x.route.Kind == routing.Stream && x.eventCount == 0 {
+		return
+	}
 	s := workSample{size: requestSize(x.meta), took: time.Since(x.firstSentAt)}
 	if x.eventCount > 0 {
 		s.streamSample = streamSample{expected: float64(x.meta.ExpectedOutputTokens), events: x.eventCount, firstEvent: x.timing.firstEventAt.Sub(x.firstSentAt)}
--- a/gateway/stoplate_test.go
+++ b/gateway/stoplate_test.go
@@ -100,40 +100,49 @@
 }
 
 // Guards against a long stream that is passed on late in a planned stop and cut at its
-// end, because the streams before it were short: they say nothing about its length.
+// end, because the streams before it were short, had a single event, or were answered with
+// an error: they say nothing about its length.
 func TestStopRefusesStreamOfUnknownLength(t *testing.T) {
-	t.Parallel()
 	const (
 		pause      = 20 * time.Millisecond
 		longEvents = 100 // 2 s
 		maxTokens  = "500"
 	)
-	ran := &ranRequests{ids: map[string]bool{}}
-	fake := startFakeTarget(t, "r", func(w net.Conn, r *http.Request) {
-		ran.add(r.Header.Get("X-Id"))
-		events := 5
-		if strings.Contains(r.URL.Path, "long") {
-			events = longEvents
-		}
-		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("X-Id"))
-		for i := range events {
-			time.Sleep(pause)
-			event := fmt.Sprintf("id: %d\ndata: x\n\n", i+1)
-			_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
-		}
-		_, _ = fmt.Fprint(w, "0\r\n\r\n")
-	})
-	d := newDeployment(t, config(), fake)
-	d.stopTimeout = 2500 * time.Millisecond
-	g := d.start("g1")
-	send := func(path string) response {
-		return g.send(t.Context(), http.MethodPost, path, http.Header{"X-Max-Tokens": {maxTokens}, "X-Deadline": {"4s"}})
-	}
-	for n := range 15 {
-		require.Equal(t, http.StatusOK, send(fmt.Sprintf("/chat/short-%d", n)).status)
+	for name, shortEvents := range map[string]int{"short": 5, "single event": 1, "error": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ran := &ranRequests{ids: map[string]bool{}}
+			fake := startFakeTarget(t, "r", func(w net.Conn, r *http.Request) {
+				ran.add(r.Header.Get("X-Id"))
+				events := shortEvents
+				if strings.Contains(r.URL.Path, "long") {
+					events = longEvents
+				}
+				if events == 0 {
+					_, _ = fmt.Fprintf(w, "HTTP/1.1 404 Unknown\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+					return
+				}
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("X-Id"))
+				for i := range events {
+					time.Sleep(pause)
+					event := fmt.Sprintf("id: %d\ndata: x\n\n", i+1)
+					_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+				}
+				_, _ = fmt.Fprint(w, "0\r\n\r\n")
+			})
+			d := newDeployment(t, config(), fake)
+			d.stopTimeout = 2500 * time.Millisecond
+			g := d.start("g1")
+			send := func(path string) response {
+				return g.send(t.Context(), http.MethodPost, path, http.Header{"X-Max-Tokens": {maxTokens}, "X-Deadline": {"4s"}})
+			}
+			for n := range 15 {
+				require.NoError(t, send(fmt.Sprintf("/chat/before-%d", n)).err)
+			}
+			stopped := g.beginStop(t)
+			time.Sleep(500 * time.Millisecond)
+			checkRefused(t, send("/chat/long"), "id-/chat/long", ran)
+			<-stopped
+		})
 	}
-	stopped := g.beginStop(t)
-	time.Sleep(500 * time.Millisecond)
-	checkRefused(t, send("/chat/long"), "id-/chat/long", ran)
-	<-stopped
 }
--- a/gateway/streamwork.go
+++ b/gateway/streamwork.go
@@ -31,22 +31,35 @@
 // many tokens each of its events is taken to hold. Streams that long are rare, so that few
 // samples, or none, show their time; all samples show how long an event takes.
 func (s *workSamples) longestStream(size float64) (time.Duration, float64) {
-	var first, perEvent []time.Duration
-	for _, sample := range s.samples {
-		if sample.events < 2 {
-			continue
-		}
-		first = append(first, sample.firstEvent)
-		perEvent = append(perEvent, (sample.took-sample.firstEvent)/time.Duration(sample.events-1))
-	}
-	tokens := s.tokensPerEvent()
+	first, perEvent := s.eventTimes()
 	if len(first) < minWorkSamples {
 		return 0, 0
 	}
+	tokens := s.tokensPerEvent()
 	events := math.Ceil(size / tokens)
 	return durationQuantile(first, streamQuantile) + time.Duration(events*float64(durationQuantile(perEvent, streamQuantile))), tokens
 }
 
+// eventTimes returns the times to the first event and between events. If nearly all
+// streams had a single event, its time counts as that of each event: it is an upper limit.
+func (s *workSamples) eventTimes() (first, perEvent []time.Duration) {
+	var single []time.Duration
+	for _, sample := range s.samples {
+		switch sample.events {
+		case 0:
+		case 1:
+			single = append(single, sample.took)
+		default:
+			first = append(first, sample.firstEvent)
+			perEvent = append(perEvent, (sample.took-sample.firstEvent)/time.Duration(sample.events-1))
+		}
+	}
+	if len(first) < minWorkSamples {
+		return append(first, single...), append(perEvent, single...)
+	}
+	return first, perEvent
+}
+
 // tokensPerEvent estimates how many tokens an event holds. The lengths that callers
 // expect are right at the median, and no response has more tokens than its maximum. That
 // maximum alone only limits the number from above: streams that ended far below it would
--- a/gateway/worktime.go
+++ b/gateway/worktime.go
@@ -155,8 +155,9 @@
 	return b
 }
 
-// quantile returns the workQuantile of the times of the samples nearest in size. Times of smaller requests are scaled up to the size, but not
-// beyond what the longest of all samples shows.
+// quantile returns the workQuantile of the times of the samples nearest in size. Times
+// of smaller requests are scaled up to the size, but not beyond what the longest of all
+// samples shows.
 func (s *workSamples) quantile(size float64) time.Duration {
 	distances := make([]float64, len(s.samples))
 	largest := workSample{}
--- a/gateway/worktime_test.go
+++ b/gateway/worktime_test.go
@@ -178,9 +178,10 @@
 		atLeast, lessThan time.Duration
 	}{
 		"nothing known": {workSample{took: time.Second, streamSample: streamSample{events: 20, firstEvent: time.Millisecond}}, time.Second, 2 * time.Second},
-		// An event may hold a single token, so that 100 events may come.
+		// An event may hold a single token, so that 100 events may come. How long one
+		// takes is known at most where all streams had a single one.
 		"no guesses": {workSample{size: 100, took: time.Second, streamSample: streamSample{events: 20, firstEvent: time.Millisecond}}, 5 * time.Second, 6500 * time.Millisecond},
-		"one event":  {workSample{size: 100, took: time.Second, streamSample: streamSample{events: 1, firstEvent: time.Millisecond}}, time.Second, 2 * time.Second},
+		"one event":  {workSample{size: 100, took: time.Second, streamSample: streamSample{events: 1, firstEvent: time.Millisecond}}, 100 * time.Second, 125 * time.Second},
 		"no event":   {workSample{size: 100, took: time.Second}, time.Second, 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
