gateway: attempts at a hedged call record the crash of a target without a data race

Cause: crashedTarget is written by the goroutines of both attempts at a hedged call, and read by the request.

Change: an atomic.Bool.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -170,7 +170,9 @@
 		known := c.targets[t.ID]
 		c.crashes.RecordLoss(t.crashID(), suspects, known == nil || known.Incarnation != t.Incarnation, now)
 	})
-	x.crashedTarget = x.crashedTarget || crashed
+	if crashed {
+		x.crashedTarget.Store(true)
+	}
 }
 
 // hasExited reports whether the target refuses connections.
@@ -194,4 +196,4 @@
 
 // mayCrashAgain reports whether the request was in progress when a target crashed,
 // and it or one of its parts was at several crashes.
-func (x *exchange) mayCrashAgain() bool { return x.crashedTarget && x.admission.HasSuspect() }
+func (x *exchange) mayCrashAgain() bool { return x.crashedTarget.Load() && x.admission.HasSuspect() }
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -265,3 +265,26 @@
 		require.Positive(t, g.target("bad").currentFailureRate())
 	})
 }
+
+// Guards against a data race of the two attempts at a hedged call whose targets crash at
+// the same time. Only the race detector finds it.
+func TestTargetsOfHedgedCallCrashTogether(t *testing.T) {
+	t.Parallel()
+	crash := make(chan struct{})
+	start := func(id string) *fakeTarget {
+		var f *fakeTarget
+		f = startFakeTarget(t, id, func(w net.Conn, _ *http.Request) {
+			<-crash
+			_ = f.listener.Close()
+			reset(w)
+		})
+		return f
+	}
+	a, b := start("a"), start("b")
+	g := newDeployment(t, config(), a, b).start("g1")
+	done := make(chan response, 1)
+	go func() { done <- g.request(t.Context(), http.MethodPost, "/read/1", "") }()
+	require.Eventually(t, func() bool { return a.requests.Load()+b.requests.Load() == 2 }, 2*time.Second, time.Millisecond)
+	close(crash)
+	require.Equal(t, http.StatusBadGateway, (<-done).status)
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -69,8 +69,8 @@
 	// fingerprint is the same for each repeat of the request.
 	fingerprint string
 	// crashedTarget is set if a target crashed when it had just begun to work on
-	// the request.
-	crashedTarget bool
+	// the request. Attempts at a call that is hedged set it at the same time.
+	crashedTarget atomic.Bool
 	// quarantinedSubject is the part, or the request, for which the request was
 	// refused, and quarantinedBy the decision that ended it while it was in progress.
 	quarantinedSubject string
